--- /dev/null
+++ b/Makefile
@@ -0,0 +1,16 @@
+# Runs every check: formatter, linter, build and tests with the race detector.
+.PHONY: test check build bench
+test: check build
+	go test -race -timeout 20m ./...
+
+check:
+	@unformatted=$$(gofmt -l $$(git ls-files '*.go')); \
+	if [ -n "$$unformatted" ]; then echo "gofmt: $$unformatted"; exit 1; fi
+	go vet ./...
+	go tool staticcheck ./...
+
+build:
+	go build ./...
+
+bench:
+	go test -run '^$$' -bench . -benchmem ./...
