--- /dev/null
+++ b/internal/core/freshness/restart.go
@@ -0,0 +1,116 @@
+package freshness
+
+import (
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+)
+
+// requalification collects the two rounds of answers that a restarted VM needs
+// when it cannot reach the platform.
+type requalification struct {
+	first      map[ident.VMName]ident.Incarnation
+	second     map[ident.VMName]Attestation
+	firstEnded time.Duration // never until the first round is complete
+}
+
+func (r *requalification) reset() {
+	*r = requalification{
+		first:      map[ident.VMName]ident.Incarnation{},
+		second:     map[ident.VMName]Attestation{},
+		firstEnded: never,
+	}
+}
+
+// requalify notes an answer in the round to which its question belongs. Answers of
+// unsettled VMs do not count: such a VM may be the acceptor of a proposal that it
+// does not know yet.
+func (s *State) requalify(a Attestation, asked time.Duration) {
+	if s.self.Qualified || a.Unsettled {
+		return
+	}
+	r := &s.restart
+	if old, heard := r.first[a.VM]; heard && old != a.Incarnation {
+		r.reset()
+	}
+	r.first[a.VM] = a.Incarnation
+	if r.firstEnded != never && asked > r.firstEnded {
+		r.second[a.VM] = a
+	}
+}
+
+// Tick advances the restart rule; the shell calls it after each answer and on its timer.
+func (s *State) Tick(now time.Duration) {
+	if s.self.Qualified {
+		return
+	}
+	others, complete := s.others()
+	if !complete {
+		return
+	}
+	r := &s.restart
+	if r.firstEnded == never && containsAll(r.first, others) {
+		r.firstEnded = now
+	}
+	if r.firstEnded == never || !containsAll(r.second, others) {
+		return
+	}
+	unqualified := map[ident.VMName]bool{s.self.VM: true}
+	for vm, a := range r.second {
+		if !a.Qualified {
+			unqualified[vm] = true
+		}
+	}
+	if s.blocked(unqualified) {
+		r.reset()
+		return
+	}
+	s.self.Qualified = true
+}
+
+// others lists the other VMs of the share tables. It is incomplete while a zone
+// of the accepted configuration has no share table.
+func (s *State) others() (vms []ident.VMName, complete bool) {
+	if len(s.accepted.zones) == 0 {
+		return nil, false
+	}
+	for _, zone := range s.accepted.zones {
+		table, known := s.tables[zone]
+		if !known || table.Version == 0 {
+			return nil, false
+		}
+		for _, vm := range table.VMs {
+			if vm != s.self.VM {
+				vms = append(vms, vm)
+			}
+		}
+	}
+	return vms, true
+}
+
+// containsQuorum reports whether the VMs include a majority of a majority of zones.
+func (s *State) containsQuorum(vms map[ident.VMName]bool) bool {
+	zones := 0
+	for _, zone := range s.accepted.zones {
+		count := 0
+		table := s.tables[zone]
+		for _, vm := range table.VMs {
+			if vms[vm] {
+				count++
+			}
+		}
+		if count >= Majority(len(table.VMs)) {
+			zones++
+		}
+	}
+	return zones >= Majority(len(s.accepted.zones))
+}
+
+func containsAll[V any](heard map[ident.VMName]V, vms []ident.VMName) bool {
+	for _, vm := range vms {
+		if _, ok := heard[vm]; !ok {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/core/freshness/scenario_test.go
@@ -0,0 +1,175 @@
+package freshness
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+)
+
+// Zones by their first letter.
+const (
+	c = ident.AvailabilityZone("constanta-a")
+	p = ident.AvailabilityZone("plovdiv-a")
+	r = ident.AvailabilityZone("ruse-a")
+)
+
+func (f *fleet) vm(zone ident.AvailabilityZone, n int) *fakeVM {
+	for _, vm := range f.vms {
+		if vm.zone == zone {
+			if n == 0 {
+				return vm
+			}
+			n--
+		}
+	}
+	panic("no such VM")
+}
+
+// zoneAcknowledges lets two VMs of a zone learn of the proposal and acknowledge it.
+func (f *fleet) zoneAcknowledges(zone ident.AvailabilityZone) {
+	first, second := f.vm(zone, 0), f.vm(zone, 1)
+	f.read(first, false)
+	f.read(second, false)
+	f.deliverAll()
+	f.ask(first, second)
+	f.deliverAll()
+	f.acknowledge(first)
+	f.deliverAll()
+}
+
+func (f *fleet) tryAccept(vm *fakeVM) {
+	f.read(vm, false)
+	f.deliverAll()
+	f.accept(vm)
+	f.deliverAll()
+}
+
+// restartTwo restarts two VMs of plovdiv-a during an outage and lets them ask
+// every other VM twice.
+func (f *fleet) restartTwo() {
+	f.outage = true
+	f.start(f.vm(p, 0))
+	f.start(f.vm(p, 1))
+	for range 3 {
+		f.now += 100 * time.Millisecond
+		f.round(f.vm(p, 0))
+		f.round(f.vm(p, 1))
+	}
+	f.outage = false
+}
+
+// prove cuts ruse-a and plovdiv-a off the platform and lets a VM of ruse-a ask
+// the other VM of its zone and the given VMs of plovdiv-a.
+func (f *fleet) prove(numbers ...int) (found string) {
+	f.cut[p], f.cut[r] = true, true
+	for range 10 {
+		f.now += 500 * time.Millisecond
+		f.ask(f.vm(r, 0), f.vm(r, 1))
+		for _, n := range numbers {
+			f.ask(f.vm(r, 0), f.vm(p, n))
+		}
+		f.deliverAll()
+		if v := f.violation(); v != "" {
+			found = v
+		}
+	}
+	return found
+}
+
+// Guards each rule by the shortest run in which leaving it out lets a VM honour
+// a superseded version. The same run under the right rules has no violation.
+func TestEachRuleIsNeeded(t *testing.T) {
+	for name, test := range map[string]struct {
+		wrong rules
+		run   func(*fleet) string
+	}{
+		"a majority of a zone, not one VM, speaks for it": {
+			rules{majority: func(int) int { return 1 }},
+			func(f *fleet) string {
+				f.propose(f.vm(c, 0))
+				f.deliverAll()
+				f.zoneAcknowledges(c)
+				f.zoneAcknowledges(p)
+				f.tryAccept(f.vm(c, 0))
+				return f.prove(2)
+			},
+		},
+		"a majority of zones accepts": {
+			rules{skipAcks: true},
+			func(f *fleet) string {
+				f.propose(f.vm(c, 0))
+				f.deliverAll()
+				f.zoneAcknowledges(c)
+				f.tryAccept(f.vm(c, 0))
+				return f.prove(0, 1)
+			},
+		},
+		"a new acceptor counts no earlier acknowledgement": {
+			rules{keepAttempt: true},
+			func(f *fleet) string {
+				f.propose(f.vm(c, 0))
+				f.deliverAll()
+				f.zoneAcknowledges(p)
+				f.start(f.vm(c, 0))
+				f.restartTwo()
+				f.propose(f.vm(c, 1))
+				f.deliverAll()
+				f.zoneAcknowledges(c)
+				f.tryAccept(f.vm(c, 1))
+				return f.prove(0, 1)
+			},
+		},
+		"restarted VMs that could be a quorum are not qualified by the others": {
+			rules{blocked: allRestarted},
+			func(f *fleet) string {
+				f.propose(f.vm(c, 0))
+				f.deliverAll()
+				f.zoneAcknowledges(c)
+				f.zoneAcknowledges(p)
+				f.tryAccept(f.vm(c, 0))
+				f.outage = true
+				for _, vm := range f.vms {
+					if vm != f.vm(r, 0) {
+						f.start(vm)
+					}
+				}
+				for range 3 {
+					f.now += 100 * time.Millisecond
+					for _, vm := range f.vms {
+						f.round(vm)
+					}
+				}
+				return f.prove(0, 1, 2)
+			},
+		},
+		"a proposer attests nothing before it has its answer": {
+			rules{answerEarly: true},
+			func(f *fleet) string {
+				f.propose(f.vm(c, 0))
+				f.deliver(0)
+				answer := f.messages[0]
+				f.messages = nil
+				f.zoneAcknowledges(p)
+				f.restartTwo()
+				answer.deliver()
+				f.cut[p], f.cut[r] = true, true
+				f.zoneAcknowledges(c)
+				f.tryAccept(f.vm(c, 0))
+				return f.prove(0, 1)
+			},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			assert.Equal(t, test.run(newFleet(rules{})), "")
+			assert.Assert(t, test.run(newFleet(test.wrong)) != "")
+		})
+	}
+}
+
+func allRestarted(vm *fakeVM, unqualified map[ident.VMName]bool) bool {
+	others, _ := vm.others()
+	return len(unqualified) == len(others)+1
+}
