--- /dev/null
+++ b/internal/group/http.go
@@ -0,0 +1,217 @@
+package group
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+)
+
+// Time bounds of the client.
+const (
+	// DefaultTimeout bounds calls that answer at once.
+	DefaultTimeout = time.Second
+	// HandoverTimeout bounds a handover, which waits for running transactions.
+	HandoverTimeout = 10 * time.Second
+	// StreamSilence is the longest silence of a stream. Members send a line at least
+	// every 100 ms, so ten lines were lost by then.
+	StreamSilence = time.Second
+)
+
+// ErrRefused says that the member rejected the call, because of its term or state.
+var ErrRefused = errors.New("member agent refused the call")
+
+// ErrSilent says that a stream carried no line for StreamSilence.
+var ErrSilent = errors.New("member agent stream is silent")
+
+// HTTP is the Agent over HTTP and JSON. It is safe for concurrent use.
+type HTTP struct {
+	base   string
+	client *http.Client
+	zone   ident.AvailabilityZone
+}
+
+var _ Agent = (*HTTP)(nil)
+
+// Option changes a setting of the client.
+type Option func(*HTTP)
+
+// WithZone sends the zone of this process with every call.
+func WithZone(zone ident.AvailabilityZone) Option {
+	return func(h *HTTP) { h.zone = zone }
+}
+
+// WithTransport replaces the HTTP transport.
+func WithTransport(transport http.RoundTripper) Option {
+	return func(h *HTTP) { h.client.Transport = transport }
+}
+
+// NewHTTP returns a client of the member agent at address, IP:port.
+func NewHTTP(address string, options ...Option) *HTTP {
+	h := &HTTP{base: "http://" + address, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}}
+	for _, option := range options {
+		option(h)
+	}
+	return h
+}
+
+// CloseIdle closes connections that carry no call.
+func (h *HTTP) CloseIdle() { h.client.CloseIdleConnections() }
+
+// Requests of the calls that change a member.
+type (
+	// FenceRequest is the body of fence and promote.
+	FenceRequest struct {
+		Term     ident.Term `json:"term"`
+		Proposer string     `json:"proposer"`
+	}
+	// FollowRequest is the body of follow.
+	FollowRequest struct {
+		Term    ident.Term         `json:"term"`
+		Primary ident.UpstreamName `json:"primary"`
+		// PrimaryAddress is the address of the primary's agent, IP:port.
+		PrimaryAddress string `json:"primary_address"`
+	}
+	// HandoverRequest is the body of handover.
+	HandoverRequest struct {
+		Term ident.Term `json:"term"`
+	}
+	// TransactionAnswer is the answer of a transaction query.
+	TransactionAnswer struct {
+		State TransactionState `json:"state"`
+	}
+)
+
+// Status asks for the current status.
+func (h *HTTP) Status(ctx context.Context) (Status, error) {
+	var status Status
+	err := h.call(ctx, DefaultTimeout, http.MethodGet, "/v1/status", nil, &status)
+	return status, err
+}
+
+// Fence raises the member's term. ErrRefused means that the term is not above
+// the member's, or was taken by another proposer.
+func (h *HTTP) Fence(ctx context.Context, term ident.Term, proposer string) (Status, error) {
+	return h.post(ctx, DefaultTimeout, "/v1/fence", FenceRequest{Term: term, Proposer: proposer})
+}
+
+// Promote makes a member that was fenced at the term its primary.
+func (h *HTTP) Promote(ctx context.Context, term ident.Term, proposer string) (Status, error) {
+	return h.post(ctx, DefaultTimeout, "/v1/promote", FenceRequest{Term: term, Proposer: proposer})
+}
+
+// Follow makes the member a replica of the primary of the term. primaryAgent is
+// the address of the primary's agent.
+func (h *HTTP) Follow(ctx context.Context, term ident.Term, primary ident.UpstreamName, primaryAgent string) (Status, error) {
+	request := FollowRequest{Term: term, Primary: primary, PrimaryAddress: primaryAgent}
+	return h.post(ctx, DefaultTimeout, "/v1/follow", request)
+}
+
+// Handover stops new write transactions and waits for the running ones.
+func (h *HTTP) Handover(ctx context.Context, term ident.Term) (Status, error) {
+	return h.post(ctx, HandoverTimeout, "/v1/handover", HandoverRequest{Term: term})
+}
+
+// Transaction returns the state of a transaction of the group.
+func (h *HTTP) Transaction(ctx context.Context, id string) (TransactionState, error) {
+	var answer TransactionAnswer
+	err := h.call(ctx, DefaultTimeout, http.MethodGet, "/v1/transaction/"+url.PathEscape(id), nil, &answer)
+	return answer.State, err
+}
+
+// Stream calls onStatus for each status line until ctx ends or the stream
+// breaks. It always returns an error: ctx.Err(), ErrSilent, or the cause.
+func (h *HTTP) Stream(ctx context.Context, onStatus func(Status)) error {
+	streamCtx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(StreamSilence, func() { cancel(ErrSilent) })
+	defer silence.Stop()
+	response, err := h.do(streamCtx, http.MethodGet, "/v1/stream", nil)
+	if err != nil {
+		return streamError(streamCtx, err)
+	}
+	defer response.Body.Close()
+	lines := bufio.NewScanner(response.Body)
+	for lines.Scan() {
+		silence.Reset(StreamSilence)
+		var status Status
+		if err := json.Unmarshal(lines.Bytes(), &status); err != nil {
+			return errors.Wrap(err, "decode status line")
+		}
+		onStatus(status)
+	}
+	if err := lines.Err(); err != nil {
+		return streamError(streamCtx, err)
+	}
+	return streamError(streamCtx, io.ErrUnexpectedEOF)
+}
+
+// streamError prefers the reason for which the context ended.
+func streamError(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
+func (h *HTTP) post(ctx context.Context, timeout time.Duration, path string, body any) (Status, error) {
+	var status Status
+	err := h.call(ctx, timeout, http.MethodPost, path, body, &status)
+	return status, err
+}
+
+func (h *HTTP) call(ctx context.Context, timeout time.Duration, method, path string, body, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	response, err := h.do(ctx, method, path, body)
+	if err != nil {
+		return err
+	}
+	defer response.Body.Close()
+	if err := json.NewDecoder(response.Body).Decode(out); err != nil {
+		return errors.Wrapf(err, "decode answer of %s", path)
+	}
+	return nil
+}
+
+// do sends a request and returns the response when its status is 200.
+func (h *HTTP) do(ctx context.Context, method, path string, body any) (*http.Response, error) {
+	var content io.Reader
+	if body != nil {
+		encoded, err := json.Marshal(body)
+		if err != nil {
+			return nil, errors.Wrapf(err, "encode %s", path)
+		}
+		content = bytes.NewReader(encoded)
+	}
+	request, err := http.NewRequestWithContext(ctx, method, h.base+path, content)
+	if err != nil {
+		return nil, errors.Wrapf(err, "%s", path)
+	}
+	if h.zone != "" {
+		request.Header.Set("X-Availability-Zone", string(h.zone))
+	}
+	response, err := h.client.Do(request)
+	if err != nil {
+		return nil, errors.Wrapf(err, "%s %s", method, path)
+	}
+	if response.StatusCode == http.StatusOK {
+		return response, nil
+	}
+	defer response.Body.Close()
+	reason, _ := io.ReadAll(io.LimitReader(response.Body, 512))
+	failure := fmt.Errorf("%s %s: status %d: %s", method, path, response.StatusCode, bytes.TrimSpace(reason))
+	if response.StatusCode == http.StatusConflict {
+		return nil, errors.Mark(failure, ErrRefused)
+	}
+	return nil, failure
+}
--- /dev/null
+++ b/internal/platform/http.go
@@ -0,0 +1,237 @@
+package platform
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"expvar"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+// Limits of the client.
+const (
+	// DefaultTimeout bounds one call. The platform answers within milliseconds, so
+	// a call without an answer after this time counts as lost.
+	DefaultTimeout = time.Second
+	// MaxValueBytes is the platform's limit for one value.
+	MaxValueBytes = 1 << 20
+	// ZoneHeader names the caller's availability zone.
+	ZoneHeader = "X-Availability-Zone"
+)
+
+// CallKind names a class of calls in the counters.
+type CallKind string
+
+// Classes of calls.
+const (
+	CallGet      CallKind = "get"
+	CallList     CallKind = "list"
+	CallPut      CallKind = "put"
+	CallDelete   CallKind = "delete"
+	CallWatch    CallKind = "watch"
+	CallVMs      CallKind = "vms"
+	CallAnnounce CallKind = "announce"
+)
+
+// HTTP is the Client over HTTP and JSON. It is safe for concurrent use.
+type HTTP struct {
+	base    string
+	client  *http.Client
+	timeout time.Duration
+	zone    ident.AvailabilityZone
+	calls   *expvar.Map
+}
+
+var _ Client = (*HTTP)(nil)
+
+// Option changes a setting of the client.
+type Option func(*HTTP)
+
+// WithTimeout sets the time bound of one call; a watch adds its own waiting time.
+func WithTimeout(timeout time.Duration) Option {
+	return func(h *HTTP) { h.timeout = timeout }
+}
+
+// WithZone sends the zone of this process with every call.
+func WithZone(zone ident.AvailabilityZone) Option {
+	return func(h *HTTP) { h.zone = zone }
+}
+
+// WithTransport replaces the HTTP transport.
+func WithTransport(transport http.RoundTripper) Option {
+	return func(h *HTTP) { h.client.Transport = transport }
+}
+
+// NewHTTP returns a client of the platform at address, IP:port.
+func NewHTTP(address string, options ...Option) *HTTP {
+	h := &HTTP{
+		base:    "http://" + address,
+		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+		timeout: DefaultTimeout,
+		calls:   new(expvar.Map).Init(),
+	}
+	for _, option := range options {
+		option(h)
+	}
+	return h
+}
+
+// Calls returns the counters of calls by kind, for publication by expvar.
+func (h *HTTP) Calls() *expvar.Map { return h.calls }
+
+// CloseIdle closes connections that carry no call.
+func (h *HTTP) CloseIdle() { h.client.CloseIdleConnections() }
+
+// Get returns one object, or a PlatformNotFound error.
+func (h *HTTP) Get(ctx context.Context, kind Kind, name string) (Object, error) {
+	var object Object
+	err := h.call(ctx, CallGet, http.MethodGet, objectPath(kind, name), nil, &object, h.timeout)
+	return object, err
+}
+
+// List returns the objects of a kind.
+func (h *HTTP) List(ctx context.Context, kind Kind) (Changes, error) {
+	var changes Changes
+	err := h.call(ctx, CallList, http.MethodGet, "/v1/objects/"+url.PathEscape(string(kind)), nil, &changes, h.timeout)
+	return changes, err
+}
+
+// PutRequest is the body of a conditional update.
+type PutRequest struct {
+	Value json.RawMessage `json:"value"`
+	// IfVersion is the version that the object must have; nil means any.
+	IfVersion *Version `json:"if_version,omitempty"`
+}
+
+// Put stores value if the object has the given version. On PlatformConflict the
+// current object is returned as well. PlatformTooLarge is reported without a call.
+func (h *HTTP) Put(ctx context.Context, kind Kind, name string, value any, ifVersion Version) (Object, error) {
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return Object{}, resultcode.Wrap(err, resultcode.PlatformBadRequest, "encode %s/%s", kind, name)
+	}
+	if len(encoded) > MaxValueBytes {
+		return Object{}, resultcode.New(resultcode.PlatformTooLarge, "%s/%s has %d bytes", kind, name, len(encoded))
+	}
+	body, err := json.Marshal(PutRequest{Value: encoded, IfVersion: &ifVersion})
+	if err != nil {
+		return Object{}, resultcode.Wrap(err, resultcode.PlatformBadRequest, "encode %s/%s", kind, name)
+	}
+	var object Object
+	err = h.call(ctx, CallPut, http.MethodPut, objectPath(kind, name), body, &object, h.timeout)
+	return object, err
+}
+
+// Delete removes the object if it has the given version.
+func (h *HTTP) Delete(ctx context.Context, kind Kind, name string, ifVersion Version) error {
+	path := fmt.Sprintf("%s?if_version=%d", objectPath(kind, name), ifVersion)
+	return h.call(ctx, CallDelete, http.MethodDelete, path, nil, nil, h.timeout)
+}
+
+// Watch waits up to timeout for changes of the kinds after a store version.
+func (h *HTTP) Watch(ctx context.Context, kinds []Kind, after Version, timeout time.Duration) (Changes, error) {
+	names := make([]string, len(kinds))
+	for i, kind := range kinds {
+		names[i] = string(kind)
+	}
+	query := url.Values{
+		"kinds":      {strings.Join(names, ",")},
+		"after":      {strconv.FormatUint(uint64(after), 10)},
+		"timeout_ms": {strconv.FormatInt(timeout.Milliseconds(), 10)},
+	}
+	var changes Changes
+	err := h.call(ctx, CallWatch, http.MethodGet, "/v1/watch?"+query.Encode(), nil, &changes, timeout+h.timeout)
+	return changes, err
+}
+
+// VMs returns the platform's lagging list of VMs.
+func (h *HTTP) VMs(ctx context.Context) ([]VM, error) {
+	var vms []VM
+	err := h.call(ctx, CallVMs, http.MethodGet, "/v1/vms", nil, &vms, h.timeout)
+	return vms, err
+}
+
+// Announce reports this VM to the platform, which lists it after a delay and
+// drops it when announcements stop.
+func (h *HTTP) Announce(ctx context.Context, vm VM) error {
+	body, err := json.Marshal(vm)
+	if err != nil {
+		return resultcode.Wrap(err, resultcode.PlatformBadRequest, "encode VM %s", vm.Name)
+	}
+	return h.call(ctx, CallAnnounce, http.MethodPut, "/v1/vms/"+url.PathEscape(string(vm.Name)), body, nil, h.timeout)
+}
+
+func objectPath(kind Kind, name string) string {
+	return "/v1/objects/" + url.PathEscape(string(kind)) + "/" + url.PathEscape(name)
+}
+
+// call runs one exchange. A conflict answer is decoded into out as well.
+func (h *HTTP) call(ctx context.Context, kind CallKind, method, path string, body []byte, out any, timeout time.Duration) error {
+	h.calls.Add(string(kind), 1)
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, method, h.base+path, bytes.NewReader(body))
+	if err != nil {
+		return resultcode.Wrap(err, resultcode.PlatformBadRequest, "%s", path)
+	}
+	// A conditional update must not be repeated by the HTTP transport: the repeat
+	// would meet its own change and report a conflict.
+	request.GetBody = nil
+	if h.zone != "" {
+		request.Header.Set(ZoneHeader, string(h.zone))
+	}
+	response, err := h.client.Do(request)
+	if err != nil {
+		return resultcode.Wrap(err, resultcode.PlatformDown, "%s %s", method, path)
+	}
+	defer response.Body.Close()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return resultcode.Wrap(err, resultcode.PlatformDown, "%s %s: answer incomplete", method, path)
+	}
+	return decode(response.StatusCode, method+" "+path, answer, out)
+}
+
+func decode(status int, call string, answer []byte, out any) error {
+	failure := statusError(status, call)
+	if failure != nil && status != http.StatusConflict {
+		return failure
+	}
+	if out != nil && len(answer) > 0 {
+		if err := json.Unmarshal(answer, out); err != nil {
+			return resultcode.Wrap(err, resultcode.PlatformDown, "%s: malformed answer", call)
+		}
+	}
+	if failure != nil {
+		return failure
+	}
+	return nil
+}
+
+func statusError(status int, call string) error {
+	code := resultcode.PlatformBadRequest
+	switch {
+	case status >= 200 && status < 300:
+		return nil
+	case status >= 500:
+		code = resultcode.PlatformDown
+	case status == http.StatusNotFound:
+		code = resultcode.PlatformNotFound
+	case status == http.StatusConflict:
+		code = resultcode.PlatformConflict
+	case status == http.StatusRequestEntityTooLarge:
+		code = resultcode.PlatformTooLarge
+	case status == http.StatusTooManyRequests:
+		code = resultcode.PlatformQuota
+	}
+	return resultcode.New(code, "%s: status %d", call, status)
+}
