Add routing decisions and request.Router without promotion

Cause: the data plane needs primaries, replicas, confirmations and read indexes. Change: internal/core/routing decides on immutable views; internal/controller/groups follows the member agents and implements request.Router.

--- /dev/null
+++ b/internal/controller/groups/doc.go
@@ -0,0 +1,25 @@
+// Package groupcontroller follows the database groups of the configuration: it
+// reads the status streams of the member agents, chooses upstreams for requests,
+// confirms writes and replaces failed primaries. The decisions are those of the
+// packages internal/core/routing and internal/core/promotion.
+//
+// Invariants: readers of a view take no lock; a view is never changed after it
+// was published; waiting requests are woken by the view that satisfies them.
+//
+// # Counters
+//
+// Vars returns: read_index_rounds (questions asked), reads_replica (served without
+// waiting), reads_replica_wait (after waiting for a position), reads_replica_age
+// (within the accepted age), reads_primary, confirms_waited, primary_waits,
+// failures_reported.
+//
+// # Size
+//
+// Every VM follows every group of the configuration, one stream per member: at
+// today's sizes nine streams. At 7,600 groups a VM must follow only the groups
+// that its callers use: 22,800 streams of ten lines a second would exceed the
+// budget of 6 KB/s and 2.6% of a core. A group is then followed from its first
+// request until it has had none for a minute, and a few VMs per group, by
+// rendezvous hash, follow it always, so that each failure has witnesses in two
+// zones.
+package groupcontroller
--- /dev/null
+++ b/internal/controller/groups/group.go
@@ -0,0 +1,138 @@
+package groupcontroller
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/routing"
+	"github.com/rosemarywall/rosemarywall/internal/group"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+)
+
+// groupState is one group that this VM follows. Readers load the view without a
+// lock; mu orders changes of the view and the waiters.
+type groupState struct {
+	controller *Controller
+	name       ident.GroupName
+	view       atomic.Pointer[routing.View]
+	index      indexer
+	ctx        context.Context
+	cancel     context.CancelFunc
+
+	mu      sync.Mutex
+	waiters []*waiter
+	streams map[ident.UpstreamName]*stream
+}
+
+// waiter is a request that waits until the view satisfies it.
+type waiter struct {
+	ready func(*routing.View) bool
+	done  chan struct{}
+}
+
+func newGroup(c *Controller, name ident.GroupName, members []routing.Member) *groupState {
+	g := &groupState{controller: c, name: name, streams: map[ident.UpstreamName]*stream{}}
+	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.view.Store(routing.NewView(name, members))
+	g.index.group = g
+	return g
+}
+
+// configure takes changed members and opens or closes their streams.
+func (g *groupState) configure(members []routing.Member) {
+	if !slices.Equal(g.view.Load().Members, members) {
+		g.update(func(v *routing.View) *routing.View { return v.WithMembers(members) })
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	wanted := map[ident.UpstreamName]bool{}
+	for _, m := range members {
+		wanted[m.Upstream] = true
+		if s := g.streams[m.Upstream]; s != nil {
+			if s.address == m.Agent {
+				continue
+			}
+			s.cancel()
+		}
+		g.streams[m.Upstream] = startStream(g, m)
+	}
+	for name, s := range g.streams {
+		if !wanted[name] {
+			s.cancel()
+			delete(g.streams, name)
+		}
+	}
+}
+
+func (g *groupState) stop() { g.cancel() }
+
+// agent returns the agent client of a member, nil when it is not configured.
+func (g *groupState) agent(name ident.UpstreamName) group.Agent {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if s := g.streams[name]; s != nil {
+		return s.agent
+	}
+	return nil
+}
+
+// update replaces the view and wakes the waiters that the new view satisfies.
+func (g *groupState) update(change func(*routing.View) *routing.View) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	old := g.view.Load()
+	next := change(old)
+	if next == old {
+		return
+	}
+	g.view.Store(next)
+	kept := g.waiters[:0]
+	for _, w := range g.waiters {
+		if w.ready(next) {
+			close(w.done)
+		} else {
+			kept = append(kept, w)
+		}
+	}
+	clear(g.waiters[len(kept):])
+	g.waiters = kept
+}
+
+// updateMember changes the observation of one member, if it is still configured.
+func (g *groupState) updateMember(name ident.UpstreamName, change func(*routing.View, int) *routing.View) {
+	g.update(func(v *routing.View) *routing.View {
+		if i := v.Index(name); i >= 0 {
+			return change(v, i)
+		}
+		return v
+	})
+}
+
+// wait returns once ready holds for the view, or with the error of ctx.
+func (g *groupState) wait(ctx context.Context, ready func(*routing.View) bool) error {
+	g.mu.Lock()
+	if ready(g.view.Load()) {
+		g.mu.Unlock()
+		return nil
+	}
+	w := &waiter{ready: ready, done: make(chan struct{})}
+	g.waiters = append(g.waiters, w)
+	g.mu.Unlock()
+	select {
+	case <-w.done:
+		return nil
+	case <-ctx.Done():
+	case <-g.ctx.Done():
+	}
+	g.mu.Lock()
+	if i := slices.Index(g.waiters, w); i >= 0 {
+		g.waiters = slices.Delete(g.waiters, i, i+1)
+	}
+	g.mu.Unlock()
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	return g.ctx.Err()
+}
--- /dev/null
+++ b/internal/controller/groups/options.go
@@ -0,0 +1,157 @@
+package groupcontroller
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
+	"github.com/rosemarywall/rosemarywall/internal/core/routing"
+	"github.com/rosemarywall/rosemarywall/internal/group"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/peer"
+	"github.com/rosemarywall/rosemarywall/internal/platform"
+	"github.com/rosemarywall/rosemarywall/internal/request"
+)
+
+// Default durations.
+const (
+	// DefaultReadWait is how long a read waits for a replica to reach its position
+	// before it goes to the primary.
+	DefaultReadWait = 5 * time.Millisecond
+	// IndexTimeout bounds one read-index question. It covers a round trip between
+	// regions (24 ms) with one retransmission.
+	IndexTimeout = 300 * time.Millisecond
+	// StreamGap is the longest pause between two status lines of a stream that is
+	// kept. Lines come at least every 100 ms; after a longer gap the lines may have
+	// waited in a buffer, so their age is not known and the stream is opened again.
+	StreamGap = 500 * time.Millisecond
+	// ReconnectDelay is the pause before a broken stream is opened again. Two
+	// refused connections in a row prove a dead process within the 1 s target.
+	ReconnectDelay = 50 * time.Millisecond
+)
+
+// AgentFactory makes the client of one member agent.
+type AgentFactory func(ident.GroupName, ident.UpstreamName, string) group.Agent
+
+// Options are the parts that the controller works with.
+type Options struct {
+	Mesh          peer.Mesh
+	Platform      platform.Client
+	Configuration request.ConfigurationSource
+	NewAgent      AgentFactory
+	// Outstanding gives the requests that this VM runs on an upstream; nil counts
+	// none, and equal replicas then take turns.
+	Outstanding routing.Outstanding
+	// Now is the time since process start; nil uses the system's clocks.
+	Now func() time.Duration
+	// ReadWait is how long a read waits for a replica; zero means DefaultReadWait.
+	ReadWait time.Duration
+	Log      zerolog.Logger
+}
+
+// Controller follows the groups of the configuration. It implements
+// request.Router.
+type Controller struct {
+	options Options
+	self    peer.Member
+	groups  atomic.Pointer[map[ident.GroupName]*groupState]
+	place   atomic.Pointer[routing.Place]
+	live    atomic.Int64
+	turn    atomic.Uint64
+	metrics metrics
+
+	configuring sync.Mutex
+	started     bool
+	stopped     bool
+	running     sync.WaitGroup
+}
+
+var _ request.Router = (*Controller)(nil)
+
+// New returns a controller. It registers its receivers with the mesh, so it must
+// be called before the mesh starts.
+func New(options Options) *Controller {
+	if options.Now == nil {
+		options.Now = elapsed(time.Now())
+	}
+	if options.ReadWait == 0 {
+		options.ReadWait = DefaultReadWait
+	}
+	c := &Controller{options: options, self: options.Mesh.Self()}
+	c.groups.Store(&map[ident.GroupName]*groupState{})
+	c.place.Store(&routing.Place{Zone: c.self.Zone})
+	options.Mesh.OnChange(c.meshChanged)
+	return c
+}
+
+// elapsed returns the larger of the monotonic and the wall time since start, so
+// that a suspended VM does not assume that no time passed.
+func elapsed(start time.Time) func() time.Duration {
+	wall := start.Round(0)
+	return func() time.Duration {
+		now := time.Now()
+		return max(now.Sub(start), now.Round(0).Sub(wall))
+	}
+}
+
+// Start begins to follow the groups of the configuration.
+func (c *Controller) Start() {
+	c.meshChanged(c.options.Mesh.Members())
+	c.options.Configuration.OnChange(c.configure)
+	c.configuring.Lock()
+	c.started = true
+	c.configuring.Unlock()
+	c.configure(c.options.Configuration.Current())
+}
+
+// Stop ends all streams and waits for them.
+func (c *Controller) Stop() {
+	c.configuring.Lock()
+	c.stopped = true
+	for _, g := range *c.groups.Load() {
+		g.stop()
+	}
+	c.configuring.Unlock()
+	c.running.Wait()
+}
+
+func (c *Controller) meshChanged(members []peer.Member) {
+	live := 0
+	for _, m := range members {
+		if m.State != peer.Dead {
+			live++
+		}
+	}
+	c.live.Store(int64(max(1, live)))
+}
+
+// configure applies a configuration: new groups are followed, removed ones are
+// left, and changed members are replaced.
+func (c *Controller) configure(conf *configuration.Configuration) {
+	c.configuring.Lock()
+	defer c.configuring.Unlock()
+	if !c.started || c.stopped {
+		return
+	}
+	c.place.Store(&routing.Place{Zone: c.self.Zone, Region: conf.Zones[c.self.Zone].Region})
+	old := *c.groups.Load()
+	next := make(map[ident.GroupName]*groupState, len(conf.Databases))
+	for name, database := range conf.Databases {
+		members := membersOf(conf, database)
+		g, ok := old[name]
+		if !ok {
+			g = newGroup(c, name, members)
+		}
+		g.configure(members)
+		next[name] = g
+	}
+	c.groups.Store(&next)
+	for name, g := range old {
+		if _, ok := next[name]; !ok {
+			g.stop()
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/groups/router.go
@@ -0,0 +1,207 @@
+package groupcontroller
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/routing"
+	"github.com/rosemarywall/rosemarywall/internal/group"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/request"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+func (c *Controller) group(name ident.GroupName) *groupState { return (*c.groups.Load())[name] }
+
+// target describes a member to the data plane.
+func (c *Controller) target(v *routing.View, i int) request.Target {
+	m := &v.Members[i]
+	return request.Target{
+		Group: v.Group, Upstream: m.Upstream, Zone: m.Zone, Address: m.Address, Term: v.Term,
+		Slots: m.Slots, Connections: max(1, m.Connections/int(c.live.Load())),
+	}
+}
+
+// Primary implements request.Router.
+func (c *Controller) Primary(ctx context.Context, database ident.GroupName) (request.Target, error) {
+	g := c.group(database)
+	if g == nil {
+		return request.Target{}, resultcode.New(resultcode.NoPrimary, "group %s is not configured", database)
+	}
+	if v := g.view.Load(); v != nil {
+		if i, ok := v.WritePrimary(); ok {
+			return c.target(v, i), nil
+		}
+	}
+	return c.waitPrimary(ctx, g)
+}
+
+func (c *Controller) waitPrimary(ctx context.Context, g *groupState) (request.Target, error) {
+	c.metrics.primaryWaits.Add(1)
+	var target request.Target
+	err := g.wait(ctx, func(v *routing.View) bool {
+		i, ok := v.WritePrimary()
+		if ok {
+			target = c.target(v, i)
+		}
+		return ok
+	})
+	if err != nil {
+		return request.Target{}, resultcode.Wrap(err, resultcode.NoPrimary, "group %s has no reachable primary", g.name)
+	}
+	return target, nil
+}
+
+// Read implements request.Router.
+func (c *Controller) Read(ctx context.Context, database ident.GroupName, need request.ReadNeed) (request.Target, error) {
+	g := c.group(database)
+	if g == nil {
+		return request.Target{}, resultcode.New(resultcode.NoUpstream, "group %s is not configured", database)
+	}
+	if need.AcceptedAge > 0 {
+		replica := routing.Need{Point: need.Session, Age: need.AcceptedAge}
+		if t, ok := c.replica(g.view.Load(), replica); ok {
+			c.metrics.readsByAge.Add(1)
+			return t, nil
+		}
+		// Only a read index proves that the primary is not a former one, whose state
+		// would have no bounded age.
+		need.Strict = true
+	}
+	point, err := c.readPoint(ctx, g, need)
+	if err != nil {
+		return request.Target{}, resultcode.Wrap(err, resultcode.NoUpstream, "group %s cannot prove a position", database)
+	}
+	return c.readAt(ctx, g, point)
+}
+
+// readPoint returns the point that a read must see.
+func (c *Controller) readPoint(ctx context.Context, g *groupState, need request.ReadNeed) (ident.LogPoint, error) {
+	if !need.Strict && need.Session.Term <= g.view.Load().Term {
+		return need.Session, nil
+	}
+	index, err := g.index.ask(ctx)
+	if err != nil {
+		return ident.LogPoint{}, err
+	}
+	return routing.StrictPoint(need.Session, index), nil
+}
+
+// readAt finds a replica that has applied point, waits a little for one, then
+// uses the primary, and at last waits for either until ctx ends.
+func (c *Controller) readAt(ctx context.Context, g *groupState, point ident.LogPoint) (request.Target, error) {
+	need := routing.Need{Point: point}
+	if t, ok := c.replica(g.view.Load(), need); ok {
+		c.metrics.readsReplica.Add(1)
+		return t, nil
+	}
+	var target request.Target
+	found := func(v *routing.View) (ok bool) {
+		target, ok = c.replica(v, need)
+		return ok
+	}
+	brief, cancel := context.WithTimeout(ctx, c.options.ReadWait)
+	defer cancel()
+	if g.wait(brief, found) == nil {
+		c.metrics.readsWaited.Add(1)
+		return target, nil
+	}
+	err := g.wait(ctx, func(v *routing.View) bool {
+		if i, ok := v.PrimaryFor(point); ok {
+			target = c.target(v, i)
+			return true
+		}
+		return found(v)
+	})
+	if err != nil {
+		return request.Target{}, resultcode.Wrap(err, resultcode.NoUpstream, "no upstream of group %s proves %s", g.name, point)
+	}
+	c.metrics.readsPrimary.Add(1)
+	return target, nil
+}
+
+func (c *Controller) replica(v *routing.View, need routing.Need) (request.Target, bool) {
+	var now time.Duration
+	if need.Age > 0 {
+		now = c.options.Now()
+	}
+	i := v.Replica(need, *c.place.Load(), c.options.Outstanding, c.turn.Add(1), now)
+	if i < 0 {
+		return request.Target{}, false
+	}
+	return c.target(v, i), true
+}
+
+// Confirm implements request.Router.
+func (c *Controller) Confirm(ctx context.Context, target request.Target, point ident.LogPoint) error {
+	g := c.group(target.Group)
+	if g == nil {
+		return resultcode.New(resultcode.OutcomeUnknown, "group %s is not configured", target.Group)
+	}
+	if g.view.Load().Confirms(target.Upstream, target.Term, point) {
+		return nil
+	}
+	c.metrics.confirmsWaited.Add(1)
+	confirmed := false
+	err := g.wait(ctx, func(v *routing.View) bool {
+		confirmed = v.Confirms(target.Upstream, target.Term, point)
+		return confirmed || v.Term > target.Term
+	})
+	if err != nil {
+		return resultcode.Wrap(err, resultcode.OutcomeUnknown, "no replica of group %s confirmed %s", g.name, point)
+	}
+	if !confirmed {
+		return resultcode.New(resultcode.OutcomeUnknown, "group %s left term %d before %s was confirmed", g.name, target.Term, point)
+	}
+	return nil
+}
+
+// Transaction implements request.Router. An answer of a primary that is new in its
+// term is passed on only after a replica holds an entry of that term: until then a
+// later primary could still come from a log that has the transaction, and
+// "aborted" would not be final.
+func (c *Controller) Transaction(ctx context.Context, database ident.GroupName, id string) (group.TransactionState, error) {
+	for {
+		target, err := c.Primary(ctx, database)
+		if err != nil {
+			return group.TransactionUnknown, err
+		}
+		state, err := c.askTransaction(ctx, target, id)
+		if err == nil && state != group.TransactionInProgress && target.Term > 1 {
+			err = c.Confirm(ctx, target, ident.LogPoint{Term: target.Term})
+		}
+		if err == nil {
+			return state, nil
+		}
+		if ctx.Err() != nil {
+			return group.TransactionUnknown, resultcode.Wrap(err, resultcode.OutcomeUnknown, "transaction %s is unresolved", id)
+		}
+		select { // limits the rate of questions to a failing primary
+		case <-ctx.Done():
+		case <-time.After(ReconnectDelay):
+		}
+	}
+}
+
+func (c *Controller) askTransaction(ctx context.Context, target request.Target, id string) (group.TransactionState, error) {
+	g := c.group(target.Group)
+	if g == nil {
+		return group.TransactionUnknown, errSilent
+	}
+	agent := g.agent(target.Upstream)
+	if agent == nil {
+		return group.TransactionUnknown, errSilent
+	}
+	return agent.Transaction(ctx, id)
+}
+
+// ReportFailure implements request.Router. The upstream is avoided until its next
+// status arrives.
+func (c *Controller) ReportFailure(target request.Target, err error) {
+	g := c.group(target.Group)
+	if g == nil {
+		return
+	}
+	c.metrics.failuresReported.Add(1)
+	g.updateMember(target.Upstream, (*routing.View).WithFailure)
+}
--- /dev/null
+++ b/internal/controller/groups/router_test.go
@@ -0,0 +1,193 @@
+package groupcontroller
+
+import (
+	"context"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
+	"github.com/rosemarywall/rosemarywall/internal/group"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/request"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+func at(term ident.Term, position ident.Position) ident.LogPoint {
+	return ident.LogPoint{Term: term, Position: position}
+}
+
+// withRouter runs a test in virtual time against a started controller.
+func withRouter(t *testing.T, test func(t *testing.T, f *fakeGroup, s *fakeSource, c *Controller)) {
+	synctest.Test(t, func(t *testing.T) {
+		f, s := newFakeGroup(), &fakeSource{current: testConfiguration(nil)}
+		c := startController(f, s)
+		defer c.Stop()
+		synctest.Wait()
+		test(t, f, s, c)
+	})
+}
+
+// within returns a context that ends after d of virtual time.
+func within(t *testing.T, d time.Duration) context.Context {
+	ctx, cancel := context.WithTimeout(context.Background(), d)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+// Guards against acknowledging a write that only the primary holds.
+func TestConfirmWaitsForReplica(t *testing.T) {
+	withRouter(t, func(t *testing.T, f *fakeGroup, _ *fakeSource, c *Controller) {
+		target, err := c.Primary(within(t, time.Second), testGroup)
+		assert.NilError(t, err)
+		assert.Equal(t, target.Upstream, ident.UpstreamName("a"))
+		assert.Equal(t, target.Connections, 16)
+		f.moveTo("a", at(1, 5), at(1, 5))
+		err = c.Confirm(within(t, time.Second), target, at(1, 5))
+		assert.Assert(t, resultcode.Is(err, resultcode.OutcomeUnknown))
+		time.AfterFunc(time.Second, func() { f.moveTo("c", at(1, 5), at(1, 1)) })
+		assert.NilError(t, c.Confirm(within(t, 2*time.Second), target, at(1, 5)))
+	})
+}
+
+// Guards against a replica of a newer term confirming a write of the old primary,
+// and against a Confirm that outlives its term.
+func TestConfirmRefusesNewerTerm(t *testing.T) {
+	withRouter(t, func(t *testing.T, f *fakeGroup, _ *fakeSource, c *Controller) {
+		target, err := c.Primary(within(t, time.Second), testGroup)
+		assert.NilError(t, err)
+		f.change("b", func(m *fakeMember) { m.status.Term, m.status.Fenced, m.status.Received = 2, true, at(1, 9) })
+		synctest.Wait()
+		start := time.Now()
+		time.AfterFunc(time.Second, func() {
+			f.change("b", func(m *fakeMember) {
+				m.status.Role, m.status.Fenced, m.status.Received = group.RolePrimary, false, at(2, 10)
+			})
+		})
+		err = c.Confirm(within(t, time.Minute), target, at(1, 9))
+		assert.Assert(t, resultcode.Is(err, resultcode.OutcomeUnknown))
+		assert.Equal(t, time.Since(start), time.Second)
+	})
+}
+
+// Guards against a stale strict read: the replicas visible at arrival lag behind a
+// write that another VM acknowledged.
+func TestStrictReadUsesIndex(t *testing.T) {
+	withRouter(t, func(t *testing.T, f *fakeGroup, _ *fakeSource, c *Controller) {
+		f.moveTo("a", at(1, 7), at(1, 7))
+		f.moveTo("c", at(1, 7), at(1, 7))
+		synctest.Wait()
+		target, err := c.Read(within(t, time.Second), testGroup, request.ReadNeed{Strict: true})
+		assert.NilError(t, err)
+		assert.Equal(t, target.Upstream, ident.UpstreamName("c")) // b is nearer and behind
+		f.moveTo("b", at(1, 7), at(1, 7))
+		synctest.Wait()
+		target, err = c.Read(within(t, time.Second), testGroup, request.ReadNeed{Strict: true})
+		assert.NilError(t, err)
+		assert.Equal(t, target.Upstream, ident.UpstreamName("b"))
+	})
+}
+
+// Guards against a read that shares a question asked before the read arrived.
+func TestReadsShareOnlyTheNextQuestion(t *testing.T) {
+	withRouter(t, func(t *testing.T, f *fakeGroup, _ *fakeSource, c *Controller) {
+		f.delay = 10 * time.Millisecond
+		read := func() { _, _ = c.Read(within(t, time.Second), testGroup, request.ReadNeed{Strict: true}) }
+		go read()
+		time.Sleep(time.Millisecond)
+		for range 50 {
+			go read()
+		}
+		time.Sleep(100 * time.Millisecond)
+		assert.Equal(t, f.questions(), 6) // two questions to three members
+		assert.Equal(t, c.metrics.indexRounds.Value(), int64(2))
+	})
+}
+
+// Guards against a former primary, paused and resumed, serving a strict read.
+func TestOldPrimaryServesNoStrictRead(t *testing.T) {
+	withRouter(t, func(t *testing.T, f *fakeGroup, _ *fakeSource, c *Controller) {
+		for _, name := range []ident.UpstreamName{"b", "c"} {
+			f.change(name, func(m *fakeMember) {
+				m.mute, m.status.Term, m.status.Received = true, 2, at(2, 9)
+			})
+		}
+		time.Sleep(time.Second) // this VM's streams still show the old primary
+		_, err := c.Read(within(t, time.Second), testGroup, request.ReadNeed{Strict: true})
+		assert.Assert(t, resultcode.Is(err, resultcode.NoUpstream))
+	})
+}
+
+// Guards against a forged token that blocks its session.
+func TestForgedTokenCostsOnlyFreshness(t *testing.T) {
+	withRouter(t, func(t *testing.T, _ *fakeGroup, _ *fakeSource, c *Controller) {
+		for _, forged := range []ident.LogPoint{at(MaxForged, 1), at(1, MaxForged)} {
+			_, err := c.Read(within(t, time.Second), testGroup, request.ReadNeed{Session: forged})
+			assert.NilError(t, err)
+		}
+	})
+}
+
+// MaxForged is a term or position that no group reaches.
+const MaxForged = 1 << 62
+
+// Guards against new reads on a leaving upstream or in a zone out of service.
+func TestLeavingUpstreamGetsNoReads(t *testing.T) {
+	withRouter(t, func(t *testing.T, _ *fakeGroup, s *fakeSource, c *Controller) {
+		conf := testConfiguration(func(u map[ident.UpstreamName]configuration.Upstream) {
+			b := u["b"]
+			b.State = configuration.UpstreamLeaving
+			u["b"] = b
+		})
+		conf.Zones["zc"] = configuration.Zone{Region: "east", State: configuration.ZoneOut}
+		s.set(conf)
+		target, err := c.Read(within(t, time.Second), testGroup, request.ReadNeed{})
+		assert.NilError(t, err)
+		assert.Equal(t, target.Upstream, ident.UpstreamName("a"))
+	})
+}
+
+// Guards against a retry loop on a dead primary and against a stalled stream
+// passing for fresh state.
+func TestFailureAndAge(t *testing.T) {
+	withRouter(t, func(t *testing.T, f *fakeGroup, _ *fakeSource, c *Controller) {
+		target, err := c.Primary(within(t, time.Second), testGroup)
+		assert.NilError(t, err)
+		f.change("a", func(m *fakeMember) { m.refuse = true })
+		c.ReportFailure(target, syscall.ECONNREFUSED)
+		_, err = c.Primary(within(t, time.Second), testGroup)
+		assert.Assert(t, resultcode.Is(err, resultcode.NoPrimary))
+
+		need := request.ReadNeed{AcceptedAge: 300 * time.Millisecond}
+		target, err = c.Read(within(t, time.Second), testGroup, need)
+		assert.NilError(t, err)
+		assert.Equal(t, target.Upstream, ident.UpstreamName("b"))
+		f.change("b", func(m *fakeMember) { m.status.LagMilliseconds = 400 })
+		synctest.Wait()
+		target, err = c.Read(within(t, time.Second), testGroup, need)
+		assert.NilError(t, err)
+		assert.Equal(t, target.Upstream, ident.UpstreamName("c"))
+	})
+}
+
+// Guards against "aborted" from a new primary whose own term is not yet safe: a
+// later primary could still have the transaction.
+func TestTransactionWaitsForEntryOfTerm(t *testing.T) {
+	withRouter(t, func(t *testing.T, f *fakeGroup, _ *fakeSource, c *Controller) {
+		f.state = group.TransactionAborted
+		f.change("a", func(m *fakeMember) { m.refuse = true })
+		f.change("b", func(m *fakeMember) {
+			m.status.Term, m.status.Role, m.status.Received = 2, group.RolePrimary, at(2, 3)
+		})
+		synctest.Wait()
+		_, err := c.Transaction(within(t, time.Second), testGroup, "7")
+		assert.Assert(t, resultcode.Is(err, resultcode.OutcomeUnknown))
+		f.change("c", func(m *fakeMember) { m.status.Term, m.status.Received = 2, at(2, 3) })
+		state, err := c.Transaction(within(t, time.Second), testGroup, "7")
+		assert.NilError(t, err)
+		assert.Equal(t, state, group.TransactionAborted)
+	})
+}
--- /dev/null
+++ b/internal/controller/groups/stream.go
@@ -0,0 +1,99 @@
+package groupcontroller
+
+import (
+	"context"
+	"io"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/routing"
+	"github.com/rosemarywall/rosemarywall/internal/group"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+)
+
+// stream follows the status of one member.
+type stream struct {
+	group   *groupState
+	name    ident.UpstreamName
+	address string
+	agent   group.Agent
+	ctx     context.Context
+	cancel  context.CancelFunc
+	last    atomic.Int64 // receipt of the last line or opening of the stream, as time.Duration
+}
+
+// startStream is called with the group's lock held.
+func startStream(g *groupState, m routing.Member) *stream {
+	s := &stream{group: g, name: m.Upstream, address: m.Agent}
+	s.agent = g.controller.options.NewAgent(g.name, m.Upstream, m.Agent)
+	s.ctx, s.cancel = context.WithCancel(g.ctx)
+	g.controller.running.Go(s.run)
+	return s
+}
+
+func (s *stream) run() {
+	for s.ctx.Err() == nil {
+		err := s.follow()
+		if s.ctx.Err() != nil {
+			return
+		}
+		s.broken(err)
+		select {
+		case <-s.ctx.Done():
+		case <-time.After(ReconnectDelay):
+		}
+	}
+}
+
+// follow reads one stream until it breaks or pauses for longer than StreamGap.
+func (s *stream) follow() error {
+	ctx, cancel := context.WithCancelCause(s.ctx)
+	defer cancel(nil)
+	s.last.Store(int64(s.group.controller.options.Now()))
+	watchdog := time.AfterFunc(StreamGap, func() { cancel(errSilent) })
+	defer watchdog.Stop()
+	err := s.agent.Stream(ctx, func(status group.Status) {
+		now := s.group.controller.options.Now()
+		if gap := now - time.Duration(s.last.Swap(int64(now))); gap > StreamGap {
+			cancel(errSilent)
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		watchdog.Reset(StreamGap)
+		s.received(status, now)
+	})
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	if err == nil {
+		err = io.EOF
+	}
+	return err
+}
+
+var errSilent = errors.New("member agent stream is silent")
+
+func (s *stream) received(status group.Status, now time.Duration) {
+	if status.Upstream != s.name || status.Group != s.group.name {
+		return
+	}
+	s.group.updateMember(s.name, func(v *routing.View, i int) *routing.View {
+		return v.WithStatus(i, status, now)
+	})
+}
+
+func (s *stream) broken(err error) {
+	if refused(err) {
+		s.group.updateMember(s.name, (*routing.View).WithFailure)
+	}
+}
+
+// refused reports whether err proves that no process listens at the address. A
+// timeout does not: the network may be cut.
+func refused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
--- /dev/null
+++ b/internal/core/routing/choose.go
@@ -0,0 +1,99 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/group"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+)
+
+// Place is where the choosing VM runs.
+type Place struct {
+	Zone   ident.AvailabilityZone
+	Region ident.Region
+}
+
+// Outstanding returns the number of requests that this VM runs on an upstream.
+type Outstanding func(ident.GroupName, ident.UpstreamName) int
+
+// Need is what a replica must prove.
+type Need struct {
+	// Point must be applied.
+	Point ident.LogPoint
+	// Age, when positive, bounds the age of the replica's state.
+	Age time.Duration
+}
+
+// Proves reports whether a member's last status satisfies the need at now.
+func (o *Observation) Proves(need Need, now time.Duration) bool {
+	if !o.Known || o.Down || !o.Status.Applied.AtLeast(need.Point) {
+		return false
+	}
+	if need.Age <= 0 {
+		return true
+	}
+	lag := o.Status.LagMilliseconds
+	if lag < 0 || lag > need.Age.Milliseconds() {
+		return false
+	}
+	return time.Duration(lag)*time.Millisecond+(now-o.At) <= need.Age
+}
+
+// Replica returns the index of the best replica that proves the need, or -1. The
+// order is same zone, same region, least outstanding; turn breaks ties so that
+// equal replicas share the load.
+func (v *View) Replica(need Need, place Place, outstanding Outstanding, turn uint64, now time.Duration) int {
+	best, bestDistance, bestLoad := -1, 0, 0
+	n := len(v.Members)
+	if n == 0 {
+		return -1
+	}
+	first := int(turn % uint64(n))
+	for k := range n {
+		i := (first + k) % n
+		if !v.replicaUsable(i) || !v.Seen[i].Proves(need, now) {
+			continue
+		}
+		distance, load := v.distance(i, place), 0
+		if outstanding != nil {
+			load = outstanding(v.Group, v.Members[i].Upstream)
+		}
+		if best < 0 || distance < bestDistance || distance == bestDistance && load < bestLoad {
+			best, bestDistance, bestLoad = i, distance, load
+		}
+	}
+	return best
+}
+
+// replicaUsable excludes every member that last reported the primary role: a
+// former primary cannot bound the age of its state.
+func (v *View) replicaUsable(i int) bool {
+	return v.Members[i].Usable && i != v.Primary && v.Seen[i].Status.Role == group.RoleReplica
+}
+
+func (v *View) distance(i int, place Place) int {
+	switch {
+	case v.Members[i].Zone == place.Zone:
+		return 0
+	case v.Members[i].Region == place.Region:
+		return 1
+	}
+	return 2
+}
+
+// PrimaryFor returns the primary when it holds every acknowledged entry up to
+// point, which holds when its term is not below the point's.
+func (v *View) PrimaryFor(point ident.LogPoint) (int, bool) {
+	i, ok := v.WritePrimary()
+	return i, ok && v.Seen[i].Status.Term >= point.Term
+}
+
+// StrictPoint combines a session point with a read index that was asked for after
+// the read arrived. A session point of a term above the index belongs to no
+// acknowledged write and is replaced by the index.
+func StrictPoint(session, index ident.LogPoint) ident.LogPoint {
+	if session.Term > index.Term || index.AtLeast(session) {
+		return index
+	}
+	return session
+}
--- /dev/null
+++ b/internal/core/routing/token.go
@@ -0,0 +1,81 @@
+package routing
+
+import (
+	"encoding/base64"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+// Bounds of a session token. The position bound keeps arithmetic on positions of
+// forged tokens far from overflow.
+const (
+	MaxTokenLength = 256 // base64 characters
+	MaxGroupName   = 63  // bytes, as PostgreSQL's identifiers
+	MaxTokenTerm   = 1 << 62
+	MaxTokenOffset = 1 << 62
+)
+
+// Token is the session token: the newest acknowledged write of a session.
+type Token struct {
+	Group ident.GroupName
+	Point ident.LogPoint
+}
+
+type wireToken struct {
+	_        struct{} `cbor:",toarray"`
+	Group    string
+	Term     uint64
+	Position uint64
+}
+
+var tokenDecoder = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{
+		MaxNestedLevels: 4, MaxArrayElements: 16, MaxMapPairs: 16,
+		IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
+	}.DecMode()
+	if err != nil {
+		panic(err)
+	}
+	return mode
+}()
+
+// Encode returns the token as unpadded URL-safe base64 of CBOR.
+func Encode(token Token) string {
+	data, err := cbor.Marshal(wireToken{
+		Group: string(token.Group), Term: uint64(token.Point.Term), Position: uint64(token.Point.Position),
+	})
+	if err != nil {
+		panic(err) // a struct of a string and two integers always marshals
+	}
+	return base64.RawURLEncoding.EncodeToString(data)
+}
+
+// Decode parses a token. Every error carries InvalidSetting. Only the canonical
+// form that Encode yields is accepted.
+func Decode(text string) (Token, error) {
+	if len(text) > MaxTokenLength {
+		return Token{}, resultcode.New(resultcode.InvalidSetting, "session token is longer than %d characters", MaxTokenLength)
+	}
+	data, err := base64.RawURLEncoding.Strict().DecodeString(text)
+	if err != nil {
+		return Token{}, resultcode.New(resultcode.InvalidSetting, "session token is not base64")
+	}
+	var wire wireToken
+	if err := tokenDecoder.Unmarshal(data, &wire); err != nil {
+		return Token{}, resultcode.New(resultcode.InvalidSetting, "session token is malformed")
+	}
+	if wire.Group == "" || len(wire.Group) > MaxGroupName || wire.Term == 0 || wire.Term > MaxTokenTerm || wire.Position > MaxTokenOffset {
+		return Token{}, resultcode.New(resultcode.InvalidSetting, "session token has a value outside its bounds")
+	}
+	token := Token{
+		Group: ident.GroupName(wire.Group),
+		Point: ident.LogPoint{Term: ident.Term(wire.Term), Position: ident.Position(wire.Position)},
+	}
+	if Encode(token) != text {
+		return Token{}, resultcode.New(resultcode.InvalidSetting, "session token is not in canonical form")
+	}
+	return token, nil
+}
--- /dev/null
+++ b/internal/core/routing/view.go
@@ -0,0 +1,179 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/group"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+)
+
+// Member is a configured member of a group.
+type Member struct {
+	Upstream    ident.UpstreamName
+	Zone        ident.AvailabilityZone
+	Region      ident.Region
+	Address     string // PostgreSQL address, IP:port
+	Agent       string // member agent, IP:port
+	Slots       int
+	Connections int
+	// Usable is false for leaving upstreams and for upstreams of a zone out of service.
+	Usable bool
+}
+
+// Observation is what this VM knows about a member.
+type Observation struct {
+	Status group.Status
+	// At is when the status arrived.
+	At time.Duration
+	// Known is false until the first status arrives.
+	Known bool
+	// Down is set when a connection to the member failed, until its next status.
+	Down bool
+}
+
+// Record is the part of the group's platform object that routing needs.
+type Record struct {
+	Term ident.Term
+	// Serving is false while a proposer of Term is fencing members.
+	Serving bool
+	Primary ident.UpstreamName
+}
+
+// View is an immutable picture of one group.
+type View struct {
+	Group   ident.GroupName
+	Members []Member
+	Seen    []Observation // parallel to Members
+	Record  Record
+	// Held asks writes to wait because a planned move is under way.
+	Held bool
+
+	// Primary is the index of the primary in Members, -1 when none is known.
+	Primary int
+	// Term is the term of the primary, or the record's term when it is higher.
+	Term ident.Term
+}
+
+// NewView returns a view without statuses.
+func NewView(name ident.GroupName, members []Member) *View {
+	v := &View{Group: name, Members: members, Seen: make([]Observation, len(members))}
+	v.derive()
+	return v
+}
+
+// Index returns the index of an upstream, or -1.
+func (v *View) Index(upstream ident.UpstreamName) int {
+	for i := range v.Members {
+		if v.Members[i].Upstream == upstream {
+			return i
+		}
+	}
+	return -1
+}
+
+// Majority is the number of members that form a majority.
+func (v *View) Majority() int { return len(v.Members)/2 + 1 }
+
+func (v *View) clone() *View {
+	next := *v
+	next.Seen = append([]Observation(nil), v.Seen...)
+	return &next
+}
+
+// WithStatus returns the view after a status arrived. A status of a lower term or
+// of an older incarnation than the last one was reordered and is ignored.
+func (v *View) WithStatus(i int, status group.Status, now time.Duration) *View {
+	last := v.Seen[i]
+	if last.Known && (status.Incarnation < last.Status.Incarnation || status.Term < last.Status.Term) {
+		return v
+	}
+	next := v.clone()
+	next.Seen[i] = Observation{Status: status, At: now, Known: true}
+	next.derive()
+	return next
+}
+
+// WithFailure returns the view after a connection to a member failed.
+func (v *View) WithFailure(i int) *View {
+	if v.Seen[i].Down {
+		return v
+	}
+	next := v.clone()
+	next.Seen[i].Down = true
+	next.derive()
+	return next
+}
+
+// WithRecord returns the view after the group's object was read. Records never go
+// back: one of a lower term, or a fencing one after a serving one of the same
+// term, is ignored.
+func (v *View) WithRecord(record Record) *View {
+	if record.Term < v.Record.Term || record.Term == v.Record.Term && v.Record.Serving {
+		return v
+	}
+	next := v.clone()
+	next.Record = record
+	next.Held = false
+	next.derive()
+	return next
+}
+
+// WithHeld returns the view with writes held or released.
+func (v *View) WithHeld(held bool) *View {
+	if v.Held == held {
+		return v
+	}
+	next := v.clone()
+	next.Held = held
+	return next
+}
+
+// WithMembers returns the view for a changed configuration; statuses of members
+// that stay are kept.
+func (v *View) WithMembers(members []Member) *View {
+	next := *v
+	next.Members = members
+	next.Seen = make([]Observation, len(members))
+	for i := range members {
+		if j := v.Index(members[i].Upstream); j >= 0 && v.Members[j].Agent == members[i].Agent {
+			next.Seen[i] = v.Seen[j]
+		}
+	}
+	next.derive()
+	return &next
+}
+
+// derive finds the primary: the unfenced member that reports the primary role in
+// the highest term, unless the record names a higher term.
+func (v *View) derive() {
+	v.Primary, v.Term = -1, v.Record.Term
+	for i := range v.Seen {
+		s := &v.Seen[i].Status
+		if v.Seen[i].Known && s.Role == group.RolePrimary && !s.Fenced && s.Term >= v.Term {
+			v.Primary, v.Term = i, s.Term
+		}
+	}
+}
+
+// WritePrimary returns the index of the primary when it takes new requests.
+func (v *View) WritePrimary() (int, bool) {
+	ok := v.Primary >= 0 && !v.Held && !v.Seen[v.Primary].Down
+	return v.Primary, ok
+}
+
+// Confirms reports whether a write at point on the primary of a term would
+// survive a promotion, by the rule of the package comment.
+func (v *View) Confirms(primary ident.UpstreamName, term ident.Term, point ident.LogPoint) bool {
+	replicas := 0
+	for i := range v.Seen {
+		s := &v.Seen[i].Status
+		if v.Seen[i].Known && v.Members[i].Upstream != primary && statusConfirms(s, term, point) {
+			replicas++
+		}
+	}
+	return replicas+1 >= v.Majority()
+}
+
+func statusConfirms(s *group.Status, term ident.Term, point ident.LogPoint) bool {
+	return s.Role == group.RoleReplica && s.Term == term && s.Received.Term == term && s.Received.AtLeast(point)
+}
