--- /dev/null
+++ b/internal/controller/configuration/exchange.go
@@ -0,0 +1,87 @@
+package configcontroller
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/freshness"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/peer"
+)
+
+const (
+	// exchangeInterval is the time between questions: a proof is valid for F = 3 s, so
+	// that several questions may be lost.
+	exchangeInterval = 500 * time.Millisecond
+	// attestAfter is the age of the newest platform reading at which watchers start
+	// to collect attestations. Two watches of watchTime fit into it.
+	attestAfter = 1200 * time.Millisecond
+)
+
+// exchange asks other VMs regularly. Every VM asks the watchers of its zone and one
+// VM chosen at random, which finds a way around watchers that are cut off.
+func (c *Controller) exchange(ctx context.Context) {
+	ticker := time.NewTicker(exchangeInterval)
+	defer ticker.Stop()
+	for {
+		c.locked(c.viewTables)
+		c.ask(false, c.targets()...)
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Controller) targets() []peer.Member {
+	members, self := c.mesh.Members(), c.mesh.Self()
+	chosen := map[ident.VMName]peer.Member{}
+	choose := func(members ...peer.Member) {
+		for _, member := range members {
+			if member.Name != self.Name && member.State != peer.Dead {
+				chosen[member.Name] = member
+			}
+		}
+	}
+	choose(watchersOf(members, self.Zone)...)
+	_, watcher := c.rank()
+	c.mu.Lock()
+	if len(members) > 0 {
+		choose(members[c.random.IntN(len(members))])
+	}
+	stale := c.clock.Now()-c.core.LastReading().At > attestAfter
+	qualified := c.core.Qualified()
+	c.mu.Unlock()
+	switch {
+	case !qualified:
+		choose(members...) // the restart rule needs an answer of every VM
+	case watcher && stale:
+		choose(c.ownZone()...)
+		choose(c.otherWatchers()...)
+	}
+	targets := make([]peer.Member, 0, len(chosen))
+	for _, member := range members {
+		if _, ok := chosen[member.Name]; ok {
+			targets = append(targets, member)
+		}
+	}
+	return targets
+}
+
+// acknowledged reports whether a majority of the own zone has acknowledged the
+// known proposal. The caller holds the lock.
+func (c *Controller) acknowledged() (ballot, uint64, bool) {
+	b, self := c.known.ballot, c.mesh.Self()
+	if b.Version <= c.core.Version() {
+		return b, 0, false
+	}
+	table := c.core.Table(self.Zone)
+	count := 0
+	for _, vm := range table.VMs {
+		if vm == self.Name || !b.after(c.acks[vm]) {
+			count++
+		}
+	}
+	return b, table.Version, count >= freshness.Majority(len(table.VMs))
+}
--- /dev/null
+++ b/internal/controller/configuration/members.go
@@ -0,0 +1,96 @@
+package configcontroller
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/freshness"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/peer"
+)
+
+// watchersPerZone is the number of VMs of a zone that watch the platform: two, so
+// that the death of one is not noticed.
+const watchersPerZone = 2
+
+// watchersOf returns the watchers of a zone: the live VMs with the highest
+// rendezvous hash. All VMs with the same view choose the same ones.
+func watchersOf(members []peer.Member, zone ident.AvailabilityZone) []peer.Member {
+	var live []peer.Member
+	for _, member := range members {
+		if member.Zone == zone && member.State == peer.Alive {
+			live = append(live, member)
+		}
+	}
+	slices.SortFunc(live, func(x, y peer.Member) int {
+		return cmp.Or(cmp.Compare(rendezvous(y), rendezvous(x)), cmp.Compare(x.Name, y.Name))
+	})
+	return live[:min(watchersPerZone, len(live))]
+}
+
+func rendezvous(member peer.Member) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(member.Zone + "/"))
+	_, _ = h.Write([]byte(member.Name))
+	// FNV changes the high bits little for names that differ in the last byte.
+	mixed := h.Sum64()
+	mixed ^= mixed >> 33
+	mixed *= 0xff51afd7ed558ccd
+	return mixed ^ mixed>>33
+}
+
+// rank returns the position of this VM among the watchers of its zone, or false.
+func (c *Controller) rank() (int, bool) {
+	self := c.mesh.Self()
+	i := slices.IndexFunc(watchersOf(c.mesh.Members(), self.Zone), func(m peer.Member) bool { return m.Name == self.Name })
+	return i, i >= 0
+}
+
+// zoneWatchers returns the watchers of the own zone but this VM and one other.
+func (c *Controller) zoneWatchers(but ident.VMName) []peer.Member {
+	self := c.mesh.Self()
+	return slices.DeleteFunc(watchersOf(c.mesh.Members(), self.Zone), func(m peer.Member) bool {
+		return m.Name == self.Name || m.Name == but
+	})
+}
+
+// otherWatchers returns the watchers of every other zone of the view.
+func (c *Controller) otherWatchers() []peer.Member {
+	members, own := c.mesh.Members(), c.mesh.Self().Zone
+	seen := map[ident.AvailabilityZone]bool{own: true}
+	var watchers []peer.Member
+	for _, member := range members {
+		if !seen[member.Zone] {
+			seen[member.Zone] = true
+			watchers = append(watchers, watchersOf(members, member.Zone)...)
+		}
+	}
+	return watchers
+}
+
+// ownZone returns the live VMs of the own zone but this one.
+func (c *Controller) ownZone() []peer.Member {
+	self := c.mesh.Self()
+	return slices.DeleteFunc(c.mesh.Members(), func(m peer.Member) bool {
+		return m.Zone != self.Zone || m.Name == self.Name || m.State == peer.Dead
+	})
+}
+
+// viewTables lets the membership view stand in for zones without a share table.
+// The caller holds the lock.
+func (c *Controller) viewTables() {
+	tables := map[ident.AvailabilityZone]freshness.Table{}
+	for _, member := range c.mesh.Members() {
+		if member.State != peer.Dead {
+			table := tables[member.Zone]
+			table.VMs = append(table.VMs, member.Name)
+			tables[member.Zone] = table
+		}
+	}
+	for zone, table := range tables {
+		if c.core.Table(zone).Version == 0 {
+			c.core.SetTable(zone, table)
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/configuration/propose.go
@@ -0,0 +1,264 @@
+package configcontroller
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
+	"github.com/rosemarywall/rosemarywall/internal/core/freshness"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/platform"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+const (
+	// gatherInterval is the time between looks at the zone acknowledgements.
+	gatherInterval = 50 * time.Millisecond
+	proposeTries   = 4
+)
+
+// stored is the platform's state that a proposal starts from.
+type stored struct {
+	current         *configuration.Configuration
+	currentVersion  platform.Version
+	proposal        proposalValue
+	proposalVersion platform.Version
+}
+
+func (c *Controller) readStored(ctx context.Context) (stored, error) {
+	s := stored{current: configuration.Empty()}
+	// The proposal is read first: when the current version has reached it, nothing is pending.
+	if err := c.get(ctx, nameProposal, &s.proposal, &s.proposalVersion); err != nil {
+		return s, err
+	}
+	var value currentValue
+	if err := c.get(ctx, nameCurrent, &value, &s.currentVersion); err != nil {
+		return s, err
+	}
+	if s.currentVersion > 0 {
+		current, err := configuration.Decode(value.Data)
+		if err != nil {
+			return s, resultcode.Wrap(err, resultcode.PlatformBadRequest, "configuration %d", value.Version)
+		}
+		s.current = current
+	}
+	return s, nil
+}
+
+// get reads an object of kind configuration; version stays zero when it does not exist.
+func (c *Controller) get(ctx context.Context, name string, into any, version *platform.Version) error {
+	object, err := c.platform.Get(ctx, platform.KindConfiguration, name)
+	if resultcode.Is(err, resultcode.PlatformNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	*version = object.Version
+	return decode(object, into)
+}
+
+// pending reports whether the proposal is not accepted yet.
+func (s stored) pending() bool { return s.proposal.Version > s.current.Version }
+
+// pendingChanges lists what the pending proposal changes.
+func (s stored) pendingChanges() []configuration.Change {
+	next, err := applyNote(s.current, s.proposal.Note)
+	if err != nil {
+		return nil
+	}
+	return configuration.Diff(s.current, next)
+}
+
+// propose writes the proposal and makes this VM its acceptor.
+func (c *Controller) propose(ctx context.Context, s stored, next *configuration.Configuration, note []byte) error {
+	self := c.mesh.Self().Name
+	value := proposalValue{Version: next.Version, Attempt: 1, Acceptor: self, Note: note, Digest: configuration.Digest(next)}
+	value.SetWriter(c.writer.Next())
+	// Until the call has ended the proposal may exist without this VM's knowing it.
+	c.locked(func() { c.core.SetUnsettled(true) })
+	err := c.put(ctx, value, s.proposalVersion)
+	c.locked(func() {
+		c.core.SetUnsettled(false)
+		if err == nil {
+			c.know(value)
+		}
+	})
+	return err
+}
+
+// know notes the proposal that this VM has written. The caller holds the lock.
+func (c *Controller) know(v proposalValue) {
+	c.learn(proposal{ballot{v.Version, v.Attempt}, v.Note, v.Digest, v.Acceptor})
+}
+
+// put writes a proposal. A lost answer is resolved by reading back. A proposal
+// found that way has been visible for an unknown time, so this VM raises the
+// attempt before it counts acknowledgements.
+func (c *Controller) put(ctx context.Context, value proposalValue, ifVersion platform.Version) error {
+	_, err := c.platform.Put(ctx, platform.KindConfiguration, nameProposal, value, ifVersion)
+	for try := 1; resultcode.Is(err, resultcode.PlatformDown) && try < proposeTries && ctx.Err() == nil; try++ {
+		pause(ctx, gatherInterval)
+		var found proposalValue
+		var version platform.Version
+		switch read := c.get(ctx, nameProposal, &found, &version); {
+		case read != nil:
+			continue
+		case found.Writer == value.Writer:
+			return c.raise(ctx, found, version)
+		case version != ifVersion:
+			return conflict(found)
+		}
+		_, err = c.platform.Put(ctx, platform.KindConfiguration, nameProposal, value, ifVersion)
+	}
+	if !resultcode.Is(err, resultcode.PlatformConflict) {
+		return err
+	}
+	var found proposalValue
+	var version platform.Version
+	if read := c.get(ctx, nameProposal, &found, &version); read != nil {
+		return read
+	}
+	if found.Writer == value.Writer {
+		return c.raise(ctx, found, version)
+	}
+	return conflict(found)
+}
+
+func conflict(winner proposalValue) error {
+	return resultcode.New(resultcode.NoteConflict, "another note became version %d first, through %s", winner.Version, winner.Acceptor)
+}
+
+// raise makes this VM the acceptor of an existing proposal, with a new attempt. It
+// knows the proposal before the platform does, as an acceptor must.
+func (c *Controller) raise(ctx context.Context, v proposalValue, ifVersion platform.Version) error {
+	c.locked(func() { c.know(v) })
+	v.Attempt, v.Acceptor = v.Attempt+1, c.mesh.Self().Name
+	v.SetWriter(c.writer.Next())
+	_, err := c.platform.Put(ctx, platform.KindConfiguration, nameProposal, v, ifVersion)
+	for try := 1; err != nil && try < proposeTries && ctx.Err() == nil; try++ {
+		var found proposalValue
+		var version platform.Version
+		switch read := c.get(ctx, nameProposal, &found, &version); {
+		case read != nil:
+		case found.Writer == v.Writer:
+			err = nil
+			continue
+		case version != ifVersion:
+			return resultcode.New(resultcode.NoteNotAccepted, "%s completes version %d", found.Acceptor, found.Version)
+		}
+		pause(ctx, gatherInterval)
+		_, err = c.platform.Put(ctx, platform.KindConfiguration, nameProposal, v, ifVersion)
+	}
+	if err == nil {
+		c.locked(func() { c.know(v) })
+	}
+	return err
+}
+
+// complete takes over the pending proposal and accepts it if enough zones
+// acknowledge before ctx ends. The caller holds the applying lock.
+func (c *Controller) complete(ctx context.Context) (ident.ConfigurationVersion, error) {
+	s, err := c.readStored(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if !s.pending() {
+		c.locked(func() { c.accept(s.current.Version, configuration.Encode(s.current)) })
+		return s.current.Version, nil
+	}
+	next, err := applyNote(s.current, s.proposal.Note)
+	if err != nil {
+		return 0, err
+	}
+	if err := c.raise(ctx, s.proposal, s.proposalVersion); err != nil {
+		return 0, err
+	}
+	return next.Version, c.acceptProposal(ctx, s, next)
+}
+
+// acceptProposal announces the proposal of which this VM is the acceptor, waits
+// for the acknowledgements of a majority of zones and accepts it.
+func (c *Controller) acceptProposal(ctx context.Context, s stored, next *configuration.Configuration) error {
+	c.mu.Lock()
+	own := c.known
+	n := news{notice{c.core.Version(), own.ballot}, true}
+	allowed := c.mayAccept()
+	c.mu.Unlock()
+	if !allowed {
+		return resultcode.New(resultcode.NoteNotAccepted, "this VM is not in the share table of its zone; the note is pending and another VM completes it")
+	}
+	c.fanOut(n, true)
+	c.ask(false, c.zoneWatchers("")...)
+	if err := c.gather(ctx, own.ballot, zonesOf(s.current)); err != nil {
+		return err
+	}
+	value := currentValue{Version: next.Version, Data: configuration.Encode(next)}
+	value.SetWriter(c.writer.Next())
+	if err := c.putCurrent(ctx, value, s.currentVersion); err != nil {
+		return err
+	}
+	c.locked(func() { c.accept(next.Version, value.Data) })
+	c.fanOut(news{notice{next.Version, own.ballot}, true}, true)
+	c.writeHistory(ctx, s.current, next, own.note)
+	return nil
+}
+
+// putCurrent accepts the version. Whatever the answer, a current version that has
+// reached it means that it was accepted, because a proposal is never replaced.
+func (c *Controller) putCurrent(ctx context.Context, value currentValue, ifVersion platform.Version) error {
+	for {
+		_, err := c.platform.Put(ctx, platform.KindConfiguration, nameCurrent, value, ifVersion)
+		if err == nil {
+			return nil
+		}
+		var found currentValue
+		var version platform.Version
+		if c.get(ctx, nameCurrent, &found, &version) == nil && found.Version >= value.Version {
+			return nil
+		}
+		if pause(ctx, gatherInterval); ctx.Err() != nil {
+			return resultcode.Wrap(err, resultcode.NoteNotAccepted,
+				"version %d was acknowledged; whether it was accepted is not known", value.Version)
+		}
+	}
+}
+
+// gather waits until a majority of the zones has acknowledged the ballot.
+func (c *Controller) gather(ctx context.Context, b ballot, zones []ident.AvailabilityZone) error {
+	var last error
+	count := 0
+	for {
+		// The first note of a fleet has no zones; another VM may have accepted the note.
+		if len(zones) == 0 || c.Current().Version >= b.Version {
+			return nil
+		}
+		var listed platform.Changes
+		if listed, last = c.platform.List(ctx, platform.KindZoneAck); last == nil {
+			if count = c.count(listed.Objects, b, zones); count >= freshness.Majority(len(zones)) {
+				return nil
+			}
+		}
+		if pause(ctx, gatherInterval); ctx.Err() != nil {
+			return resultcode.Wrap(last, resultcode.NoteNotAccepted,
+				"%d of %d zones acknowledged version %d in time; it stays pending and is accepted as soon as a majority does",
+				count, len(zones), b.Version)
+		}
+	}
+}
+
+func (c *Controller) count(objects []platform.Object, b ballot, zones []ident.AvailabilityZone) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	count := 0
+	for _, zone := range zones {
+		for _, object := range objects {
+			var ack zoneAck
+			if object.Name == string(zone) && decode(object, &ack) == nil &&
+				ack.ballot == b && ack.Table >= c.core.Table(zone).Version {
+				count++
+			}
+		}
+	}
+	return count
+}
--- a/internal/core/configuration/encode.go
+++ b/internal/core/configuration/encode.go
@@ -21,31 +21,43 @@
 // Encode returns the configuration as compressed JSON. Equal configurations give
 // equal bytes, because encoding/json sorts map keys and no time is stored.
 func Encode(c *Configuration) []byte {
-	text, err := json.Marshal(c)
-	if err != nil {
-		panic(errors.NewAssertionErrorWithWrappedErrf(err, "encode configuration"))
-	}
 	var b bytes.Buffer
 	w := gzip.NewWriter(&b)
-	_, err = w.Write(text)
+	_, err := w.Write(text(c))
 	if err = errors.CombineErrors(err, w.Close()); err != nil {
 		panic(errors.NewAssertionErrorWithWrappedErrf(err, "compress configuration"))
 	}
 	return b.Bytes()
 }
 
+// text returns the configuration as JSON with sorted members.
+func text(c *Configuration) []byte {
+	encoded, err := json.Marshal(c)
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "encode configuration"))
+	}
+	return encoded
+}
+
+// Digest identifies the content of a configuration. It does not depend on the
+// compression, which may differ between versions of the program.
+func Digest(c *Configuration) []byte {
+	sum := sha256.Sum256(text(c))
+	return sum[:]
+}
+
 // Decode reads the result of Encode. The error says what is malformed.
 func Decode(data []byte) (*Configuration, error) {
 	r, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
 		return nil, errors.Wrap(err, "configuration is not compressed")
 	}
-	text, err := io.ReadAll(io.LimitReader(r, maxDecodedBytes))
+	decompressed, err := io.ReadAll(io.LimitReader(r, maxDecodedBytes))
 	if err != nil {
 		return nil, errors.Wrap(err, "decompress configuration")
 	}
 	c := Empty()
-	if err := json.Unmarshal(text, c); err != nil {
+	if err := json.Unmarshal(decompressed, c); err != nil {
 		return nil, errors.Wrap(err, "decode configuration")
 	}
 	return clone(c), nil
--- a/internal/core/freshness/freshness.go
+++ b/internal/core/freshness/freshness.go
@@ -189,6 +189,9 @@
 // Table returns the share table of a zone.
 func (s *State) Table(zone ident.AvailabilityZone) Table { return s.tables[zone] }
 
+// Tabled returns the zones that have a table.
+func (s *State) Tabled() []ident.AvailabilityZone { return slices.Sorted(maps.Keys(s.tables)) }
+
 // Zones returns the zones of the accepted configuration.
 func (s *State) Zones() []ident.AvailabilityZone { return s.accepted.zones }
 
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net/netip"
-	neturl "net/url"
 	"regexp"
 	"strconv"
 	"strings"
@@ -70,20 +69,6 @@
 	}
 }
 
-func url(field func(*Settings) *string) store {
-	return func(s *Settings, v string) error {
-		u, err := neturl.Parse(v)
-		if err != nil || (u.Scheme != "http" && u.Scheme != "https") || (u.Path != "" && u.Path != "/") {
-			return errors.New("expected http://IP:port or https://IP:port")
-		}
-		if _, err := parseAddress(u.Host); err != nil {
-			return errors.New("expected http://IP:port or https://IP:port")
-		}
-		*field(s) = strings.TrimSuffix(v, "/")
-		return nil
-	}
-}
-
 func flag(field func(*Settings) *bool) store {
 	return func(s *Settings, v string) error {
 		if v != "yes" && v != "no" {
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -66,8 +66,7 @@
 
 // Platform configures the client of the platform's object API.
 type Platform struct {
-	// Address is a URL such as http://192.0.2.1:7000.
-	Address string
+	Address netip.AddrPort
 	Timeout time.Duration
 }
 
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -56,8 +56,8 @@
 	{"peers", "tls_authority", "", true, pathBounds, "Certificate authority of all VMs.",
 		text(func(s *Settings) *string { return &s.Peers.TLSAuthority })},
 
-	{"platform", "address", "", true, "http(s)://IP:port", "Object API of the platform.",
-		url(func(s *Settings) *string { return &s.Platform.Address })},
+	{"platform", "address", "", true, addressBounds, "Object API of the platform.",
+		address(func(s *Settings) *addrPort { return &s.Platform.Address })},
 	duration("platform", "timeout", "2s", 10*time.Millisecond, time.Minute, "Deadline of a call; a watch has its own waiting time in addition.",
 		func(s *Settings) *time.Duration { return &s.Platform.Timeout }),
 
