--- a/internal/controller/configuration/acknowledge.go
+++ b/internal/controller/configuration/acknowledge.go
@@ -99,7 +99,7 @@
 	if !pending || waited < takeOverAfter+time.Duration(c.takeOverRank(version))*takeOverStep || !c.applying.TryLock() {
 		return
 	}
-	go func() {
+	c.completing.Go(func() {
 		defer c.applying.Unlock()
 		ctx, cancel := context.WithTimeout(ctx, takeOverAfter)
 		defer cancel()
@@ -107,7 +107,7 @@
 		if _, err := c.complete(ctx); err != nil {
 			c.log.Info().Err(err).Uint64("version", uint64(version)).Msg("pending proposal not completed")
 		}
-	}()
+	})
 }
 
 // takeOverRank orders the watchers of all zones differently for each version.
--- a/internal/controller/configuration/controller.go
+++ b/internal/controller/configuration/controller.go
@@ -50,7 +50,8 @@
 	snapshot   atomic.Pointer[snapshot]
 	vars       *expvar.Map
 
-	applying sync.Mutex // one note at a time goes through this VM
+	applying   sync.Mutex // one note at a time goes through this VM
+	completing sync.WaitGroup
 
 	mu        sync.Mutex // guards all fields below
 	core      *freshness.State
@@ -120,6 +121,7 @@
 		running.Go(func() { part(ctx) })
 	}
 	running.Wait()
+	c.completing.Wait()
 	return ctx.Err()
 }
 
--- /dev/null
+++ b/internal/controller/configuration/fake_test.go
@@ -0,0 +1,343 @@
+package configcontroller
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/rosemarywall/rosemarywall/internal/clock"
+	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/peer"
+	"github.com/rosemarywall/rosemarywall/internal/platform"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+// latency is the one-way latency between VMs and to the platform.
+const latency = 8 * time.Millisecond
+
+// fakeStore is the platform in memory.
+type fakeStore struct {
+	mu      sync.Mutex
+	version platform.Version
+	objects map[string]platform.Object
+	changed chan struct{}
+	calls   int
+	outage  bool
+	// afterPut, if set, may turn the answer of a put that took effect into an error.
+	afterPut func(kind platform.Kind, name string, from ident.VMName) error
+}
+
+// fakeClient is the platform as one VM reaches it.
+type fakeClient struct {
+	store *fakeStore
+	vm    *testVM
+}
+
+var errDown = resultcode.New(resultcode.PlatformDown, "no answer")
+
+// begin counts a call, waits for the latency and fails while the platform cannot be reached.
+func (c fakeClient) begin(ctx context.Context) error {
+	pause(ctx, 2*latency)
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	c.store.calls++
+	if c.store.outage || c.vm.network.cut[c.vm.member.Zone] || ctx.Err() != nil {
+		return errDown
+	}
+	return nil
+}
+
+func (c fakeClient) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
+	if err := c.begin(ctx); err != nil {
+		return platform.Object{}, err
+	}
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	object, ok := c.store.objects[string(kind)+"/"+name]
+	if !ok {
+		return platform.Object{}, resultcode.New(resultcode.PlatformNotFound, "%s/%s", kind, name)
+	}
+	return object, nil
+}
+
+func (c fakeClient) List(ctx context.Context, kind platform.Kind) (platform.Changes, error) {
+	if err := c.begin(ctx); err != nil {
+		return platform.Changes{}, err
+	}
+	return c.store.since([]platform.Kind{kind}, 0), nil
+}
+
+func (s *fakeStore) since(kinds []platform.Kind, after platform.Version) platform.Changes {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	changes := platform.Changes{Version: s.version}
+	for _, object := range s.objects {
+		if slices.Contains(kinds, object.Kind) && object.Version > after {
+			changes.Objects = append(changes.Objects, object)
+		}
+	}
+	return changes
+}
+
+func (c fakeClient) Put(ctx context.Context, kind platform.Kind, name string, value any, ifVersion platform.Version) (platform.Object, error) {
+	if err := c.begin(ctx); err != nil {
+		return platform.Object{}, err
+	}
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	key := string(kind) + "/" + name
+	if old := c.store.objects[key]; old.Version != ifVersion {
+		return old, resultcode.New(resultcode.PlatformConflict, "%s has version %d", key, old.Version)
+	}
+	encoded, err := json.Marshal(value)
+	if err != nil {
+		return platform.Object{}, err
+	}
+	c.store.version++
+	object := platform.Object{Kind: kind, Name: name, Version: c.store.version, Value: encoded}
+	c.store.objects[key] = object
+	close(c.store.changed)
+	c.store.changed = make(chan struct{})
+	if c.store.afterPut != nil {
+		if err := c.store.afterPut(kind, name, c.vm.member.Name); err != nil {
+			return platform.Object{}, err
+		}
+	}
+	return object, nil
+}
+
+func (c fakeClient) Delete(context.Context, platform.Kind, string, platform.Version) error {
+	return errDown
+}
+
+func (c fakeClient) VMs(context.Context) ([]platform.VM, error) { return nil, errDown }
+
+func (c fakeClient) Watch(ctx context.Context, kinds []platform.Kind, after platform.Version, timeout time.Duration) (platform.Changes, error) {
+	if err := c.begin(ctx); err != nil {
+		return platform.Changes{}, err
+	}
+	deadline := time.After(timeout)
+	for {
+		c.store.mu.Lock()
+		changed := c.store.changed
+		c.store.mu.Unlock()
+		changes, expired := c.store.since(kinds, after), false
+		select {
+		case <-deadline:
+			expired = true
+		default:
+		}
+		if len(changes.Objects) > 0 || expired {
+			return changes, c.begin(ctx) // the way back may be cut
+		}
+		select {
+		case <-changed:
+		case <-time.After(10 * time.Millisecond):
+		case <-ctx.Done():
+			return platform.Changes{}, errDown
+		}
+	}
+}
+
+// fakeNetwork connects the VMs of a test.
+type fakeNetwork struct {
+	mu    sync.Mutex
+	vms   map[ident.VMName]*testVM
+	cut   map[ident.AvailabilityZone]bool // guarded by the store's lock
+	dead  map[ident.VMName]bool
+	apart map[ident.AvailabilityZone]bool // zones cut off from the other zones
+	sent  int
+}
+
+type testVM struct {
+	*Controller
+	network  *fakeNetwork
+	member   peer.Member
+	handlers map[peer.Kind]func(peer.Member, cbor.RawMessage)
+	stop     context.CancelFunc
+}
+
+func (vm *testVM) Self() peer.Member { return vm.member }
+
+func (vm *testVM) Members() []peer.Member {
+	vm.network.mu.Lock()
+	defer vm.network.mu.Unlock()
+	var members []peer.Member
+	for _, other := range vm.network.vms {
+		member := other.member
+		if vm.network.dead[member.Name] {
+			member.State = peer.Dead
+		}
+		members = append(members, member)
+	}
+	slices.SortFunc(members, func(x, y peer.Member) int {
+		if x.Name < y.Name {
+			return -1
+		}
+		return 1
+	})
+	return members
+}
+
+// Send delivers after the latency unless the zones are cut off from each other.
+func (vm *testVM) Send(_ context.Context, to ident.VMName, kind peer.Kind, body any) error {
+	encoded, err := cbor.Marshal(body)
+	if err != nil {
+		return err
+	}
+	go func() {
+		time.Sleep(latency)
+		n := vm.network
+		n.mu.Lock()
+		n.sent++
+		other := n.vms[to]
+		lost := other == nil || n.dead[to] || n.dead[vm.member.Name] ||
+			vm.member.Zone != other.member.Zone && (n.apart[vm.member.Zone] || n.apart[other.member.Zone])
+		n.mu.Unlock()
+		if !lost {
+			other.handlers[kind](vm.member, encoded)
+		}
+	}()
+	return nil
+}
+
+func (vm *testVM) Handle(kind peer.Kind, handler func(peer.Member, cbor.RawMessage)) {
+	vm.handlers[kind] = handler
+}
+
+func (vm *testVM) Piggyback(peer.Kind, func(ident.VMName) []byte, func(peer.Member, []byte)) {}
+func (vm *testVM) OnChange(func([]peer.Member))                                              {}
+
+// testFleet is three zones of 3, 2 and 2 VMs.
+type testFleet struct {
+	t       *testing.T
+	store   *fakeStore
+	network *fakeNetwork
+	running sync.WaitGroup
+}
+
+var testZones = []ident.AvailabilityZone{"plovdiv-a", "constanta-a", "ruse-a"}
+
+// runFleet runs a test in virtual time on a fleet whose share tables exist.
+func runFleet(t *testing.T, test func(*testFleet)) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &testFleet{t: t,
+			store: &fakeStore{objects: map[string]platform.Object{}, changed: make(chan struct{})},
+			network: &fakeNetwork{vms: map[ident.VMName]*testVM{}, cut: map[ident.AvailabilityZone]bool{},
+				dead: map[ident.VMName]bool{}, apart: map[ident.AvailabilityZone]bool{}}}
+		defer func() {
+			for _, vm := range f.network.vms {
+				vm.stop()
+			}
+			f.running.Wait()
+			time.Sleep(time.Second) // messages on their way arrive
+		}()
+		vms := f.shareTables()
+		for _, zone := range testZones {
+			for _, name := range vms[zone] {
+				f.start(name, zone, 1)
+			}
+		}
+		time.Sleep(time.Second)
+		test(f)
+	})
+}
+
+// shareTables writes the share tables and returns their VMs.
+func (f *testFleet) shareTables() map[ident.AvailabilityZone][]ident.VMName {
+	vms := map[ident.AvailabilityZone][]ident.VMName{}
+	for i, zone := range testZones {
+		for n := range []int{3, 2, 2}[i] {
+			vms[zone] = append(vms[zone], ident.VMName(fmt.Sprintf("%s-%d", zone, n)))
+		}
+		encoded, err := json.Marshal(vms[zone])
+		assert.NilError(f.t, err)
+		f.store.version++
+		f.store.objects["share-table/"+string(zone)] = platform.Object{Kind: platform.KindShareTable,
+			Name: string(zone), Version: f.store.version, Value: encoded}
+	}
+	return vms
+}
+
+// start runs a VM; an earlier life of the same name ends.
+func (f *testFleet) start(name ident.VMName, zone ident.AvailabilityZone, incarnation ident.Incarnation) *testVM {
+	vm := &testVM{network: f.network, handlers: map[peer.Kind]func(peer.Member, cbor.RawMessage){},
+		member: peer.Member{Name: name, Zone: zone, Incarnation: incarnation}}
+	vm.Controller = New(Options{Mesh: vm, Platform: fakeClient{f.store, vm}, Clock: clock.New(),
+		Writer: platform.NewWriter(fmt.Sprintf("%s-%d", name, incarnation), uint64(incarnation)), Seed: uint64(len(name)),
+		ShareTable: func(value json.RawMessage) (vms []ident.VMName, err error) {
+			return vms, json.Unmarshal(value, &vms)
+		}, Log: zerolog.Nop()})
+	f.network.mu.Lock()
+	if old := f.network.vms[name]; old != nil {
+		old.stop()
+	}
+	f.network.vms[name] = vm
+	f.network.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	vm.stop = cancel
+	f.running.Go(func() { _ = vm.Run(ctx) })
+	return vm
+}
+
+func (f *testFleet) vm(name ident.VMName) *testVM { return f.network.vms[name] }
+
+func (f *testFleet) apply(name ident.VMName, text string) Result {
+	return f.vm(name).Apply(context.Background(), "note.ini", []byte(text))
+}
+
+const key = "swordfish"
+
+// firstNote makes a fleet with one organisation that has a key for one database.
+func firstNote() string {
+	text := "[note]\ntitle = first\n[add organisation web]\nrate = 100\nburst = 10\ndatabases = deck\n" +
+		"[add database deck]\n[add database wiki]\nopen = yes\n" + keySection("add", "main", key)
+	for _, zone := range testZones {
+		text += fmt.Sprintf("[add zone %s]\nregion = bg\n", zone)
+	}
+	return text
+}
+
+func keySection(action, name, key string) string {
+	return fmt.Sprintf("[%s key web/%s]\nhash = sha256:%x\n", action, name, configuration.HashKey(key))
+}
+
+const withdrawal = "[note]\ntitle = withdraw\n[withdraw key web/main]\n"
+
+// setUp accepts the first note and waits until every VM is fresh.
+func (f *testFleet) setUp() {
+	r := f.apply("plovdiv-a-0", firstNote())
+	assert.Assert(f.t, r.Accepted, "%+v", r)
+	assert.Equal(f.t, len(r.Lagging), 0)
+	time.Sleep(time.Second)
+	for _, vm := range f.network.vms {
+		_, err := vm.Authorise("web", "deck", key)
+		assert.NilError(f.t, err)
+	}
+}
+
+func (f *testFleet) setOutage(outage bool) {
+	f.store.mu.Lock()
+	defer f.store.mu.Unlock()
+	f.store.outage = outage
+}
+
+// isolate cuts a zone off from the platform and the other zones.
+func (f *testFleet) isolate(zone ident.AvailabilityZone) {
+	f.store.mu.Lock()
+	f.network.cut[zone] = true
+	f.store.mu.Unlock()
+	f.network.mu.Lock()
+	f.network.apart[zone] = true
+	f.network.mu.Unlock()
+}
