--- a/internal/platform/http.go
+++ b/internal/platform/http.go
@@ -183,9 +183,6 @@
 	if err != nil {
 		return resultcode.Wrap(err, resultcode.PlatformBadRequest, "%s", path)
 	}
-	// A conditional update must not be repeated by the HTTP transport: the repeat
-	// would meet its own change and report a conflict.
-	request.GetBody = nil
 	if h.zone != "" {
 		request.Header.Set(ZoneHeader, string(h.zone))
 	}
