--- a/internal/standin/upstream/upstream_test.go
+++ b/internal/standin/upstream/upstream_test.go
@@ -65,7 +65,7 @@
 	var data []byte
 	err = b.QueryRow(ctx, "SELECT id, name, ratio, open, data, price FROM account WHERE id = $1", 7).Scan(&id, &name, &ratio, &open, &data, &price)
 	assert.NilError(t, err)
-	assert.Equal(t, fmt.Sprint(id, name, ratio, open, data, price), "7 seven 1.5 true [1 0 2] 3.25")
+	assert.Equal(t, fmt.Sprintln(id, name, ratio, open, data, price), "7 seven 1.5 true [1 0 2] 3.25\n")
 	_, err = b.Exec(ctx, "DELETE FROM account")
 	assert.Equal(t, stateOf(err), "25006")
 }
