--- /dev/null
+++ b/internal/filter/forward/copyin.go
@@ -0,0 +1,134 @@
+package forward
+
+import (
+	"errors"
+
+	"github.com/rosemarywall/rosemarywall/internal/filter"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+// copyIn passes CopyInResponse on and streams the caller's data to the upstream.
+// An early answer of the upstream, which can only be an error, ends the stream.
+func (x *exchange) copyIn(e *expectation) error {
+	if x.r.OpenEnd {
+		return resultcode.New(resultcode.FeatureNotSupported, "COPY FROM STDIN in a batch that ends with Flush")
+	}
+	if err := x.forward(e); err != nil {
+		return err
+	}
+	if err := x.w.Flush(); err != nil {
+		return &filter.Lost{Cause: err}
+	}
+	x.stopPolling()
+	caller := x.s.Caller
+	answered := make(chan struct{})
+	go func() {
+		defer close(answered)
+		_, _, _ = x.conn.R.Peek() // the result is read again by answers
+		caller.Interrupt()
+	}()
+	err := x.pump(e.kind == 'E')
+	if err != nil {
+		// Wakes the goroutine; the connection is closed afterwards.
+		x.conn.Abort()
+	}
+	<-answered
+	caller.Resume()
+	return err
+}
+
+// pump copies CopyData until CopyDone or CopyFail. In the extended protocol the
+// upstream has ignored the Sync sent before, so the caller's next one follows.
+func (x *exchange) pump(extended bool) error {
+	caller, reader := x.s.Caller, x.s.Caller.Reader()
+	done := false
+	for {
+		kind, _, err := caller.Peek()
+		if errors.Is(err, filter.ErrInterrupted) {
+			if extended && !done {
+				return x.skipToSync()
+			}
+			return nil
+		}
+		if err != nil {
+			return &filter.Lost{Cause: err}
+		}
+		switch kind {
+		case 'd', 'c', 'f':
+			if err := reader.Forward(x.conn.W); err != nil {
+				return x.pumpFailed(err)
+			}
+			done = done || kind != 'd'
+		case 'S', 'H':
+			if done && kind == 'S' {
+				_, frame, err := reader.NextFrame()
+				if err != nil {
+					return &filter.Lost{Cause: err}
+				}
+				_, _ = x.conn.W.Write(frame)
+				return x.pumpFlush()
+			}
+			err = reader.Skip()
+		default:
+			return &filter.Lost{Cause: resultcode.New(resultcode.MalformedMessage, "message type %q during COPY", kind)}
+		}
+		if err != nil {
+			return &filter.Lost{Cause: err}
+		}
+		if done && !extended {
+			return x.pumpFlush()
+		}
+		if reader.Buffered() < minFrame {
+			if err := x.pumpFlush(); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+// pumpFlush sends the data on. A failed write is found again when the answer is
+// read, which tells the upstream's reason.
+func (x *exchange) pumpFlush() error {
+	_ = x.conn.W.Flush()
+	return nil
+}
+
+func (x *exchange) pumpFailed(err error) error {
+	if x.conn.W.Err() != nil {
+		return nil
+	}
+	if isTimeout(err) {
+		// The upstream answered in the middle of a message; its input is out of
+		// step, so the connection is closed once the answer was read.
+		x.broken = true
+		return nil
+	}
+	return &filter.Lost{Cause: err}
+}
+
+// skipToSync drops the caller's messages up to Sync and sends that.
+func (x *exchange) skipToSync() error {
+	x.s.Caller.Resume()
+	for {
+		kind, _, err := x.s.Caller.Peek()
+		if errors.Is(err, filter.ErrInterrupted) {
+			x.s.Caller.Resume()
+			continue
+		}
+		if err != nil {
+			return &filter.Lost{Cause: err}
+		}
+		if err := x.s.Caller.Reader().Skip(); err != nil {
+			return &filter.Lost{Cause: err}
+		}
+		if kind == 'S' {
+			x.emitNow(syncFrame)
+			return nil
+		}
+	}
+}
+
+func (x *exchange) emitNow(frame []byte) {
+	_, _ = x.conn.W.Write(frame)
+	_ = x.conn.W.Flush()
+}
--- /dev/null
+++ b/internal/filter/forward/exchange.go
@@ -0,0 +1,317 @@
+package forward
+
+import (
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/filter"
+	"github.com/rosemarywall/rosemarywall/internal/frontend/sqltext"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/upstream"
+	"github.com/rosemarywall/rosemarywall/internal/wire"
+)
+
+// inlineLimit is the size in bytes up to which a segment is written before the
+// answers are read. Larger segments are written concurrently, because the upstream
+// may block on its answers before it has read everything.
+const inlineLimit = 32 << 10
+
+// errCrossed reports an answer that does not belong to the request.
+var errCrossed = errors.New("the upstream answered out of order")
+
+// expectation is an answer that is still to come.
+type expectation struct {
+	// kind is the type of the message sent.
+	kind byte
+	// drop keeps the answer from the caller.
+	drop bool
+	// op is the caller's message; nil for messages of the proxy.
+	op *filter.Op
+	// key and name are recorded when a Parse succeeds; name is "" for the unnamed
+	// statement.
+	key   upstream.StatementKey
+	name  string
+	local []byte
+	// isLocal says that no message was sent and local is the answer.
+	isLocal bool
+}
+
+// exchange is the state of one request on its connection.
+type exchange struct {
+	h     *handler
+	r     *filter.Request
+	s     *filter.Session
+	lease *upstream.Lease
+	conn  *upstream.Conn
+	w     *wire.Writer
+	fresh bool
+	// wrapped says that the proxy sent BEGIN and owes COMMIT.
+	wrapped bool
+	// unsafe says that a segment was sent whose effect may have been committed
+	// without an answer.
+	unsafe bool
+	// effect says that an earlier segment may have committed something.
+	effect bool
+	// commits says that the segment holds a COMMIT of the caller, and writes that
+	// it holds a statement that may write.
+	commits, writes bool
+
+	out     [][]byte
+	scratch []byte
+	expect  []expectation
+	next    int
+	unnamed upstream.StatementKey
+	pending map[upstream.StatementKey]string
+
+	// mark and pendingMark are the caller writer's state when the request began.
+	mark        int64
+	pendingMark int
+	held        []byte
+	term        ident.Term
+	point       ident.LogPoint
+	status      byte
+	errored     bool
+	tag         string
+	statement   int // index of the statement of a Q that answers next
+	statements  []sqltext.Statement
+	retry       *filter.Retry
+	polling     bool
+	writeDone   chan error
+	broken      bool // the connection is out of step and must be closed
+}
+
+var exchanges = sync.Pool{New: func() any { return new(exchange) }}
+
+func newExchange(h *handler, r *filter.Request, lease *upstream.Lease, fresh bool) *exchange {
+	x := exchanges.Get().(*exchange)
+	w := r.Session.Caller.Writer()
+	*x = exchange{
+		h: h, r: r, s: r.Session, lease: lease, conn: lease.Conn(), w: w, fresh: fresh,
+		mark: w.Sent(), pendingMark: w.Pending(), unnamed: lease.Conn().Unnamed,
+		out: x.out[:0], scratch: x.scratch[:0], expect: x.expect[:0], held: x.held[:0],
+	}
+	return x
+}
+
+// keepBuffers bounds the memory that a pooled exchange keeps, in bytes.
+const keepBuffers = 8 << 10
+
+func (x *exchange) free() {
+	clear(x.out[:cap(x.out)])
+	clear(x.expect[:cap(x.expect)])
+	keep := exchange{out: x.out[:0], expect: x.expect[:0]}
+	if cap(x.scratch) <= keepBuffers && cap(x.held) <= keepBuffers {
+		keep.scratch, keep.held = x.scratch[:0], x.held[:0]
+	}
+	*x = keep
+	exchanges.Put(x)
+}
+
+// run carries out all segments.
+func (x *exchange) run() error {
+	x.wrapped = x.wrappable()
+	if x.wrapped {
+		x.query(true, "BEGIN")
+	}
+	ops := x.r.Ops
+	for len(ops) > 0 {
+		var err error
+		if ops, err = x.plan(ops); err != nil {
+			return err
+		}
+		if err := x.segment(); err != nil {
+			return err
+		}
+		if x.errored {
+			break
+		}
+	}
+	if x.wrapped {
+		return x.commitWrapped()
+	}
+	return x.acknowledge()
+}
+
+// wrappable reports whether the request runs between BEGIN and COMMIT of the proxy.
+func (x *exchange) wrappable() bool {
+	if !x.fresh || !x.r.Write || x.r.OpenEnd || x.h.cfg.Plain {
+		return false
+	}
+	writes := false
+	for i := range x.r.Ops {
+		for _, s := range x.r.Ops[i].Statements {
+			if s.Plain {
+				writes = true
+			} else if s.Kind != sqltext.Read {
+				return false
+			}
+		}
+	}
+	return writes
+}
+
+// segment sends the planned messages and reads their answers.
+func (x *exchange) segment() error {
+	if !x.wrapped && !x.s.InTransaction {
+		x.lease.Transaction = ""
+	}
+	x.writes = x.writes || x.s.OpenWrites
+	x.unsafe = !x.wrapped && x.writes && !x.s.InTransaction || x.commits
+	if err := x.send(); err != nil {
+		// The upstream cannot have run an incomplete message. Without the final
+		// Sync nothing is committed except by a COMMIT inside the segment.
+		x.unsafe = x.commits && len(x.expect) > 1
+		return err
+	}
+	err := x.answers()
+	if x.writeDone != nil {
+		if err != nil {
+			_ = x.conn.SetWriteDeadline(time.Now())
+		}
+		writeErr := <-x.writeDone
+		x.writeDone = nil
+		_ = x.conn.SetWriteDeadline(time.Time{})
+		if err == nil {
+			err = writeErr
+		}
+	}
+	if err != nil {
+		return err
+	}
+	if x.status != 0 {
+		x.unsafe = false
+		x.effect = x.effect || x.commits || x.writes && !x.wrapped
+	}
+	x.s.OpenWrites = x.writes && x.status == 0
+	x.out, x.expect, x.next, x.scratch = x.out[:0], x.expect[:0], 0, x.scratch[:0]
+	x.commits, x.writes = false, false
+	return nil
+}
+
+// send writes the planned messages, in the background when they are many.
+func (x *exchange) send() error {
+	size := 0
+	for _, part := range x.out {
+		size += len(part)
+	}
+	if size == 0 {
+		return nil
+	}
+	x.status = 0
+	if size <= inlineLimit {
+		return x.write()
+	}
+	x.writeDone = make(chan error, 1)
+	go func() { x.writeDone <- x.write() }()
+	return nil
+}
+
+func (x *exchange) write() error {
+	for _, part := range x.out {
+		if _, err := x.conn.W.Write(part); err != nil {
+			return err
+		}
+	}
+	return x.conn.W.Flush()
+}
+
+// commitWrapped ends the transaction that the proxy began.
+func (x *exchange) commitWrapped() error {
+	if x.status == 'I' { // BEGIN failed, so the request ran by itself
+		return x.acknowledge()
+	}
+	failed := x.errored
+	if failed {
+		x.query(true, "ROLLBACK")
+	} else {
+		x.query(true, "COMMIT")
+		x.commits = true
+	}
+	if err := x.segment(); err != nil {
+		if failed {
+			// The upstream's error was received: the transaction never commits.
+			x.broken, x.status = true, 'I'
+			return x.acknowledge()
+		}
+		return err
+	}
+	return x.acknowledge()
+}
+
+// acknowledge confirms what was committed and passes on what was held.
+func (x *exchange) acknowledge() error {
+	if x.retry != nil {
+		return x.retry
+	}
+	if x.errored {
+		x.held = x.held[:0]
+	}
+	return x.releaseHeld()
+}
+
+// releaseHeld confirms a commit that is pending and passes on the held messages.
+func (x *exchange) releaseHeld() error {
+	if !x.point.IsZero() && x.s.OnPrimary {
+		if err := x.confirm(); err != nil {
+			return err
+		}
+	}
+	if len(x.held) > 0 {
+		_, err := x.w.Write(x.held)
+		x.held = x.held[:0]
+		if err != nil {
+			return &filter.Lost{Cause: err}
+		}
+	}
+	return nil
+}
+
+// passed reports whether the caller may have received a part of the answer.
+func (x *exchange) passed() bool { return x.w.Sent() != x.mark }
+
+// finish ends the request: it returns the connection or keeps it for the open
+// transaction.
+func (x *exchange) finish() {
+	s := x.s
+	x.r.Failed = x.errored
+	x.r.Status = x.status
+	x.stopPolling()
+	if x.status == 'I' && !x.r.OpenEnd {
+		if x.errored {
+			s.Settings.Rollback()
+		} else {
+			s.Settings.Commit(x.conn.Settings)
+		}
+		lease, dirty := x.lease, s.Dirty
+		s.EndLease()
+		if x.broken {
+			lease.Close()
+		} else {
+			lease.Release(dirty)
+		}
+		return
+	}
+	if x.broken {
+		s.EndLease()
+		x.lease.Close()
+		return
+	}
+	s.InTransaction = s.InTransaction || x.status == 'T' || x.status == 'E'
+	if x.status == 'I' {
+		s.InTransaction = false
+	}
+	s.Unsynced = x.r.OpenEnd
+}
+
+func (x *exchange) stopPolling() {
+	if x.polling {
+		_ = x.conn.SetReadDeadline(time.Time{})
+		x.polling = false
+	}
+}
+
+func (x *exchange) crossed(kind byte) error {
+	return fmt.Errorf("%w: message type %q", errCrossed, kind)
+}
--- /dev/null
+++ b/internal/filter/forward/forward.go
@@ -0,0 +1,106 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/filter"
+	"github.com/rosemarywall/rosemarywall/internal/request"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	"github.com/rosemarywall/rosemarywall/internal/upstream"
+	"github.com/rosemarywall/rosemarywall/internal/wire"
+)
+
+// defaultConfirmTimeout bounds confirmation and resolution of a commit.
+const defaultConfirmTimeout = 5 * time.Second
+
+// Config configures the filter.
+type Config struct {
+	Pools    *upstream.Pools
+	Router   request.Router
+	Counters *filter.Counters
+	// ConfirmTimeout bounds the wait for a confirmation and for the outcome of an
+	// unanswered commit; default 5 s.
+	ConfirmTimeout time.Duration
+	// Plain sends single writes without BEGIN and COMMIT. It saves one exchange
+	// with the upstream and leaves more outcomes unknown.
+	Plain bool
+}
+
+type handler struct{ cfg Config }
+
+// New returns the filter. It refuses with RolledBack, OutcomeUnknown,
+// AnswerIncomplete, InvalidSetting and QueueDeadline, and returns *filter.Retry
+// for a request that had no effect.
+func New(cfg Config) filter.Handler {
+	if cfg.ConfirmTimeout == 0 {
+		cfg.ConfirmTimeout = defaultConfirmTimeout
+	}
+	return &handler{cfg: cfg}
+}
+
+// Serve implements filter.Handler.
+func (h *handler) Serve(ctx context.Context, r *filter.Request) error {
+	s := r.Session
+	lease := s.Lease.Load()
+	fresh := lease == nil
+	if fresh {
+		var err error
+		if lease, err = h.lease(ctx, r); err != nil {
+			return err
+		}
+	}
+	x := newExchange(h, r, lease, fresh)
+	defer x.free()
+	err := x.run()
+	if err != nil {
+		return x.failed(err)
+	}
+	x.finish()
+	return nil
+}
+
+// lease takes a connection to the target and applies the session's settings.
+func (h *handler) lease(ctx context.Context, r *filter.Request) (*upstream.Lease, error) {
+	lease, err := h.cfg.Pools.Acquire(ctx, r.Target)
+	if err != nil {
+		var open *upstream.OpenError
+		if errors.As(err, &open) {
+			return nil, &filter.Retry{Reason: filter.NotSent, Cause: err}
+		}
+		if errors.Is(err, filter.ErrCancelled) {
+			return nil, filter.WaitError(ctx, resultcode.Cancelled, "")
+		}
+		return nil, err
+	}
+	s, conn := r.Session, lease.Conn()
+	if sql := s.Settings.Difference(conn.Settings, conn.Params); sql != "" {
+		refusal, err := conn.Apply(sql)
+		if err != nil {
+			lease.Close()
+			return nil, &filter.Retry{Reason: filter.NotSent, Cause: err}
+		}
+		if refusal != nil {
+			lease.Release(true)
+			return nil, resultcode.New(resultcode.InvalidSetting, "the upstream refused the session settings with SQLSTATE %s", wire.ErrorField(refusal, 'C'))
+		}
+		conn.Unnamed = upstream.StatementKey{}
+		s.Settings.MarkApplied(conn.Settings)
+	}
+	s.OnPrimary = r.Write
+	s.Lease.Store(lease)
+	h.count(r)
+	return lease, nil
+}
+
+func (h *handler) count(r *filter.Request) {
+	switch {
+	case r.Write:
+		h.cfg.Counters.Writes.Add(1)
+	case r.Target.Primary:
+		h.cfg.Counters.ReadsPrimary.Add(1)
+	default:
+		h.cfg.Counters.ReadsReplica.Add(1)
+	}
+}
--- /dev/null
+++ b/internal/filter/forward/plan.go
@@ -0,0 +1,206 @@
+package forward
+
+import (
+	"encoding/binary"
+
+	"github.com/rosemarywall/rosemarywall/internal/filter"
+	"github.com/rosemarywall/rosemarywall/internal/frontend/sqltext"
+	"github.com/rosemarywall/rosemarywall/internal/upstream"
+)
+
+var (
+	syncFrame     = []byte{'S', 0, 0, 0, 4}
+	parseComplete = []byte{'1', 0, 0, 0, 4}
+	bindComplete  = []byte{'2', 0, 0, 0, 4}
+	closeComplete = []byte{'3', 0, 0, 0, 4}
+	noData        = []byte{'n', 0, 0, 0, 4}
+	zeroTypes     = []byte{'t', 0, 0, 0, 6, 0, 0}
+)
+
+// plan prepares the next segment and returns the messages that remain.
+func (x *exchange) plan(ops []filter.Op) ([]filter.Op, error) {
+	for i := range ops {
+		op := &ops[i]
+		x.note(op)
+		if op.Kind == 'Q' {
+			return x.planQuery(op, ops[i+1:]), nil
+		}
+		x.planOp(op)
+		if op.Kind == 'E' && endsWithCommit(op.Statements) && laterExecute(ops[i+1:]) {
+			x.emit(syncFrame)
+			x.expect = append(x.expect, expectation{kind: 'S', drop: true})
+			return ops[i+1:], nil
+		}
+	}
+	return nil, nil
+}
+
+// note records what a message may do.
+func (x *exchange) note(op *filter.Op) {
+	for _, s := range op.Statements {
+		x.s.Dirty = x.s.Dirty || s.Dirty
+		switch s.Kind {
+		case sqltext.Commit:
+			x.commits = true
+		case sqltext.Write, sqltext.CopyIn:
+			x.writes = true
+		}
+	}
+}
+
+func endsWithCommit(list []sqltext.Statement) bool {
+	return len(list) > 0 && list[len(list)-1].Kind == sqltext.Commit
+}
+
+func laterExecute(ops []filter.Op) bool {
+	for i := range ops {
+		if ops[i].Kind == 'E' {
+			return true
+		}
+	}
+	return false
+}
+
+// planQuery sends a simple query, or its part up to the first COMMIT.
+func (x *exchange) planQuery(op *filter.Op, rest []filter.Op) []filter.Op {
+	x.unnamed = upstream.StatementKey{}
+	x.conn.Unnamed = upstream.StatementKey{}
+	x.statements, x.statement = op.Statements, 0
+	for i, s := range op.Statements[:len(op.Statements)-1] {
+		if s.Kind != sqltext.Commit {
+			continue
+		}
+		sql := op.Frame[5 : len(op.Frame)-1]
+		x.query(false, string(sql[op.Statements[0].Start:s.End]))
+		x.statements = op.Statements[:i+1]
+		tail := filter.Op{Kind: 'Q', Frame: textFrame('Q', string(sql[op.Statements[i+1].Start:]))}
+		offset := op.Statements[i+1].Start
+		for _, later := range op.Statements[i+1:] {
+			later.Start -= offset
+			later.End -= offset
+			tail.Statements = append(tail.Statements, later)
+		}
+		x.expect[len(x.expect)-1].op = op
+		return []filter.Op{tail}
+	}
+	x.emit(op.Frame)
+	x.expect = append(x.expect, expectation{kind: 'Q', op: op})
+	return rest
+}
+
+// query sends a simple query of the proxy.
+func (x *exchange) query(drop bool, sql string) {
+	x.emit(textFrame('Q', sql))
+	x.unnamed = upstream.StatementKey{}
+	x.conn.Unnamed = upstream.StatementKey{}
+	x.expect = append(x.expect, expectation{kind: 'Q', drop: drop})
+}
+
+func textFrame(kind byte, text string) []byte {
+	frame := binary.BigEndian.AppendUint32([]byte{kind}, uint32(len(text)+5))
+	return append(append(frame, text...), 0)
+}
+
+func (x *exchange) emit(frame []byte) { x.out = append(x.out, frame) }
+
+// planOp sends one message of the extended protocol.
+func (x *exchange) planOp(op *filter.Op) {
+	e := expectation{kind: op.Kind, op: op}
+	switch {
+	case op.IsLocal:
+		e.isLocal, e.local = true, op.Local
+	case op.Kind == 'P':
+		x.planParse(op)
+		return
+	case op.Kind == 'B' && op.Prepared != nil && op.Name != "":
+		name := x.upstreamName(op.Prepared)
+		x.emit(x.bind(op, name))
+	case op.Kind == 'D' && op.Prepared != nil && op.Name != "":
+		name := x.upstreamName(op.Prepared)
+		x.emit(x.named('D', "S", name, nil))
+	case op.Kind == 'B' || op.Kind == 'D' && op.Prepared != nil:
+		x.needUnnamed(op.Prepared)
+		x.emit(op.Frame)
+	case op.Kind == 'H':
+		x.emit(op.Frame)
+		return
+	default:
+		x.emit(op.Frame)
+	}
+	x.expect = append(x.expect, e)
+}
+
+func (x *exchange) planParse(op *filter.Op) {
+	e := expectation{kind: 'P', op: op, key: op.Prepared.Key}
+	if op.Name == "" {
+		x.unnamed = op.Prepared.Key
+		x.emit(op.Frame)
+		x.expect = append(x.expect, e)
+		return
+	}
+	if _, ok := x.known(op.Prepared.Key); ok {
+		e.isLocal, e.local = true, parseComplete
+		x.expect = append(x.expect, e)
+		return
+	}
+	x.prepare(op.Prepared, op, false)
+}
+
+// known returns the name of a statement that is prepared on the connection, or
+// will be when the planned messages have run.
+func (x *exchange) known(key upstream.StatementKey) (string, bool) {
+	if name, ok := x.conn.Prepared(key); ok {
+		return name, true
+	}
+	name, ok := x.pending[key]
+	return name, ok
+}
+
+// upstreamName returns the statement's name on the connection and prepares it
+// there if needed.
+func (x *exchange) upstreamName(p *filter.Prepared) string {
+	if name, ok := x.known(p.Key); ok {
+		return name
+	}
+	return x.prepare(p, nil, true)
+}
+
+func (x *exchange) prepare(p *filter.Prepared, op *filter.Op, drop bool) string {
+	name := x.conn.NewStatementName()
+	x.emit(x.named('P', "", name, []byte(p.Definition.Value())))
+	x.expect = append(x.expect, expectation{kind: 'P', drop: drop, op: op, key: p.Key, name: name})
+	if x.pending == nil {
+		x.pending = map[upstream.StatementKey]string{}
+	}
+	x.pending[p.Key] = name
+	return name
+}
+
+// needUnnamed parses the caller's unnamed statement again unless the connection
+// has it.
+func (x *exchange) needUnnamed(p *filter.Prepared) {
+	if x.unnamed == p.Key {
+		return
+	}
+	x.emit(x.named('P', "", "", []byte(p.Definition.Value())))
+	x.expect = append(x.expect, expectation{kind: 'P', drop: true, key: p.Key})
+	x.unnamed = p.Key
+}
+
+// bind builds a Bind message with the statement name of the connection.
+func (x *exchange) bind(op *filter.Op, name string) []byte {
+	return x.build('B', string(op.Portal)+"\x00"+name+"\x00", op.Rest)
+}
+
+// named builds a message with a prefix, a name and a rest.
+func (x *exchange) named(kind byte, prefix, name string, rest []byte) []byte {
+	return x.build(kind, prefix+name+"\x00", rest)
+}
+
+func (x *exchange) build(kind byte, head string, rest []byte) []byte {
+	start := len(x.scratch)
+	x.scratch = append(x.scratch, kind)
+	x.scratch = binary.BigEndian.AppendUint32(x.scratch, uint32(4+len(head)+len(rest)))
+	x.scratch = append(append(x.scratch, head...), rest...)
+	return x.scratch[start:len(x.scratch):len(x.scratch)]
+}
--- /dev/null
+++ b/internal/filter/forward/resolve.go
@@ -0,0 +1,234 @@
+package forward
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/filter"
+	"github.com/rosemarywall/rosemarywall/internal/frontend/sqltext"
+	"github.com/rosemarywall/rosemarywall/internal/group"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+// resolvePause is the pause between questions about a transaction.
+const resolvePause = 10 * time.Millisecond
+
+// confirm waits until the pending commit survives a promotion.
+func (x *exchange) confirm() error {
+	x.h.cfg.Counters.Held.Add(1)
+	ctx, cancel := context.WithTimeout(context.Background(), x.h.cfg.ConfirmTimeout)
+	defer cancel()
+	if err := x.h.cfg.Router.Confirm(ctx, x.lease.Target(), x.point); err != nil {
+		x.broken = true
+		return x.resolve(ctx)
+	}
+	x.advance(x.point)
+	return nil
+}
+
+// advance moves the session point after an acknowledged commit.
+func (x *exchange) advance(point ident.LogPoint) {
+	if point.Compare(x.s.Point) > 0 {
+		x.s.Point = point
+	}
+	x.r.TokenDue = true
+	x.point = ident.LogPoint{}
+}
+
+// resolve finds out whether the transaction committed. It returns nil when it did
+// and a replica of the present term has it.
+func (x *exchange) resolve(ctx context.Context) error {
+	id := x.lease.Transaction
+	if id == "" {
+		if x.s.InTransaction && !x.writes && x.point.IsZero() {
+			return resultcode.New(resultcode.RolledBack, "the connection to the upstream failed; the transaction had written nothing")
+		}
+		return unknown("the upstream did not report a transaction identifier")
+	}
+	for {
+		state, err := x.h.cfg.Router.Transaction(ctx, x.s.Grant.Database, id)
+		switch {
+		case err != nil || state == group.TransactionInProgress:
+		case state == group.TransactionAborted:
+			x.h.cfg.Counters.Resolved.Add(1)
+			return resultcode.New(resultcode.RolledBack, "the group reports the transaction as aborted")
+		case state == group.TransactionCommitted:
+			if x.confirmAgain(ctx) {
+				x.h.cfg.Counters.Resolved.Add(1)
+				return nil
+			}
+		default:
+			return unknown("the group does not know the transaction")
+		}
+		if !pause(ctx) {
+			return unknown("the group did not tell the outcome before the deadline")
+		}
+	}
+}
+
+func unknown(detail string) error { return resultcode.New(resultcode.OutcomeUnknown, "%s", detail) }
+
+func pause(ctx context.Context) bool {
+	timer := time.NewTimer(resolvePause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// confirmAgain confirms a committed transaction in the present term. When the
+// connection broke before the position was known, the first entry of a newer term
+// stands for it: its log begins with everything that was committed before.
+func (x *exchange) confirmAgain(ctx context.Context) bool {
+	target, err := x.h.cfg.Router.Primary(ctx, x.s.Grant.Database)
+	if err != nil {
+		return false
+	}
+	point := x.point
+	if point.IsZero() {
+		if target.Term <= x.lease.Target().Term {
+			return false
+		}
+		point = ident.LogPoint{Term: target.Term}
+	}
+	if err := x.h.cfg.Router.Confirm(ctx, target, point); err != nil {
+		return false
+	}
+	x.advance(point)
+	return true
+}
+
+// failed ends a request that did not complete and decides what the caller is told.
+func (x *exchange) failed(err error) error {
+	x.stopPolling()
+	var lost *filter.Lost
+	var retry *filter.Retry
+	switch {
+	case errors.As(err, &lost):
+		x.drop()
+		return err
+	case errors.As(err, &retry):
+		lease := x.lease
+		clean := x.status == 'I' && !x.broken
+		dirty := x.s.Dirty
+		x.s.EndLease()
+		if clean {
+			lease.Release(dirty)
+		} else {
+			lease.Close()
+		}
+		return err
+	case resultcode.Of(err) != 0:
+		x.drop()
+		return err
+	}
+	return x.connectionLost(err)
+}
+
+// drop closes the connection.
+func (x *exchange) drop() {
+	lease := x.lease
+	x.s.EndLease()
+	lease.Close()
+}
+
+// connectionLost decides the answer after the upstream connection failed.
+func (x *exchange) connectionLost(cause error) error {
+	if x.unsafe {
+		return x.resolveLost(cause)
+	}
+	inTransaction := !x.fresh || x.s.InTransaction || x.wrapped
+	x.drop()
+	switch {
+	case x.errored && !x.passed() && x.retry != nil:
+		return x.retry
+	case x.errored:
+		x.r.Failed, x.r.Status = true, 'I'
+		if inTransaction && !x.wrapped {
+			x.r.Status = 'E'
+		}
+		return nil
+	case x.fresh && !x.effect && !x.r.OpenEnd && !x.passed():
+		x.w.Truncate(x.pendingMark)
+		return &filter.Retry{Reason: filter.NotSent, Cause: cause}
+	}
+	x.h.cfg.Router.ReportFailure(x.lease.Target(), cause)
+	if inTransaction {
+		return resultcode.New(resultcode.RolledBack, "the connection to the upstream failed before the commit was sent")
+	}
+	return resultcode.New(resultcode.AnswerIncomplete, "the connection to the upstream failed")
+}
+
+// resolveLost finds the outcome of a request that may have committed without an
+// answer. A commit is acknowledged only if the rest of the answer is known.
+func (x *exchange) resolveLost(cause error) error {
+	x.h.cfg.Router.ReportFailure(x.lease.Target(), cause)
+	x.broken = true
+	x.lease.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), x.h.cfg.ConfirmTimeout)
+	defer cancel()
+	err := x.resolve(ctx)
+	if err == nil && !x.synthesise() {
+		err = unknown("the transaction committed, but its answer was lost")
+	}
+	if err != nil {
+		x.s.EndLease()
+		return err
+	}
+	x.status = 'I'
+	if err := x.releaseHeld(); err != nil {
+		x.s.EndLease()
+		return err
+	}
+	x.finish()
+	return nil
+}
+
+// commitComplete is the answer to COMMIT.
+var commitComplete = append([]byte{'C', 0, 0, 0, 11}, "COMMIT\x00"...)
+
+// synthesise adds the answers that were lost to the held ones. It reports false
+// when they cannot be known.
+func (x *exchange) synthesise() bool {
+	for i := x.next; i < len(x.expect); i++ {
+		e := &x.expect[i]
+		switch {
+		case e.drop || e.kind == 'S':
+		case e.isLocal:
+			x.held = append(x.held, e.local...)
+		case e.kind == 'D' && e.op != nil && e.op.Prepared == nil:
+			x.held = append(x.held, noData...)
+		case e.op == nil || !onlyCommit(e.op):
+			return e.kind == 'Q' && x.statement == len(x.statements) && i == len(x.expect)-1
+		case e.kind == 'Q':
+			if x.statement == 0 {
+				x.held = append(x.held, commitComplete...)
+			}
+		case e.kind == 'E':
+			x.held = append(x.held, commitComplete...)
+		case e.kind == 'P':
+			x.held = append(x.held, parseComplete...)
+		case e.kind == 'B':
+			x.held = append(x.held, bindComplete...)
+		case e.kind == 'D':
+			x.held = append(append(x.held, zeroTypes...), noData...)
+		default:
+			return false
+		}
+	}
+	return true
+}
+
+// onlyCommit reports whether the message belongs to a single COMMIT statement.
+func onlyCommit(op *filter.Op) bool {
+	list := op.Statements
+	if op.Prepared != nil {
+		list = op.Prepared.Statements
+	}
+	return len(list) == 1 && list[0].Kind == sqltext.Commit && !list[0].Chain
+}
--- /dev/null
+++ b/internal/filter/limit/limit.go
@@ -0,0 +1,33 @@
+// Package limit is the filter that spends one token of the organisation's rate
+// per statement.
+package limit
+
+import (
+	"context"
+
+	"github.com/rosemarywall/rosemarywall/internal/filter"
+	"github.com/rosemarywall/rosemarywall/internal/request"
+)
+
+// Config configures the filter.
+type Config struct {
+	Limiter request.Limiter
+}
+
+type handler struct {
+	next filter.Handler
+	cfg  Config
+}
+
+// New returns the filter. It refuses with RateExceeded.
+func New(next filter.Handler, cfg Config) filter.Handler { return &handler{next, cfg} }
+
+// Serve implements filter.Handler.
+func (h *handler) Serve(ctx context.Context, r *filter.Request) error {
+	if r.Cost > 0 {
+		if err := h.cfg.Limiter.Take(ctx, r.Session.Grant.Organisation, r.Cost); err != nil {
+			return err
+		}
+	}
+	return h.next.Serve(ctx, r)
+}
--- /dev/null
+++ b/internal/filter/request.go
@@ -0,0 +1,84 @@
+package filter
+
+import (
+	"context"
+	"time"
+	"unique"
+
+	"github.com/rosemarywall/rosemarywall/internal/frontend/sqltext"
+	"github.com/rosemarywall/rosemarywall/internal/request"
+	"github.com/rosemarywall/rosemarywall/internal/upstream"
+)
+
+// Handler serves requests. The context bounds waiting before the request is sent;
+// it does not bound the running statement.
+type Handler interface {
+	Serve(ctx context.Context, r *Request) error
+}
+
+// Prepared is a prepared statement of a caller.
+type Prepared struct {
+	// Definition is the body of the Parse message after the statement name: the
+	// text and the parameter types. Equal definitions of all callers share memory.
+	Definition unique.Handle[string]
+	Key        upstream.StatementKey
+	Statements []sqltext.Statement
+}
+
+// Op is one message of a request.
+type Op struct {
+	// Kind is the message type: Q, P, B, D, E, C, S or H.
+	Kind byte
+	// Frame is the whole message as the caller sent it.
+	Frame []byte
+	// Prepared is the statement that P, B and D of a statement refer to, and the
+	// statement whose portal E runs.
+	Prepared *Prepared
+	// Name is the name of the statement that P defines.
+	Name string
+	// Portal is the portal name of B, and Rest what follows the names.
+	Portal []byte
+	Rest   []byte
+	// Statements are the statements that Q or E runs.
+	Statements []sqltext.Statement
+	// Local holds the complete answer when the proxy itself answers the message.
+	Local []byte
+	// IsLocal says that the proxy itself answers, possibly with nothing.
+	IsLocal bool
+}
+
+// Request is a simple query, an extended batch up to Sync, or a part of a batch
+// that ends with Flush.
+type Request struct {
+	Session *Session
+	Ops     []Op
+	// Write says that the request needs the primary.
+	Write bool
+	// OpenEnd says that the request ends with Flush, so that more of its batch
+	// follows.
+	OpenEnd bool
+	// Cost is the number of statements that count against the rate.
+	Cost int
+	// Need states the required freshness of a read.
+	Need request.ReadNeed
+	// Deadline is the time at which waiting for an upstream ends.
+	Deadline time.Time
+	// Target is the chosen upstream.
+	Target request.Target
+
+	// Status is the transaction status of the last ReadyForQuery: I, T or E. It
+	// is set when Serve returns nil.
+	Status byte
+	// Failed says that the upstream answered with an ErrorResponse, which was
+	// passed on.
+	Failed bool
+	// TokenDue says that the session point advanced.
+	TokenDue bool
+}
+
+// Reset prepares r for the next request of the session, keeping its memory.
+func (r *Request) Reset(s *Session) {
+	ops := r.Ops[:0]
+	clear(r.Ops)
+	*r = Request{Session: s, Ops: ops}
+}
--- /dev/null
+++ b/internal/frontend/server.go
@@ -0,0 +1,177 @@
+package frontend
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+
+	"github.com/rosemarywall/rosemarywall/internal/filter"
+	"github.com/rosemarywall/rosemarywall/internal/filter/authorise"
+	"github.com/rosemarywall/rosemarywall/internal/filter/forward"
+	"github.com/rosemarywall/rosemarywall/internal/filter/limit"
+	"github.com/rosemarywall/rosemarywall/internal/filter/queue"
+	"github.com/rosemarywall/rosemarywall/internal/filter/route"
+	"github.com/rosemarywall/rosemarywall/internal/upstream"
+)
+
+// Server accepts callers.
+type Server struct {
+	cfg   Config
+	chain filter.Handler
+	queue *queue.Filter
+
+	mu        sync.Mutex
+	listeners map[net.Listener]struct{}
+	sessions  map[*session]struct{}
+	cancels   map[cancelKey]*session
+	draining  bool
+	// empty is closed when draining and no session is left.
+	empty chan struct{}
+	// epoch counts calls of Shed; sessions of an older epoch end when idle.
+	epoch atomic.Int64
+}
+
+// NewServer returns a server that serves no listener yet.
+func NewServer(cfg Config) *Server {
+	cfg.setDefaults()
+	last := forward.New(forward.Config{
+		Pools: cfg.Pools, Router: cfg.Router, Counters: cfg.Counters, ConfirmTimeout: cfg.ConfirmTimeout, Plain: cfg.PlainWrites,
+	})
+	q := queue.New(last, queue.Config{Now: cfg.Now})
+	var chain filter.Handler = route.New(q, route.Config{Router: cfg.Router, Counters: cfg.Counters})
+	chain = limit.New(chain, limit.Config{Limiter: cfg.Limiter})
+	chain = authorise.New(chain, authorise.Config{Authoriser: cfg.Authoriser})
+	return &Server{
+		cfg: cfg, chain: chain, queue: q, listeners: map[net.Listener]struct{}{}, sessions: map[*session]struct{}{},
+		cancels: map[cancelKey]*session{}, empty: make(chan struct{}),
+	}
+}
+
+// Counters returns the server's counters.
+func (s *Server) Counters() *filter.Counters { return s.cfg.Counters }
+
+// Serve accepts callers until the listener fails or Drain is called, when it
+// returns nil.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	if s.draining {
+		s.mu.Unlock()
+		return l.Close()
+	}
+	s.listeners[l] = struct{}{}
+	s.mu.Unlock()
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			delete(s.listeners, l)
+			if s.draining || errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			return err
+		}
+		s.ServeConn(c)
+	}
+}
+
+// ServeConn starts serving one caller in a goroutine of its own.
+func (s *Server) ServeConn(c net.Conn) {
+	ses := newSession(s, c)
+	s.mu.Lock()
+	if s.draining {
+		s.mu.Unlock()
+		_ = c.Close()
+		return
+	}
+	s.sessions[ses] = struct{}{}
+	ses.surplus = len(s.sessions) > s.cfg.MaxCallers
+	s.mu.Unlock()
+	go ses.run()
+}
+
+// remove forgets a session that has ended.
+func (s *Server) remove(ses *session) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.sessions, ses)
+	if ses.cancelKey != (cancelKey{}) {
+		delete(s.cancels, ses.cancelKey)
+	}
+	if s.draining && len(s.sessions) == 0 {
+		closeOnce(s.empty)
+	}
+}
+
+func closeOnce(c chan struct{}) {
+	select {
+	case <-c:
+	default:
+		close(c)
+	}
+}
+
+// Shed disconnects callers outside a transaction with SQLSTATE 57P01, and the
+// others once their transaction ends. New callers are accepted.
+func (s *Server) Shed() {
+	s.epoch.Add(1)
+	s.mu.Lock()
+	sessions := make([]*session, 0, len(s.sessions))
+	for ses := range s.sessions {
+		sessions = append(sessions, ses)
+	}
+	s.mu.Unlock()
+	for _, ses := range sessions {
+		ses.conn.wake()
+	}
+}
+
+// Drain stops accepting callers, disconnects them as Shed does and waits until
+// all have left. When ctx ends first, the rest are cut off and its error returned.
+func (s *Server) Drain(ctx context.Context) error {
+	s.mu.Lock()
+	s.draining = true
+	for l := range s.listeners {
+		_ = l.Close()
+	}
+	if len(s.sessions) == 0 {
+		closeOnce(s.empty)
+	}
+	s.mu.Unlock()
+	s.Shed()
+	select {
+	case <-s.empty:
+		return nil
+	case <-ctx.Done():
+	}
+	s.mu.Lock()
+	for ses := range s.sessions {
+		_ = ses.conn.net.Close()
+	}
+	s.mu.Unlock()
+	return ctx.Err()
+}
+
+// Dump is the state of a server.
+type Dump struct {
+	// Callers counts connected callers by state.
+	Callers  map[string]int       `json:"callers"`
+	Draining bool                 `json:"draining"`
+	Pools    []upstream.PoolState `json:"pools"`
+	Queues   []queue.State        `json:"queues"`
+	Counters map[string]any       `json:"counters"`
+}
+
+// Dump returns the state of the server as a Dump.
+func (s *Server) Dump() any {
+	d := Dump{Callers: map[string]int{}, Pools: s.cfg.Pools.Dump(), Queues: s.queue.Dump(), Counters: s.cfg.Counters.Snapshot()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	d.Draining = s.draining
+	for ses := range s.sessions {
+		d.Callers[state(ses.state.Load()).String()]++
+	}
+	return d
+}
--- /dev/null
+++ b/internal/frontend/session.go
@@ -0,0 +1,277 @@
+package frontend
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/filter"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	"github.com/rosemarywall/rosemarywall/internal/wire"
+)
+
+// state is what a session is doing, for dumps.
+type state int32
+
+const (
+	stateStartup state = iota
+	stateIdle
+	stateTransaction
+	stateActive
+)
+
+// String names the state.
+func (s state) String() string {
+	return [...]string{"startup", "idle", "idle_in_transaction", "active"}[s]
+}
+
+// session serves one caller.
+type session struct {
+	server  *Server
+	conn    *callerConn
+	shared  filter.Session
+	request filter.Request
+	state   atomic.Int32
+	epoch   int64
+	surplus bool
+
+	cancelKey  cancelKey
+	cancelWait atomic.Pointer[context.CancelCauseFunc]
+
+	// aborted says that the open transaction was rolled back by the proxy.
+	aborted bool
+	// discarding says that an error has occurred in an extended batch and messages
+	// are dropped until Sync.
+	discarding bool
+	batch      batch
+	statements map[string]*filter.Prepared
+	portals    map[string]*filter.Prepared
+
+	// asked says that the caller wants session tokens, and carries that it has one.
+	asked, carries bool
+	acceptedAge    time.Duration
+	acceptedText   string
+}
+
+func newSession(server *Server, c net.Conn) *session {
+	s := &session{server: server, epoch: server.epoch.Load()}
+	s.conn = newCallerConn(c, &server.cfg, s.shed)
+	s.shared.Caller = s.conn
+	return s
+}
+
+// shed reports whether the session should end when it is idle.
+func (s *session) shed() bool {
+	return s.epoch < s.server.epoch.Load() && s.shared.Lease.Load() == nil && !s.aborted && !s.batch.open()
+}
+
+// run serves the caller until it leaves.
+func (s *session) run() {
+	defer s.server.remove(s)
+	defer s.conn.net.Close()
+	defer s.shared.Abandon()
+	defer s.recovered()
+	err := s.start()
+	if err == nil {
+		err = s.loop()
+	}
+	s.end(err)
+}
+
+// recovered keeps a fault in one session from ending the process. The value of
+// the panic is not logged, because it may hold a part of a statement.
+func (s *session) recovered() {
+	if r := recover(); r != nil {
+		s.server.cfg.Logger.Error().Str("stack", string(debug.Stack())).Msg("session failed")
+	}
+}
+
+// end tells the caller why its connection ends, where there is something to tell.
+func (s *session) end(err error) {
+	var lost *filter.Lost
+	switch {
+	case err == nil, errors.Is(err, errNoSession), errors.Is(err, io.EOF), errors.As(err, &lost) && resultcode.Of(err) == 0:
+		return
+	case errors.Is(err, errShed):
+		err = resultcode.New(resultcode.ShuttingDown, "the VM stops serving callers; connect again")
+	case resultcode.Of(err) == 0:
+		if err = inputError(err); err == nil {
+			return
+		}
+	}
+	s.writeError(severityFatal, err)
+	_ = s.conn.writer.Flush()
+	s.server.cfg.Logger.Debug().Str("organisation", string(s.shared.Grant.Organisation)).Str("code", resultcode.Of(err).String()).Msg("caller disconnected")
+}
+
+// loop serves messages. An error ends the connection.
+func (s *session) loop() error {
+	for {
+		kind, size, err := s.peek()
+		if err != nil {
+			return err
+		}
+		s.state.Store(int32(stateActive))
+		if kind == 'X' {
+			return nil
+		}
+		if !known(kind) {
+			return malformed("unknown message type %q", kind)
+		}
+		if size > s.server.cfg.MaxMessage {
+			if err := s.tooLarge(kind, size); err != nil {
+				return err
+			}
+			continue
+		}
+		if err := s.message(kind); err != nil {
+			return err
+		}
+	}
+}
+
+// peek waits for the next message.
+func (s *session) peek() (byte, int, error) {
+	if s.batch.open() {
+		return s.conn.Peek()
+	}
+	if s.conn.reader.Buffered() == 0 {
+		if err := s.conn.writer.Flush(); err != nil {
+			return 0, 0, &filter.Lost{Cause: err}
+		}
+		s.conn.reader.Release()
+	}
+	if s.shared.Lease.Load() != nil {
+		s.state.Store(int32(stateTransaction))
+	} else {
+		s.state.Store(int32(stateIdle))
+	}
+	return s.conn.PeekIdle()
+}
+
+// known reports whether callers may send the message type after startup.
+func known(kind byte) bool {
+	switch kind {
+	case 'Q', 'P', 'B', 'D', 'E', 'C', 'H', 'S', 'F', 'd', 'c', 'f':
+		return true
+	}
+	return false
+}
+
+// tooLarge refuses a message and skips it.
+func (s *session) tooLarge(kind byte, size int) error {
+	if err := s.conn.reader.Skip(); err != nil {
+		return err
+	}
+	if kind == 'd' || s.discarding {
+		return nil
+	}
+	err := resultcode.New(resultcode.MessageTooLarge, "message of %d bytes; the limit is %d", size, s.server.cfg.MaxMessage)
+	if kind == 'Q' || kind == 'F' {
+		s.refuse(err, false)
+		return nil
+	}
+	s.refuseBatch(err)
+	return nil
+}
+
+// message handles one message that fits the limit.
+func (s *session) message(kind byte) error {
+	_, frame, err := s.conn.reader.NextFrame()
+	if err != nil {
+		return err
+	}
+	switch kind {
+	case 'd', 'c', 'f': // left over from a COPY that the upstream ended
+		return nil
+	case 'Q':
+		if s.discarding {
+			return nil
+		}
+		return s.simpleQuery(frame)
+	case 'F':
+		if !s.discarding {
+			s.refuse(resultcode.New(resultcode.FeatureNotSupported, "function call messages"), false)
+		}
+		return nil
+	case 'S':
+		return s.sync(frame)
+	}
+	if s.discarding {
+		return nil
+	}
+	if kind == 'H' {
+		return s.flush(frame)
+	}
+	if err := s.batch.add(s, kind, frame); err != nil {
+		if errors.Is(err, wire.ErrMalformed) {
+			return err
+		}
+		s.refuseBatch(err)
+	}
+	return nil
+}
+
+// serve runs the request through the filter chain. It returns an error only when
+// the caller's connection must end; a refusal is written to the caller.
+func (s *session) serve() (refused bool, err error) {
+	r := &s.request
+	inTransaction := s.shared.InTransaction
+	s.prepareRequest()
+	if s.shared.Lease.Load() != nil {
+		err = s.server.chain.Serve(context.Background(), r)
+	} else {
+		ctx, done := s.waitContext()
+		err = s.server.chain.Serve(ctx, r)
+		done()
+	}
+	var lost *filter.Lost
+	if errors.As(err, &lost) {
+		return false, err
+	}
+	if err != nil {
+		s.giveUp(inTransaction && !endsTransaction(r))
+		s.writeError(severityError, err)
+		return true, nil
+	}
+	if s.shared.Lease.Load() == nil {
+		s.portals = nil
+		s.aborted = r.Status == 'T' || r.Status == 'E'
+	}
+	if r.TokenDue && s.asked {
+		s.writeParameter(settingToken, s.token())
+		s.carries = true
+	}
+	return false, nil
+}
+
+// giveUp rolls an open transaction back. The caller sees it as aborted when it was
+// inside a transaction block.
+func (s *session) giveUp(inTransaction bool) {
+	s.shared.Abandon()
+	s.aborted = s.aborted || inTransaction
+	s.portals = nil
+}
+
+// refuse answers a simple query or a whole batch with an error and ReadyForQuery.
+func (s *session) refuse(err error, ends bool) {
+	s.giveUp(s.shared.InTransaction && !ends)
+	s.writeError(severityError, err)
+	s.ready()
+}
+
+// ready writes ReadyForQuery with the state of the session.
+func (s *session) ready() {
+	status := byte('I')
+	switch {
+	case s.aborted:
+		status = 'E'
+	case s.shared.InTransaction:
+		status = s.request.Status
+	}
+	_ = s.conn.writer.Frame('Z', []byte{status})
+}
--- /dev/null
+++ b/internal/frontend/sqltext/lexer.go
@@ -0,0 +1,176 @@
+package sqltext
+
+import "strings"
+
+// tokenKind is the kind of a token.
+type tokenKind uint8
+
+const (
+	endToken    tokenKind = iota
+	wordToken             // keyword or identifier, in lower case
+	quotedToken           // quoted identifier
+	stringToken           // string literal, decoded
+	numberToken
+	otherToken // a single character
+)
+
+type token struct {
+	kind tokenKind
+	text string
+	// start and end are offsets in the input.
+	start, end int
+}
+
+func (t token) is(word string) bool { return t.kind == wordToken && t.text == word }
+
+func (t token) char(c byte) bool { return t.kind == otherToken && t.text[0] == c }
+
+// lexer reads tokens of PostgreSQL's SQL with standard_conforming_strings on.
+type lexer struct {
+	in  string
+	pos int
+}
+
+func (l *lexer) next() token {
+	l.skipBlank()
+	if l.pos >= len(l.in) {
+		return token{kind: endToken, start: l.pos, end: l.pos}
+	}
+	start := l.pos
+	t := l.scan()
+	t.start, t.end = start, l.pos
+	return t
+}
+
+func (l *lexer) scan() token {
+	c := l.in[l.pos]
+	switch {
+	case c == '\'':
+		return token{kind: stringToken, text: l.quoted('\'', false)}
+	case c == '"':
+		return token{kind: quotedToken, text: l.quoted('"', false)}
+	case c == '$':
+		return l.dollar()
+	case isDigit(c):
+		start := l.pos
+		for l.pos < len(l.in) && (isWord(l.in[l.pos]) || l.in[l.pos] == '.') {
+			l.pos++
+		}
+		return token{kind: numberToken, text: l.in[start:l.pos]}
+	case isWord(c):
+		return l.word()
+	}
+	l.pos++
+	return token{kind: otherToken, text: l.in[l.pos-1 : l.pos]}
+}
+
+func (l *lexer) word() token {
+	start := l.pos
+	for l.pos < len(l.in) && isWord(l.in[l.pos]) {
+		l.pos++
+	}
+	text := l.in[start:l.pos]
+	if l.pos < len(l.in) && l.in[l.pos] == '\'' && len(text) == 1 {
+		switch text[0] | 0x20 {
+		case 'e':
+			return token{kind: stringToken, text: l.quoted('\'', true)}
+		case 'b', 'x', 'n':
+			return token{kind: stringToken, text: l.quoted('\'', false)}
+		}
+	}
+	return token{kind: wordToken, text: strings.ToLower(text)}
+}
+
+// quoted reads a quoted text in which a doubled quote, or with escapes a
+// backslash, stands for one character.
+func (l *lexer) quoted(quote byte, escapes bool) string {
+	l.pos++
+	start := l.pos
+	var b []byte
+	for l.pos < len(l.in) {
+		c := l.in[l.pos]
+		switch {
+		case c == quote && l.pos+1 < len(l.in) && l.in[l.pos+1] == quote,
+			escapes && c == '\\' && l.pos+1 < len(l.in):
+			b = append(append(b, l.in[start:l.pos]...), l.in[l.pos+1])
+			l.pos += 2
+			start = l.pos
+			continue
+		case c == quote:
+			text := l.in[start:l.pos]
+			l.pos++
+			if b != nil {
+				return string(append(b, text...))
+			}
+			return text
+		}
+		l.pos++
+	}
+	return string(append(b, l.in[start:]...))
+}
+
+// dollar reads $1, a dollar-quoted string or a lone dollar sign.
+func (l *lexer) dollar() token {
+	start := l.pos
+	i := l.pos + 1
+	for i < len(l.in) && isWord(l.in[i]) && l.in[i] != '$' {
+		i++
+	}
+	if i < len(l.in) && l.in[i] == '$' && (i == start+1 || !isDigit(l.in[start+1])) {
+		tag := l.in[start : i+1]
+		body := l.in[i+1:]
+		if n := strings.Index(body, tag); n >= 0 {
+			l.pos = i + 1 + n + len(tag)
+			return token{kind: stringToken, text: body[:n]}
+		}
+		l.pos = len(l.in)
+		return token{kind: stringToken, text: body}
+	}
+	l.pos = max(i, start+1)
+	return token{kind: otherToken, text: "$"}
+}
+
+func (l *lexer) skipBlank() {
+	for l.pos < len(l.in) {
+		switch c := l.in[l.pos]; {
+		case c == ' ' || c == '\t' || c == '\n' || c == '\r' || c == '\f' || c == '\v':
+			l.pos++
+		case strings.HasPrefix(l.in[l.pos:], "--"):
+			n := strings.IndexByte(l.in[l.pos:], '\n')
+			if n < 0 {
+				n = len(l.in) - l.pos
+			}
+			l.pos += n
+		case strings.HasPrefix(l.in[l.pos:], "/*"):
+			l.comment()
+		default:
+			return
+		}
+	}
+}
+
+// comment skips a block comment; they nest.
+func (l *lexer) comment() {
+	depth := 0
+	for l.pos < len(l.in) {
+		switch {
+		case strings.HasPrefix(l.in[l.pos:], "/*"):
+			depth++
+			l.pos += 2
+		case strings.HasPrefix(l.in[l.pos:], "*/"):
+			depth--
+			l.pos += 2
+			if depth == 0 {
+				return
+			}
+		default:
+			l.pos++
+		}
+	}
+}
+
+func isDigit(c byte) bool { return c >= '0' && c <= '9' }
+
+func isWord(c byte) bool {
+	return c == '_' || c >= 0x80 || isDigit(c) || c|0x20 >= 'a' && c|0x20 <= 'z'
+}
--- /dev/null
+++ b/internal/frontend/sqltext/statement.go
@@ -0,0 +1,141 @@
+package sqltext
+
+// Kind is the class of a statement.
+type Kind uint8
+
+// Classes of statements.
+const (
+	// Empty is a statement without a token.
+	Empty Kind = iota
+	// Read changes nothing and takes no row lock.
+	Read
+	// Write may change data.
+	Write
+	// Begin starts a transaction block.
+	Begin
+	// Commit ends a transaction block and keeps its changes.
+	Commit
+	// Rollback ends a transaction block and drops its changes.
+	Rollback
+	// Control is other transaction control, such as SAVEPOINT.
+	Control
+	// Set changes a session setting.
+	Set
+	// Reset restores a session setting, or all of them when Name is empty.
+	Reset
+	// Show reads a setting.
+	Show
+	// CopyIn is COPY FROM STDIN.
+	CopyIn
+	// CopyOut is COPY TO STDOUT.
+	CopyOut
+	// Deallocate removes prepared statements; Name is empty for all of them.
+	Deallocate
+	// Unsupported needs session state that pooled connections cannot keep.
+	Unsupported
+)
+
+// Statement is a classified statement.
+type Statement struct {
+	Kind Kind
+	// ReadOnly marks a Begin of a read-only transaction.
+	ReadOnly bool
+	// Local marks a Set that ends with its transaction.
+	Local bool
+	// Name is the setting of Set, Reset and Show, in lower case.
+	Name string
+	// Value is the value of a Set as it was written; Text is the decoded literal
+	// when the value is a single string, word or number.
+	Value, Text string
+	// Default marks SET ... TO DEFAULT.
+	Default bool
+	// Reason says what is unsupported; it holds no part of the statement.
+	Reason string
+	// Plain marks a single data-modifying statement that can run inside a
+	// transaction block with the same effect.
+	Plain bool
+	// Dirty marks a statement that may leave state in the upstream's session.
+	Dirty bool
+	// Chain marks COMMIT or ROLLBACK AND CHAIN.
+	Chain bool
+	// start and end delimit the statement in the input.
+	Start, End int
+}
+
+// ReadOnlyStatements reports whether a query string of these statements can run
+// on a replica outside a transaction block.
+func ReadOnlyStatements(list []Statement) bool {
+	readOnlyBlock := false
+	for _, s := range list {
+		switch s.Kind {
+		case Empty, Read, Show, CopyOut:
+		case Set, Reset:
+		case Begin:
+			if !s.ReadOnly {
+				return false
+			}
+			readOnlyBlock = true
+		case Commit, Rollback:
+			if s.Chain || !readOnlyBlock {
+				return false
+			}
+			readOnlyBlock = false
+		default:
+			if !readOnlyBlock || s.Kind != Control {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Parse splits a query string into statements and classifies them. The result
+// holds no Empty statement unless it is the only one.
+func Parse(sql string) []Statement {
+	l := lexer{in: sql}
+	var out []Statement
+	for {
+		tokens, more := statementTokens(&l)
+		if len(tokens) > 0 {
+			s := classify(sql, tokens)
+			s.Start, s.End = tokens[0].start, tokens[len(tokens)-1].end
+			out = append(out, s)
+		}
+		if !more {
+			break
+		}
+	}
+	if len(out) == 0 {
+		out = append(out, Statement{Kind: Empty})
+	}
+	return out
+}
+
+// statementTokens reads the tokens up to the next semicolon at the outer level.
+func statementTokens(l *lexer) (tokens []token, more bool) {
+	tokens = make([]token, 0, 16)
+	atomic, depth := 0, 0
+	for {
+		t := l.next()
+		switch {
+		case t.kind == endToken:
+			return tokens, false
+		case t.char('('):
+			depth++
+		case t.char(')'):
+			depth--
+		case t.is("atomic"):
+			// The body of a SQL-standard function holds semicolons up to END.
+			if n := len(tokens); n > 0 && tokens[n-1].is("begin") {
+				atomic++
+			}
+		case t.is("end") && atomic > 0:
+			atomic--
+		case t.is("case") && atomic > 0:
+			atomic++
+		case t.char(';') && atomic == 0 && depth <= 0:
+			return tokens, true
+		}
+		tokens = append(tokens, t)
+	}
+}
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -50,6 +50,8 @@
 	Slots int
 	// Connections is this VM's connection limit for the upstream.
 	Connections int
+	// Primary says that the upstream was the group's primary when it was chosen.
+	Primary bool
 }
 
 // ReadNeed states what a read requires.
--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,171 @@
+package upstream
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/request"
+	"github.com/rosemarywall/rosemarywall/internal/wire"
+)
+
+// maxStatements is the number of statements kept prepared on one connection.
+const maxStatements = 256
+
+// StatementKey identifies a prepared statement by the hash of its text and types.
+type StatementKey [32]byte
+
+// Conn is a connection to an upstream. Only the holder of its lease may use it.
+type Conn struct {
+	net net.Conn
+	// R reads answers.
+	R *wire.Reader
+	// W writes requests.
+	W *wire.Writer
+	// Params are the parameters that the upstream has reported.
+	Params map[string]string
+	// Settings are the session settings applied to the connection, as SQL values.
+	Settings map[string]string
+	// Unnamed is the statement that the unnamed prepared statement holds; zero
+	// when unknown.
+	Unnamed StatementKey
+
+	prepared map[StatementKey]string
+	sequence int
+	stale    bool
+
+	pid        uint32
+	secret     []byte
+	target     request.Target
+	generation uint64
+	cancelled  bool
+	idleSince  time.Duration
+}
+
+// Prepared returns the name under which the statement is prepared.
+func (c *Conn) Prepared(key StatementKey) (string, bool) {
+	name, ok := c.prepared[key]
+	return name, ok
+}
+
+// NewStatementName returns a name that is not used on the connection.
+func (c *Conn) NewStatementName() string {
+	c.sequence++
+	return "rw" + strconv.Itoa(c.sequence)
+}
+
+// SetPrepared records that the upstream has prepared the statement.
+func (c *Conn) SetPrepared(key StatementKey, name string) { c.prepared[key] = name }
+
+// ForgetStatements marks the prepared statements as unusable, so that the
+// connection is reset before its next lease.
+func (c *Conn) ForgetStatements() { c.stale = true }
+
+// SetReadDeadline bounds the next reads; the zero time removes the bound.
+func (c *Conn) SetReadDeadline(t time.Time) error { return c.net.SetReadDeadline(t) }
+
+// SetWriteDeadline bounds the next writes; the zero time removes the bound.
+func (c *Conn) SetWriteDeadline(t time.Time) error { return c.net.SetWriteDeadline(t) }
+
+// Abort closes the network connection, which wakes a blocked reader or writer.
+// The lease must be closed afterwards.
+func (c *Conn) Abort() { _ = c.net.Close() }
+
+// alive reports whether an idle connection is still open and silent. Data that
+// nobody asked for means that an answer is late, so the connection is not used.
+func (c *Conn) alive() bool {
+	if c.R.Buffered() > 0 {
+		return false
+	}
+	plain := c.net
+	if t, ok := plain.(*tls.Conn); ok {
+		plain = t.NetConn()
+	}
+	raw, ok := plain.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	silent := false
+	err = rc.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		silent = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && silent
+}
+
+// open establishes a connection. The library does the startup, TLS and
+// authentication exchange; afterwards the raw connection is used.
+func (p *Pools) open(ctx context.Context, target request.Target) (*Conn, error) {
+	host, portText, err := net.SplitHostPort(target.Address)
+	if err != nil {
+		return nil, err
+	}
+	port, err := strconv.ParseUint(portText, 10, 16)
+	if err != nil {
+		return nil, err
+	}
+	cfg, err := pgconn.ParseConfig("host=127.0.0.1 user=rosemarywall sslmode=disable")
+	if err != nil {
+		return nil, err
+	}
+	cfg.Host, cfg.Port, cfg.Fallbacks = host, uint16(port), nil
+	cfg.User, cfg.Password = p.cfg.Credentials.User, p.cfg.Credentials.Password
+	cfg.Database, cfg.RuntimeParams = string(target.Group), nil
+	cfg.ConnectTimeout = p.cfg.DialTimeout
+	if p.cfg.TLS != nil {
+		cfg.TLSConfig = p.cfg.TLS()
+	}
+	if p.cfg.Dial != nil {
+		cfg.DialFunc = p.cfg.Dial
+	}
+	pc, err := pgconn.ConnectConfig(ctx, cfg)
+	if err != nil {
+		return nil, err
+	}
+	h, err := pc.Hijack()
+	if err != nil {
+		return nil, err
+	}
+	return p.newConn(h, target), nil
+}
+
+func (p *Pools) newConn(h *pgconn.HijackedConn, target request.Target) *Conn {
+	c := &Conn{
+		net: h.Conn, Params: h.ParameterStatuses, pid: h.PID, secret: h.SecretKey, target: target,
+		Settings: map[string]string{}, prepared: map[StatementKey]string{},
+	}
+	c.R, c.W = wire.NewReader(h.Conn, p.cfg.MaxMessage), wire.NewWriter(h.Conn)
+	keepAlive(h.Conn)
+	return c
+}
+
+// keepAlive makes the kernel notice a lost peer within about 3 s.
+func keepAlive(c net.Conn) {
+	if t, ok := c.(*tls.Conn); ok {
+		c = t.NetConn()
+	}
+	if t, ok := c.(*net.TCPConn); ok {
+		_ = t.SetKeepAliveConfig(net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2})
+	}
+}
+
+// refusedConnection reports whether the upstream has no connection slot left.
+func refusedConnection(err error) bool {
+	var pg *pgconn.PgError
+	return errors.As(err, &pg) && pg.Code == "53300"
+}
+
+// termOf returns the term for which the connection was opened.
+func (c *Conn) termOf() ident.Term { return c.target.Term }
--- /dev/null
+++ b/internal/upstream/lease.go
@@ -0,0 +1,188 @@
+package upstream
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"io"
+	"net"
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/request"
+)
+
+const (
+	// terminateTimeout bounds the sending of Terminate.
+	terminateTimeout = 100 * time.Millisecond
+	// resetTimeout bounds a reset; a connection that takes longer is closed.
+	resetTimeout = 5 * time.Second
+	// cancelTimeout bounds the delivery of a CancelRequest.
+	cancelTimeout = 2 * time.Second
+	// cancelCode is the request code of a CancelRequest.
+	cancelCode = 80877102
+)
+
+// Lease is the sole use of a connection until Release or Close.
+type Lease struct {
+	pool       *pool
+	conn       *Conn
+	generation uint64
+	done       bool
+	// Transaction is the identifier of the running transaction that has written;
+	// empty when none was reported.
+	Transaction string
+}
+
+// Conn returns the connection.
+func (l *Lease) Conn() *Conn { return l.conn }
+
+// Target returns the target for which the connection was opened.
+func (l *Lease) Target() request.Target { return l.conn.target }
+
+// Release returns an idle connection whose answers were all read. With dirty set
+// the session state is reset first, in the background.
+func (l *Lease) Release(dirty bool) {
+	l.conn.R.Release()
+	if dirty || l.conn.stale || len(l.conn.prepared) > maxStatements {
+		l.ResetWith("")
+		return
+	}
+	l.finish(true)
+}
+
+// ResetWith sends a statement such as ROLLBACK, when not empty, and the reset
+// statement, and returns the connection in the background once both succeeded.
+// The connection must have no unread answer.
+func (l *Lease) ResetWith(first string) {
+	go func() {
+		ok := l.conn.reset(first, l.pool.owner.cfg.Reset)
+		l.finish(ok)
+	}()
+}
+
+// Close closes the connection. A transaction that was open on it cannot commit.
+func (l *Lease) Close() { l.finish(false) }
+
+// finish ends the lease and keeps the connection if it is reusable.
+func (l *Lease) finish(reusable bool) {
+	p, c := l.pool, l.conn
+	p.mu.Lock()
+	if l.done {
+		p.mu.Unlock()
+		return
+	}
+	l.done = true
+	delete(p.leases, c)
+	var closing []*Conn
+	if reusable && !c.cancelled {
+		closing = p.put(c)
+	} else {
+		p.openMore()
+	}
+	p.mu.Unlock()
+	closeAll(closing)
+	if !reusable || c.cancelled {
+		_ = c.net.Close()
+	}
+}
+
+// Cancel asks the upstream to cancel the running statement. It does nothing once
+// the lease has ended.
+func (l *Lease) Cancel() error {
+	p, c := l.pool, l.conn
+	p.mu.Lock()
+	if l.done || c.generation != l.generation {
+		p.mu.Unlock()
+		return nil
+	}
+	c.cancelled = true
+	p.mu.Unlock()
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	return p.owner.sendCancel(ctx, c)
+}
+
+// sendCancel delivers a CancelRequest on a connection of its own and waits until
+// the upstream has closed it.
+func (p *Pools) sendCancel(ctx context.Context, c *Conn) error {
+	dial := p.cfg.Dial
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
+	conn, err := dial(ctx, "tcp", c.target.Address)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	if deadline, ok := ctx.Deadline(); ok {
+		_ = conn.SetDeadline(deadline)
+	}
+	packet := binary.BigEndian.AppendUint32(nil, uint32(12+len(c.secret)))
+	packet = binary.BigEndian.AppendUint32(packet, cancelCode)
+	packet = binary.BigEndian.AppendUint32(packet, c.pid)
+	packet = append(packet, c.secret...)
+	if _, err := conn.Write(packet); err != nil {
+		return err
+	}
+	if _, err := conn.Read(make([]byte, 1)); err != nil && !errors.Is(err, io.EOF) {
+		return err
+	}
+	return nil
+}
+
+// reset runs the statements and reports whether the connection is clean.
+func (c *Conn) reset(statements ...string) bool {
+	_ = c.net.SetDeadline(time.Now().Add(resetTimeout))
+	defer func() { _ = c.net.SetDeadline(time.Time{}) }()
+	for _, s := range statements {
+		if s != "" && !c.run(s) {
+			return false
+		}
+	}
+	c.prepared, c.Settings, c.Unnamed, c.stale = map[StatementKey]string{}, map[string]string{}, StatementKey{}, false
+	c.R.Release()
+	return true
+}
+
+// Apply runs a statement that sets session settings. It returns the fields of
+// the upstream's ErrorResponse when the statement failed, and an error when the
+// connection broke.
+func (c *Conn) Apply(statement string) (refusal []byte, err error) {
+	_ = c.net.SetDeadline(time.Now().Add(resetTimeout))
+	defer func() { _ = c.net.SetDeadline(time.Time{}) }()
+	_ = c.W.Text('Q', statement)
+	if err := c.W.Flush(); err != nil {
+		return nil, err
+	}
+	for {
+		switch kind, body, err := c.R.Next(); {
+		case err != nil:
+			return nil, err
+		case kind == 'E':
+			refusal = append([]byte(nil), body...)
+		case kind == 'Z':
+			return refusal, nil
+		}
+	}
+}
+
+// run executes a statement without a result and reports whether it succeeded and
+// left the connection outside a transaction.
+func (c *Conn) run(statement string) bool {
+	_ = c.W.Text('Q', statement)
+	if c.W.Flush() != nil {
+		return false
+	}
+	ok := true
+	for {
+		kind, body, err := c.R.Next()
+		switch {
+		case err != nil:
+			return false
+		case kind == 'E':
+			ok = false
+		case kind == 'Z':
+			return ok && len(body) == 1 && body[0] == 'I'
+		}
+	}
+}
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,257 @@
+package upstream
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/request"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+// pool holds the connections to one upstream.
+type pool struct {
+	owner *Pools
+
+	mu         sync.Mutex
+	admission  admission
+	target     request.Target
+	idle       []*Conn // last used at the end
+	leases     map[*Conn]struct{}
+	waiters    []*waiter
+	opening    int
+	generation uint64
+	leaving    bool
+}
+
+// waiter waits for a connection. Its channel receives one answer.
+type waiter struct {
+	ready chan answer
+}
+
+type answer struct {
+	conn *Conn
+	err  error
+}
+
+func (p *pool) total() int { return len(p.idle) + len(p.leases) + p.opening }
+
+// acquire leases a connection.
+func (p *pool) acquire(ctx context.Context, target request.Target) (*Lease, error) {
+	p.mu.Lock()
+	closing := p.retarget(target)
+	for len(p.idle) > 0 {
+		c := p.idle[len(p.idle)-1]
+		p.idle = p.idle[:len(p.idle)-1]
+		if !c.alive() {
+			closing = append(closing, c)
+			continue
+		}
+		lease := p.lease(c)
+		p.mu.Unlock()
+		closeAll(closing)
+		return lease, nil
+	}
+	w := &waiter{ready: make(chan answer, 1)}
+	p.waiters = append(p.waiters, w)
+	p.openMore()
+	p.mu.Unlock()
+	closeAll(closing)
+	return p.wait(ctx, w)
+}
+
+func (p *pool) wait(ctx context.Context, w *waiter) (*Lease, error) {
+	select {
+	case a := <-w.ready:
+		return p.leaseAnswer(a)
+	case <-ctx.Done():
+	}
+	p.mu.Lock()
+	for i, other := range p.waiters {
+		if other == w {
+			p.waiters = append(p.waiters[:i], p.waiters[i+1:]...)
+			p.mu.Unlock()
+			return nil, resultcode.Wrap(context.Cause(ctx), resultcode.QueueDeadline, "no connection to the upstream became free")
+		}
+	}
+	p.mu.Unlock()
+	return p.leaseAnswer(<-w.ready)
+}
+
+func (p *pool) leaseAnswer(a answer) (*Lease, error) {
+	if a.err != nil {
+		return nil, a.err
+	}
+	return &Lease{pool: p, conn: a.conn, generation: a.conn.generation}, nil
+}
+
+// retarget adopts the limits and term of a target and returns the idle
+// connections that belong to an older term or another address.
+func (p *pool) retarget(target request.Target) []*Conn {
+	p.admission.setCeiling(target.Connections)
+	if target.Term < p.target.Term || p.target.Term == target.Term && p.target.Address == target.Address {
+		return nil
+	}
+	p.target = target
+	return p.takeIdle(func(c *Conn) bool { return !p.current(c) })
+}
+
+func (p *pool) current(c *Conn) bool {
+	return c.termOf() >= p.target.Term && c.target.Address == p.target.Address
+}
+
+func (p *pool) takeIdle(drop func(*Conn) bool) []*Conn {
+	var dropped []*Conn
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if drop(c) {
+			dropped = append(dropped, c)
+		} else {
+			kept = append(kept, c)
+		}
+	}
+	p.idle = kept
+	return dropped
+}
+
+// lease records a new holder of the connection.
+func (p *pool) lease(c *Conn) *Lease {
+	p.assign(c)
+	return &Lease{pool: p, conn: c, generation: c.generation}
+}
+
+func (p *pool) assign(c *Conn) {
+	p.generation++
+	c.generation = p.generation
+	c.cancelled = false
+	p.leases[c] = struct{}{}
+}
+
+// openMore starts opening connections for waiters as far as the limit allows.
+func (p *pool) openMore() {
+	for p.opening < len(p.waiters) && p.total() < p.admission.allowed(p.owner.cfg.Now()) {
+		p.opening++
+		go p.open(p.target)
+	}
+}
+
+func (p *pool) open(target request.Target) {
+	ctx, cancel := context.WithTimeout(context.Background(), p.owner.cfg.DialTimeout)
+	defer cancel()
+	c, err := p.owner.open(ctx, target)
+	if err != nil {
+		p.openFailed(err)
+		return
+	}
+	p.owner.setParameters(target.Group, c.Params)
+	p.mu.Lock()
+	p.opening--
+	spare := p.put(c)
+	p.mu.Unlock()
+	closeAll(spare)
+}
+
+// openFailed gives the error to the oldest waiter, or to all when no connection
+// is left that could be returned to them.
+func (p *pool) openFailed(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.opening--
+	if refusedConnection(err) {
+		p.admission.refused(p.owner.cfg.Now())
+		if p.total() > 0 {
+			return
+		}
+	}
+	n := min(1, len(p.waiters))
+	if p.total() == 0 {
+		n = len(p.waiters)
+	}
+	for _, w := range p.waiters[:n] {
+		w.ready <- answer{err: &OpenError{Upstream: p.target.Upstream, Cause: err}}
+	}
+	p.waiters = p.waiters[n:]
+	p.openMore()
+}
+
+// put hands a clean connection to the oldest waiter or keeps it. It returns the
+// connections to close.
+func (p *pool) put(c *Conn) []*Conn {
+	if !p.current(c) || p.leaving && len(p.waiters) == 0 || p.total() >= p.admission.allowed(p.owner.cfg.Now()) {
+		p.openMore()
+		return []*Conn{c}
+	}
+	if len(p.waiters) == 0 {
+		c.idleSince = p.owner.cfg.Now()
+		p.idle = append(p.idle, c)
+		return nil
+	}
+	w := p.waiters[0]
+	p.waiters = p.waiters[1:]
+	p.assign(c)
+	w.ready <- answer{conn: c}
+	return nil
+}
+
+func (p *pool) setLeaving(leaving bool) {
+	p.mu.Lock()
+	p.leaving = leaving
+	var dropped []*Conn
+	if leaving {
+		dropped = p.takeIdle(func(*Conn) bool { return true })
+	}
+	p.mu.Unlock()
+	closeAll(dropped)
+}
+
+func (p *pool) breakAll() {
+	p.mu.Lock()
+	dropped := p.takeIdle(func(*Conn) bool { return true })
+	for c := range p.leases {
+		// The holder sees a read or write error and releases the lease.
+		_ = c.net.Close()
+	}
+	p.mu.Unlock()
+	closeAll(dropped)
+}
+
+func (p *pool) sweep(before time.Duration) {
+	p.mu.Lock()
+	dropped := p.takeIdle(func(c *Conn) bool { return c.idleSince < before })
+	p.mu.Unlock()
+	closeAll(dropped)
+}
+
+func (p *pool) state() PoolState {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return PoolState{
+		Term: p.target.Term, Idle: len(p.idle), Leased: len(p.leases), Opening: p.opening, Waiting: len(p.waiters),
+		Limit: p.admission.allowed(p.owner.cfg.Now()), Leaving: p.leaving,
+	}
+}
+
+func closeAll(conns []*Conn) {
+	for _, c := range conns {
+		_ = c.W.Frame('X')
+		_ = c.net.SetWriteDeadline(time.Now().Add(terminateTimeout))
+		_ = c.W.Flush()
+		_ = c.net.Close()
+	}
+}
+
+// OpenError reports that no connection to an upstream could be opened.
+type OpenError struct {
+	Upstream ident.UpstreamName
+	Cause    error
+}
+
+// Error names the upstream and hides the cause, which may hold addresses and
+// user names.
+func (e *OpenError) Error() string {
+	return "no connection to upstream " + string(e.Upstream) + " could be opened"
+}
+
+// Unwrap returns the cause.
+func (e *OpenError) Unwrap() error { return e.Cause }
--- /dev/null
+++ b/internal/upstream/pools.go
@@ -0,0 +1,196 @@
+package upstream
+
+import (
+	"context"
+	"crypto/tls"
+	"sync"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/request"
+)
+
+// Defaults of Config.
+const (
+	defaultDialTimeout = 2 * time.Second
+	defaultMaxMessage  = 16 << 20 // bytes of one message that must be decoded whole
+	defaultIdleTimeout = 10 * time.Minute
+	defaultReset       = "DISCARD ALL"
+)
+
+// Credentials are the user and password for upstreams. They never appear in
+// errors, logs or dumps.
+type Credentials struct {
+	User     string
+	Password string
+}
+
+// String hides the password.
+func (c Credentials) String() string { return c.User }
+
+// GoString hides the password.
+func (c Credentials) GoString() string { return c.User }
+
+// Config configures the pools.
+type Config struct {
+	Credentials Credentials
+	// TLS returns the configuration for a new connection, so that certificates can
+	// be reloaded; nil means plain TCP.
+	TLS func() *tls.Config
+	// DialTimeout bounds the opening of a connection; default 2 s.
+	DialTimeout time.Duration
+	// IdleTimeout is the time after which Sweep closes an unused connection;
+	// default 10 min.
+	IdleTimeout time.Duration
+	// MaxMessage is the largest message in bytes that is decoded; default 16 MiB.
+	MaxMessage int
+	// Reset is the statement that removes session state; default DISCARD ALL.
+	Reset string
+	// Now is the time since process start.
+	Now func() time.Duration
+	// Dial replaces the network dialler in tests.
+	Dial pgconn.DialFunc
+}
+
+type poolKey struct {
+	group    ident.GroupName
+	upstream ident.UpstreamName
+}
+
+// Pools holds one pool per upstream. It is safe for concurrent use.
+type Pools struct {
+	cfg   Config
+	mu    sync.RWMutex
+	pools map[poolKey]*pool
+	// params are the parameters last reported by an upstream of the group.
+	params map[ident.GroupName]map[string]string
+}
+
+// New returns empty pools.
+func New(cfg Config) *Pools {
+	if cfg.DialTimeout == 0 {
+		cfg.DialTimeout = defaultDialTimeout
+	}
+	if cfg.IdleTimeout == 0 {
+		cfg.IdleTimeout = defaultIdleTimeout
+	}
+	if cfg.MaxMessage == 0 {
+		cfg.MaxMessage = defaultMaxMessage
+	}
+	if cfg.Reset == "" {
+		cfg.Reset = defaultReset
+	}
+	if cfg.Now == nil {
+		start := time.Now()
+		cfg.Now = func() time.Duration { return time.Since(start) }
+	}
+	return &Pools{cfg: cfg, pools: map[poolKey]*pool{}, params: map[ident.GroupName]map[string]string{}}
+}
+
+// Acquire leases a connection to the target, waiting until one is free or ctx
+// ends. The request has not been sent when it fails.
+func (p *Pools) Acquire(ctx context.Context, target request.Target) (*Lease, error) {
+	return p.pool(target).acquire(ctx, target)
+}
+
+func (p *Pools) pool(target request.Target) *pool {
+	key := poolKey{target.Group, target.Upstream}
+	p.mu.RLock()
+	pl := p.pools[key]
+	p.mu.RUnlock()
+	if pl != nil {
+		return pl
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if pl = p.pools[key]; pl == nil {
+		pl = &pool{owner: p, leases: map[*Conn]struct{}{}}
+		p.pools[key] = pl
+	}
+	return pl
+}
+
+// Parameters returns the parameters that upstreams of the group report at
+// startup; nil before the first connection. The map must not be changed.
+func (p *Pools) Parameters(group ident.GroupName) map[string]string {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	return p.params[group]
+}
+
+func (p *Pools) setParameters(group ident.GroupName, params map[string]string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.params[group] != nil {
+		return
+	}
+	copied := make(map[string]string, len(params))
+	for k, v := range params {
+		copied[k] = v
+	}
+	p.params[group] = copied
+}
+
+// SetLeaving marks an upstream that takes no new work: its idle connections are
+// closed now and its leased ones at release. False takes the mark away.
+func (p *Pools) SetLeaving(group ident.GroupName, upstream ident.UpstreamName, leaving bool) {
+	p.pool(request.Target{Group: group, Upstream: upstream}).setLeaving(leaving)
+}
+
+// Break closes every connection to an upstream that is known to have failed, so
+// that requests that wait for its answers are resolved at once.
+func (p *Pools) Break(group ident.GroupName, upstream ident.UpstreamName) {
+	p.pool(request.Target{Group: group, Upstream: upstream}).breakAll()
+}
+
+// Sweep closes connections that were unused for the idle timeout.
+func (p *Pools) Sweep() {
+	for _, pl := range p.all() {
+		pl.sweep(p.cfg.Now() - p.cfg.IdleTimeout)
+	}
+}
+
+// Close closes every connection.
+func (p *Pools) Close() {
+	for _, pl := range p.all() {
+		pl.breakAll()
+	}
+}
+
+func (p *Pools) all() []*pool {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	out := make([]*pool, 0, len(p.pools))
+	for _, pl := range p.pools {
+		out = append(out, pl)
+	}
+	return out
+}
+
+// PoolState describes a pool in a dump.
+type PoolState struct {
+	Group    ident.GroupName    `json:"group"`
+	Upstream ident.UpstreamName `json:"upstream"`
+	Term     ident.Term         `json:"term"`
+	Idle     int                `json:"idle"`
+	Leased   int                `json:"leased"`
+	Opening  int                `json:"opening"`
+	Waiting  int                `json:"waiting"`
+	// Limit is the number of connections that the VM allows itself now.
+	Limit   int  `json:"limit"`
+	Leaving bool `json:"leaving"`
+}
+
+// Dump describes all pools.
+func (p *Pools) Dump() []PoolState {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	out := make([]PoolState, 0, len(p.pools))
+	for key, pl := range p.pools {
+		s := pl.state()
+		s.Group, s.Upstream = key.group, key.upstream
+		out = append(out, s)
+	}
+	return out
+}
