Add the mesh between VMs and its failure detector

The platform's list of VMs lags and no coordination service exists, so the VMs need their own membership view and authenticated messages. internal/core/detector decides, internal/peer carries its messages over WebSocket, CBOR and mutual TLS.

--- /dev/null
+++ b/internal/peer/connection.go
@@ -0,0 +1,243 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+// Close codes of refused connections, from the private range of RFC 6455.
+const (
+	closeVersion   websocket.StatusCode = 4001
+	closeStranger  websocket.StatusCode = 4002
+	closeMalformed websocket.StatusCode = 4003
+)
+
+const (
+	// meshPath is the HTTP path of the WebSocket endpoint.
+	meshPath = "/mesh"
+	// helloTimeout bounds the handshake after the connection was accepted.
+	helloTimeout = 3 * time.Second
+)
+
+// dial opens a connection and exchanges hellos. When want is empty the other side
+// may be any authenticated VM.
+func (m *Network) dial(ctx context.Context, address string, want ident.VMName) (*websocket.Conn, Member, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	var state *tls.ConnectionState
+	transport := &http.Transport{
+		DisableKeepAlives: true,
+		DialContext:       func(ctx context.Context, _, _ string) (net.Conn, error) { return m.connect(ctx, address, &state) },
+	}
+	conn, response, err := websocket.Dial(ctx, "ws://"+address+meshPath, &websocket.DialOptions{HTTPClient: &http.Client{Transport: transport}})
+	if response != nil && response.Body != nil {
+		response.Body.Close()
+	}
+	if err != nil {
+		return nil, Member{}, err
+	}
+	conn.SetReadLimit(maxFrame)
+	other, err := m.greet(ctx, conn, state, want)
+	if err != nil {
+		conn.CloseNow()
+		return nil, Member{}, err
+	}
+	return conn, other, nil
+}
+
+// connect opens the TCP connection, with TLS unless the mesh is in plain mode.
+func (m *Network) connect(ctx context.Context, address string, state **tls.ConnectionState) (net.Conn, error) {
+	if m.cfg.Credentials == nil && !loopback(address) {
+		return nil, resultcode.New(resultcode.SettingsTLS, "plain connection to %s, which is not a loopback address", address)
+	}
+	raw, err := m.cfg.Dial(ctx, address)
+	if err != nil || m.cfg.Credentials == nil {
+		return raw, err
+	}
+	cfg, err := tlsConfig(m.cfg.Credentials, m.refused)
+	if err != nil {
+		raw.Close()
+		return nil, err
+	}
+	conn := tls.Client(raw, cfg)
+	if err := conn.HandshakeContext(ctx); err != nil {
+		raw.Close()
+		return nil, err
+	}
+	s := conn.ConnectionState()
+	*state = &s
+	return conn, nil
+}
+
+// greet sends this VM's hello, then reads and checks that of the other side.
+func (m *Network) greet(ctx context.Context, conn *websocket.Conn, state *tls.ConnectionState, want ident.VMName) (Member, error) {
+	if err := m.sendHello(ctx, conn); err != nil {
+		return Member{}, err
+	}
+	other, err := m.readHello(ctx, conn, state)
+	if err != nil {
+		return Member{}, refusal(err)
+	}
+	if want != "" && other.Name != want {
+		return Member{}, resultcode.New(resultcode.MessageStranger, "VM %q answered at the address of %q", other.Name, want)
+	}
+	return other, nil
+}
+
+func (m *Network) sendHello(ctx context.Context, conn *websocket.Conn) error {
+	bytes, err := m.encode(kindHello, m.Self())
+	if err != nil {
+		return err
+	}
+	return conn.Write(ctx, websocket.MessageBinary, bytes)
+}
+
+func (m *Network) readHello(ctx context.Context, conn *websocket.Conn, state *tls.ConnectionState) (Member, error) {
+	e, _, err := readFrame(ctx, conn)
+	if err != nil {
+		return Member{}, err
+	}
+	var other Member
+	if e.Kind != kindHello {
+		return Member{}, resultcode.New(resultcode.MessageMalformed, "first message is %q, not a hello", e.Kind)
+	}
+	if err := Decode(e.Body, &other); err != nil {
+		return Member{}, err
+	}
+	if other.Name != e.From || other.Incarnation != e.Incarnation || other.Name == m.cfg.Self.Name {
+		return Member{}, resultcode.New(resultcode.MessageStranger, "hello of %q under the name %q", other.Name, e.From)
+	}
+	if m.cfg.Credentials != nil {
+		if err := verifyName(state, other.Name); err != nil {
+			return Member{}, err
+		}
+	}
+	return other, m.discovered(other)
+}
+
+func readFrame(ctx context.Context, conn *websocket.Conn) (Envelope, int, error) {
+	kind, bytes, err := conn.Read(ctx)
+	if errors.Is(err, websocket.ErrMessageTooBig) {
+		return Envelope{}, 0, resultcode.Wrap(err, resultcode.MessageMalformed, "frame exceeds the limit")
+	}
+	if err != nil {
+		return Envelope{}, 0, err
+	}
+	if kind != websocket.MessageBinary {
+		return Envelope{}, 0, resultcode.New(resultcode.MessageMalformed, "frame is not binary")
+	}
+	e, err := decodeEnvelope(bytes)
+	return e, len(bytes), err
+}
+
+// serve handles an inbound connection until it ends.
+func (m *Network) serve(w http.ResponseWriter, r *http.Request) {
+	if !m.enter() {
+		return
+	}
+	defer m.wg.Done()
+	conn, err := websocket.Accept(w, r, nil)
+	if err != nil {
+		return
+	}
+	defer conn.CloseNow()
+	conn.SetReadLimit(maxFrame)
+	m.refuse(conn, m.receiveAll(r.Context(), conn, r.TLS))
+}
+
+// receiveAll handles messages until the connection ends or a message is refused.
+func (m *Network) receiveAll(ctx context.Context, conn *websocket.Conn, state *tls.ConnectionState) error {
+	hello, cancel := context.WithTimeout(ctx, helloTimeout)
+	other, err := m.readHello(hello, conn, state)
+	if err == nil {
+		err = m.sendHello(hello, conn)
+	}
+	cancel()
+	if err != nil {
+		return err
+	}
+	for {
+		e, size, err := readFrame(ctx, conn)
+		if err != nil {
+			return err
+		}
+		if e.From != other.Name || e.Incarnation != other.Incarnation {
+			return resultcode.New(resultcode.MessageStranger, "message of %q on the connection of %q", e.From, other.Name)
+		}
+		if err := m.receive(other, e, size); err != nil {
+			return err
+		}
+	}
+}
+
+// refuse closes a connection whose peer broke the protocol and counts the code.
+func (m *Network) refuse(conn *websocket.Conn, err error) {
+	status := websocket.StatusCode(0)
+	switch resultcode.Of(err) {
+	case resultcode.MessageVersion:
+		status = closeVersion
+	case resultcode.MessageStranger:
+		status = closeStranger
+	case resultcode.MessageMalformed:
+		status = closeMalformed
+	default:
+		return
+	}
+	m.refused(err)
+	conn.Close(status, resultcode.Of(err).String())
+}
+
+// receive passes an accepted message to its receiver.
+func (m *Network) receive(from Member, e Envelope, size int) error {
+	kind := string(e.Kind)
+	receiver, known := m.receivers[e.Kind]
+	if !known && e.Kind != kindDetector {
+		kind = "unknown"
+	}
+	m.counters.receivedMessages.Add(kind, 1)
+	m.counters.receivedBytes.Add(kind, int64(size))
+	if e.Kind == kindDetector {
+		var body detectorBody
+		if err := Decode(e.Body, &body); err != nil {
+			return err
+		}
+		m.receiveDetector(from, body)
+		return nil
+	}
+	if known {
+		receiver(from, e.Body)
+	}
+	return nil
+}
+
+// encode builds a frame.
+func (m *Network) encode(kind Kind, body any) ([]byte, error) {
+	raw, err := cbor.Marshal(body)
+	if err != nil {
+		return nil, resultcode.Wrap(err, resultcode.MessageMalformed, "cannot encode a message of kind %q", kind)
+	}
+	bytes, err := cbor.Marshal(Envelope{
+		Version: ProtocolVersion, Kind: kind, From: m.cfg.Self.Name,
+		Incarnation: m.cfg.Self.Incarnation, Sequence: m.sequence.Add(1), Body: raw,
+	})
+	if err == nil && len(bytes) > maxFrame {
+		err = resultcode.New(resultcode.MessageTooLarge, "message of kind %q has %d bytes", kind, len(bytes))
+	}
+	return bytes, err
+}
+
+// loopback reports whether the address is an IP of the loopback network.
+func loopback(address string) bool {
+	host, _, err := net.SplitHostPort(address)
+	return err == nil && net.ParseIP(host).IsLoopback()
+}
--- /dev/null
+++ b/internal/peer/link.go
@@ -0,0 +1,245 @@
+package peer
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/coder/websocket"
+
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+// Limits of the connection to one VM.
+const (
+	// queuePerKind bounds the queued messages of one kind.
+	queuePerKind = 64
+	// maxAge is the time after which a queued message is worthless: leases, probes
+	// and transfers have their own shorter timeouts.
+	maxAge = 2 * time.Second
+	// writeTimeout bounds one write; a peer that takes longer is reconnected.
+	writeTimeout = 3 * time.Second
+	dialTimeout  = 3 * time.Second
+	// firstBackoff and lastBackoff bound the wait between connection attempts.
+	firstBackoff = 50 * time.Millisecond
+	lastBackoff  = 2 * time.Second
+	// pongEvery is the longest time that writes go unconfirmed. A partition leaves
+	// writes in the kernel's buffer without an error.
+	pongEvery   = 5 * time.Second
+	pongTimeout = 3 * time.Second
+	// idleTimeout closes unused connections.
+	idleTimeout = 5 * time.Minute
+)
+
+// frame is a queued message.
+type frame struct {
+	kind   Kind
+	bytes  []byte
+	queued time.Time
+}
+
+// link sends messages to one VM over a connection that this VM opens. The other
+// VM sends over a connection of its own, so that no connection has two owners.
+type link struct {
+	network *Network
+	to      ident.VMName
+	wake    chan struct{}
+
+	mu      sync.Mutex
+	queue   []frame
+	running bool
+	last    string // last connection error, for the dump
+	open    bool
+}
+
+// push queues a frame. When the queue holds too many of its kind the oldest of
+// them is dropped.
+func (l *link) push(f frame) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	count, oldest := 0, -1
+	for i := range l.queue {
+		if l.queue[i].kind == f.kind {
+			if oldest < 0 {
+				oldest = i
+			}
+			count++
+		}
+	}
+	if count >= queuePerKind {
+		l.queue = append(l.queue[:oldest], l.queue[oldest+1:]...)
+		l.network.counters.dropped.Add(string(f.kind), 1)
+	}
+	l.queue = append(l.queue, f)
+	if !l.running {
+		l.running = l.network.spawn(l.run)
+	}
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// pop returns the oldest frame that is still of use.
+func (l *link) pop() (frame, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for len(l.queue) > 0 {
+		f := l.queue[0]
+		l.queue = l.queue[1:]
+		if time.Since(f.queued) <= maxAge {
+			return f, true
+		}
+		l.network.counters.dropped.Add(string(f.kind), 1)
+	}
+	l.queue = nil
+	return frame{}, false
+}
+
+// stopIfEmpty ends the link's goroutine unless a frame was queued meanwhile.
+func (l *link) stopIfEmpty() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.running = len(l.queue) > 0
+	return !l.running
+}
+
+func (l *link) status(open bool, err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open = open
+	if err != nil {
+		l.last = err.Error()
+	}
+}
+
+// run connects and sends until the link is idle or the mesh stops.
+func (l *link) run() {
+	ctx := l.network.ctx
+	backoff := firstBackoff
+	for ctx.Err() == nil {
+		if err := l.session(ctx, &backoff); err != nil {
+			l.network.counters.connectFailures.Add(1)
+			l.status(false, err)
+			if !pause(ctx, backoff/2+rand.N(backoff)) {
+				return
+			}
+			backoff = min(2*backoff, lastBackoff)
+			l.dropOld()
+		}
+		if l.stopIfEmpty() {
+			return
+		}
+	}
+}
+
+// dropOld removes frames that became worthless while no connection was open.
+func (l *link) dropOld() {
+	if f, ok := l.pop(); ok {
+		l.mu.Lock()
+		l.queue = append([]frame{f}, l.queue...)
+		l.mu.Unlock()
+	}
+}
+
+// session opens one connection and sends over it. It returns nil when the
+// connection was closed because it was idle.
+func (l *link) session(ctx context.Context, backoff *time.Duration) error {
+	address, err := l.network.addressOf(l.to)
+	if err != nil {
+		return err
+	}
+	conn, _, err := l.network.dial(ctx, address, l.to)
+	if err != nil {
+		return err
+	}
+	defer conn.CloseNow()
+	l.network.counters.connects.Add(1)
+	l.status(true, nil)
+	defer l.status(false, nil)
+	*backoff = firstBackoff
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		// The other side sends nothing after its hello; reading serves pongs and
+		// gives the reason of a close.
+		_, _, err := conn.Read(ctx)
+		cancel(refusal(err))
+	}()
+	defer func() { conn.CloseNow(); <-done }()
+	return l.write(ctx, conn)
+}
+
+func (l *link) write(ctx context.Context, conn *websocket.Conn) error {
+	idle := time.NewTimer(idleTimeout)
+	defer idle.Stop()
+	confirmed := time.Now()
+	for {
+		f, ok := l.pop()
+		if !ok {
+			select {
+			case <-l.wake:
+				continue
+			case <-idle.C:
+				conn.Close(websocket.StatusNormalClosure, "idle")
+				return nil
+			case <-ctx.Done():
+				return context.Cause(ctx)
+			}
+		}
+		if err := l.writeFrame(ctx, conn, f); err != nil {
+			return err
+		}
+		idle.Reset(idleTimeout)
+		if time.Since(confirmed) > pongEvery {
+			confirmed = time.Now()
+			if err := ping(ctx, conn); err != nil {
+				return err
+			}
+		}
+	}
+}
+
+func (l *link) writeFrame(ctx context.Context, conn *websocket.Conn, f frame) error {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if err := conn.Write(ctx, websocket.MessageBinary, f.bytes); err != nil {
+		return err
+	}
+	l.network.counters.sentMessages.Add(string(f.kind), 1)
+	l.network.counters.sentBytes.Add(string(f.kind), int64(len(f.bytes)))
+	return nil
+}
+
+func ping(ctx context.Context, conn *websocket.Conn) error {
+	ctx, cancel := context.WithTimeout(ctx, pongTimeout)
+	defer cancel()
+	return conn.Ping(ctx)
+}
+
+// pause waits; false means that ctx ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// refusal turns the close frame of a peer that refused this VM into a coded error.
+func refusal(err error) error {
+	switch websocket.CloseStatus(err) {
+	case closeVersion:
+		return resultcode.Wrap(err, resultcode.MessageVersion, "peer refused the protocol version")
+	case closeStranger:
+		return resultcode.Wrap(err, resultcode.MessageStranger, "peer refused this VM")
+	case closeMalformed:
+		return resultcode.Wrap(err, resultcode.MessageMalformed, "peer could not decode a message")
+	}
+	return err
+}
--- /dev/null
+++ b/internal/peer/network.go
@@ -0,0 +1,302 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/rosemarywall/rosemarywall/internal/clock"
+	"github.com/rosemarywall/rosemarywall/internal/core/detector"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+// ErrUnknownVM means that the view has no live VM of the name; nothing was sent.
+var ErrUnknownVM = errors.New("no live VM of this name")
+
+// ErrStopped means that the mesh has stopped or has not started; nothing was sent.
+var ErrStopped = errors.New("mesh is not running")
+
+// Config sets up a Network.
+type Config struct {
+	// Self names this VM. Address is the address at which other VMs reach it.
+	Self Member
+	// Credentials enable mutual TLS. Without them Self.Address must be a loopback
+	// address.
+	Credentials Credentials
+	// Seeds are peer addresses to try at start.
+	Seeds []string
+	// Detector overrides the detector's times; Self is filled in.
+	Detector *detector.Config
+	// Seed starts the detector's random choices.
+	Seed uint64
+	// Listener and Dial replace TCP in tests.
+	Listener net.Listener
+	Dial     func(ctx context.Context, address string) (net.Conn, error)
+	// Links disturbs messages in tests and the demo; nil disturbs nothing.
+	Links *Links
+	// OnRefused, when set, is told about refused peers and frames.
+	OnRefused func(error)
+}
+
+// Network is the Mesh over WebSocket connections.
+type Network struct {
+	cfg       Config
+	clock     *clock.Clock
+	counters  counters
+	sequence  atomic.Uint64
+	receivers map[Kind]func(Member, cbor.RawMessage)
+	pigs      []piggyback
+	turn      atomic.Uint64
+	observers []func([]Member)
+	listener  net.Listener
+	server    *http.Server
+
+	ctx     context.Context
+	cancel  context.CancelFunc
+	wg      sync.WaitGroup
+	life    sync.Mutex // orders additions to wg before the wait of Close
+	closed  bool
+	wake    chan struct{} // the detector's next tick may have moved
+	changed chan struct{}
+
+	mu      sync.Mutex // guards the fields below
+	core    *detector.Detector
+	links   map[ident.VMName]*link
+	running bool
+}
+
+var _ Mesh = (*Network)(nil)
+
+// New prepares a mesh. Errors carry SettingsTLS or SettingsInvalid.
+func New(cfg Config) (*Network, error) {
+	if cfg.Self.Name == "" || cfg.Self.Zone == "" {
+		return nil, resultcode.New(resultcode.SettingsInvalid, "a VM needs a name and an availability zone")
+	}
+	if cfg.Credentials == nil && !loopback(cfg.Self.Address) {
+		return nil, resultcode.New(resultcode.SettingsTLS, "peer address %s is not a loopback address and no certificate is set", cfg.Self.Address)
+	}
+	if cfg.Credentials != nil {
+		if _, _, err := cfg.Credentials.Current(); err != nil {
+			return nil, err
+		}
+	}
+	if cfg.Dial == nil {
+		var dialer net.Dialer
+		cfg.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return dialer.DialContext(ctx, "tcp", address)
+		}
+	}
+	m := &Network{
+		cfg: cfg, clock: clock.New(), links: map[ident.VMName]*link{},
+		receivers: map[Kind]func(Member, cbor.RawMessage){},
+		wake:      make(chan struct{}, 1), changed: make(chan struct{}, 1),
+	}
+	m.ctx, m.cancel = context.WithCancel(context.Background())
+	if err := m.listen(); err != nil {
+		return nil, err
+	}
+	core := detector.DefaultConfig(m.cfg.Self)
+	if cfg.Detector != nil {
+		core = *cfg.Detector
+		core.Self = m.cfg.Self
+	}
+	m.core = detector.New(0, core, rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Self.Incarnation))))
+	return m, nil
+}
+
+// listen opens the listener and takes over a port that the system has chosen.
+func (m *Network) listen() error {
+	m.listener = m.cfg.Listener
+	if m.listener != nil {
+		return nil
+	}
+	listener, err := net.Listen("tcp", m.cfg.Self.Address)
+	if err != nil {
+		return resultcode.Wrap(err, resultcode.SettingsInvalid, "cannot listen on peer address %s", m.cfg.Self.Address)
+	}
+	m.listener = listener
+	m.cfg.Self.Address = listener.Addr().String()
+	return nil
+}
+
+// Start serves peers and begins to probe. All receivers must be registered.
+func (m *Network) Start() {
+	mux := http.NewServeMux()
+	mux.HandleFunc(meshPath, m.serve)
+	m.server = &http.Server{
+		Handler: mux, ReadHeaderTimeout: helloTimeout, ErrorLog: log.New(io.Discard, "", 0),
+		BaseContext: func(net.Listener) context.Context { return m.ctx },
+	}
+	listener := m.listener
+	if m.cfg.Credentials != nil {
+		listener = tls.NewListener(listener, &tls.Config{
+			MinVersion: tls.VersionTLS13,
+			GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) {
+				return tlsConfig(m.cfg.Credentials, m.refused)
+			},
+		})
+	}
+	m.mu.Lock()
+	m.running = true
+	m.mu.Unlock()
+	m.spawn(func() { m.server.Serve(listener) })
+	m.spawn(m.tickAll)
+	m.spawn(m.notifyAll)
+	for _, seed := range m.cfg.Seeds {
+		m.spawn(func() { m.joinSeed(seed) })
+	}
+}
+
+// enter registers a goroutine that Close waits for; false after Close.
+func (m *Network) enter() bool {
+	m.life.Lock()
+	defer m.life.Unlock()
+	if !m.closed {
+		m.wg.Add(1)
+	}
+	return !m.closed
+}
+
+// spawn runs f in a goroutine that Close waits for; false after Close.
+func (m *Network) spawn(f func()) bool {
+	if !m.enter() {
+		return false
+	}
+	go func() {
+		defer m.wg.Done()
+		f()
+	}()
+	return true
+}
+
+// leaveTime is the time that Leave gives its messages to reach the network.
+const leaveTime = 200 * time.Millisecond
+
+// Leave announces the planned stop of this VM and waits briefly for the
+// announcement to be sent. Close must follow.
+func (m *Network) Leave() {
+	m.withCore(func(now time.Duration) []detector.Send { return m.core.Leave(now) })
+	pause(m.ctx, leaveTime)
+}
+
+// Close stops the mesh and waits for its goroutines.
+func (m *Network) Close() {
+	m.mu.Lock()
+	m.running = false
+	m.mu.Unlock()
+	m.life.Lock()
+	m.closed = true
+	m.life.Unlock()
+	m.cancel()
+	if m.server != nil {
+		m.server.Close()
+	}
+	m.listener.Close()
+	m.wg.Wait()
+}
+
+// refused counts and reports a refused peer or frame.
+func (m *Network) refused(err error) {
+	m.counters.refused.Add(resultcode.Of(err).String(), 1)
+	if m.cfg.OnRefused != nil {
+		m.cfg.OnRefused(err)
+	}
+}
+
+// Self returns this VM.
+func (m *Network) Self() Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.Self()
+}
+
+// Members returns the view ordered by name.
+func (m *Network) Members() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.core.Members()
+}
+
+// Handle registers the receiver of a kind.
+func (m *Network) Handle(kind Kind, receive func(from Member, body cbor.RawMessage)) {
+	m.receivers[kind] = receive
+}
+
+// OnChange registers an observer of the view. Observers run one after the other
+// on a goroutine of the mesh; changes in quick succession may be reported once.
+func (m *Network) OnChange(changed func([]Member)) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.observers = append(m.observers, changed)
+}
+
+// Hint passes on the platform's list of VMs.
+func (m *Network) Hint(members []Member, complete bool) {
+	m.withCore(func(now time.Duration) []detector.Send {
+		m.core.Hint(now, members, complete)
+		return nil
+	})
+}
+
+// Send queues a message to a live VM.
+func (m *Network) Send(ctx context.Context, to ident.VMName, kind Kind, body any) error {
+	if err := ctx.Err(); err != nil {
+		return err
+	}
+	m.mu.Lock()
+	other, known := m.core.Member(to)
+	m.mu.Unlock()
+	if !known || other.State == Dead || to == m.cfg.Self.Name {
+		return errors.Wrapf(ErrUnknownVM, "send to %q", to)
+	}
+	return m.queue(to, kind, body)
+}
+
+// queue encodes a message and hands it to the link, through the disturbed links
+// of a test when there are any.
+func (m *Network) queue(to ident.VMName, kind Kind, body any) error {
+	bytes, err := m.encode(kind, body)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.running {
+		return ErrStopped
+	}
+	l, ok := m.links[to]
+	if !ok {
+		l = &link{network: m, to: to, wake: make(chan struct{}, 1)}
+		m.links[to] = l
+	}
+	for _, delay := range m.cfg.Links.copies(m.cfg.Self.Name, to) {
+		f := frame{kind: kind, bytes: bytes, queued: time.Now().Add(delay)}
+		if delay == 0 {
+			l.push(f)
+		} else {
+			time.AfterFunc(delay, func() { l.push(f) })
+		}
+	}
+	return nil
+}
+
+func (m *Network) addressOf(name ident.VMName) (string, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	other, ok := m.core.Member(name)
+	if !ok {
+		return "", errors.Wrapf(ErrUnknownVM, "connect to %q", name)
+	}
+	return other.Address, nil
+}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -5,6 +5,7 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/rosemarywall/rosemarywall/internal/core/detector"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 )
 
@@ -25,24 +26,22 @@
 }
 
 // State is the health of a VM as the failure detector sees it.
-type State uint8
+type State = detector.State
 
 // States of a VM.
 const (
-	Alive State = iota
-	Suspect
-	Dead
-	Leaving
+	Alive   = detector.Alive
+	Suspect = detector.Suspect
+	Dead    = detector.Dead
+	Leaving = detector.Leaving
 )
 
 // Member is a VM in the membership view.
-type Member struct {
-	Name        ident.VMName           `cbor:"1,keyasint" json:"name"`
-	Incarnation ident.Incarnation      `cbor:"2,keyasint" json:"incarnation"`
-	Zone        ident.AvailabilityZone `cbor:"3,keyasint" json:"zone"`
-	Address     string                 `cbor:"4,keyasint" json:"address"` // IP:port of the peer listener
-	State       State                  `cbor:"5,keyasint" json:"state"`
-}
+type Member = detector.Member
+
+// MaxPiggyback is the number of payload bytes of all kinds together that ride on
+// one detector message. It keeps the control traffic of a VM below 6 KB/s.
+const MaxPiggyback = 512
 
 // Mesh sends messages to other VMs and knows which are alive.
 type Mesh interface {
@@ -57,7 +56,8 @@
 	// starts. Receivers run on the connection's goroutine and must not block.
 	Handle(kind Kind, receive func(from Member, body cbor.RawMessage))
 	// Piggyback registers a small payload that rides on every detector message to and
-	// from other VMs. provide returns nil when there is nothing to say.
+	// from other VMs. provide returns nil when there is nothing to say. Payloads share
+	// MaxPiggyback bytes a message; the kinds take turns when they do not all fit.
 	Piggyback(kind Kind, provide func(to ident.VMName) []byte, receive func(from Member, payload []byte))
 	// OnChange registers a function that is called after each change of the view.
 	OnChange(changed func([]Member))
--- /dev/null
+++ b/internal/peer/tls.go
@@ -0,0 +1,155 @@
+package peer
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+// Credentials give this VM's certificate and the authority of its peers. They
+// are asked on each handshake, so a change takes effect without a stop.
+type Credentials interface {
+	Current() (tls.Certificate, *x509.CertPool, error)
+}
+
+// reloadInterval limits how often certificate files are examined.
+const reloadInterval = time.Second
+
+// FileCredentials reads PEM files again when they change. A faulty change is
+// reported once through OnError and leaves the previous certificate in use.
+type FileCredentials struct {
+	CertificateFile, KeyFile, AuthorityFile string
+	// OnError, when set, is told about files that cannot be loaded.
+	OnError func(error)
+
+	mu          sync.Mutex
+	checked     time.Time
+	stamps      [3]stamp
+	certificate tls.Certificate
+	authority   *x509.CertPool
+}
+
+// stamp identifies the content of a file.
+type stamp struct {
+	modified time.Time
+	size     int64
+}
+
+// Current returns the newest usable certificate and authority. The error carries
+// SettingsTLS when none was ever loaded.
+func (f *FileCredentials) Current() (tls.Certificate, *x509.CertPool, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.authority != nil && time.Since(f.checked) < reloadInterval {
+		return f.certificate, f.authority, nil
+	}
+	f.checked = time.Now()
+	if stamps := f.examine(); f.authority == nil || stamps != f.stamps {
+		f.stamps = stamps
+		if err := f.load(); err != nil {
+			if f.authority == nil {
+				return tls.Certificate{}, nil, err
+			}
+			if f.OnError != nil {
+				f.OnError(err)
+			}
+		}
+	}
+	return f.certificate, f.authority, nil
+}
+
+func (f *FileCredentials) examine() (stamps [3]stamp) {
+	for i, name := range []string{f.CertificateFile, f.KeyFile, f.AuthorityFile} {
+		if info, err := os.Stat(name); err == nil {
+			stamps[i] = stamp{info.ModTime(), info.Size()}
+		}
+	}
+	return stamps
+}
+
+func (f *FileCredentials) load() error {
+	certificate, err := tls.LoadX509KeyPair(f.CertificateFile, f.KeyFile)
+	if err != nil {
+		return resultcode.Wrap(err, resultcode.SettingsTLS, "cannot load certificate %s", f.CertificateFile)
+	}
+	pem, err := os.ReadFile(f.AuthorityFile)
+	if err != nil {
+		return resultcode.Wrap(err, resultcode.SettingsTLS, "cannot read authority %s", f.AuthorityFile)
+	}
+	authority := x509.NewCertPool()
+	if !authority.AppendCertsFromPEM(pem) {
+		return resultcode.New(resultcode.SettingsTLS, "no certificate in authority %s", f.AuthorityFile)
+	}
+	f.certificate, f.authority = certificate, authority
+	return nil
+}
+
+// StaticCredentials never change.
+type StaticCredentials struct {
+	Certificate tls.Certificate
+	Authority   *x509.CertPool
+}
+
+// Current returns the certificate and authority.
+func (s StaticCredentials) Current() (tls.Certificate, *x509.CertPool, error) {
+	return s.Certificate, s.Authority, nil
+}
+
+// tlsConfig returns the configuration of one handshake in either role. Both sides
+// verify the chain of the other against the peer authority; the name is checked
+// when the other side has said which VM it is. The standard verification is
+// replaced because VM names need not be host names.
+func tlsConfig(c Credentials, refused func(error)) (*tls.Config, error) {
+	certificate, authority, err := c.Current()
+	if err != nil {
+		return nil, err
+	}
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{certificate},
+		InsecureSkipVerify: true, ClientAuth: tls.RequestClientCert,
+		VerifyConnection: func(state tls.ConnectionState) error {
+			err := verifyChain(state, authority)
+			if err != nil {
+				refused(err)
+			}
+			return err
+		},
+	}, nil
+}
+
+func verifyChain(state tls.ConnectionState, authority *x509.CertPool) error {
+	if len(state.PeerCertificates) == 0 {
+		return resultcode.New(resultcode.MessageStranger, "peer presented no certificate")
+	}
+	intermediates := x509.NewCertPool()
+	for _, c := range state.PeerCertificates[1:] {
+		intermediates.AddCert(c)
+	}
+	_, err := state.PeerCertificates[0].Verify(x509.VerifyOptions{
+		Roots: authority, Intermediates: intermediates,
+		KeyUsages: []x509.ExtKeyUsage{x509.ExtKeyUsageAny},
+	})
+	if err != nil {
+		return resultcode.Wrap(err, resultcode.MessageStranger, "peer certificate is not of the peer authority")
+	}
+	return nil
+}
+
+// verifyName checks that the certificate names the VM, as a DNS name or as the
+// common name of the subject.
+func verifyName(state *tls.ConnectionState, name ident.VMName) error {
+	if state == nil || len(state.PeerCertificates) == 0 {
+		return resultcode.New(resultcode.MessageStranger, "peer presented no certificate")
+	}
+	leaf := state.PeerCertificates[0]
+	if leaf.Subject.CommonName != string(name) && !slices.Contains(leaf.DNSNames, string(name)) {
+		return resultcode.New(resultcode.MessageStranger, "peer certificate does not name VM %q", name)
+	}
+	return nil
+}
