Add the state machine that replaces primaries

Cause: nothing else promotes; a group without it has no failover. Change: internal/core/promotion decides suspicion, confirmation, proposal, fencing, choice, promotion, follow, takeover, flap limit and planned move. A planned move is recorded before the handover, because the simulation found a primary that stayed stopped after a handover whose answer was lost.

--- /dev/null
+++ b/internal/core/promotion/machine_test.go
@@ -0,0 +1,173 @@
+package promotion
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/routing"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+)
+
+// operations are the events that a test may cause; pick returns a number below n.
+var operations = map[string]func(s *simulation, pick func(n int) int){
+	"write": func(s *simulation, pick func(int) int) {
+		for range 1 + pick(3) {
+			s.sequence++
+			s.vms[pick(3)].write(s.sequence)
+			s.advance(time.Duration(pick(20)) * time.Millisecond)
+		}
+	},
+	"advance": func(s *simulation, pick func(int) int) { s.advance(time.Duration(1+pick(20)) * 100 * time.Millisecond) },
+	"cut": func(s *simulation, pick func(int) int) {
+		nodes := s.nodes()
+		s.cut[[2]string{nodes[pick(len(nodes))], nodes[pick(len(nodes))]}] = true
+	},
+	"isolate": func(s *simulation, pick func(int) int) {
+		nodes := s.nodes()
+		node := nodes[pick(6)]
+		for _, other := range nodes {
+			s.cut[[2]string{node, other}] = true
+		}
+	},
+	"reconnect": func(s *simulation, _ func(int) int) { s.cut = map[[2]string]bool{} },
+	"heal":      func(s *simulation, _ func(int) int) { s.heal() },
+	"kill":      func(s *simulation, pick func(int) int) { s.dead[s.members[pick(3)].node()] = true },
+	"start":     func(s *simulation, pick func(int) int) { delete(s.dead, s.members[pick(3)].node()) },
+	"pause":     func(s *simulation, pick func(int) int) { s.pause(s.nodes()[pick(6)]) },
+	"resume": func(s *simulation, pick func(int) int) {
+		for _, node := range s.nodes() {
+			if pick(2) == 0 {
+				s.resume(node)
+			}
+		}
+	},
+	"restart": func(s *simulation, pick func(int) int) {
+		vm := s.vms[pick(3)]
+		delete(s.paused, vm.name)
+		vm.start()
+	},
+	"outage": func(s *simulation, pick func(int) int) { s.outage = pick(3) == 0 },
+	"loss":   func(s *simulation, pick func(int) int) { s.loss = pick(40) },
+	"leave": func(s *simulation, pick func(int) int) {
+		m := s.members[pick(3)]
+		m.usable = !m.usable
+		s.configure()
+	},
+}
+
+func (s *simulation) nodes() []string {
+	var nodes []string
+	for _, m := range s.members {
+		nodes = append(nodes, m.node())
+	}
+	for _, vm := range s.vms {
+		nodes = append(nodes, vm.name)
+	}
+	return append(nodes, "platform")
+}
+
+// settle ends all faults and checks that the group serves writes again.
+func (s *simulation) settle() {
+	s.heal()
+	s.advance(20 * time.Second)
+	before := len(s.acked)
+	for i, vm := range s.vms {
+		vm.write(-1 - i)
+	}
+	s.advance(time.Second)
+	if s.failure == nil && len(s.acked) < before+len(s.vms) {
+		s.fail("%d of %d writes acknowledged after all faults ended", len(s.acked)-before, len(s.vms))
+	}
+}
+
+// Guards against a lost acknowledged write, an acknowledgement by an old primary,
+// two primaries in a term, and a group that stays without a primary.
+func TestNoAcknowledgedWriteIsLost(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSimulation(rapid.Uint64().Draw(t, "seed"))
+		actions := map[string]func(*rapid.T){"": func(t *rapid.T) {
+			if s.failure != nil {
+				t.Fatal(s.failure)
+			}
+		}}
+		for name, run := range operations {
+			actions[name] = func(t *rapid.T) {
+				run(s, func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "n") })
+			}
+		}
+		t.Repeat(actions)
+		s.settle()
+		if s.failure != nil {
+			t.Fatal(s.failure)
+		}
+	})
+}
+
+// runRandom runs a random schedule and returns the violation that it found.
+func runRandom(seed uint64, change func(*simulation)) (*simulation, error) {
+	s := newSimulation(seed)
+	change(s)
+	for _, vm := range s.vms {
+		vm.machine.rules = s.rules
+	}
+	random := rand.New(rand.NewPCG(seed, 3))
+	names := []string{
+		"write", "write", "write", "advance", "advance", "cut", "isolate", "reconnect", "pause", "resume", "restart", "outage", "loss", "leave", "kill", "start", "heal",
+	}
+	for range 120 {
+		operations[names[random.IntN(len(names))]](s, random.IntN)
+	}
+	return s, s.failure
+}
+
+// The seeds of the mutation checks; the unchanged rules must pass all of them.
+const mutationSeeds = 100
+
+// Guards against a simulation that cannot notice a broken rule.
+func TestMutantsAreCaught(t *testing.T) {
+	mutants := map[string]func(*simulation){
+		"choose another than the most advanced member": func(s *simulation) {
+			s.rules.better = func(a, b ident.LogPoint) int { return b.Compare(a) }
+		},
+		"confirm with a status of another term": func(s *simulation) {
+			s.confirms = func(v *routing.View, primary ident.UpstreamName, _ ident.Term, point ident.LogPoint) bool {
+				for i := range v.Seen {
+					if v.Seen[i].Known && v.Members[i].Upstream != primary && v.Seen[i].Status.Received.AtLeast(point) {
+						return true
+					}
+				}
+				return false
+			}
+		},
+		"fence a minority": func(s *simulation) { s.rules.majority = func(n int) int { return n / 2 } },
+	}
+	for name, change := range mutants {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(mutationSeeds) {
+				if _, err := runRandom(seed, change); err != nil {
+					t.Logf("seed %d: %v", seed, err)
+					return
+				}
+			}
+			t.Fatal("the mutant passed")
+		})
+	}
+}
+
+// Guards against seeds that fail without a mutation, and against schedules so
+// harsh that nothing is ever promoted or acknowledged.
+func TestUnchangedRulesPassMutationSeeds(t *testing.T) {
+	promotions, writes := 0, 0
+	for seed := range uint64(mutationSeeds) {
+		s, err := runRandom(seed, func(*simulation) {})
+		assert.NilError(t, err, "seed %d", seed)
+		promotions += len(s.promoted) - 1
+		writes += len(s.acked)
+	}
+	t.Logf("%d promotions, %d acknowledged writes", promotions, writes)
+	assert.Assert(t, promotions > mutationSeeds && writes > mutationSeeds)
+}
