Run promotion in the group controller

Cause: request.Router lacked failover, planned moves and the state of the platform object. Change: the shell drives one promotion machine per group, exchanges questions and records with other VMs, and dumps and counts what it does.

--- /dev/null
+++ b/internal/controller/groups/bench_test.go
@@ -0,0 +1,57 @@
+package groupcontroller
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/request"
+)
+
+// benchmark runs one hot path in parallel on a settled group.
+func benchmark(b *testing.B, run func(context.Context, *Controller, request.Target) error) {
+	f := newFakeGroup()
+	c := startController(f, &fakeSource{current: testConfiguration(nil)})
+	defer c.Stop()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	defer cancel()
+	target, err := c.Primary(ctx, testGroup)
+	if err != nil {
+		b.Fatal(err)
+	}
+	f.moveTo("c", at(1, 9), at(1, 9))
+	if err := c.Confirm(ctx, target, at(1, 9)); err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			if err := run(ctx, c, target); err != nil {
+				b.Error(err)
+			}
+		}
+	})
+}
+
+func BenchmarkPrimary(b *testing.B) {
+	benchmark(b, func(ctx context.Context, c *Controller, _ request.Target) error {
+		_, err := c.Primary(ctx, testGroup)
+		return err
+	})
+}
+
+func BenchmarkReadWithoutWait(b *testing.B) {
+	need := request.ReadNeed{Session: ident.LogPoint{Term: 1, Position: 1}}
+	benchmark(b, func(ctx context.Context, c *Controller, _ request.Target) error {
+		_, err := c.Read(ctx, testGroup, need)
+		return err
+	})
+}
+
+func BenchmarkConfirmed(b *testing.B) {
+	benchmark(b, func(ctx context.Context, c *Controller, target request.Target) error {
+		return c.Confirm(ctx, target, at(1, 9))
+	})
+}
--- a/internal/controller/groups/doc.go
+++ b/internal/controller/groups/doc.go
@@ -4,14 +4,24 @@
 // packages internal/core/routing and internal/core/promotion.
 //
 // Invariants: readers of a view take no lock; a view is never changed after it
-// was published; waiting requests are woken by the view that satisfies them.
+// was published; waiting requests are woken by the view that satisfies them; the
+// lock of a promoter is taken before that of its group.
+//
+// # Messages
+//
+// Three kinds go between VMs: group-question and group-answer (has this VM, too,
+// lost the primary) and group-record (the object of a group, from a proposer or a
+// watcher). Each may be lost: questions are repeated, and a VM without the record
+// learns it when its own update conflicts.
 //
 // # Counters
 //
 // Vars returns: read_index_rounds (questions asked), reads_replica (served without
 // waiting), reads_replica_wait (after waiting for a position), reads_replica_age
 // (within the accepted age), reads_primary, confirms_waited, primary_waits,
-// failures_reported.
+// failures_reported, promotions (unplanned changes that this VM carried out),
+// planned_moves, detection_ms_total and gap_ms_total (sums over promotions),
+// detection_ms_last and gap_ms_last (milliseconds; the gap contains the detection).
 //
 // # Size
 //
@@ -21,5 +31,6 @@
 // budget of 6 KB/s and 2.6% of a core. A group is then followed from its first
 // request until it has had none for a minute, and a few VMs per group, by
 // rendezvous hash, follow it always, so that each failure has witnesses in two
-// zones.
+// zones. Records of changes go to every VM directly; at 3,700 VMs they go to the
+// watchers of each zone, which pass them on.
 package groupcontroller
--- /dev/null
+++ b/internal/controller/groups/dump.go
@@ -0,0 +1,70 @@
+package groupcontroller
+
+import (
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/promotion"
+	"github.com/rosemarywall/rosemarywall/internal/core/routing"
+	"github.com/rosemarywall/rosemarywall/internal/group"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+)
+
+// GroupDump is the state of one group.
+type GroupDump struct {
+	Term    ident.Term         `json:"term"`
+	Primary ident.UpstreamName `json:"primary"` // empty when none is known
+	Held    bool               `json:"held"`    // a planned move is under way
+	Record  promotion.Record   `json:"record"`  // the platform's object
+	Members []MemberDump       `json:"members"`
+	Waiting int                `json:"waiting"` // requests that wait for a change
+	// Last is the last change that this VM carried out.
+	Last *promotion.Outcome `json:"last_change,omitempty"`
+	// Decisions are the latest decisions of the promotion, oldest first.
+	Decisions []promotion.Entry `json:"decisions"`
+}
+
+// MemberDump is what is known about a member.
+type MemberDump struct {
+	Upstream ident.UpstreamName `json:"upstream"`
+	Usable   bool               `json:"usable"`
+	Known    bool               `json:"known"`
+	Down     bool               `json:"down"`
+	Age      time.Duration      `json:"age_ns"` // since the last status
+	Status   group.Status       `json:"status"`
+}
+
+// Dump returns the state of all groups. It holds no secret.
+func (c *Controller) Dump() map[ident.GroupName]GroupDump {
+	groups := *c.groups.Load()
+	dump := make(map[ident.GroupName]GroupDump, len(groups))
+	for name, g := range groups {
+		dump[name] = g.dump(c.options.Now())
+	}
+	return dump
+}
+
+func (g *groupState) dump(now time.Duration) GroupDump {
+	g.promoter.mu.Lock()
+	d := GroupDump{Record: g.promoter.machine.Record(), Last: g.promoter.last, Decisions: g.promoter.machine.Trace()}
+	g.promoter.mu.Unlock()
+	g.mu.Lock()
+	d.Waiting = len(g.waiters)
+	g.mu.Unlock()
+	v := g.view.Load()
+	d.Term, d.Held = v.Term, v.Held
+	if v.Primary >= 0 {
+		d.Primary = v.Members[v.Primary].Upstream
+	}
+	for i := range v.Members {
+		d.Members = append(d.Members, dumpMember(v, i, now))
+	}
+	return d
+}
+
+func dumpMember(v *routing.View, i int, now time.Duration) MemberDump {
+	o := &v.Seen[i]
+	return MemberDump{
+		Upstream: v.Members[i].Upstream, Usable: v.Members[i].Usable,
+		Known: o.Known, Down: o.Down, Age: now - o.At, Status: o.Status,
+	}
+}
--- a/internal/controller/groups/group.go
+++ b/internal/controller/groups/group.go
@@ -18,6 +18,7 @@
 	name       ident.GroupName
 	view       atomic.Pointer[routing.View]
 	index      indexer
+	promoter   *promoter
 	ctx        context.Context
 	cancel     context.CancelFunc
 
@@ -34,9 +35,10 @@
 
 func newGroup(c *Controller, name ident.GroupName, members []routing.Member) *groupState {
 	g := &groupState{controller: c, name: name, streams: map[ident.UpstreamName]*stream{}}
-	g.ctx, g.cancel = context.WithCancel(context.Background())
+	g.ctx, g.cancel = context.WithCancel(c.ctx)
 	g.view.Store(routing.NewView(name, members))
 	g.index.group = g
+	g.promoter = newPromoter(g, c.turn.Add(1))
 	return g
 }
 
@@ -45,6 +47,7 @@
 	if !slices.Equal(g.view.Load().Members, members) {
 		g.update(func(v *routing.View) *routing.View { return v.WithMembers(members) })
 	}
+	g.promoter.configure(members, g.controller.options.Mesh.Members())
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	wanted := map[ident.UpstreamName]bool{}
@@ -78,6 +81,15 @@
 	return nil
 }
 
+// agentAddress returns the address of a member's agent, empty when unknown.
+func (g *groupState) agentAddress(name ident.UpstreamName) string {
+	v := g.view.Load()
+	if i := v.Index(name); i >= 0 {
+		return v.Members[i].Agent
+	}
+	return ""
+}
+
 // update replaces the view and wakes the waiters that the new view satisfies.
 func (g *groupState) update(change func(*routing.View) *routing.View) {
 	g.mu.Lock()
--- a/internal/controller/groups/metrics.go
+++ b/internal/controller/groups/metrics.go
@@ -1,6 +1,10 @@
 package groupcontroller
 
-import "expvar"
+import (
+	"expvar"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/promotion"
+)
 
 // metrics are the counters of one controller. Vars publishes them; the names are
 // documented in doc.go.
@@ -13,6 +17,26 @@
 	confirmsWaited   expvar.Int
 	primaryWaits     expvar.Int
 	failuresReported expvar.Int
+
+	promotions     expvar.Int
+	plannedMoves   expvar.Int
+	detectionTotal expvar.Int
+	gapTotal       expvar.Int
+	detectionLast  expvar.Int
+	gapLast        expvar.Int
+}
+
+// changed counts a change of primary that this VM carried out.
+func (m *metrics) changed(o promotion.Outcome) {
+	if o.Planned {
+		m.plannedMoves.Add(1)
+		return
+	}
+	m.promotions.Add(1)
+	m.detectionTotal.Add(o.Detection.Milliseconds())
+	m.gapTotal.Add(o.Total().Milliseconds())
+	m.detectionLast.Set(o.Detection.Milliseconds())
+	m.gapLast.Set(o.Total().Milliseconds())
 }
 
 // Vars returns the controller's counters. The process publishes the map under the
@@ -29,6 +53,12 @@
 		"confirms_waited":    &c.metrics.confirmsWaited,
 		"primary_waits":      &c.metrics.primaryWaits,
 		"failures_reported":  &c.metrics.failuresReported,
+		"promotions":         &c.metrics.promotions,
+		"planned_moves":      &c.metrics.plannedMoves,
+		"detection_ms_total": &c.metrics.detectionTotal,
+		"gap_ms_total":       &c.metrics.gapTotal,
+		"detection_ms_last":  &c.metrics.detectionLast,
+		"gap_ms_last":        &c.metrics.gapLast,
 	} {
 		m.Set(name, v)
 	}
--- /dev/null
+++ b/internal/controller/groups/object.go
@@ -0,0 +1,163 @@
+package groupcontroller
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/promotion"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/peer"
+	"github.com/rosemarywall/rosemarywall/internal/platform"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+// Kinds of messages between VMs.
+const (
+	kindQuestion peer.Kind = "group-question"
+	kindAnswer   peer.Kind = "group-answer"
+	kindRecord   peer.Kind = "group-record"
+)
+
+// listInterval is the pause between attempts to list the group objects at start.
+const listInterval = 500 * time.Millisecond
+
+// recordMessage tells another VM a group's object.
+type recordMessage struct {
+	Group   ident.GroupName  `cbor:"1,keyasint"`
+	Version platform.Version `cbor:"2,keyasint"`
+	Record  promotion.Record `cbor:"3,keyasint"`
+}
+
+func (p *promoter) get(ctx context.Context) {
+	object, err := p.group.controller.options.Platform.Get(ctx, platform.KindGroup, string(p.group.name))
+	ok := err == nil
+	if resultcode.Is(err, resultcode.PlatformNotFound) {
+		object, ok = platform.Object{}, true
+	}
+	record, decoded := decodeRecord(object)
+	p.drive(func(m *promotion.Machine, now time.Duration) {
+		m.GetDone(now, ok && (decoded || object.Version == 0), object.Version, record)
+	})
+}
+
+func (p *promoter) put(ctx context.Context, a promotion.Put) {
+	object, err := p.group.controller.options.Platform.Put(ctx, platform.KindGroup, string(p.group.name), a.Record, a.IfVersion)
+	outcome, record := promotion.PutLost, promotion.Record{}
+	switch {
+	case err == nil:
+		outcome, record = promotion.PutAccepted, a.Record
+	case resultcode.Is(err, resultcode.PlatformConflict):
+		if r, ok := decodeRecord(object); ok {
+			outcome, record = promotion.PutConflict, r
+		}
+	}
+	p.drive(func(m *promotion.Machine, now time.Duration) {
+		m.PutDone(now, a.Record.Writer, outcome, object.Version, record)
+	})
+}
+
+func decodeRecord(object platform.Object) (promotion.Record, bool) {
+	var record promotion.Record
+	err := json.Unmarshal(object.Value, &record)
+	return record, err == nil && record.Term > 0
+}
+
+// Observe takes a group object from the platform's watch and passes it on to the
+// VMs of this zone. Only the zone's watchers call it.
+func (c *Controller) Observe(object platform.Object) {
+	record, ok := decodeRecord(object)
+	if object.Kind != platform.KindGroup || !ok {
+		return
+	}
+	message := recordMessage{Group: ident.GroupName(object.Name), Version: object.Version, Record: record}
+	c.takeRecord(message)
+	for _, vm := range c.options.Mesh.Members() {
+		if vm.Zone == c.self.Zone {
+			c.send(vm, kindRecord, message)
+		}
+	}
+}
+
+func (c *Controller) takeRecord(message recordMessage) {
+	if g := c.group(message.Group); g != nil {
+		g.promoter.drive(func(m *promotion.Machine, now time.Duration) {
+			m.Object(now, message.Version, message.Record)
+		})
+	}
+}
+
+// list reads all group objects once, because a watch shows only later changes.
+func (c *Controller) list(ctx context.Context) {
+	for ctx.Err() == nil {
+		changes, err := c.options.Platform.List(ctx, platform.KindGroup)
+		if err == nil {
+			for _, object := range changes.Objects {
+				if record, ok := decodeRecord(object); ok {
+					c.takeRecord(recordMessage{Group: ident.GroupName(object.Name), Version: object.Version, Record: record})
+				}
+			}
+			return
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(listInterval):
+		}
+	}
+}
+
+// tell sends a message of the machine to other VMs.
+func (p *promoter) tell(action any) {
+	c := p.group.controller
+	for _, vm := range c.options.Mesh.Members() {
+		switch a := action.(type) {
+		case promotion.Ask:
+			if vm.Name == a.To {
+				c.send(vm, kindQuestion, a.Question)
+			}
+		case promotion.Reply:
+			if vm.Name == a.To {
+				c.send(vm, kindAnswer, a.Answer)
+			}
+		case promotion.Announce:
+			c.send(vm, kindRecord, recordMessage{Group: p.group.name, Version: a.Version, Record: a.Record})
+		}
+	}
+}
+
+// send queues a message; a message that is not sent counts as lost.
+func (c *Controller) send(to peer.Member, kind peer.Kind, body any) {
+	if to.Name != c.self.Name && to.State != peer.Dead {
+		_ = c.options.Mesh.Send(c.ctx, to.Name, kind, body)
+	}
+}
+
+// handleMessages registers the receivers with the mesh.
+func (c *Controller) handleMessages() {
+	c.options.Mesh.Handle(kindRecord, func(_ peer.Member, body cbor.RawMessage) {
+		var message recordMessage
+		if cbor.Unmarshal(body, &message) == nil {
+			c.takeRecord(message)
+		}
+	})
+	c.options.Mesh.Handle(kindQuestion, func(from peer.Member, body cbor.RawMessage) {
+		var q promotion.Question
+		if cbor.Unmarshal(body, &q) == nil {
+			c.toMachine(q.Group, func(m *promotion.Machine, now time.Duration) { m.Question(now, from.Name, q) })
+		}
+	})
+	c.options.Mesh.Handle(kindAnswer, func(from peer.Member, body cbor.RawMessage) {
+		var a promotion.Answer
+		if cbor.Unmarshal(body, &a) == nil {
+			c.toMachine(a.Question.Group, func(m *promotion.Machine, now time.Duration) { m.Answer(now, from.Name, a) })
+		}
+	})
+}
+
+func (c *Controller) toMachine(name ident.GroupName, event func(*promotion.Machine, time.Duration)) {
+	if g := c.group(name); g != nil {
+		g.promoter.drive(event)
+	}
+}
--- a/internal/controller/groups/options.go
+++ b/internal/controller/groups/options.go
@@ -1,12 +1,14 @@
 package groupcontroller
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
 	"github.com/rosemarywall/rosemarywall/internal/core/routing"
 	"github.com/rosemarywall/rosemarywall/internal/group"
@@ -45,7 +47,7 @@
 	// Outstanding gives the requests that this VM runs on an upstream; nil counts
 	// none, and equal replicas then take turns.
 	Outstanding routing.Outstanding
-	// Now is the time since process start; nil uses the system's clocks.
+	// Now is the time since process start; nil uses a new clock.Clock.
 	Now func() time.Duration
 	// ReadWait is how long a read waits for a replica; zero means DefaultReadWait.
 	ReadWait time.Duration
@@ -66,7 +68,12 @@
 	configuring sync.Mutex
 	started     bool
 	stopped     bool
-	running     sync.WaitGroup
+	ctx         context.Context
+	cancel      context.CancelFunc
+
+	spawning sync.Mutex // orders spawn and Stop
+	closed   bool
+	running  sync.WaitGroup
 }
 
 var _ request.Router = (*Controller)(nil)
@@ -75,7 +82,7 @@
 // be called before the mesh starts.
 func New(options Options) *Controller {
 	if options.Now == nil {
-		options.Now = elapsed(time.Now())
+		options.Now = clock.New().Now
 	}
 	if options.ReadWait == 0 {
 		options.ReadWait = DefaultReadWait
@@ -83,20 +90,12 @@
 	c := &Controller{options: options, self: options.Mesh.Self()}
 	c.groups.Store(&map[ident.GroupName]*groupState{})
 	c.place.Store(&routing.Place{Zone: c.self.Zone})
+	c.ctx, c.cancel = context.WithCancel(context.Background())
 	options.Mesh.OnChange(c.meshChanged)
+	c.handleMessages()
 	return c
 }
 
-// elapsed returns the larger of the monotonic and the wall time since start, so
-// that a suspended VM does not assume that no time passed.
-func elapsed(start time.Time) func() time.Duration {
-	wall := start.Round(0)
-	return func() time.Duration {
-		now := time.Now()
-		return max(now.Sub(start), now.Round(0).Sub(wall))
-	}
-}
-
 // Start begins to follow the groups of the configuration.
 func (c *Controller) Start() {
 	c.meshChanged(c.options.Mesh.Members())
@@ -105,6 +104,16 @@
 	c.started = true
 	c.configuring.Unlock()
 	c.configure(c.options.Configuration.Current())
+	c.spawn(func() { c.list(c.ctx) })
+}
+
+// spawn runs a function that Stop waits for; after Stop it runs nothing.
+func (c *Controller) spawn(run func()) {
+	c.spawning.Lock()
+	defer c.spawning.Unlock()
+	if !c.closed {
+		c.running.Go(run)
+	}
 }
 
 // Stop ends all streams and waits for them.
@@ -115,6 +124,10 @@
 		g.stop()
 	}
 	c.configuring.Unlock()
+	c.cancel()
+	c.spawning.Lock()
+	c.closed = true
+	c.spawning.Unlock()
 	c.running.Wait()
 }
 
@@ -126,6 +139,9 @@
 		}
 	}
 	c.live.Store(int64(max(1, live)))
+	for _, g := range *c.groups.Load() {
+		g.promoter.configure(g.view.Load().Members, members)
+	}
 }
 
 // configure applies a configuration: new groups are followed, removed ones are
@@ -144,6 +160,7 @@
 		g, ok := old[name]
 		if !ok {
 			g = newGroup(c, name, members)
+			c.spawn(g.promoter.run)
 		}
 		g.configure(members)
 		next[name] = g
--- /dev/null
+++ b/internal/controller/groups/promote.go
@@ -0,0 +1,179 @@
+package groupcontroller
+
+import (
+	"context"
+	"math/rand/v2"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/promotion"
+	"github.com/rosemarywall/rosemarywall/internal/core/routing"
+	"github.com/rosemarywall/rosemarywall/internal/group"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/peer"
+)
+
+// Time bounds of the promotion's calls and ticks.
+const (
+	callTimeout  = time.Second
+	busyInterval = 20 * time.Millisecond
+	idleInterval = 200 * time.Millisecond
+)
+
+// promoter runs the promotion machine of one group. Its lock is taken before the
+// group's lock, never after.
+type promoter struct {
+	group   *groupState
+	mu      sync.Mutex
+	machine *promotion.Machine
+	last    *promotion.Outcome
+	// handingOver is true while a handover call is unanswered; the call waits for
+	// running transactions, so it is not repeated meanwhile.
+	handingOver bool
+}
+
+func newPromoter(g *groupState, seed uint64) *promoter {
+	self := g.controller.self
+	life := string(self.Name) + "." + strconv.FormatUint(uint64(self.Incarnation), 10)
+	random := rand.New(rand.NewPCG(seed, uint64(self.Incarnation)))
+	vm := promotion.VM{Name: self.Name, Zone: self.Zone}
+	return &promoter{group: g, machine: promotion.New(g.name, vm, life, random)}
+}
+
+// drive passes an event to the machine and carries out the resulting actions.
+func (p *promoter) drive(event func(m *promotion.Machine, now time.Duration)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	event(p.machine, p.group.controller.options.Now())
+	p.publish()
+	for _, action := range p.machine.Take() {
+		p.carryOut(action)
+	}
+	for _, outcome := range p.machine.Outcomes() {
+		p.last = &outcome
+		p.group.controller.metrics.changed(outcome)
+		p.group.controller.options.Log.Info().Str("group", string(p.group.name)).
+			Uint64("term", uint64(outcome.Term)).Str("primary", string(outcome.Primary)).
+			Str("reason", outcome.Reason).Dur("detection_ms", outcome.Detection).Dur("gap_ms", outcome.Total()).
+			Msg("primary changed")
+	}
+}
+
+// publish copies the record into the view of the data plane.
+func (p *promoter) publish() {
+	r := p.machine.Record()
+	record := routing.Record{Term: r.Term, Serving: r.State != promotion.Fencing, Primary: r.Primary}
+	held := p.machine.Holding()
+	if v := p.group.view.Load(); v.Record == record && v.Held == held {
+		return
+	}
+	p.group.update(func(v *routing.View) *routing.View { return v.WithRecord(record).WithHeld(held) })
+}
+
+// configure passes the members and the live VMs to the machine.
+func (p *promoter) configure(members []routing.Member, mesh []peer.Member) {
+	list := make([]promotion.Member, 0, len(members))
+	for _, m := range members {
+		list = append(list, promotion.Member{Upstream: m.Upstream, Zone: m.Zone, Region: m.Region, Usable: m.Usable})
+	}
+	var vms []promotion.VM
+	for _, vm := range mesh {
+		if vm.State == peer.Alive || vm.State == peer.Suspect {
+			vms = append(vms, promotion.VM{Name: vm.Name, Zone: vm.Zone})
+		}
+	}
+	p.drive(func(m *promotion.Machine, now time.Duration) { m.Configure(now, list, vms) })
+}
+
+// run lets time pass until the group is left.
+func (p *promoter) run() {
+	for {
+		p.mu.Lock()
+		interval := idleInterval
+		if p.machine.Busy() {
+			interval = busyInterval
+		}
+		p.mu.Unlock()
+		select {
+		case <-p.group.ctx.Done():
+			return
+		case <-time.After(interval):
+			p.drive((*promotion.Machine).Tick)
+		}
+	}
+}
+
+func (p *promoter) status(status group.Status) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.machine.Status(p.group.controller.options.Now(), status)
+}
+
+func (p *promoter) refused(name ident.UpstreamName) {
+	p.drive(func(m *promotion.Machine, now time.Duration) { m.Refused(now, name) })
+}
+
+// carryOut performs one action; calls run in their own goroutine. It is called
+// with the promoter's lock held.
+func (p *promoter) carryOut(action any) {
+	switch a := action.(type) {
+	case promotion.Get:
+		p.spawn(callTimeout, p.get)
+	case promotion.Put:
+		p.spawn(callTimeout, func(ctx context.Context) { p.put(ctx, a) })
+	case promotion.Fence:
+		p.call(a.Upstream, callTimeout, func(ctx context.Context, agent group.Agent) (group.Status, error) {
+			return agent.Fence(ctx, a.Term, a.Proposer)
+		}, func(m *promotion.Machine, now time.Duration, r promotion.Result) { m.Fenced(now, a, r) })
+	case promotion.Promote:
+		p.call(a.Upstream, callTimeout, func(ctx context.Context, agent group.Agent) (group.Status, error) {
+			return agent.Promote(ctx, a.Term, a.Proposer)
+		}, func(m *promotion.Machine, now time.Duration, r promotion.Result) { m.Promoted(now, a, r) })
+	case promotion.Handover:
+		p.handover(a)
+	case promotion.Follow:
+		p.call(a.Upstream, callTimeout, func(ctx context.Context, agent group.Agent) (group.Status, error) {
+			return agent.Follow(ctx, a.Term, a.Primary, p.group.agentAddress(a.Primary))
+		}, func(*promotion.Machine, time.Duration, promotion.Result) {})
+	default: // the mesh may hold its own lock while it reports a change
+		p.group.controller.spawn(func() { p.tell(action) })
+	}
+}
+
+func (p *promoter) handover(a promotion.Handover) {
+	if p.handingOver {
+		return
+	}
+	p.handingOver = true
+	p.call(a.Upstream, promotion.HandoverTimeout, func(ctx context.Context, agent group.Agent) (group.Status, error) {
+		return agent.Handover(ctx, a.Term)
+	}, func(m *promotion.Machine, now time.Duration, r promotion.Result) {
+		p.handingOver = false
+		m.HandedOver(now, a, r)
+	})
+}
+
+// call runs a call to a member agent and passes its result to the machine.
+func (p *promoter) call(
+	upstream ident.UpstreamName, timeout time.Duration,
+	run func(context.Context, group.Agent) (group.Status, error),
+	done func(*promotion.Machine, time.Duration, promotion.Result),
+) {
+	p.spawn(timeout, func(ctx context.Context) {
+		var result promotion.Result
+		if agent := p.group.agent(upstream); agent != nil {
+			status, err := run(ctx, agent)
+			result = promotion.Result{OK: err == nil && status.Upstream == upstream, Status: status}
+		}
+		p.drive(func(m *promotion.Machine, now time.Duration) { done(m, now, result) })
+	})
+}
+
+func (p *promoter) spawn(timeout time.Duration, run func(context.Context)) {
+	p.group.controller.spawn(func() {
+		ctx, cancel := context.WithTimeout(p.group.ctx, timeout)
+		defer cancel()
+		run(ctx)
+	})
+}
--- a/internal/controller/groups/router.go
+++ b/internal/controller/groups/router.go
@@ -204,4 +204,7 @@
 	}
 	c.metrics.failuresReported.Add(1)
 	g.updateMember(target.Upstream, (*routing.View).WithFailure)
+	if refused(err) {
+		g.promoter.refused(target.Upstream)
+	}
 }
--- a/internal/controller/groups/stream.go
+++ b/internal/controller/groups/stream.go
@@ -30,17 +30,20 @@
 	s := &stream{group: g, name: m.Upstream, address: m.Agent}
 	s.agent = g.controller.options.NewAgent(g.name, m.Upstream, m.Agent)
 	s.ctx, s.cancel = context.WithCancel(g.ctx)
-	g.controller.running.Go(s.run)
+	g.controller.spawn(s.run)
 	return s
 }
 
 func (s *stream) run() {
 	for s.ctx.Err() == nil {
-		err := s.follow()
+		lines, err := s.follow()
 		if s.ctx.Err() != nil {
 			return
 		}
 		s.broken(err)
+		if lines > 0 { // tells at once whether the process is gone
+			continue
+		}
 		select {
 		case <-s.ctx.Done():
 		case <-time.After(ReconnectDelay):
@@ -49,13 +52,13 @@
 }
 
 // follow reads one stream until it breaks or pauses for longer than StreamGap.
-func (s *stream) follow() error {
+func (s *stream) follow() (lines int, err error) {
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	defer cancel(nil)
 	s.last.Store(int64(s.group.controller.options.Now()))
 	watchdog := time.AfterFunc(StreamGap, func() { cancel(errSilent) })
 	defer watchdog.Stop()
-	err := s.agent.Stream(ctx, func(status group.Status) {
+	err = s.agent.Stream(ctx, func(status group.Status) {
 		now := s.group.controller.options.Now()
 		if gap := now - time.Duration(s.last.Swap(int64(now))); gap > StreamGap {
 			cancel(errSilent)
@@ -63,16 +66,17 @@
 		if ctx.Err() != nil {
 			return
 		}
+		lines++
 		watchdog.Reset(StreamGap)
 		s.received(status, now)
 	})
 	if cause := context.Cause(ctx); cause != nil {
-		return cause
+		return lines, cause
 	}
 	if err == nil {
 		err = io.EOF
 	}
-	return err
+	return lines, err
 }
 
 var errSilent = errors.New("member agent stream is silent")
@@ -84,11 +88,13 @@
 	s.group.updateMember(s.name, func(v *routing.View, i int) *routing.View {
 		return v.WithStatus(i, status, now)
 	})
+	s.group.promoter.status(status)
 }
 
 func (s *stream) broken(err error) {
 	if refused(err) {
 		s.group.updateMember(s.name, (*routing.View).WithFailure)
+		s.group.promoter.refused(s.name)
 	}
 }
 
--- a/internal/core/promotion/trace.go
+++ b/internal/core/promotion/trace.go
@@ -68,3 +68,6 @@
 	m.trace.outcomes = nil
 	return done
 }
+
+// Record returns the group's object as far as this VM knows.
+func (m *Machine) Record() Record { return m.record }
--- a/internal/core/routing/view.go
+++ b/internal/core/routing/view.go
@@ -108,7 +108,7 @@
 // back: one of a lower term, or a fencing one after a serving one of the same
 // term, is ignored.
 func (v *View) WithRecord(record Record) *View {
-	if record.Term < v.Record.Term || record.Term == v.Record.Term && v.Record.Serving {
+	if record == v.Record || record.Term < v.Record.Term || record.Term == v.Record.Term && v.Record.Serving {
 		return v
 	}
 	next := v.clone()
