--- /dev/null
+++ b/internal/entry/parts.go
@@ -0,0 +1,152 @@
+package entry
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/admin"
+	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
+	"github.com/rosemarywall/rosemarywall/internal/frontend"
+	"github.com/rosemarywall/rosemarywall/internal/group"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/peer"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+// agentIdleTimeout is how long an unused connection to a member agent is kept.
+const agentIdleTimeout = time.Minute
+
+func listen(section string, address netip.AddrPort) (net.Listener, error) {
+	l, err := net.Listen("tcp", address.String())
+	if err != nil {
+		return nil, resultcode.Wrap(err, resultcode.SettingsInvalid, "cannot listen on the address of section %s", section)
+	}
+	return l, nil
+}
+
+func (v *VM) newMesh() (*peer.Network, error) {
+	s := v.cfg.Settings
+	address := s.Peers.Listen
+	var listener net.Listener
+	if s.Peers.Advertise.IsValid() && s.Peers.Advertise != s.Peers.Listen {
+		l, err := listen("peers", s.Peers.Listen)
+		if err != nil {
+			return nil, err
+		}
+		listener, address = l, s.Peers.Advertise
+	}
+	cfg := peer.Config{
+		Self:        peer.Member{Name: s.VM.Name, Incarnation: v.cfg.Incarnation, Zone: s.VM.Zone, Address: address.String()},
+		Credentials: v.cfg.PeerCredentials, Seed: uint64(v.cfg.Incarnation), Listener: listener, Links: v.cfg.Links,
+		OnRefused: func(err error) { v.log.Warn().Err(err).Msg("peer refused") },
+	}
+	if cfg.Credentials == nil && !v.cfg.PlainPeers {
+		cfg.Credentials = &peer.FileCredentials{
+			CertificateFile: s.Peers.TLSCertificate, KeyFile: s.Peers.TLSKey, AuthorityFile: s.Peers.TLSAuthority,
+			OnError: func(err error) { v.log.Error().Err(err).Msg("peer certificate not reloaded") },
+		}
+	}
+	for _, seed := range s.Peers.Seeds {
+		cfg.Seeds = append(cfg.Seeds, seed.String())
+	}
+	return peer.New(cfg)
+}
+
+// dialer opens connections to upstreams and agents.
+func (v *VM) dialer() *net.Dialer {
+	d := &net.Dialer{Timeout: v.cfg.Settings.Upstreams.ConnectTimeout}
+	if v.cfg.SourceAddress != "" {
+		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(v.cfg.SourceAddress)}
+	}
+	return d
+}
+
+func (v *VM) newAgent(_ ident.GroupName, _ ident.UpstreamName, address string) group.Agent {
+	transport := &http.Transport{DialContext: v.dialer().DialContext, IdleConnTimeout: agentIdleTimeout, MaxIdleConnsPerHost: 4}
+	return group.NewHTTP(address, group.WithZone(v.cfg.Settings.VM.Zone), group.WithTransport(transport))
+}
+
+// upstreamTLS returns the TLS configuration of connections to upstreams; nil
+// without an authority.
+func (v *VM) upstreamTLS() (func() *tls.Config, error) {
+	file := v.cfg.Settings.Upstreams.TLSAuthority
+	if file == "" {
+		return nil, nil
+	}
+	if _, err := loadAuthority(file); err != nil {
+		return nil, err
+	}
+	return func() *tls.Config {
+		pool, err := loadAuthority(file)
+		if err != nil {
+			v.log.Error().Err(err).Msg("upstream authority not loaded")
+			pool = x509.NewCertPool() // trusts nobody
+		}
+		return &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	}, nil
+}
+
+func loadAuthority(file string) (*x509.CertPool, error) {
+	pem, err := os.ReadFile(file)
+	if err != nil {
+		return nil, resultcode.Wrap(err, resultcode.SettingsTLS, "cannot read authority %s", file)
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(pem) {
+		return nil, resultcode.New(resultcode.SettingsTLS, "no certificate in authority %s", file)
+	}
+	return pool, nil
+}
+
+func (v *VM) newFrontend() error {
+	s := v.cfg.Settings
+	callerTLS, err := v.callerTLS()
+	if err != nil {
+		return err
+	}
+	v.callers = frontend.NewServer(frontend.Config{
+		Authoriser: v.configs, Limiter: v.shares, Router: v.groups, Pools: v.pools,
+		TLS: callerTLS, RequireTLS: s.Callers.TLSRequired, MaxCallers: s.Callers.MaxCallers,
+		MaxMessage: s.Callers.MaxMessageBytes, QueueTimeout: s.Callers.QueueDeadline,
+		ConfirmTimeout: s.Upstreams.ConfirmDeadline, Now: v.clock.Now, Logger: v.log,
+	})
+	v.configs.OnChange(v.applyConfiguration)
+	return nil
+}
+
+// applyConfiguration disconnects callers when their zone leaves, and closes idle
+// connections to leaving upstreams.
+func (v *VM) applyConfiguration(c *configuration.Configuration) {
+	if c.Zones[v.cfg.Settings.VM.Zone].State == configuration.ZoneOut {
+		v.callers.Shed()
+	}
+	for name, database := range c.Databases {
+		for upstream, u := range database.Upstreams {
+			leaving := u.State == configuration.UpstreamLeaving || c.Zones[u.Zone].State == configuration.ZoneOut
+			v.pools.SetLeaving(name, upstream, leaving)
+		}
+	}
+}
+
+func (v *VM) newAdmin() {
+	v.admin = admin.New(v.ready)
+	v.admin.Handle("/v1/", v.configs.Handler())
+	v.admin.AddDump("callers", v.callers.Dump)
+	v.admin.AddDump("mesh", func() any { return v.mesh.Dump() })
+	v.admin.AddDump("configuration", v.configs.Dump)
+	v.admin.AddDump("shares", func() any { return v.shares.Dump() })
+	v.admin.AddDump("groups", func() any { return v.groups.Dump() })
+	v.admin.AddDump("platform_calls", func() any { return rawJSON(v.platform.Calls().String()) })
+}
+
+func (v *VM) ready() (bool, string) {
+	if v.draining.Load() {
+		return false, "draining"
+	}
+	return v.configs.Ready()
+}
