Add the rate escrow and its controller

No single VM may decide on an organisation's rate, and no message may add tokens. internal/core/shares divides rates by leased parts and moves tokens by transfers; internal/controller/shares connects it with mesh and platform and implements request.Limiter.

go test -race -count=5 on the controller passes. In its test three VMs in two zones serve 900 of 1000 requests a second on one VM for 5 s without a refusal.

--- /dev/null
+++ b/internal/controller/shares/controller.go
@@ -0,0 +1,127 @@
+package sharecontroller
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarywall/rosemarywall/internal/clock"
+	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
+	"github.com/rosemarywall/rosemarywall/internal/core/shares"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/peer"
+	"github.com/rosemarywall/rosemarywall/internal/platform"
+	"github.com/rosemarywall/rosemarywall/internal/request"
+)
+
+// tickEvery is the time between steps of the core. It is short against the
+// horizon for which buckets hold tokens.
+const tickEvery = 20 * time.Millisecond
+
+// Config connects a Controller.
+type Config struct {
+	Mesh     peer.Mesh
+	Platform platform.Client
+	Source   request.ConfigurationSource
+	Log      zerolog.Logger
+	// Seed starts the random choices.
+	Seed uint64
+}
+
+// Controller implements request.Limiter.
+type Controller struct {
+	cfg      Config
+	self     peer.Member
+	clock    *clock.Clock
+	node     *shares.Node
+	counters counters
+	waiters  sync.Map // ident.OrganisationName to *waiters
+	reads    chan struct{}
+	writes   chan shares.Write
+
+	mu        sync.Mutex // guards the fields below
+	tables    map[ident.AvailabilityZone]knownTable
+	asked     map[ident.AvailabilityZone]time.Duration // requests for tables in flight
+	observers []func()
+}
+
+var _ request.Limiter = (*Controller)(nil)
+
+// New prepares a controller and registers its messages with the mesh, which must
+func New(cfg Config) *Controller {
+	self := cfg.Mesh.Self()
+	c := &Controller{
+		cfg: cfg, self: self, clock: clock.New(),
+		reads: make(chan struct{}, 1), writes: make(chan shares.Write, 1),
+		tables: map[ident.AvailabilityZone]knownTable{},
+		asked:  map[ident.AvailabilityZone]time.Duration{},
+	}
+	c.node = shares.NewNode(c.clock.Now(), self, rand.New(rand.NewPCG(cfg.Seed, uint64(self.Incarnation))))
+	c.register()
+	return c
+}
+
+func (c *Controller) Run(ctx context.Context) {
+	c.node.SetConfiguration(c.clock.Now(), c.cfg.Source.Current())
+	c.cfg.Source.OnChange(func(current *configuration.Configuration) {
+		c.node.SetConfiguration(c.clock.Now(), current)
+	})
+	c.cfg.Mesh.OnChange(func(members []peer.Member) { c.node.SetMembers(c.clock.Now(), members) })
+	c.node.SetMembers(c.clock.Now(), c.cfg.Mesh.Members())
+	var wg sync.WaitGroup
+	for _, loop := range []func(context.Context){c.serveReads, c.serveWrites, c.watch} {
+		wg.Go(func() { loop(ctx) })
+	}
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		c.tick(ctx)
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+	wg.Wait()
+}
+
+// tick runs the core and carries out its actions.
+func (c *Controller) tick(ctx context.Context) {
+	actions, asks := c.node.Tick(c.clock.Now())
+	if actions.Read {
+		select {
+		case c.reads <- struct{}{}:
+		default:
+		}
+	}
+	if actions.Write != nil {
+		select {
+		case c.writes <- *actions.Write:
+		default: // a write is in progress; the core repeats it
+		}
+	}
+	if actions.Ask != nil {
+		c.counters.leaseRequests.Add(1)
+		c.send(ctx, actions.To, kindLease, actions.Ask)
+	}
+	c.sendAsks(ctx, asks)
+}
+
+// Leave hands this VM's parts to another one. It returns when that is done or
+// ctx ends; requests are refused meanwhile.
+func (c *Controller) Leave(ctx context.Context) error {
+	c.node.WithLedger(c.clock.Now(), func(l *shares.Ledger) { l.Leave(c.clock.Now()) })
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for left := false; !left; {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+		c.node.WithLedger(c.clock.Now(), func(l *shares.Ledger) { left = l.Left() })
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/controller/shares/controller_test.go
@@ -0,0 +1,135 @@
+package sharecontroller
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
+	"github.com/rosemarywall/rosemarywall/internal/core/shares"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/peer"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+// load sends requests of acme to one VM at a steady rate and counts refusals.
+func load(t *testing.T, c *Controller, perSecond int, d time.Duration) int {
+	pause := time.Second / time.Duration(perSecond)
+	var refused atomic.Int64
+	var wg sync.WaitGroup
+	for range int(d / pause) {
+		time.Sleep(pause)
+		wg.Go(func() {
+			if err := c.Take(context.Background(), "acme", 1); err != nil {
+				assert.Check(t, resultcode.Is(err, resultcode.RateExceeded), "%v", err)
+				refused.Add(1)
+			}
+		})
+	}
+	wg.Wait()
+	return int(refused.Load())
+}
+
+// Guards against parts that are not handed to new VMs, tokens that a busy VM
+// cannot get from idle ones, a rate that is exceeded, and parts that are lost when
+// VMs leave or die.
+func TestFleetSharesOneRate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.stopAll()
+		w.start("vm-1", "a")
+		busy := w.start("vm-2", "a")
+		w.start("vm-3", "b")
+		time.Sleep(20 * time.Second)
+		assert.DeepEqual(t, w.parts("a"), map[ident.VMName]uint32{"vm-1": shares.TotalParts / 2, "vm-2": shares.TotalParts / 2})
+		assert.Equal(t, w.parts("b")["vm-3"], uint32(shares.TotalParts))
+		assert.Equal(t, load(t, busy, 900, 5*time.Second), 0)
+		admitted := 10000 - load(t, busy, 2000, 5*time.Second)
+		assert.Assert(t, admitted >= 4500 && admitted <= 6000+50, "admitted %d", admitted)
+		assert.ErrorContains(t, busy.Take(context.Background(), "other", 1), "RW1008")
+
+		assert.NilError(t, busy.Leave(context.Background()))
+		w.network.set("vm-2", peer.Leaving)
+		assert.DeepEqual(t, w.parts("a"), map[ident.VMName]uint32{"vm-1": shares.TotalParts})
+		w.stops["vm-3"]()
+		w.network.set("vm-3", peer.Dead)
+		w.start("vm-4", "b")
+		time.Sleep(shares.Lease + shares.Guard + 8*time.Second)
+		assert.DeepEqual(t, w.parts("b"), map[ident.VMName]uint32{"vm-4": shares.TotalParts})
+		assert.Equal(t, load(t, w.controllers["vm-1"], 900, 3*time.Second), 0)
+	})
+}
+
+// Guards against a write that is taken for failed, or repeated with an effect,
+// when its answer is lost.
+func TestLostAnswersAreReadBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.stopAll()
+		w.platform.loseAnswers = 5
+		first, second := w.start("vm-1", "a"), w.start("vm-2", "a")
+		time.Sleep(20 * time.Second)
+		assert.DeepEqual(t, w.parts("a"), map[ident.VMName]uint32{"vm-1": shares.TotalParts / 2, "vm-2": shares.TotalParts / 2})
+		assert.Assert(t, first.counters.tableUnknown.Value()+second.counters.tableUnknown.Value() > 0)
+		assert.Equal(t, first.Dump().Table.Rows[0].Parts, uint32(shares.TotalParts/2))
+	})
+}
+
+// Guards against a platform outage that stops service, and against tables that do
+// not reach VMs that cannot watch the platform.
+func TestOutageStopsNoService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.stopAll()
+		w.start("vm-1", "a")
+		w.start("vm-2", "a")
+		time.Sleep(20 * time.Second)
+		w.platform.mu.Lock()
+		w.platform.down = true
+		w.platform.mu.Unlock()
+		time.Sleep(time.Minute)
+		assert.Equal(t, load(t, w.controllers["vm-2"], 400, 5*time.Second), 0)
+		late := w.start("vm-3", "b")
+		assert.Equal(t, len(late.Tables()), 0)
+		late.receiveVersions(w.network.meshes["vm-1"].self, w.controllers["vm-1"].versions())
+		time.Sleep(time.Second)
+		assert.Equal(t, len(late.Tables()["a"].Rows), 2)
+		assert.Assert(t, load(t, late, 100, 5*time.Second) <= 10)
+	})
+}
+
+// Guards against a zone out of service that keeps tokens for a demand that it does
+// not serve.
+func TestZoneOutLendsAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		defer w.stopAll()
+		out := w.start("vm-1", "a")
+		busy := w.start("vm-3", "b")
+		time.Sleep(10 * time.Second)
+		w.source.set(testConfiguration(2, configuration.ZoneOut))
+		time.Sleep(shares.Freshness + shares.Guard + time.Second)
+		stop := make(chan struct{})
+		go func() {
+			// A demand that would make the VM keep its tokens.
+			for {
+				select {
+				case <-stop:
+					return
+				case <-time.After(time.Millisecond):
+					b, _ := out.node.Bucket("acme")
+					b.Attempt(out.clock.Now(), 1)
+				}
+			}
+		}()
+		refused := load(t, busy, 900, 5*time.Second)
+		close(stop)
+		assert.Assert(t, refused <= 4, "refused %d", refused)
+		assert.Assert(t, out.Dump().ZoneOut)
+	})
+}
--- /dev/null
+++ b/internal/controller/shares/fake_test.go
@@ -0,0 +1,266 @@
+package sharecontroller
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"gotest.tools/v3/assert"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/peer"
+	"github.com/rosemarywall/rosemarywall/internal/platform"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+// fakePlatform stores objects in memory.
+type fakePlatform struct {
+	mu      sync.Mutex
+	version platform.Version
+	objects map[string]platform.Object
+	down    bool
+	// loseAnswers is the number of updates that are stored without an answer.
+	loseAnswers int
+}
+
+func (f *fakePlatform) Get(_ context.Context, _ platform.Kind, name string) (platform.Object, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return platform.Object{}, resultcode.New(resultcode.PlatformDown, "down")
+	}
+	o, ok := f.objects[name]
+	if !ok {
+		return o, resultcode.New(resultcode.PlatformNotFound, "no %s", name)
+	}
+	return o, nil
+}
+
+func (f *fakePlatform) List(context.Context, platform.Kind) (platform.Changes, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return platform.Changes{}, resultcode.New(resultcode.PlatformDown, "down")
+	}
+	c := platform.Changes{Version: f.version}
+	for _, o := range f.objects {
+		c.Objects = append(c.Objects, o)
+	}
+	return c, nil
+}
+
+func (f *fakePlatform) Put(_ context.Context, kind platform.Kind, name string, value any, ifVersion platform.Version) (platform.Object, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return platform.Object{}, resultcode.New(resultcode.PlatformDown, "down")
+	}
+	if o := f.objects[name]; o.Version != ifVersion {
+		return o, resultcode.New(resultcode.PlatformConflict, "version %d", o.Version)
+	}
+	raw, err := json.Marshal(value)
+	if err != nil {
+		return platform.Object{}, err
+	}
+	f.version++
+	f.objects[name] = platform.Object{Kind: kind, Name: name, Version: f.version, Value: raw}
+	if f.loseAnswers > 0 {
+		f.loseAnswers--
+		return platform.Object{}, resultcode.New(resultcode.PlatformDown, "answer lost")
+	}
+	return f.objects[name], nil
+}
+
+func (f *fakePlatform) Delete(context.Context, platform.Kind, string, platform.Version) error {
+	return resultcode.New(resultcode.PlatformBadRequest, "not used")
+}
+
+func (f *fakePlatform) Watch(ctx context.Context, _ []platform.Kind, after platform.Version, _ time.Duration) (platform.Changes, error) {
+	for ctx.Err() == nil {
+		if c, err := f.List(ctx, platform.KindShareTable); err != nil || c.Version > after {
+			return c, err
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	return platform.Changes{}, ctx.Err()
+}
+
+func (f *fakePlatform) VMs(context.Context) ([]platform.VM, error) { return nil, nil }
+
+// fakeNetwork connects fake meshes with a fixed delay.
+type fakeNetwork struct {
+	mu     sync.Mutex
+	meshes map[ident.VMName]*fakeMesh
+	delay  time.Duration
+}
+
+type fakeMesh struct {
+	network   *fakeNetwork
+	self      peer.Member
+	receivers map[peer.Kind]func(peer.Member, cbor.RawMessage)
+	changed   []func([]peer.Member)
+	versions  func(ident.VMName) []byte
+	receive   func(peer.Member, []byte)
+}
+
+func (m *fakeMesh) Self() peer.Member { return m.self }
+
+func (m *fakeMesh) Members() []peer.Member {
+	m.network.mu.Lock()
+	defer m.network.mu.Unlock()
+	var all []peer.Member
+	for _, other := range m.network.meshes {
+		all = append(all, other.self)
+	}
+	return all
+}
+
+func (m *fakeMesh) Send(_ context.Context, to ident.VMName, kind peer.Kind, body any) error {
+	m.network.mu.Lock()
+	defer m.network.mu.Unlock()
+	other, ok := m.network.meshes[to]
+	if !ok || other.self.State == peer.Dead {
+		return peer.ErrUnknownVM
+	}
+	raw, err := cbor.Marshal(body)
+	if err != nil {
+		return err
+	}
+	from := m.self
+	time.AfterFunc(m.network.delay, func() { other.receivers[kind](from, raw) })
+	return nil
+}
+
+func (m *fakeMesh) Handle(kind peer.Kind, receive func(peer.Member, cbor.RawMessage)) {
+	m.receivers[kind] = receive
+}
+
+func (m *fakeMesh) Piggyback(_ peer.Kind, provide func(ident.VMName) []byte, receive func(peer.Member, []byte)) {
+	m.versions, m.receive = provide, receive
+}
+
+func (m *fakeMesh) OnChange(changed func([]peer.Member)) {
+	m.network.mu.Lock()
+	defer m.network.mu.Unlock()
+	m.changed = append(m.changed, changed)
+}
+
+// set changes the state of a VM in every view.
+func (n *fakeNetwork) set(vm ident.VMName, state peer.State) {
+	n.mu.Lock()
+	n.meshes[vm].self.State = state
+	var observers []func([]peer.Member)
+	var any *fakeMesh
+	for _, m := range n.meshes {
+		observers = append(observers, m.changed...)
+		any = m
+	}
+	n.mu.Unlock()
+	for _, changed := range observers {
+		changed(any.Members())
+	}
+}
+
+// fakeSource gives configurations.
+type fakeSource struct {
+	mu        sync.Mutex
+	current   *configuration.Configuration
+	observers []func(*configuration.Configuration)
+}
+
+func (s *fakeSource) Current() *configuration.Configuration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current
+}
+
+func (s *fakeSource) OnChange(changed func(*configuration.Configuration)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.observers = append(s.observers, changed)
+}
+
+func (s *fakeSource) set(c *configuration.Configuration) {
+	s.mu.Lock()
+	s.current = c
+	observers := s.observers
+	s.mu.Unlock()
+	for _, changed := range observers {
+		changed(c)
+	}
+}
+
+func testConfiguration(version ident.ConfigurationVersion, state configuration.ZoneState) *configuration.Configuration {
+	return &configuration.Configuration{
+		Version:       version,
+		Organisations: map[ident.OrganisationName]configuration.Organisation{"acme": {Rate: 1000, Burst: 1000}},
+		Zones: map[ident.AvailabilityZone]configuration.Zone{
+			"a": {Weight: 1, State: state}, "b": {Weight: 1, State: configuration.ZoneIn},
+		},
+	}
+}
+
+// world is a set of controllers on virtual time.
+type world struct {
+	t           *testing.T
+	platform    *fakePlatform
+	network     *fakeNetwork
+	source      *fakeSource
+	controllers map[ident.VMName]*Controller
+	stops       map[ident.VMName]func()
+}
+
+func newWorld(t *testing.T) *world {
+	return &world{
+		t: t, platform: &fakePlatform{objects: map[string]platform.Object{}},
+		network:     &fakeNetwork{meshes: map[ident.VMName]*fakeMesh{}, delay: time.Millisecond},
+		source:      &fakeSource{current: testConfiguration(1, configuration.ZoneIn)},
+		controllers: map[ident.VMName]*Controller{}, stops: map[ident.VMName]func(){},
+	}
+}
+
+func (w *world) start(vm ident.VMName, zone ident.AvailabilityZone) *Controller {
+	m := &fakeMesh{
+		network: w.network, receivers: map[peer.Kind]func(peer.Member, cbor.RawMessage){},
+		self: peer.Member{Name: vm, Zone: zone, Incarnation: 1},
+	}
+	c := New(Config{Mesh: m, Platform: w.platform, Source: w.source, Seed: 3})
+	w.network.mu.Lock()
+	w.network.meshes[vm] = m
+	w.network.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); c.Run(ctx) }()
+	w.controllers[vm] = c
+	w.stops[vm] = func() { cancel(); <-done }
+	w.network.set(vm, peer.Alive)
+	return c
+}
+
+func (w *world) stopAll() {
+	for _, stop := range w.stops {
+		stop()
+	}
+}
+
+// parts returns the parts by VM that the platform holds for a zone.
+func (w *world) parts(zone string) map[ident.VMName]uint32 {
+	o, err := w.platform.Get(context.Background(), platform.KindShareTable, zone)
+	assert.NilError(w.t, err)
+	var table struct {
+		Rows []struct {
+			VM    ident.VMName
+			Parts uint32
+		}
+	}
+	assert.NilError(w.t, json.Unmarshal(o.Value, &table))
+	parts := map[ident.VMName]uint32{}
+	for _, r := range table.Rows {
+		parts[r.VM] += r.Parts
+	}
+	return parts
+}
--- /dev/null
+++ b/internal/core/shares/doc.go
@@ -0,0 +1,31 @@
+// Package shares divides the rate and burst of every organisation among the VMs
+// of the fleet, so that in any window w all VMs together admit at most
+// rate*w + burst.
+//
+// Parts. Each availability zone has a fixed part of every rate, given by its
+// weight. The zone's table divides it into 2^20 parts among VM incarnations. A
+// Bucket accrues tokens at rate x parts and holds at most burst x parts.
+//
+// Leases. A VM uses its parts only while its lessor, another VM of the zone that
+// the table names, has confirmed them within the last 10 s. The lessor removes a
+// VM from the table only after it has confirmed nothing for lease + guard, and
+// confirms only while its own lease lasts or after it has just read the table. A
+// VM that is alone in its zone has no lessor; it holds its lease by reading the
+// table. When a lease ends the VM's tokens are lost.
+//
+// Changes of the table are conditional updates. A VM gives parts away in two
+// steps: it lowers its own use, waits until every loan has ended, and writes the
+// table. While the result of a write is unknown the VM acts as if the write had
+// been stored wherever that is the careful choice, until the table has changed.
+//
+// Transfers. A bucket that falls below the demand of the next round trip asks
+// other VMs. The lender debits its bucket before it answers and holds its capacity
+// lowered until the loan has ended. The borrower credits an answer once, within
+// 500 ms of asking, and reports what it has spent or can no longer spend, so that
+// the lender's capacity recovers early.
+//
+// Invariants. Let T be the tokens of all buckets plus the borrowed tokens that can
+// still be spent. T never exceeds the burst and grows at most by the rate, so the
+// bound holds for every window. Lost, late, repeated and reordered messages only
+// lower T. A restarted VM has no tokens and no parts.
+package shares
--- /dev/null
+++ b/internal/core/shares/lease.go
@@ -0,0 +1,98 @@
+package shares
+
+import (
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+)
+
+// Tick does the work that is due at now.
+func (l *Ledger) Tick(now time.Duration) Actions {
+	var a Actions
+	l.renew(now, &a)
+	l.change(now, &a)
+	return a
+}
+
+// renew keeps this VM's lease.
+func (l *Ledger) renew(now time.Duration, a *Actions) {
+	if !l.loaded {
+		l.read(now, a)
+		return
+	}
+	if l.wantRead {
+		l.wantRead = false
+		l.read(now, a)
+	}
+	r, ok := l.own()
+	if !ok || now < l.nextAsk {
+		return
+	}
+	l.nextAsk = now + RenewEvery
+	lapsed := l.leaseUntil <= now
+	if lapsed {
+		l.nextAsk = now + RenewEvery/4
+	}
+	if r.Lessor == "" || lapsed {
+		// A lapsed VM reads the table because it may have changed, and so that it can
+		// confirm the parts of others whose leases have lapsed at the same time.
+		l.read(now, a)
+	}
+	if r.Lessor == "" {
+		return
+	}
+	l.lastAsk++
+	for id, old := range l.asks {
+		if now-old.at > Lease {
+			delete(l.asks, id)
+		}
+	}
+	l.asks[l.lastAsk] = leaseAsk{to: r.Lessor, at: now}
+	a.Ask, a.To = &LeaseRequest{ID: l.lastAsk, Version: l.version}, r.Lessor
+}
+
+// read asks for the table, at most once in half the time that a read is a proof.
+func (l *Ledger) read(now time.Duration, a *Actions) {
+	if now >= l.nextRead {
+		l.nextRead = now + readProof/2
+		a.Read = true
+	}
+}
+
+// ReceiveRequest decides on a lease request of a VM incarnation.
+func (l *Ledger) ReceiveRequest(now time.Duration, from ident.VMName, incarnation ident.Incarnation, q LeaseRequest) (LeaseGrant, bool) {
+	r, ok := l.table.Row(from, incarnation)
+	if !ok || r.Lessor != l.self {
+		// The table of the sender may be newer.
+		l.wantRead = l.wantRead || q.Version > l.version
+		return LeaseGrant{}, false
+	}
+	if l.doubt != nil && (l.doubt.what == changeLeave || l.doubt.row.is(from, incarnation)) {
+		return LeaseGrant{}, false
+	}
+	_, has := l.own()
+	if !(has && l.leaseUntil > now) && now-l.readAt >= readProof {
+		l.wantRead = true
+		return LeaseGrant{}, false
+	}
+	l.granted[lesseeKey{r.VM, r.Incarnation, r.LessorTerm}] = now
+	return LeaseGrant{ID: q.ID}, true
+}
+
+// ReceiveGrant takes the lessor's answer. While a change of the lessor is
+// unresolved, only requests from before that change count, since the new lessor
+// may not know of later ones.
+func (l *Ledger) ReceiveGrant(now time.Duration, from ident.VMName, g LeaseGrant) {
+	asked, ok := l.asks[g.ID]
+	r, has := l.own()
+	if !ok || !has || asked.to != from || r.Lessor != from {
+		return
+	}
+	delete(l.asks, g.ID)
+	if l.doubt != nil && l.doubt.what == changeLessor && asked.at >= l.doubt.started {
+		return
+	}
+	if until := asked.at + Lease; until > now {
+		l.leaseUntil = max(l.leaseUntil, until)
+	}
+}
