Run the demo to its end

Cause: notes need a [note] section, and one connection across regions cannot exceed a rate. Change: the demo sends titled notes and spends the rate over 12 connections on three VMs.

--- a/internal/demo/steps.go
+++ b/internal/demo/steps.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/rosemarywall/rosemarywall/internal/fleet"
 	"github.com/rosemarywall/rosemarywall/internal/group"
@@ -148,7 +150,7 @@
 
 func (d *demo) withdrawKey(ctx context.Context) (string, error) {
 	const key = "key-that-will-be-withdrawn"
-	if _, err := d.fleet.ApplyNote(ctx, d.vms[0], fleet.KeySection(tenant, "second", key)); err != nil {
+	if _, err := d.fleet.ApplyNote(ctx, d.vms[0], "[note]\ntitle = second key\n\n"+fleet.KeySection(tenant, "second", key)); err != nil {
 		return "", err
 	}
 	address := strings.Replace(d.fleet.ConnectionString(d.vms[2], tenant, d.config.Databases[0]), fleet.Key(tenant), key, 1)
@@ -166,7 +168,7 @@
 		return "", err
 	}
 	withdrawn := time.Now()
-	if _, err := d.fleet.ApplyNote(ctx, d.vms[0], fmt.Sprintf("[withdraw key %s/second]\n", tenant)); err != nil {
+	if _, err := d.fleet.ApplyNote(ctx, d.vms[0], fmt.Sprintf("[note]\ntitle = withdraw key\n\n[withdraw key %s/second]\n", tenant)); err != nil {
 		return "", err
 	}
 	var refusal error
@@ -190,30 +192,44 @@
 			rate, burst = o.Rate, o.Burst
 		}
 	}
-	conn, err := d.connect(ctx, 0, limitedTenant)
-	if err != nil {
+	const callers, requests = 12, 50
+	var admitted, refused atomic.Int64
+	started := time.Now()
+	running, ctx := errgroup.WithContext(ctx)
+	for i := range callers {
+		running.Go(func() error { return d.spend(ctx, i%len(d.vms), requests, &admitted, &refused) })
+	}
+	if err := running.Wait(); err != nil {
 		return "", err
 	}
+	allowed := burst + rate*time.Since(started).Seconds()
+	if refused.Load() == 0 || float64(admitted.Load()) > allowed {
+		return "", errors.Newf("admitted %d and refused %d where %.0f were allowed", admitted.Load(), refused.Load(), allowed)
+	}
+	return fmt.Sprintf("admitted %d of %d statements on %d VMs, at most %.0f were allowed; %d refused as not run",
+		admitted.Load(), callers*requests, len(d.vms), allowed, refused.Load()), nil
+}
+
+// spend sends requests of the limited organisation through one VM and counts the
+// outcomes.
+func (d *demo) spend(ctx context.Context, vm, requests int, admitted, refused *atomic.Int64) error {
+	conn, err := d.connect(ctx, vm, limitedTenant)
+	if err != nil {
+		return err
+	}
 	defer func() { _ = conn.Close(ctx) }()
-	const requests = 600
-	started := time.Now()
-	admitted, refused := 0, 0
 	for range requests {
 		_, err := conn.Exec(ctx, "select 1", pgx.QueryExecModeSimpleProtocol)
 		switch {
 		case err == nil:
-			admitted++
+			admitted.Add(1)
 		case sqlState(err) == "53400":
-			refused++
+			refused.Add(1)
 		default:
-			return "", err
+			return err
 		}
 	}
-	allowed := burst + rate*time.Since(started).Seconds()
-	if refused == 0 || float64(admitted) > allowed {
-		return "", errors.Newf("admitted %d and refused %d where %.0f were allowed", admitted, refused, allowed)
-	}
-	return fmt.Sprintf("admitted %d of %d statements, at most %.0f were allowed; %d refused as not run", admitted, requests, allowed, refused), nil
+	return nil
 }
 
 func (d *demo) takeZoneOut(ctx context.Context) (string, error) {
@@ -224,7 +240,7 @@
 		return "", err
 	}
 	defer func() { _ = inside.Close(ctx) }()
-	if _, err := d.fleet.ApplyNote(ctx, d.vms[0], fmt.Sprintf("[change zone %s]\nstate = out\n", name)); err != nil {
+	if _, err := d.fleet.ApplyNote(ctx, d.vms[0], fmt.Sprintf("[note]\ntitle = zone out\n\n[change zone %s]\nstate = out\n", name)); err != nil {
 		return "", err
 	}
 	started := time.Now()
@@ -240,7 +256,7 @@
 			return "", errors.Wrap(err, "another zone refused work")
 		}
 	}
-	if _, err := d.fleet.ApplyNote(ctx, d.vms[0], fmt.Sprintf("[change zone %s]\nstate = in\n", name)); err != nil {
+	if _, err := d.fleet.ApplyNote(ctx, d.vms[0], fmt.Sprintf("[note]\ntitle = zone in\n\n[change zone %s]\nstate = in\n", name)); err != nil {
 		return "", err
 	}
 	back := time.Now()
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -113,7 +113,7 @@
 	if v.adminListener, err = listen("admin", s.Admin.Listen); err != nil {
 		return err
 	}
-	v.platform = platform.NewHTTP(s.Platform.Address, platform.WithTimeout(s.Platform.Timeout), platform.WithZone(s.VM.Zone))
+	v.platform = platform.NewHTTP(s.Platform.Address.String(), platform.WithTimeout(s.Platform.Timeout), platform.WithZone(s.VM.Zone))
 	if v.mesh, err = v.newMesh(); err != nil {
 		return err
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -138,7 +138,7 @@
 		VM:        settings.VM{Name: name, Zone: z.Name, Region: z.Region},
 		Callers:   settings.Callers{Listen: anyPort, MaxCallers: 20000, MaxMessageBytes: 16 << 20, QueueDeadline: 5 * time.Second},
 		Peers:     settings.Peers{Listen: anyPort},
-		Platform:  settings.Platform{Address: "http://" + f.Standin.Platform.Address(), Timeout: 2 * time.Second},
+		Platform:  settings.Platform{Address: netip.MustParseAddrPort(f.Standin.Platform.Address()), Timeout: 2 * time.Second},
 		Upstreams: settings.Upstreams{User: upstreamUser, Password: upstreamPassword, ConnectTimeout: 2 * time.Second, ConfirmDeadline: 5 * time.Second},
 		Admin:     settings.Admin{Listen: anyPort},
 		Shutdown:  settings.Shutdown{DrainDeadline: 30 * time.Second},
