--- a/internal/group/http.go
+++ b/internal/group/http.go
@@ -209,9 +209,9 @@
 	}
 	defer response.Body.Close()
 	reason, _ := io.ReadAll(io.LimitReader(response.Body, 512))
-	failure := fmt.Errorf("%s %s: status %d: %s", method, path, response.StatusCode, bytes.TrimSpace(reason))
+	failure := fmt.Sprintf("%s %s: status %d: %s", method, path, response.StatusCode, bytes.TrimSpace(reason))
 	if response.StatusCode == http.StatusConflict {
-		return nil, errors.Mark(failure, ErrRefused)
+		return nil, errors.Wrap(ErrRefused, failure)
 	}
-	return nil, failure
+	return nil, errors.New(failure)
 }
--- a/internal/platform/update.go
+++ b/internal/platform/update.go
@@ -86,7 +86,8 @@
 // answer is resolved by reading back and comparing the writer identifier.
 // Conflicts start again from the read. Retries are bounded; the last error is
 // returned with its code. PlatformDown then means that the change may have taken
-// effect.
+// effect, and so does PlatformConflict: another writer replaced the object while
+// the answer was lost, so that the own write can no longer be recognised.
 func Update[T any, P interface {
 	*T
 	Written
@@ -108,8 +109,10 @@
 	// writer is the same in every attempt: at most one attempt can take effect, as
 	// each one reads first and stops when it finds its own identifier.
 	writer string
-	// unanswered says that an earlier put may have taken effect.
+	// unanswered says that an earlier put, against the version tried, may have taken
+	// effect.
 	unanswered bool
+	tried      Version
 }
 
 func (u *update[T, P]) attempt(ctx context.Context) (Object, error) {
@@ -120,6 +123,9 @@
 	if u.unanswered && u.own(current) {
 		return current, nil
 	}
+	if u.unanswered && current.Version != u.tried {
+		return Object{}, u.overtaken()
+	}
 	value := P(new(T))
 	if len(current.Value) > 0 {
 		if err := json.Unmarshal(current.Value, value); err != nil {
@@ -139,16 +145,26 @@
 		return object, nil
 	}
 	if resultcode.Is(err, resultcode.PlatformDown) {
-		u.unanswered = true
+		u.unanswered, u.tried = true, version
 	}
 	// An earlier put whose answer was lost may have been delayed in the network
 	// and may have taken effect between the read and this put.
 	if resultcode.Is(err, resultcode.PlatformConflict) && u.own(object) {
 		return object, nil
 	}
+	if resultcode.Is(err, resultcode.PlatformConflict) && u.unanswered {
+		return Object{}, u.overtaken()
+	}
 	return Object{}, retryable(err)
 }
 
+// overtaken ends an update whose unanswered put cannot be told from the put of
+// another writer; applying the change again could apply it twice.
+func (u *update[T, P]) overtaken() error {
+	return backoff.Permanent(resultcode.New(resultcode.PlatformConflict,
+		"%s/%s was replaced by another writer while an answer was lost", u.kind, u.name))
+}
+
 func (u *update[T, P]) own(object Object) bool {
 	var signature Signature
 	return json.Unmarshal(object.Value, &signature) == nil && signature.Writer == u.writer
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -20,8 +20,7 @@
 	// Platform holds the object group/<name> of every group.
 	Platform *platform.Server
 	Groups   map[ident.GroupName]*upstream.Group
-	// Network holds the conditions of the links of all members. Links are named by
-	// member, so members of different groups need different names to be told apart.
+	// Network holds the conditions of the links of all members.
 	Network *upstream.Network
 }
 
--- a/internal/standin/upstream/helper_test.go
+++ b/internal/standin/upstream/helper_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"gotest.tools/v3/poll"
 
 	"github.com/rosemarywall/rosemarywall/internal/ident"
@@ -43,3 +44,5 @@
 		return g.Member(identName(member)).Status().Applied.Position >= position
 	})
 }
+
+func queryMessage(sql string) *pgproto3.Query { return &pgproto3.Query{String: sql} }
--- a/internal/standin/upstream/log.go
+++ b/internal/standin/upstream/log.go
@@ -60,14 +60,6 @@
 	}
 }
 
-// at returns the point at a position, or zero.
-func (l *entryLog) at(position ident.Position) ident.LogPoint {
-	if position == 0 || int(position) > len(l.entries) {
-		return ident.LogPoint{}
-	}
-	return l.entries[position-1].point
-}
-
 // after returns the entries above a position that were committed by a time.
 func (l *entryLog) after(position ident.Position, by time.Time) []entry {
 	if int(position) >= len(l.entries) {
--- a/internal/standin/upstream/network.go
+++ b/internal/standin/upstream/network.go
@@ -21,6 +21,9 @@
 // AgentsIn names the clients of member agents of a zone as an endpoint.
 func AgentsIn(zone string) string { return Agents + "@" + zone }
 
+// Endpoint is the name of the member in links: the group, a slash and the member.
+func (m *Member) Endpoint() string { return string(m.group.cfg.Name) + "/" + string(m.name) }
+
 // Network holds the conditions of all links. A link from Callers or Agents
 // applies to every zone; both it and the link of the zone are applied.
 type Network struct {
@@ -133,14 +136,14 @@
 
 func (c *shapedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.pass(c.clients, []string{string(c.member.name)}) {
+	if n > 0 && !c.pass(c.clients, []string{c.member.Endpoint()}) {
 		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
 func (c *shapedConn) Write(p []byte) (int, error) {
-	if !c.pass([]string{string(c.member.name)}, c.clients) {
+	if !c.pass([]string{c.member.Endpoint()}, c.clients) {
 		return 0, net.ErrClosed
 	}
 	return c.Conn.Write(p)
--- a/internal/standin/upstream/replicate.go
+++ b/internal/standin/upstream/replicate.go
@@ -58,7 +58,7 @@
 	if source == nil || source == m {
 		return heartbeat
 	}
-	cut, latency, _ := m.group.network.conditions([]string{string(source.name)}, []string{string(m.name)})
+	cut, latency, _ := m.group.network.conditions([]string{source.Endpoint()}, []string{m.Endpoint()})
 	if cut {
 		return heartbeat
 	}
--- a/internal/standin/upstream/store.go
+++ b/internal/standin/upstream/store.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"strings"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -233,8 +232,3 @@
 	}
 	return arguments
 }
-
-// isInterrupted reports whether SQLite stopped a statement on request.
-func isInterrupted(err error) bool {
-	return errors.Is(err, context.Canceled) || strings.Contains(err.Error(), "interrupted")
-}
