--- a/internal/filter/forward/plan.go
+++ b/internal/filter/forward/plan.go
@@ -12,7 +12,6 @@
 	syncFrame     = []byte{'S', 0, 0, 0, 4}
 	parseComplete = []byte{'1', 0, 0, 0, 4}
 	bindComplete  = []byte{'2', 0, 0, 0, 4}
-	closeComplete = []byte{'3', 0, 0, 0, 4}
 	noData        = []byte{'n', 0, 0, 0, 4}
 	zeroTypes     = []byte{'t', 0, 0, 0, 6, 0, 0}
 )
--- a/internal/filter/forward/resolve.go
+++ b/internal/filter/forward/resolve.go
@@ -62,7 +62,7 @@
 		default:
 			return unknown("the group does not know the transaction")
 		}
-		if !pause(ctx) {
+		if !filter.Sleep(ctx, resolvePause) {
 			return unknown("the group did not tell the outcome before the deadline")
 		}
 	}
@@ -70,17 +70,6 @@
 
 func unknown(detail string) error { return resultcode.New(resultcode.OutcomeUnknown, "%s", detail) }
 
-func pause(ctx context.Context) bool {
-	timer := time.NewTimer(resolvePause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // confirmAgain confirms a committed transaction in the present term. When the
 // connection broke before the position was known, the first entry of a newer term
 // stands for it: its log begins with everything that was committed before.
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -72,7 +72,7 @@
 		if retry.Reason == filter.NotSent {
 			h.cfg.Router.ReportFailure(r.Target, retry.Cause)
 		}
-		if !sleep(ctx, pause) {
+		if !filter.Sleep(ctx, pause) {
 			return refusal(ctx, r, retry)
 		}
 		pause = min(2*pause, lastPause)
@@ -112,15 +112,3 @@
 	}
 	return resultcode.New(resultcode.NoUpstream, "no upstream could be reached before the deadline")
 }
-
-// sleep pauses and reports whether time is left.
-func sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/frontend/fakes_test.go
+++ b/internal/frontend/fakes_test.go
@@ -15,6 +15,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/request"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 )
 
@@ -217,10 +218,11 @@
 
 func (c *fakeConn) fail(code, message string) {
 	c.b.Send(&pgproto3.ErrorResponse{Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: code, Message: message})
+	_ = c.b.Flush() // as PostgreSQL does with every error
 	if c.status == 'T' {
 		c.status = 'E'
 	}
-	c.implicit = false
+	c.implicit, c.txid = false, ""
 }
 
 // run executes a statement and reports success.
@@ -242,7 +244,9 @@
 	ok := c.execute(word, sql, simple, replica)
 	if ok && after != nil && !after(sql) {
 		c.broken = true
-		_ = c.b.Flush()
+		if word == "SELECT" {
+			_ = c.b.Flush() // rows have arrived; other answers are lost
+		}
 		c.c.Close()
 		return false
 	}
@@ -478,3 +482,12 @@
 	testKey     = "k-secret-1"
 	testTimeout = 10 * time.Second
 )
+
+// failOnPanic fails the test when a session reports a panic.
+type failOnPanic struct{ t testing.TB }
+
+func (f failOnPanic) Run(_ *zerolog.Event, level zerolog.Level, message string) {
+	if level >= zerolog.ErrorLevel {
+		f.t.Error(message)
+	}
+}
--- a/internal/frontend/frontend_test.go
+++ b/internal/frontend/frontend_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"testing"
 
 	"github.com/jackc/pgx/v5"
 	"github.com/rosemarywall/rosemarywall/internal/upstream"
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 )
 
@@ -32,7 +34,7 @@
 		r.control.replica = &target
 	}
 	pools := upstream.New(upstream.Config{Credentials: upstream.Credentials{User: "proxy", Password: "upstream-secret"}})
-	cfg := Config{Authoriser: r.control, Limiter: r.control, Router: r.control, Pools: pools}
+	cfg := Config{Authoriser: r.control, Limiter: r.control, Router: r.control, Pools: pools, Logger: zerolog.New(io.Discard).Hook(failOnPanic{t})}
 	if change != nil {
 		change(&cfg)
 	}
@@ -92,3 +94,7 @@
 	assert.Equal(t, r.primary.count("INSERT"), 12)
 	assert.Equal(t, len(r.control.confirmed), 12)
 }
+
+func connectWith(t *testing.T, cfg *pgx.ConnConfig) (*pgx.Conn, error) {
+	return pgx.ConnectConfig(t.Context(), cfg)
+}
--- a/internal/frontend/local.go
+++ b/internal/frontend/local.go
@@ -6,10 +6,10 @@
 	"strings"
 	"time"
 
+	"github.com/rosemarywall/rosemarywall/internal/core/routing"
 	"github.com/rosemarywall/rosemarywall/internal/filter"
 	"github.com/rosemarywall/rosemarywall/internal/frontend/sqltext"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
-	"github.com/rosemarywall/rosemarywall/internal/sessiontoken"
 )
 
 const (
@@ -125,15 +125,15 @@
 // setToken takes a token of the caller. An empty one only asks for tokens.
 func (s *session) setToken(text string) error {
 	if text != "" {
-		t, err := sessiontoken.Decode(text)
+		t, err := routing.Decode(text)
 		if err != nil {
 			return err
 		}
 		if t.Group != s.shared.Grant.Database {
 			return resultcode.New(resultcode.InvalidSetting, "the session token belongs to another database")
 		}
-		if t.Point().Compare(s.shared.Point) > 0 {
-			s.shared.Point = t.Point()
+		if t.Point.Compare(s.shared.Point) > 0 {
+			s.shared.Point = t.Point
 		}
 		s.carries = true
 	}
@@ -146,9 +146,7 @@
 	if s.shared.Point.IsZero() {
 		return ""
 	}
-	return sessiontoken.Encode(sessiontoken.Token{
-		Group: s.shared.Grant.Database, Term: s.shared.Point.Term, Position: s.shared.Point.Position,
-	})
+	return routing.Encode(routing.Token{Group: s.shared.Grant.Database, Point: s.shared.Point})
 }
 
 // parseAge parses a duration such as 5s, 250ms or 1min; a number without a unit
--- a/internal/frontend/sqltext/classify.go
+++ b/internal/frontend/sqltext/classify.go
@@ -224,12 +224,12 @@
 }
 
 func create(tokens []token) Statement {
-	for i, t := range tokens[:min(len(tokens), 8)] {
-		if t.is("temp") || t.is("temporary") {
-			if i <= 5 {
-				return unsupported("temporary tables")
-			}
-		}
+	i := 1
+	for at(tokens, i).is("or") || at(tokens, i).is("replace") || at(tokens, i).is("local") || at(tokens, i).is("global") {
+		i++
+	}
+	if t := at(tokens, i); t.is("temp") || t.is("temporary") {
+		return unsupported("temporary tables")
 	}
 	return Statement{Kind: Write, Dirty: true}
 }
--- a/internal/upstream/lease.go
+++ b/internal/upstream/lease.go
@@ -73,15 +73,17 @@
 	}
 	l.done = true
 	delete(p.leases, c)
+	// Once put, the connection may belong to another lease.
+	keep := reusable && !c.cancelled
 	var closing []*Conn
-	if reusable && !c.cancelled {
+	if keep {
 		closing = p.put(c)
 	} else {
 		p.openMore()
 	}
 	p.mu.Unlock()
 	closeAll(closing)
-	if !reusable || c.cancelled {
+	if !keep {
 		_ = c.net.Close()
 	}
 }
