--- a/internal/frontend/fakes_test.go
+++ b/internal/frontend/fakes_test.go
@@ -28,10 +28,11 @@
 //
 // Hooks run before a statement; a hook that returns false closes the connection.
 type fakeUpstream struct {
-	t       *testing.T
+	t       testing.TB
 	addr    string
 	replica bool
 	quiet   bool // no group_transaction
+	noLog   bool // keeps no statements
 
 	mu         sync.Mutex
 	hook       func(sql string) bool
@@ -48,7 +49,7 @@
 	afterReady func(sql string) bool
 }
 
-func newFakeUpstream(t *testing.T) *fakeUpstream {
+func newFakeUpstream(t testing.TB) *fakeUpstream {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -229,7 +230,9 @@
 func (c *fakeConn) run(sql string, simple bool) bool {
 	c.f.mu.Lock()
 	hook, after, replica := c.f.hook, c.f.afterHook, c.f.replica
-	c.f.log = append(c.f.log, sql)
+	if !c.f.noLog {
+		c.f.log = append(c.f.log, sql)
+	}
 	c.f.mu.Unlock()
 	if hook != nil && !hook(sql) {
 		c.broken = true
