--- a/internal/frontend/fakes_test.go
+++ b/internal/frontend/fakes_test.go
@@ -15,6 +15,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/request"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 )
 
@@ -27,10 +28,11 @@
 //
 // Hooks run before a statement; a hook that returns false closes the connection.
 type fakeUpstream struct {
-	t       *testing.T
+	t       testing.TB
 	addr    string
 	replica bool
 	quiet   bool // no group_transaction
+	noLog   bool // keeps no statements
 
 	mu         sync.Mutex
 	hook       func(sql string) bool
@@ -47,7 +49,7 @@
 	afterReady func(sql string) bool
 }
 
-func newFakeUpstream(t *testing.T) *fakeUpstream {
+func newFakeUpstream(t testing.TB) *fakeUpstream {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -217,17 +219,20 @@
 
 func (c *fakeConn) fail(code, message string) {
 	c.b.Send(&pgproto3.ErrorResponse{Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: code, Message: message})
+	_ = c.b.Flush() // as PostgreSQL does with every error
 	if c.status == 'T' {
 		c.status = 'E'
 	}
-	c.implicit = false
+	c.implicit, c.txid = false, ""
 }
 
 // run executes a statement and reports success.
 func (c *fakeConn) run(sql string, simple bool) bool {
 	c.f.mu.Lock()
 	hook, after, replica := c.f.hook, c.f.afterHook, c.f.replica
-	c.f.log = append(c.f.log, sql)
+	if !c.f.noLog {
+		c.f.log = append(c.f.log, sql)
+	}
 	c.f.mu.Unlock()
 	if hook != nil && !hook(sql) {
 		c.broken = true
@@ -242,7 +247,9 @@
 	ok := c.execute(word, sql, simple, replica)
 	if ok && after != nil && !after(sql) {
 		c.broken = true
-		_ = c.b.Flush()
+		if word == "SELECT" {
+			_ = c.b.Flush() // rows have arrived; other answers are lost
+		}
 		c.c.Close()
 		return false
 	}
@@ -478,3 +485,12 @@
 	testKey     = "k-secret-1"
 	testTimeout = 10 * time.Second
 )
+
+// failOnPanic fails the test when a session reports a panic.
+type failOnPanic struct{ t testing.TB }
+
+func (f failOnPanic) Run(_ *zerolog.Event, level zerolog.Level, message string) {
+	if level >= zerolog.ErrorLevel {
+		f.t.Error(message)
+	}
+}
