--- a/internal/controller/groups/router.go
+++ b/internal/controller/groups/router.go
@@ -19,6 +19,7 @@
 	return request.Target{
 		Group: v.Group, Upstream: m.Upstream, Zone: m.Zone, Address: m.Address, Term: v.Term,
 		Slots: m.Slots, Connections: max(1, m.Connections/int(c.live.Load())),
+		Primary: i == v.Primary,
 	}
 }
 
@@ -204,4 +205,7 @@
 	}
 	c.metrics.failuresReported.Add(1)
 	g.updateMember(target.Upstream, (*routing.View).WithFailure)
+	if refused(err) {
+		g.promoter.refused(target.Upstream)
+	}
 }
