--- a/internal/controller/configuration/apply.go
+++ b/internal/controller/configuration/apply.go
@@ -23,10 +23,26 @@
 	maxHistory = 100
 )
 
-// Result describes what became of a note.
+// Outcome says what became of a note.
+type Outcome string
+
+// Outcomes of a note.
+const (
+	Accepted Outcome = "accepted"
+	// Refused notes have no effect and never will.
+	Refused Outcome = "refused"
+	// Pending notes are proposed and may be accepted at any time.
+	Pending Outcome = "pending"
+	// Unknown means that the note may have been proposed.
+	Unknown Outcome = "unknown"
+)
+
+// Result describes what became of a note. Unless it was accepted, Code and Detail
+// say why not.
 type Result struct {
-	// Accepted says that the note is accepted; otherwise Code and Detail say why not.
+	// Accepted is true if and only if the outcome is Accepted.
 	Accepted bool                       `json:"accepted"`
+	Outcome  Outcome                    `json:"outcome"`
 	Version  ident.ConfigurationVersion `json:"version"`
 	// Changes lists what the note changes, or, on a conflict, what another note changed.
 	Changes  []configuration.Change `json:"changes,omitempty"`
@@ -48,9 +64,7 @@
 }
 
 // Apply proposes a note, waits for its acceptance and then until it is in force.
-// file appears in problems. When the result is not accepted, its code says whether
-// the note may still be accepted later (NoteNotAccepted, PlatformDown) or has had
-// no effect.
+// file appears in problems.
 func (c *Controller) Apply(ctx context.Context, file string, text []byte) Result {
 	note, problems := configuration.ParseNote(file, text)
 	if note == nil {
@@ -61,27 +75,19 @@
 	c.applying.Lock()
 	result := c.apply(ctx, note, text)
 	c.applying.Unlock()
-	c.vars.Add(fmt.Sprintf("notes_%s", outcome(result)), 1)
-	if result.Accepted {
+	c.vars.Add("notes_"+string(result.Outcome), 1)
+	if result.Outcome == Accepted {
 		result.InForceAfter, result.Lagging = c.awaitInForce(result.Version)
 	}
 	return result
 }
 
-func outcome(r Result) string {
-	if r.Accepted {
-		return "accepted"
-	}
-	return r.Code.Info().Name
-}
-
 func refused(problems configuration.Problems) Result {
-	return Result{Problems: problems, Code: problems[0].Code, Detail: "the note was rejected"}
+	return Result{Outcome: Refused, Problems: problems, Code: problems[0].Code, Detail: "the note was rejected"}
 }
 
 func failed(err error) Result {
-	code := resultcode.Of(err)
-	return Result{Code: code, Detail: err.Error()}
+	return Result{Outcome: Refused, Code: resultcode.Of(err), Detail: err.Error()}
 }
 
 func (c *Controller) apply(ctx context.Context, note *configuration.Note, text []byte) Result {
@@ -105,17 +111,21 @@
 	}
 	if err := c.propose(ctx, s, next, text); err != nil {
 		r := failed(err)
-		if r.Code == resultcode.NoteConflict {
-			r.Version, r.Changes = next.Version, c.winner(ctx, s)
+		r.Version, r.Changes = next.Version, changes
+		switch r.Code {
+		case resultcode.NoteConflict:
+			r.Changes = c.winner(ctx, s)
+		case resultcode.NoteNotAccepted:
+			r.Outcome = Pending
+		case resultcode.PlatformDown, resultcode.PlatformQuota:
+			r.Outcome = Unknown // a quota refusal may follow a lost answer
 		}
 		return r
 	}
 	if err := c.acceptProposal(ctx, s, next); err != nil {
-		r := failed(err)
-		r.Version, r.Changes = next.Version, changes
-		return r
+		return Result{Outcome: Pending, Version: next.Version, Changes: changes, Code: resultcode.Of(err), Detail: err.Error()}
 	}
-	return Result{Accepted: true, Version: next.Version, Changes: changes}
+	return Result{Accepted: true, Outcome: Accepted, Version: next.Version, Changes: changes}
 }
 
 // winner lists the changes of the note that won the race for a version.
--- a/internal/controller/configuration/controller_test.go
+++ b/internal/controller/configuration/controller_test.go
@@ -38,7 +38,7 @@
 
 		began := time.Now()
 		r := f.apply("constanta-a-1", withdrawal)
-		assert.Assert(t, r.Accepted && len(r.Lagging) == 0, "%+v", r)
+		assert.Assert(t, r.Outcome == Accepted && len(r.Lagging) == 0, "%+v", r)
 		assert.Assert(t, time.Since(began) < time.Second, "took %s", time.Since(began))
 		t.Logf("accepted and in force after %s, of which in force after acceptance %s", time.Since(began), r.InForceAfter)
 		for _, vm := range f.network.vms {
@@ -61,7 +61,7 @@
 		assert.NilError(t, err)
 		f.isolate("ruse-a")
 		r := f.apply("plovdiv-a-0", withdrawal)
-		assert.Assert(t, r.Accepted, "%+v", r)
+		assert.Assert(t, r.Outcome == Accepted, "%+v", r)
 		assert.DeepEqual(t, r.Lagging, []ident.VMName{"ruse-a-0", "ruse-a-1"})
 		time.Sleep(freshness.F - r.InForceAfter)
 		assertCode(t, vm.Check(grant), resultcode.ConfigurationNotFresh)
@@ -134,7 +134,7 @@
 				}
 				r := f.apply("plovdiv-a-1", withdrawal)
 				assert.Assert(t, count > 0)
-				assert.Assert(t, r.Accepted, "%+v", r)
+				assert.Assert(t, r.Outcome == Accepted, "%+v", r)
 				assert.Equal(t, r.Version, ident.ConfigurationVersion(2))
 				time.Sleep(5 * time.Second)
 				assert.Equal(t, f.vm("ruse-a-0").Current().Version, ident.ConfigurationVersion(2))
@@ -156,10 +156,10 @@
 		})
 		racing.Wait()
 		winner, loser := results[0], results[1]
-		if !winner.Accepted {
+		if winner.Outcome != Accepted {
 			winner, loser = loser, winner
 		}
-		assert.Assert(t, winner.Accepted && !loser.Accepted, "%+v %+v", winner, loser)
+		assert.Assert(t, winner.Outcome == Accepted && loser.Outcome == Refused, "%+v %+v", winner, loser)
 		assert.Equal(t, loser.Code, resultcode.NoteConflict)
 		assert.DeepEqual(t, loser.Changes, winner.Changes)
 
@@ -178,6 +178,7 @@
 		f.isolate("constanta-a")
 		r := f.apply("plovdiv-a-0", withdrawal)
 		assert.Equal(t, r.Code, resultcode.NoteNotAccepted, "%+v", r)
+		assert.Equal(t, r.Outcome, Pending)
 		assert.Equal(t, f.vm("plovdiv-a-1").Current().Version, ident.ConfigurationVersion(1))
 		second := f.apply("plovdiv-a-1", "[note]\ntitle = x\n[withdraw database wiki]\n")
 		assert.Equal(t, second.Code, resultcode.NoteConflict)
@@ -205,7 +206,7 @@
 func TestFleetRestartInOutageKeepsTheVersion(t *testing.T) {
 	runFleet(t, func(f *testFleet) {
 		f.setUp()
-		assert.Assert(t, f.apply("plovdiv-a-0", withdrawal).Accepted)
+		assert.Assert(t, f.apply("plovdiv-a-0", withdrawal).Outcome == Accepted)
 		f.setOutage(true)
 		for name, vm := range f.network.vms {
 			if name != "ruse-a-1" {
@@ -249,13 +250,13 @@
 		vm := f.vm("ruse-a-0")
 		grant, err := vm.Authorise("web", "deck", key)
 		assert.NilError(t, err)
-		assert.Assert(t, f.apply("plovdiv-a-0", "[note]\ntitle = out\n[change zone ruse-a]\nstate = out\n").Accepted)
+		assert.Assert(t, f.apply("plovdiv-a-0", "[note]\ntitle = out\n[change zone ruse-a]\nstate = out\n").Outcome == Accepted)
 		assertCode(t, vm.Check(grant), resultcode.ZoneOut)
 		_, err = vm.Authorise("web", "wiki", "")
 		assertCode(t, err, resultcode.ZoneOut)
 		assert.NilError(t, f.vm("plovdiv-a-0").Check(grant))
 
-		assert.Assert(t, f.apply("plovdiv-a-0", "[note]\ntitle = in\n[change zone ruse-a]\nstate = in\n").Accepted)
+		assert.Assert(t, f.apply("plovdiv-a-0", "[note]\ntitle = in\n[change zone ruse-a]\nstate = in\n").Outcome == Accepted)
 		var admitted [6]int
 		for second := range admitted {
 			for range 100 {
--- a/internal/controller/configuration/http.go
+++ b/internal/controller/configuration/http.go
@@ -1,6 +1,7 @@
 package configcontroller
 
 import (
+	"context"
 	"encoding/json"
 	"io"
 	"net/http"
@@ -55,20 +56,21 @@
 	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
 		text = make([]byte, configuration.MaxNoteBytes+1)
 	} else if err != nil {
-		reply(w, http.StatusBadRequest, Result{Code: resultcode.NoteSyntax, Detail: "the note did not arrive completely"})
+		reply(w, http.StatusBadRequest, Result{Outcome: Refused, Code: resultcode.NoteSyntax, Detail: "the note did not arrive completely"})
 		return
 	}
 	file := r.URL.Query().Get("file")
 	if file == "" {
 		file = "note"
 	}
-	result := c.Apply(r.Context(), file, text)
+	// An operator who loses the connection must not leave the note half done.
+	result := c.Apply(context.WithoutCancel(r.Context()), file, text)
 	reply(w, statusOf(result), result)
 }
 
 func statusOf(r Result) int {
 	switch {
-	case r.Accepted:
+	case r.Outcome == Accepted:
 		return http.StatusOK
 	case r.Code == resultcode.NoteConflict:
 		return http.StatusConflict
--- a/internal/controller/configuration/propose.go
+++ b/internal/controller/configuration/propose.go
@@ -105,7 +105,7 @@
 		case read != nil:
 			continue
 		case found.Writer == value.Writer:
-			return c.raise(ctx, found, version)
+			return c.raiseOwn(ctx, found, version)
 		case version != ifVersion:
 			return conflict(found)
 		}
@@ -120,11 +120,20 @@
 		return read
 	}
 	if found.Writer == value.Writer {
-		return c.raise(ctx, found, version)
+		return c.raiseOwn(ctx, found, version)
 	}
 	return conflict(found)
 }
 
+// raiseOwn raises the attempt of this VM's own proposal. A failure leaves it pending.
+func (c *Controller) raiseOwn(ctx context.Context, v proposalValue, ifVersion platform.Version) error {
+	err := c.raise(ctx, v, ifVersion)
+	if err != nil && !resultcode.Is(err, resultcode.NoteNotAccepted) {
+		return resultcode.Wrap(err, resultcode.NoteNotAccepted, "version %d is proposed and this VM cannot complete it", v.Version)
+	}
+	return err
+}
+
 func conflict(winner proposalValue) error {
 	return resultcode.New(resultcode.NoteConflict, "another note became version %d first, through %s", winner.Version, winner.Acceptor)
 }
--- a/internal/core/freshness/freshness.go
+++ b/internal/core/freshness/freshness.go
@@ -175,12 +175,15 @@
 // LastReading returns the newest reading; its At is far in the past when there is none.
 func (s *State) LastReading() Reading { return s.reading }
 
-// SetTable notes the share table of a zone; older versions are ignored.
+// SetTable notes the share table of a zone; older versions are ignored. A VM that
+// the table lists with several incarnations counts once.
 func (s *State) SetTable(zone ident.AvailabilityZone, table Table) {
 	if old, known := s.tables[zone]; known && table.Version < old.Version {
 		return
 	}
-	s.tables[zone] = Table{Version: table.Version, VMs: slices.Clone(table.VMs)}
+	vms := slices.Clone(table.VMs)
+	slices.Sort(vms)
+	s.tables[zone] = Table{Version: table.Version, VMs: slices.Compact(vms)}
 	if zone == s.self.Zone {
 		s.self.Table = table.Version
 	}
