--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	configcontroller "github.com/rosemarywall/rosemarywall/internal/controller/configuration"
 	groupcontroller "github.com/rosemarywall/rosemarywall/internal/controller/groups"
 	sharecontroller "github.com/rosemarywall/rosemarywall/internal/controller/shares"
+	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
 	"github.com/rosemarywall/rosemarywall/internal/core/shares"
 	"github.com/rosemarywall/rosemarywall/internal/frontend"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
@@ -228,3 +229,9 @@
 		}
 	}
 }
+
+// Configuration returns the configuration in force on this VM.
+func (v *VM) Configuration() *configuration.Configuration { return v.configs.Current() }
+
+// Uptime returns the time since the VM started, on the clock of its decisions.
+func (v *VM) Uptime() time.Duration { return v.clock.Now() }
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -134,7 +134,7 @@
 }
 
 func (v *VM) newAdmin() {
-	v.admin = admin.New(v.ready)
+	v.admin = admin.New(v.Ready)
 	v.admin.Handle("/v1/", v.configs.Handler())
 	v.admin.AddDump("callers", v.callers.Dump)
 	v.admin.AddDump("mesh", func() any { return v.mesh.Dump() })
@@ -144,7 +144,8 @@
 	v.admin.AddDump("platform_calls", func() any { return rawJSON(v.platform.Calls().String()) })
 }
 
-func (v *VM) ready() (bool, string) {
+// Ready reports whether new callers are welcome, and the reason when not.
+func (v *VM) Ready() (bool, string) {
 	if v.draining.Load() {
 		return false, "draining"
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -77,7 +77,7 @@
 			// Primaries are spread over the zones: the first member is the primary.
 			zone := (number + i) % len(f.cfg.Zones)
 			g.Members = append(g.Members, upstream.MemberConfig{
-				Name: memberName(database, zone), Zone: f.cfg.Zones[zone].Name,
+				Name: memberName(zone), Zone: f.cfg.Zones[zone].Name,
 				Slots: f.cfg.Slots, Connections: f.cfg.Connections, ConnectDelay: f.cfg.ConnectDelay,
 				ShipDelay: f.cfg.ShipDelay, Lag: f.cfg.Lag,
 			})
@@ -87,10 +87,12 @@
 	return out
 }
 
-// memberName names the member of a database in a zone. Names are unique in the
-// installation, because links of the stand-in network are named by member.
-func memberName(database ident.GroupName, zone int) ident.UpstreamName {
-	return ident.UpstreamName(fmt.Sprintf("%s-%c", database, 'a'+zone))
+// memberName names the member of every database in a zone.
+func memberName(zone int) ident.UpstreamName { return ident.UpstreamName(string(rune('a' + zone))) }
+
+// endpoint names the member of a database in a zone on the stand-in network.
+func (f *Fleet) endpoint(database ident.GroupName, zone int) string {
+	return f.Standin.Groups[database].Member(memberName(zone)).Endpoint()
 }
 
 func sourceAddress(zone int) string { return fmt.Sprintf("127.0.%d.1", zone+1) }
@@ -108,13 +110,13 @@
 		for j := range f.cfg.Zones {
 			latency := f.latency(i, j)
 			for _, database := range f.cfg.Databases {
-				member := string(memberName(database, j))
+				member := f.endpoint(database, j)
 				for _, endpoint := range []string{upstream.CallersIn(string(zone.Name)), upstream.AgentsIn(string(zone.Name))} {
 					network.SetLatency(endpoint, member, latency)
 					network.SetLatency(member, endpoint, latency)
 				}
 				if i != j {
-					network.SetLatency(string(memberName(database, i)), member, latency)
+					network.SetLatency(f.endpoint(database, i), member, latency)
 				}
 			}
 		}
--- a/internal/fleet/note.go
+++ b/internal/fleet/note.go
@@ -31,7 +31,7 @@
 		fmt.Fprintf(&b, "[add database %s]\n\n", database)
 		for _, member := range f.Standin.Groups[database].Members() {
 			fmt.Fprintf(&b, "[add upstream %s/%s]\nzone = %s\naddress = %s\nagent = %s\nslots = %d\nconnections = %d\n\n",
-				database, member.Name(), f.zoneOf(database, member.Name()), member.Address(), member.AgentAddress(), f.cfg.Slots, f.cfg.Connections)
+				database, member.Name(), f.zoneOf(member.Name()), member.Address(), member.AgentAddress(), f.cfg.Slots, f.cfg.Connections)
 		}
 	}
 	for _, o := range f.cfg.Organisations {
@@ -42,9 +42,9 @@
 	return b.String()
 }
 
-func (f *Fleet) zoneOf(database ident.GroupName, member ident.UpstreamName) ident.AvailabilityZone {
+func (f *Fleet) zoneOf(member ident.UpstreamName) ident.AvailabilityZone {
 	for i, zone := range f.cfg.Zones {
-		if memberName(database, i) == member {
+		if memberName(i) == member {
 			return zone.Name
 		}
 	}
