Let transactions finish in a zone that is taken out

Change: ZoneOut is decided last, and the authorise filter overlooks it while a transaction is open; key, database and freshness checks still apply.

--- a/internal/controller/configuration/authorise.go
+++ b/internal/controller/configuration/authorise.go
@@ -117,7 +117,7 @@
 	if !exists || grant.Open && !database.Open || !grant.Open && !t.databases[grant.Database] {
 		return resultcode.New(resultcode.DatabaseNotAllowed, "the organisation may not use database %q", grant.Database)
 	}
-	return v.checkZone()
+	return nil
 }
 
 // Authorise checks the key of a new caller. While the zone returns to service,
@@ -143,21 +143,26 @@
 		Weight: s.accepted.tenants[organisation].weight}, nil
 }
 
-// Check repeats the decision for a connected caller. It takes no lock.
+// Check repeats the decision for a connected caller. It takes no lock. ZoneOut comes
+// last, so that a caller of Check that lets running transactions finish in a zone
+// that leaves overlooks no other refusal.
 func (c *Controller) Check(grant request.Grant) error {
 	now, s := c.clock.Now(), c.snapshot.Load()
 	if err := s.accepted.checkConnected(&grant); err != nil {
 		return err
 	}
 	if now < s.acceptedUntil || grant.Open {
-		return nil
+		return s.accepted.checkZone()
 	}
 	if s.held != nil {
 		if err := s.held.checkConnected(&grant); err != nil {
 			return err
 		}
 	}
-	return s.fresh(now)
+	if err := s.fresh(now); err != nil {
+		return err
+	}
+	return s.decide(now, (*view).checkZone)
 }
 
 // Ready reports whether this VM welcomes new callers, and the reason when not.
--- a/internal/filter/authorise/authorise.go
+++ b/internal/filter/authorise/authorise.go
@@ -7,6 +7,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/filter"
 	"github.com/rosemarywall/rosemarywall/internal/request"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
 // Config configures the filter.
@@ -19,12 +20,15 @@
 	cfg  Config
 }
 
-// New returns the filter. It refuses with the codes of request.Authoriser.Check.
+// New returns the filter. It refuses with the codes of request.Authoriser.Check. A
+// transaction that is open when the zone is taken out may finish.
 func New(next filter.Handler, cfg Config) filter.Handler { return &handler{next, cfg} }
 
 // Serve implements filter.Handler.
 func (h *handler) Serve(ctx context.Context, r *filter.Request) error {
-	if err := h.cfg.Authoriser.Check(r.Session.Grant); err != nil {
+	err := h.cfg.Authoriser.Check(r.Session.Grant)
+	open := r.Session.Lease.Load() != nil
+	if err != nil && !(open && resultcode.Is(err, resultcode.ZoneOut)) {
 		return err
 	}
 	return h.next.Serve(ctx, r)
