--- a/internal/standin/upstream/bench_test.go
+++ b/internal/standin/upstream/bench_test.go
@@ -49,3 +49,21 @@
 	}
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "statements/s")
 }
+
+// BenchmarkSelectParallel runs ten connections on a member with ten slots.
+func BenchmarkSelectParallel(b *testing.B) {
+	g := startGroup(b, func(cfg *Config) { cfg.Members[0].Slots = 10 })
+	seedAccounts(b, g)
+	b.SetParallelism(1)
+	b.RunParallel(func(pb *testing.PB) {
+		conn := connect(b, g, "a")
+		var name string
+		for i := 0; pb.Next(); i++ {
+			if err := conn.QueryRow(context.Background(), "SELECT name FROM account WHERE id = $1", i%1000+1).Scan(&name); err != nil {
+				b.Error(err)
+				return
+			}
+		}
+	})
+	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "statements/s")
+}
--- a/internal/standin/upstream/copy.go
+++ b/internal/standin/upstream/copy.go
@@ -151,7 +151,11 @@
 		return "", err
 	}
 	defer s.member.slots.Release(1)
-	return insertCopy(ctx, write, parsed, description.fields, data)
+	tag, err := insertCopy(ctx, write, parsed, description.fields, data, st.marker)
+	if err == nil {
+		s.member.countMarker(st)
+	}
+	return tag, err
 }
 
 // receiveCopy reads the lines that the client sends.
@@ -173,16 +177,16 @@
 	}
 }
 
-func insertCopy(ctx context.Context, write *transaction, parsed copyStatement, fields []pgproto3.FieldDescription, data string) (string, error) {
-	markers := make([]string, len(fields))
-	for i := range markers {
-		markers[i] = "?" + strconv.Itoa(i+1)
+func insertCopy(ctx context.Context, write *transaction, parsed copyStatement, fields []pgproto3.FieldDescription, data, marker string) (string, error) {
+	placeholders := make([]string, len(fields))
+	for i := range placeholders {
+		placeholders[i] = "?" + strconv.Itoa(i+1)
 	}
 	columns := ""
 	if len(parsed.columns) > 0 {
 		columns = " (" + strings.Join(parsed.columns, ", ") + ")"
 	}
-	insert := &statement{sqlite: "INSERT INTO " + parsed.table + columns + " VALUES (" + strings.Join(markers, ", ") + ")"}
+	insert := &statement{marker: marker, sqlite: "INSERT INTO " + parsed.table + columns + " VALUES (" + strings.Join(placeholders, ", ") + ")"}
 	count := 0
 	err := write.use(func(conn *sqliteConn) error {
 		for line := range strings.Lines(data) {
@@ -198,6 +202,7 @@
 				return err
 			}
 			write.record(insert, arguments)
+			insert.marker = "" // The marker counts the COPY once.
 			count++
 		}
 		return nil
--- a/internal/standin/upstream/execute.go
+++ b/internal/standin/upstream/execute.go
@@ -84,7 +84,7 @@
 	if err := s.member.waitRunning(ctx); err != nil {
 		return "", err
 	}
-	s.member.count(st)
+	s.member.statements.Add(1)
 	switch st.kind {
 	case kindRead:
 		return s.runRead(ctx, p, maxRows)
@@ -119,6 +119,7 @@
 			return "", err
 		}
 		p.rows = rows
+		s.member.countMarker(p.query.statement)
 	}
 	return s.stream(ctx, p, maxRows)
 }
@@ -128,7 +129,7 @@
 	if s.tx != nil && s.tx.write != nil {
 		var gathered [][]driver.Value
 		err := s.tx.write.use(func(conn *sqliteConn) (err error) {
-			gathered, err = gather(ctx, conn, p)
+			gathered, err = gather(ctx, conn, p.query.statement.sqlite, p.arguments)
 			return err
 		})
 		return &rowSource{gathered: gathered}, err
@@ -156,8 +157,8 @@
 }
 
 // gather runs a statement and returns all its rows.
-func gather(ctx context.Context, conn *sqliteConn, p *portal) ([][]driver.Value, error) {
-	rows, done, err := conn.query(ctx, p.query.statement.sqlite, p.arguments)
+func gather(ctx context.Context, conn *sqliteConn, sql string, arguments []driver.NamedValue) ([][]driver.Value, error) {
+	rows, done, err := conn.query(ctx, sql, arguments)
 	if err != nil {
 		return nil, err
 	}
@@ -257,16 +258,32 @@
 		return "", err
 	}
 	defer s.member.slots.Release(1)
-	st := p.query.statement
-	var affected int64
+	st := p.query.statement.withoutVolatile()
+	affected, err := s.applyWrite(ctx, write, p, st)
+	if err != nil {
+		return "", err
+	}
+	s.member.countMarker(st)
+	if p.rows != nil {
+		if _, err := s.stream(ctx, p, maxRows); err != nil {
+			return "", err
+		}
+	} else {
+		p.complete = true
+	}
+	return writeTag(st, affected), nil
+}
+
+// applyWrite runs a statement on the writer and records it for the log. It
+// returns the number of changed or returned rows.
+func (s *session) applyWrite(ctx context.Context, write *transaction, p *portal, st *statement) (affected int64, err error) {
 	err = write.use(func(conn *sqliteConn) error {
 		if st.rows {
-			rows, err := gather(ctx, conn, p)
-			p.rows, affected = &rowSource{gathered: rows}, int64(len(rows))
+			rows, err := gather(ctx, conn, st.sqlite, p.arguments)
 			if err != nil {
-				p.rows = nil
 				return err
 			}
+			p.rows, affected = &rowSource{gathered: rows}, int64(len(rows))
 		} else if affected, err = conn.exec(ctx, st.sqlite, p.arguments); err != nil {
 			return err
 		}
@@ -278,17 +295,7 @@
 		}
 		return nil
 	})
-	if err != nil {
-		return "", err
-	}
-	if p.rows != nil {
-		if _, err := s.stream(ctx, p, maxRows); err != nil {
-			return "", err
-		}
-	} else {
-		p.complete = true
-	}
-	return writeTag(st, affected), nil
+	return affected, err
 }
 
 func writeTag(st *statement, affected int64) string {
--- a/internal/standin/upstream/lifecycle.go
+++ b/internal/standin/upstream/lifecycle.go
@@ -6,6 +6,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/rosemarywall/rosemarywall/internal/group"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
 )
 
 // start listens and serves; it also restarts a killed member.
@@ -28,26 +31,27 @@
 	m.done = make(chan struct{})
 	m.sqlListener = &shapedListener{Listener: sqlListener, member: m, class: Callers}
 	m.agentServer = m.serveAgent(&shapedListener{Listener: agentListener, member: m, class: Agents})
-	go m.accept(m.sqlListener)
-	m.replicating.Add(1)
-	go func(done <-chan struct{}) {
-		defer m.replicating.Done()
-		m.replicate(done)
-	}(m.done)
+	listener, done := m.sqlListener, m.done
+	m.running.Go(func() { m.accept(listener) })
+	m.running.Go(func() { m.replicate(done) })
 	m.notifyLocked()
 	return nil
 }
 
 // listen opens a listener and keeps its address for restarts.
 func listen(address *string) (net.Listener, error) {
-	if *address == "" {
-		*address = "127.0.0.1:0"
+	wanted := *address
+	if wanted == "" {
+		wanted = "127.0.0.1:0"
 	}
-	listener, err := net.Listen("tcp", *address)
+	listener, err := net.Listen("tcp", wanted)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen")
 	}
-	*address = listener.Addr().String()
+	// A restart binds the same address and must not write it, as others read it.
+	if bound := listener.Addr().String(); bound != *address {
+		*address = bound
+	}
 	return listener, nil
 }
 
@@ -66,11 +70,7 @@
 			_ = conn.Close()
 		}
 		m.connections.Add(1)
-		m.serving.Add(1)
-		go func() {
-			defer m.serving.Done()
-			s.serve()
-		}()
+		m.running.Go(s.serve)
 	}
 }
 
@@ -97,8 +97,7 @@
 	if open != nil {
 		open.abandon()
 	}
-	m.serving.Wait()
-	m.replicating.Wait()
+	m.running.Wait()
 }
 
 // Restart starts a killed member with a new incarnation, in the role that it had.
@@ -142,7 +141,7 @@
 
 // Counters are totals since the start of the member.
 type Counters struct {
-	// Statements counts executed statements.
+	// Statements counts received statements.
 	Statements uint64 `json:"statements"`
 	// Connections counts accepted connections.
 	Connections int64 `json:"connections"`
@@ -161,9 +160,8 @@
 	}
 }
 
-// count counts the execution of a statement.
-func (m *Member) count(st *statement) {
-	m.statements.Add(1)
+// countMarker counts the execution of a statement that has a marker.
+func (m *Member) countMarker(st *statement) {
 	if st.marker == "" {
 		return
 	}
@@ -175,7 +173,8 @@
 // MarkerCount counts one request by its marker comment, such as
 // /* request:4711 */.
 type MarkerCount struct {
-	// Executed counts executions on any member, also those rolled back.
+	// Executed counts executions on any member, also those rolled back, but not
+	// refused statements.
 	Executed int `json:"executed"`
 	// Committed counts occurrences in the log of the primary of the highest term.
 	Committed int `json:"committed"`
@@ -210,11 +209,11 @@
 // Primary returns the primary of the highest term, or nil.
 func (g *Group) Primary() *Member {
 	var primary *Member
-	var term uint64
+	var term ident.Term
 	for _, m := range g.Members() {
 		status := m.Status()
-		if status.Role == "primary" && uint64(status.Term) > term {
-			primary, term = m, uint64(status.Term)
+		if status.Role == group.RolePrimary && status.Term > term {
+			primary, term = m, status.Term
 		}
 	}
 	return primary
--- a/internal/standin/upstream/member.go
+++ b/internal/standin/upstream/member.go
@@ -68,9 +68,8 @@
 	sqlListener  net.Listener
 	agentServer  *http.Server
 
-	// serving and replicating count the goroutines that Kill waits for.
-	serving     sync.WaitGroup
-	replicating sync.WaitGroup
+	// running counts the goroutines that Kill waits for.
+	running     sync.WaitGroup
 	faulty      atomic.Bool
 	statements  atomic.Uint64
 	connections atomic.Int64
--- a/internal/standin/upstream/protocol_test.go
+++ b/internal/standin/upstream/protocol_test.go
@@ -3,7 +3,11 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"database/sql"
+	"fmt"
+	"net/http/httptest"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -258,6 +262,35 @@
 	return false
 }
 
+// A caller that asks for TLS must get it.
+func TestTLS(t *testing.T) {
+	certified := httptest.NewTLSServer(nil)
+	defer certified.Close()
+	g := startGroup(t, func(cfg *Config) { cfg.TLS = &tls.Config{Certificates: certified.TLS.Certificates} })
+	conn, err := pgx.Connect(t.Context(), strings.Replace(dsn(g, "a"), "sslmode=disable", "sslmode=require", 1))
+	assert.NilError(t, err)
+	defer conn.Close(t.Context())
+	assert.Equal(t, number(t, conn, "SELECT 1"), int64(1))
+	_, secured := conn.PgConn().Conn().(*tls.Conn)
+	assert.Assert(t, secured)
+}
+
+// Functions without a fixed result must not make members differ.
+func TestVolatileFunctions(t *testing.T) {
+	g := startGroup(t, nil)
+	conn := connect(t, g, "a")
+	exec(t, conn, "CREATE TABLE v (u text, at text, r float8)", "INSERT INTO v VALUES (gen_random_uuid(), now(), random())")
+	waitApplied(t, g, "b", 3)
+	rows := map[string]string{}
+	for _, member := range []string{"a", "b"} {
+		var u, at string
+		var r float64
+		assert.NilError(t, connect(t, g, member).QueryRow(t.Context(), "SELECT u, at, r FROM v").Scan(&u, &at, &r))
+		rows[member] = fmt.Sprint(u, at, r)
+	}
+	assert.Equal(t, rows["a"], rows["b"])
+}
+
 // The connection limit must refuse with 53300 and a wrong password with 28P01.
 func TestConnectionRefusals(t *testing.T) {
 	g := startGroup(t, func(cfg *Config) { cfg.Members[0].Connections = 1 })
@@ -277,31 +310,37 @@
 	g := startGroup(t, func(cfg *Config) { cfg.Members[0].Slots = 1 })
 	holder, first, second := connect(t, g, "a"), connect(t, g, "a"), connect(t, g, "a")
 	order := make(chan string, 3)
-	go func() {
-		_, err := holder.Exec(context.Background(), "SELECT pg_sleep(3600)")
-		order <- stateOf(err)
-	}()
-	running := func(n int) func() bool {
-		return func() bool { return int(g.Member("a").Counters().Statements) == n }
+	run := func(name string, conn *pgx.Conn, statement string) {
+		_, err := conn.Exec(context.Background(), statement, pgx.QueryExecModeSimpleProtocol)
+		order <- name + stateOf(err)
 	}
-	eventually(t, "the slot is taken", func() bool { return isRunning(g) })
-	eventually(t, "the holder runs", running(1))
-	for i, waiter := range []*pgx.Conn{first, second} {
-		go func() {
-			_, _ = waiter.Exec(context.Background(), "SELECT 1", pgx.QueryExecModeSimpleProtocol)
-			order <- []string{"first", "second"}[i]
-		}()
-		eventually(t, "the statement arrives", running(i+2))
-	}
-	select {
-	case name := <-order:
-		t.Fatalf("the %s statement ran without a slot", name)
-	case <-time.After(20 * time.Millisecond):
+	go run("holder ", holder, "SELECT pg_sleep(3600)")
+	slots := g.Member("a").slots
+	eventually(t, "the slot is taken", func() bool {
+		free := slots.TryAcquire(1)
+		if free {
+			slots.Release(1)
+		}
+		return !free
+	})
+	go run("first ", first, "SELECT pg_sleep(3600)")
+	eventually(t, "the first statement waits", func() bool { return !slots.TryAcquire(0) })
+	go run("second", second, "SELECT 1")
+	waits := func() {
+		select {
+		case name := <-order:
+			t.Errorf("%q ended out of order", name)
+		case <-time.After(20 * time.Millisecond):
+		}
 	}
+	waits()
 	assert.NilError(t, holder.PgConn().CancelRequest(t.Context()))
-	assert.Equal(t, <-order, "57014")
-	assert.Equal(t, <-order, "first")
-	assert.Equal(t, <-order, "second")
+	assert.Equal(t, <-order, "holder 57014")
+	waits()
+	assert.NilError(t, first.PgConn().CancelRequest(t.Context()))
+	ended := []string{<-order, <-order}
+	slices.Sort(ended)
+	assert.DeepEqual(t, ended, []string{"first 57014", "second"})
 }
 
 // A large result must be streamed: the first rows arrive while the statement
--- a/internal/standin/upstream/replicate.go
+++ b/internal/standin/upstream/replicate.go
@@ -58,8 +58,11 @@
 	if source == nil || source == m {
 		return heartbeat
 	}
-	cut, latency, _ := m.group.network.conditions([]string{source.Endpoint()}, []string{m.Endpoint()})
-	if cut {
+	from, to := []string{source.Endpoint()}, []string{m.Endpoint()}
+	cut, latency, _ := m.group.network.conditions(from, to)
+	// Without the way back no acknowledgement arrives, and a stream stalls as well.
+	cutBack, _, _ := m.group.network.conditions(to, from)
+	if cut || cutBack {
 		return heartbeat
 	}
 	// Members are locked in the order of their names.
--- a/internal/standin/upstream/session.go
+++ b/internal/standin/upstream/session.go
@@ -20,7 +20,7 @@
 type session struct {
 	member  *Member
 	conn    net.Conn
-	raw     net.Conn // below TLS
+	raw     net.Conn // below TLS; does not change
 	out     *answerWriter
 	backend *pgproto3.Backend
 	pid     int32
@@ -293,6 +293,8 @@
 	m.mu.Unlock()
 	for _, s := range sockets {
 		s.close()
-		_ = s.raw.Close()
+		if raw, ok := s.raw.(*shapedConn); ok {
+			_ = raw.abort()
+		}
 	}
 }
--- a/internal/standin/upstream/statement.go
+++ b/internal/standin/upstream/statement.go
@@ -41,7 +41,10 @@
 	// it needs the costlier way of cancellation.
 	long bool
 	// schema says that the statement changes tables.
-	schema     bool
+	schema bool
+	// volatile says that a write contains functions whose result differs between
+	// executions; see withoutVolatile.
+	volatile   bool
 	parameters int
 	// marker is the request marker in a comment, see markerPattern.
 	marker string
@@ -85,6 +88,7 @@
 	s.tag = first.upper
 	s.refine()
 	s.countParameters()
+	s.volatile = s.kind == kindWrite && !s.schema && hasWord(s.tokens, volatileWords...)
 	if s.kind == kindRead || s.kind == kindWrite {
 		s.sqlite = join(translate(s.tokens))
 	}
--- a/internal/standin/upstream/types.go
+++ b/internal/standin/upstream/types.go
@@ -108,7 +108,7 @@
 		}
 		return hex.AppendEncode(append(buffer, `\x`...), v)
 	case time.Time:
-		return v.UTC().AppendFormat(buffer, "2006-01-02 15:04:05.999999")
+		return v.UTC().AppendFormat(buffer, timestampFormat)
 	case string:
 		return append(buffer, v...)
 	}
@@ -263,7 +263,7 @@
 		return text, errors.Wrap(err, "invalid numeric")
 	case oidTimestamp, pgtype.TimestamptzOID:
 		micros := int64(binary.BigEndian.Uint64(data))
-		return postgresEpoch.Add(time.Duration(micros) * time.Microsecond).Format("2006-01-02 15:04:05.999999"), nil
+		return postgresEpoch.Add(time.Duration(micros) * time.Microsecond).Format(timestampFormat), nil
 	}
 	return string(data), nil
 }
