--- a/internal/standin/upstream/function.go
+++ b/internal/standin/upstream/function.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"fmt"
 	"strconv"
+	"strings"
 	"time"
 
 	"modernc.org/sqlite"
@@ -85,6 +86,9 @@
 			return function(), nil
 		})
 	}
+	sqlite.MustRegisterDeterministicScalarFunction("repeat", 2, func(_ *sqlite.FunctionContext, arguments []driver.Value) (driver.Value, error) {
+		return strings.Repeat(string(appendText(nil, arguments[0], oidText)), int(max(0, integerOf(arguments[1])))), nil
+	})
 	sqlite.MustRegisterScalarFunction("pg_sleep", 1, func(_ *sqlite.FunctionContext, arguments []driver.Value) (driver.Value, error) {
 		time.Sleep(time.Duration(floatOf(arguments[0]) * float64(time.Second)))
 		return "", nil
--- a/internal/standin/upstream/infer.go
+++ b/internal/standin/upstream/infer.go
@@ -5,6 +5,7 @@
 	"strings"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"modernc.org/sqlite"
 )
 
 // describeColumns returns the columns of a result. SQLite knows the types of
@@ -15,26 +16,39 @@
 		return nil, err
 	}
 	expressions := resultExpressions(s.tokens)
+	if len(expressions) != len(columns) {
+		expressions = nil // The list has a star, or is that of a compound query.
+	}
 	fields := make([]pgproto3.FieldDescription, len(columns))
 	for i, column := range columns {
-		oid := uint32(oidText)
-		name := column.Name
-		if column.DeclType != "" {
-			oid = oidOfType(column.DeclType)
-		} else if len(expressions) == len(columns) {
-			expression := withoutAlias(expressions[i])
-			oid = c.expressionType(s, expression)
-			if len(expression) == len(expressions[i]) {
-				name = expressionName(expression)
-			}
-		}
-		fields[i] = pgproto3.FieldDescription{
-			Name: []byte(name), DataTypeOID: oid, DataTypeSize: typeSize(oid), TypeModifier: -1,
+		var expression []token
+		if expressions != nil {
+			expression = expressions[i]
 		}
+		fields[i] = c.describeColumn(s, column, expression)
 	}
 	return fields, nil
 }
 
+func (c *sqliteConn) describeColumn(s *statement, column sqlite.ColumnInfo, expression []token) pgproto3.FieldDescription {
+	name, oid := column.Name, uint32(oidText)
+	switch {
+	case column.DeclType != "":
+		oid = oidOfType(column.DeclType)
+	case len(expression) == 0 || expression[0].is("*"):
+		if known, ok := columnTypes(c, s)[strings.ToLower(name)]; ok {
+			oid = known
+		}
+	default:
+		unnamed := withoutAlias(expression)
+		oid = c.expressionType(s, unnamed)
+		if len(unnamed) == len(expression) {
+			name = expressionName(unnamed)
+		}
+	}
+	return pgproto3.FieldDescription{Name: []byte(name), DataTypeOID: oid, DataTypeSize: typeSize(oid), TypeModifier: -1}
+}
+
 // resultExpressions splits the select list, or the list after RETURNING.
 func resultExpressions(tokens []token) [][]token {
 	start, depth := -1, 0
@@ -107,6 +121,9 @@
 	if oid, ok := castType(tokens); ok {
 		return oid
 	}
+	if tokens[0].is("CASE") {
+		return c.caseType(s, tokens)
+	}
 	if hasTopLevel(tokens, "=", "<", ">", "<=", ">=", "<>", "!=", "AND", "OR", "NOT", "IN", "IS", "LIKE", "EXISTS") {
 		return oidBool
 	}
@@ -121,6 +138,20 @@
 	return c.operandType(s, tokens)
 }
 
+// caseType is the type of the first result of CASE.
+func (c *sqliteConn) caseType(s *statement, tokens []token) uint32 {
+	start := -1
+	for i, t := range tokens {
+		if t.is("THEN") && start < 0 {
+			start = i + 1
+		}
+		if start >= 0 && t.is("WHEN", "ELSE", "END") {
+			return c.expressionType(s, tokens[start:i])
+		}
+	}
+	return oidText
+}
+
 // operandType is the type of the first literal or column of an expression.
 func (c *sqliteConn) operandType(s *statement, tokens []token) uint32 {
 	types := columnTypes(c, s)
@@ -215,6 +246,12 @@
 			continue
 		}
 		table := s.tokens[i+1]
+		if table.is("GENERATE_SERIES") {
+			for _, name := range seriesNames(s.tokens[i+1:]) {
+				types[name] = oidInt8
+			}
+			continue
+		}
 		if table.kind != tokenWord && table.kind != tokenQuoted {
 			continue
 		}
--- a/internal/standin/upstream/shaped.go
+++ b/internal/standin/upstream/shaped.go
@@ -76,10 +76,13 @@
 	}
 	cut, latency, _ := c.member.group.network.conditions(c.self, c.clients)
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if !cut && latency == 0 && !c.sending {
+		// One goroutine writes to a connection, so the order is kept without the mutex,
+		// which Close needs.
+		c.mu.Unlock()
 		return c.Conn.Write(p)
 	}
+	defer c.mu.Unlock()
 	for c.queued > queueBytes && !c.isClosed() {
 		c.room.Wait()
 	}
--- a/internal/standin/upstream/statement.go
+++ b/internal/standin/upstream/statement.go
@@ -123,7 +123,7 @@
 
 func (s *statement) refineRead() {
 	s.rows, s.tag = true, "SELECT"
-	s.long = hasWord(s.tokens, "WITH", "JOIN", "GROUP", "PG_SLEEP")
+	s.long = hasWord(s.tokens, "WITH", "JOIN", "GROUP", "PG_SLEEP", "GENERATE_SERIES")
 	if verb := writeVerb(s.tokens); verb != "" {
 		s.kind, s.tag = kindWrite, verb
 		s.rows = hasWord(s.tokens, "RETURNING")
--- a/internal/standin/upstream/translate.go
+++ b/internal/standin/upstream/translate.go
@@ -1,15 +1,20 @@
 package upstream
 
+import "strings"
+
 // translate turns PostgreSQL tokens into tokens of SQLite's dialect.
 func translate(tokens []token) []token {
-	if at := lockClause(tokens); at >= 0 {
+	if at := lockClause(tokens); at > 0 {
 		tokens = tokens[:at]
 	}
 	if tokens[0].is("TRUNCATE") {
 		return translateTruncate(tokens)
 	}
-	if tokens[0].is("CREATE") {
+	switch {
+	case tokens[0].is("CREATE"):
 		tokens = translateCreate(tokens)
+	case tokens[0].is("TABLE"):
+		tokens = append([]token{word("SELECT"), operator("*"), word("FROM")}, tokens[1:]...)
 	}
 	var out []token
 	for i := 0; i < len(tokens); i++ {
@@ -24,6 +29,10 @@
 		case t.is("ILIKE"):
 			out = append(out, word("LIKE"))
 		case t.is("CONCURRENTLY"):
+		case t.is("GENERATE_SERIES") && i > 0 && tokens[i-1].is("FROM", "JOIN", ","):
+			series, used := translateSeries(tokens[i:])
+			out = append(out, series...)
+			i += used - 1
 		default:
 			out = append(out, t)
 		}
@@ -143,3 +152,61 @@
 	}
 	return out
 }
+
+// translateSeries replaces generate_series(first, last) [AS] alias [(column)] by
+// a recursive query and returns the number of tokens that it replaces.
+func translateSeries(tokens []token) ([]token, int) {
+	end := closing(tokens[1:]) + 1
+	if end < 2 || !tokens[1].is("(") {
+		return tokens[:1], 1
+	}
+	arguments := splitList(tokens[2:end])
+	if len(arguments) != 2 || len(arguments[0]) == 0 || len(arguments[1]) == 0 {
+		return tokens[:1], 1
+	}
+	names := seriesNames(tokens)
+	used := end + 1
+	if used < len(tokens) && tokens[used].is("AS") {
+		used++
+	}
+	if names[0] != "generate_series" {
+		used++
+	}
+	if used < len(tokens) && tokens[used].is("(") {
+		used += 3
+	}
+	first, last := join(translate(arguments[0])), join(translate(arguments[1]))
+	sql := "(WITH RECURSIVE series(n) AS (SELECT " + first + " WHERE " + first + " <= " + last +
+		" UNION ALL SELECT n + 1 FROM series WHERE n < " + last + ") SELECT n AS " + names[1] + " FROM series) AS " + names[0]
+	return []token{operator(sql)}, min(used, len(tokens))
+}
+
+// seriesNames returns the names of table and column of a generate_series call.
+func seriesNames(tokens []token) [2]string {
+	rest := tokens[closing(tokens[1:])+2:]
+	if len(rest) > 0 && rest[0].is("AS") {
+		rest = rest[1:]
+	}
+	if len(rest) == 0 || rest[0].kind != tokenWord || rest[0].is("WHERE", "ORDER", "LIMIT", "JOIN", "GROUP", "UNION") {
+		return [2]string{"generate_series", "generate_series"}
+	}
+	table := strings.ToLower(rest[0].text)
+	if len(rest) > 2 && rest[1].is("(") {
+		return [2]string{table, strings.ToLower(rest[2].text)}
+	}
+	return [2]string{table, table}
+}
+
+// splitList splits tokens at the commas outside parentheses.
+func splitList(tokens []token) [][]token {
+	var list [][]token
+	start, depth := 0, 0
+	for i, t := range tokens {
+		depth += nesting(t)
+		if depth == 0 && t.is(",") {
+			list = append(list, tokens[start:i])
+			start = i + 1
+		}
+	}
+	return append(list, tokens[start:])
+}
