Disconnect callers that are silent in a write transaction of the stand-in

SQLite has one writer, so a paused caller would block all writes of a member, which PostgreSQL's row locks would not.

--- a/internal/standin/control.go
+++ b/internal/standin/control.go
@@ -77,10 +77,11 @@
 
 // UpstreamState describes one member.
 type UpstreamState struct {
-	Address  string            `json:"address"`
-	Agent    string            `json:"agent"`
-	Status   group.Status      `json:"status"`
-	Counters upstream.Counters `json:"counters"`
+	Zone     ident.AvailabilityZone `json:"zone"`
+	Address  string                 `json:"address"`
+	Agent    string                 `json:"agent"`
+	Status   group.Status           `json:"status"`
+	Counters upstream.Counters      `json:"counters"`
 }
 
 // ControlHandler serves the control API: GET /v1/state,
@@ -133,7 +134,7 @@
 	for _, g := range s.Groups {
 		for _, m := range g.Members() {
 			state.Upstreams[m.Endpoint()] = UpstreamState{
-				Address: m.Address(), Agent: m.AgentAddress(), Status: m.Status(), Counters: m.Counters(),
+				Zone: m.Zone(), Address: m.Address(), Agent: m.AgentAddress(), Status: m.Status(), Counters: m.Counters(),
 			}
 		}
 	}
--- a/internal/standin/settings.go
+++ b/internal/standin/settings.go
@@ -31,7 +31,7 @@
 //	[control]             address
 //	[group NAME]          user, password
 //	[upstream GROUP NAME] zone, address, agent, slots, connections, connect_delay,
-//	                      ship_delay, lag
+//	                      ship_delay, lag, idle_transaction
 //	[zone NAME]           network
 //	[link FROM TO]        latency
 //
@@ -73,7 +73,7 @@
 	"platform": {1, []string{"address"}},
 	"control":  {1, []string{"address"}},
 	"group":    {2, []string{"user", "password"}},
-	"upstream": {3, []string{"zone", "address", "agent", "slots", "connections", "connect_delay", "ship_delay", "lag"}},
+	"upstream": {3, []string{"zone", "address", "agent", "slots", "connections", "connect_delay", "ship_delay", "lag", "idle_transaction"}},
 	"zone":     {2, []string{"network"}},
 	"link":     {3, []string{"latency"}},
 }
@@ -179,5 +179,6 @@
 		Address: r.address("address"), AgentAddress: r.address("agent"),
 		Slots: r.number("slots"), Connections: r.number("connections"), ConnectDelay: r.duration("connect_delay"),
 		ShipDelay: r.duration("ship_delay"), Lag: r.duration("lag"),
+		IdleTransaction: r.duration("idle_transaction"),
 	}
 }
--- a/internal/standin/upstream/failover_test.go
+++ b/internal/standin/upstream/failover_test.go
@@ -80,9 +80,14 @@
 			}
 		}
 	}
-	kill := random.IntN(2) == 0
-	if kill {
+	repair := func() {}
+	switch random.IntN(3) {
+	case 0:
 		old.Kill()
+		repair = func() { assert.NilError(t, old.Restart()) }
+	case 1:
+		old.Pause()
+		repair = old.Resume
 	}
 	chosen := rest[0]
 	for _, m := range rest {
@@ -94,9 +99,7 @@
 	}
 	_, err := chosen.promote(t.Context(), term, "vm")
 	assert.NilError(t, err)
-	if kill {
-		assert.NilError(t, old.Restart())
-	}
+	repair()
 	for _, m := range g.Members() {
 		g.Network().CutBoth(old.Endpoint(), m.Endpoint(), false)
 		if m != chosen {
--- a/internal/standin/upstream/group.go
+++ b/internal/standin/upstream/group.go
@@ -47,6 +47,10 @@
 	Connections int
 	// ConnectDelay is the time that a new connection costs.
 	ConnectDelay time.Duration
+	// IdleTransaction is the time after which a caller that is silent in a write
+	// transaction is disconnected. Such a transaction blocks all other writes of the
+	// member, because SQLite has one writer where PostgreSQL locks rows.
+	IdleTransaction time.Duration
 	// ShipDelay is the time from a commit on the primary until this member receives it.
 	ShipDelay time.Duration
 	// Lag is the time from receiving an entry until applying it.
@@ -57,6 +61,9 @@
 const (
 	DefaultSlots       = 4
 	DefaultConnections = 50
+	// DefaultIdleTransaction is above the time that a pooled transaction waits
+	// between statements and below writerTimeout.
+	DefaultIdleTransaction = 10 * time.Second
 )
 
 // Group is a running database group.
@@ -112,6 +119,9 @@
 	if cfg.Connections <= 0 {
 		cfg.Connections = DefaultConnections
 	}
+	if cfg.IdleTransaction <= 0 {
+		cfg.IdleTransaction = DefaultIdleTransaction
+	}
 	directory := filepath.Join(g.directory, string(g.cfg.Name)+"-"+string(cfg.Name))
 	if err := os.MkdirAll(directory, 0o700); err != nil {
 		return nil, errors.Wrap(err, "create database directory")
--- a/internal/standin/upstream/member.go
+++ b/internal/standin/upstream/member.go
@@ -84,6 +84,9 @@
 // Name returns the name of the member.
 func (m *Member) Name() ident.UpstreamName { return m.name }
 
+// Zone returns the availability zone of the member.
+func (m *Member) Zone() ident.AvailabilityZone { return m.cfg.Zone }
+
 // Address is the PostgreSQL address, IP:port.
 func (m *Member) Address() string { return m.address }
 
--- a/internal/standin/upstream/protocol_test.go
+++ b/internal/standin/upstream/protocol_test.go
@@ -262,6 +262,18 @@
 	return false
 }
 
+// A caller that falls silent in a write transaction must not block other writes
+// for ever.
+func TestIdleTransactionEnds(t *testing.T) {
+	g := startGroup(t, func(cfg *Config) { cfg.Members[0].IdleTransaction = 10 * time.Millisecond })
+	silent, other := connect(t, g, "a"), connect(t, g, "a")
+	exec(t, silent, "CREATE TABLE v (i int)", "BEGIN; INSERT INTO v VALUES (1)")
+	exec(t, other, "INSERT INTO v VALUES (2)")
+	assert.Equal(t, number(t, other, "SELECT sum(i) FROM v"), int64(2))
+	_, err := silent.Exec(t.Context(), "COMMIT")
+	assert.Assert(t, err != nil)
+}
+
 // A caller that asks for TLS must get it.
 func TestTLS(t *testing.T) {
 	certified := httptest.NewTLSServer(nil)
--- a/internal/standin/upstream/session.go
+++ b/internal/standin/upstream/session.go
@@ -6,10 +6,12 @@
 	"crypto/subtle"
 	"crypto/tls"
 	"net"
+	"os"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"github.com/rosemarywall/rosemarywall/internal/ident"
@@ -76,7 +78,7 @@
 		return
 	}
 	for {
-		message, err := s.backend.Receive()
+		message, err := s.receive()
 		if err != nil {
 			return
 		}
@@ -89,6 +91,21 @@
 	}
 }
 
+// receive waits for the next message, in an open write transaction for a bounded
+// time.
+func (s *session) receive() (pgproto3.FrontendMessage, error) {
+	if s.tx == nil || s.tx.write == nil {
+		return s.backend.Receive()
+	}
+	_ = s.conn.SetReadDeadline(time.Now().Add(s.member.cfg.IdleTransaction))
+	message, err := s.backend.Receive()
+	_ = s.conn.SetReadDeadline(time.Time{})
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return nil, s.fatal(&sqlError{"25P03", "terminating connection due to idle-in-transaction timeout"})
+	}
+	return message, err
+}
+
 // end releases everything that the session holds.
 func (s *session) end() {
 	s.close()
@@ -210,19 +227,7 @@
 }
 
 // sleep waits; false means that the connection was closed meanwhile.
-func (s *session) sleep(d time.Duration) bool {
-	if d <= 0 {
-		return true
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-s.done.Done():
-		return false
-	}
-}
+func (s *session) sleep(d time.Duration) bool { return sleep(s.done.Done(), d) }
 
 // begin makes the running statement cancellable and returns its context.
 func (s *session) begin() context.Context {
--- a/internal/standin/upstream/shaped.go
+++ b/internal/standin/upstream/shaped.go
@@ -188,7 +188,10 @@
 	}
 }
 
-func (c *shapedConn) sleep(d time.Duration) bool {
+func (c *shapedConn) sleep(d time.Duration) bool { return sleep(c.closed, d) }
+
+// sleep waits for a duration; false means that done was closed meanwhile.
+func sleep(done <-chan struct{}, d time.Duration) bool {
 	if d <= 0 {
 		return true
 	}
@@ -197,7 +200,7 @@
 	select {
 	case <-timer.C:
 		return true
-	case <-c.closed:
+	case <-done:
 		return false
 	}
 }
