--- a/internal/standin/upstream/member.go
+++ b/internal/standin/upstream/member.go
@@ -68,9 +68,8 @@
 	sqlListener  net.Listener
 	agentServer  *http.Server
 
-	// serving and replicating count the goroutines that Kill waits for.
-	serving     sync.WaitGroup
-	replicating sync.WaitGroup
+	// running counts the goroutines that Kill waits for.
+	running     sync.WaitGroup
 	faulty      atomic.Bool
 	statements  atomic.Uint64
 	connections atomic.Int64
@@ -85,6 +84,9 @@
 // Name returns the name of the member.
 func (m *Member) Name() ident.UpstreamName { return m.name }
 
+// Zone returns the availability zone of the member.
+func (m *Member) Zone() ident.AvailabilityZone { return m.cfg.Zone }
+
 // Address is the PostgreSQL address, IP:port.
 func (m *Member) Address() string { return m.address }
 
