Cut allocations of the request path and test the upstream pools

A waiting context per request, queue closures and file descriptor probes made 26 allocations per statement through the proxy; a read now makes 7 above the direct one (22 against 15), in the benchmark of internal/frontend. Runs of rows are passed on without a copy where they fill half a buffer.

--- a/internal/filter/errors.go
+++ b/internal/filter/errors.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
@@ -56,7 +57,7 @@
 var ErrInterrupted = errors.New("interrupted")
 
 // ErrCancelled is the cause of a waiting context that the caller cancelled.
-var ErrCancelled = errors.New("cancelled by the caller")
+var ErrCancelled = fmt.Errorf("cancelled by the caller: %w", context.Canceled)
 
 // WaitError returns the refusal for a wait that ended with ctx: Cancelled when the
 // caller asked for it, else the code given.
--- a/internal/filter/forward/answers.go
+++ b/internal/filter/forward/answers.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"net"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -100,8 +100,7 @@
 }
 
 func isTimeout(err error) bool {
-	var n net.Error
-	return errors.As(err, &n) && n.Timeout()
+	return errors.Is(err, os.ErrDeadlineExceeded)
 }
 
 // replaced asks whether the group has a newer primary than the connection's.
@@ -138,6 +137,9 @@
 	case 'G':
 		return x.copyIn(e)
 	}
+	if kind == 'D' && !e.drop && len(x.held) == 0 {
+		return x.rows()
+	}
 	if err := x.forward(e); err != nil {
 		return err
 	}
@@ -187,6 +189,17 @@
 	return nil
 }
 
+// rows passes the rows on that are in the buffer.
+func (x *exchange) rows() error {
+	if err := x.conn.R.ForwardRun(x.w, 'D'); err != nil {
+		if x.w.Err() != nil {
+			return &filter.Lost{Cause: err}
+		}
+		return err
+	}
+	return nil
+}
+
 // pass writes a message of the proxy to the caller.
 func (x *exchange) pass(frame []byte) error {
 	if len(x.held) > 0 {
@@ -240,7 +253,7 @@
 	if err != nil {
 		return err
 	}
-	x.tag = strings.TrimRight(string(frame[minFrame:]), "\x00")
+	x.committed = string(frame[minFrame:]) == "COMMIT\x00"
 	if !e.drop {
 		x.track(e)
 		if x.s.OnPrimary {
@@ -274,7 +287,7 @@
 	case sqltext.Set, sqltext.Reset:
 		x.s.Settings.Record(statement)
 	case sqltext.Commit, sqltext.Rollback:
-		if x.tag == "COMMIT" {
+		if x.committed {
 			x.s.Settings.Commit(x.conn.Settings)
 		} else {
 			x.s.Settings.Rollback()
--- a/internal/filter/forward/exchange.go
+++ b/internal/filter/forward/exchange.go
@@ -73,13 +73,14 @@
 	point       ident.LogPoint
 	status      byte
 	errored     bool
-	tag         string
-	statement   int // index of the statement of a Q that answers next
-	statements  []sqltext.Statement
-	retry       *filter.Retry
-	polling     bool
-	writeDone   chan error
-	broken      bool // the connection is out of step and must be closed
+	// committed says that the last CommandComplete was that of COMMIT.
+	committed  bool
+	statement  int // index of the statement of a Q that answers next
+	statements []sqltext.Statement
+	retry      *filter.Retry
+	polling    bool
+	writeDone  chan error
+	broken     bool // the connection is out of step and must be closed
 }
 
 var exchanges = sync.Pool{New: func() any { return new(exchange) }}
--- a/internal/filter/queue/queue.go
+++ b/internal/filter/queue/queue.go
@@ -36,6 +36,7 @@
 
 // shell feeds one queue core and wakes the requests that it lets run.
 type shell struct {
+	now     func() time.Duration
 	mu      sync.Mutex
 	core    *queue.Queue
 	waiting map[queue.ID]chan bool
@@ -61,11 +62,11 @@
 	if err := f.enter(ctx, q, r); err != nil {
 		return err
 	}
-	s.ReleaseSlot = func() { q.release(f.cfg.Now()) }
+	s.Slot = q
 	err := f.next.Serve(ctx, r)
-	if s.Lease.Load() == nil && s.ReleaseSlot != nil {
-		s.ReleaseSlot()
-		s.ReleaseSlot = nil
+	if s.Lease.Load() == nil && s.Slot != nil {
+		s.Slot.Release()
+		s.Slot = nil
 	}
 	return err
 }
@@ -81,7 +82,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if q = f.queues[k]; q == nil {
-		q = &shell{core: queue.New(t.Slots), waiting: map[queue.ID]chan bool{}}
+		q = &shell{now: f.cfg.Now, core: queue.New(t.Slots), waiting: map[queue.ID]chan bool{}}
 		f.queues[k] = q
 	}
 	return q
@@ -131,7 +132,9 @@
 	}
 }
 
-func (q *shell) release(now time.Duration) {
+// Release implements filter.Slot.
+func (q *shell) Release() {
+	now := q.now()
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	q.core.Release()
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -57,6 +57,9 @@
 			return refusal(ctx, r, err)
 		}
 		err := h.next.Serve(ctx, r)
+		if err == nil {
+			return nil
+		}
 		var retry *filter.Retry
 		if !errors.As(err, &retry) {
 			return err
--- a/internal/filter/session.go
+++ b/internal/filter/session.go
@@ -23,6 +23,12 @@
 	Resume()
 }
 
+// Slot is the right to run one request on an upstream.
+type Slot interface {
+	// Release gives the slot back.
+	Release()
+}
+
 // Session is the state of a caller's session that filters share.
 type Session struct {
 	Grant  request.Grant
@@ -32,8 +38,8 @@
 	// Lease is the connection that an open transaction or batch holds. A
 	// CancelRequest reads it from another goroutine.
 	Lease atomic.Pointer[upstream.Lease]
-	// ReleaseSlot returns the upstream slot that an open transaction holds.
-	ReleaseSlot func()
+	// Slot is the upstream slot that the running request or transaction holds.
+	Slot Slot
 	// OnPrimary says that the lease is one of the primary.
 	OnPrimary bool
 	// Dirty says that the leased connection needs a reset before reuse.
@@ -67,8 +73,8 @@
 	s.Lease.Store(nil)
 	s.InTransaction, s.Unsynced, s.OnPrimary, s.Dirty, s.OpenWrites = false, false, false, false, false
 	s.Settings.pending = nil
-	if s.ReleaseSlot != nil {
-		s.ReleaseSlot()
-		s.ReleaseSlot = nil
+	if s.Slot != nil {
+		s.Slot.Release()
+		s.Slot = nil
 	}
 }
--- a/internal/frontend/cancel.go
+++ b/internal/frontend/cancel.go
@@ -1,7 +1,6 @@
 package frontend
 
 import (
-	"context"
 	"crypto/rand"
 	"encoding/binary"
 
@@ -44,21 +43,8 @@
 		_ = lease.Cancel()
 		return
 	}
-	if stop := ses.cancelWait.Load(); stop != nil {
-		(*stop)(filter.ErrCancelled)
-	}
-}
-
-// waitContext returns a context that bounds the wait of a request for an upstream
-// and ends with a CancelRequest.
-func (s *session) waitContext() (context.Context, func()) {
-	base, cancel := context.WithCancelCause(context.Background())
-	s.cancelWait.Store(&cancel)
-	ctx, stop := context.WithDeadline(base, s.request.Deadline)
-	return ctx, func() {
-		s.cancelWait.Store(nil)
-		stop()
-		cancel(nil)
+	if wait := ses.wait.Load(); wait != nil {
+		wait.end(filter.ErrCancelled)
 	}
 }
 
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -109,8 +110,7 @@
 	}
 	for {
 		kind, size, err := c.reader.Peek()
-		var n net.Error
-		if err == nil || !errors.As(err, &n) || !n.Timeout() {
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
 			return kind, size, err
 		}
 		if err := c.timedOut(); err != nil {
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -39,8 +39,9 @@
 	epoch   int64
 	surplus bool
 
-	cancelKey  cancelKey
-	cancelWait atomic.Pointer[context.CancelCauseFunc]
+	cancelKey cancelKey
+	// wait is the wait of the running request for an upstream.
+	wait atomic.Pointer[waitContext]
 
 	// aborted says that the open transaction was rolled back by the proxy.
 	aborted bool
@@ -225,15 +226,16 @@
 	if s.shared.Lease.Load() != nil {
 		err = s.server.chain.Serve(context.Background(), r)
 	} else {
-		ctx, done := s.waitContext()
-		err = s.server.chain.Serve(ctx, r)
-		done()
-	}
-	var lost *filter.Lost
-	if errors.As(err, &lost) {
-		return false, err
+		wait := &waitContext{deadline: r.Deadline}
+		s.wait.Store(wait)
+		err = s.server.chain.Serve(wait, r)
+		s.wait.Store(nil)
+		wait.end(context.Canceled)
 	}
 	if err != nil {
+		if isLost(err) {
+			return false, err
+		}
 		s.giveUp(inTransaction && !endsTransaction(r))
 		s.writeError(severityError, err)
 		return true, nil
@@ -249,6 +251,11 @@
 	return false, nil
 }
 
+func isLost(err error) bool {
+	var lost *filter.Lost
+	return errors.As(err, &lost)
+}
+
 // giveUp rolls an open transaction back. The caller sees it as aborted when it was
 // inside a transaction block.
 func (s *session) giveUp(inTransaction bool) {
--- a/internal/frontend/sqltext/statement.go
+++ b/internal/frontend/sqltext/statement.go
@@ -94,8 +94,9 @@
 func Parse(sql string) []Statement {
 	l := lexer{in: sql}
 	var out []Statement
+	var buffer [32]token
 	for {
-		tokens, more := statementTokens(&l)
+		tokens, more := statementTokens(&l, buffer[:0])
 		if len(tokens) > 0 {
 			s := classify(sql, tokens)
 			s.Start, s.End = tokens[0].start, tokens[len(tokens)-1].end
@@ -112,8 +113,7 @@
 }
 
 // statementTokens reads the tokens up to the next semicolon at the outer level.
-func statementTokens(l *lexer) (tokens []token, more bool) {
-	tokens = make([]token, 0, 16)
+func statementTokens(l *lexer, tokens []token) (_ []token, more bool) {
 	atomic, depth := 0, 0
 	for {
 		t := l.next()
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -46,6 +46,11 @@
 	generation uint64
 	cancelled  bool
 	idleSince  time.Duration
+
+	// raw, probe and silent serve alive.
+	raw    syscall.RawConn
+	probe  func(fd uintptr) bool
+	silent bool
 }
 
 // Prepared returns the name under which the statement is prepared.
@@ -83,26 +88,31 @@
 	if c.R.Buffered() > 0 {
 		return false
 	}
+	if c.raw == nil {
+		return true
+	}
+	c.silent = false
+	err := c.raw.Read(c.probe)
+	return err == nil && c.silent
+}
+
+// watch prepares alive; connections without a file descriptor are not watched.
+func (c *Conn) watch() {
 	plain := c.net
 	if t, ok := plain.(*tls.Conn); ok {
 		plain = t.NetConn()
 	}
-	raw, ok := plain.(syscall.Conn)
+	sc, ok := plain.(syscall.Conn)
 	if !ok {
-		return true
+		return
 	}
-	rc, err := raw.SyscallConn()
-	if err != nil {
-		return false
-	}
-	silent := false
-	err = rc.Read(func(fd uintptr) bool {
-		var b [1]byte
+	c.raw, _ = sc.SyscallConn()
+	var b [1]byte
+	c.probe = func(fd uintptr) bool {
 		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		silent = errors.Is(err, syscall.EAGAIN)
+		c.silent = errors.Is(err, syscall.EAGAIN)
 		return true
-	})
-	return err == nil && silent
+	}
 }
 
 // open establishes a connection. The library does the startup, TLS and
@@ -147,6 +157,7 @@
 		Settings: map[string]string{}, prepared: map[StatementKey]string{},
 	}
 	c.R, c.W = wire.NewReader(h.Conn, p.cfg.MaxMessage), wire.NewWriter(h.Conn)
+	c.watch()
 	keepAlive(h.Conn)
 	return c
 }
--- /dev/null
+++ b/internal/upstream/upstream_test.go
@@ -0,0 +1,156 @@
+package upstream
+
+import (
+	"context"
+	"errors"
+	"net"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rosemarywall/rosemarywall/internal/request"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	standin "github.com/rosemarywall/rosemarywall/internal/standin/upstream"
+)
+
+// start returns pools and a target of a stand-in.
+func start(t *testing.T, connections int, change func(*Config)) (*Pools, request.Target) {
+	t.Helper()
+	g, err := standin.Start(standin.Config{Name: "orders", User: "u", Password: "p", Members: []standin.MemberConfig{{Name: "a", Connections: connections}}}, standin.NewNetwork())
+	assert.NilError(t, err)
+	cfg := Config{Credentials: Credentials{User: "u", Password: "p"}}
+	if change != nil {
+		change(&cfg)
+	}
+	p := New(cfg)
+	t.Cleanup(func() { p.Close(); g.Close() })
+	return p, request.Target{Group: "orders", Upstream: "a", Address: g.Member("a").Address(), Term: 1, Slots: 4, Connections: 4}
+}
+
+func acquire(t *testing.T, p *Pools, target request.Target) *Lease {
+	t.Helper()
+	l, err := p.Acquire(t.Context(), target)
+	assert.NilError(t, err)
+	return l
+}
+
+// Guards against the limit growing too early, past its ceiling, or to zero.
+func TestAdmission(t *testing.T) {
+	a := admission{}
+	a.setCeiling(8)
+	assert.Equal(t, a.allowed(0), 8)
+	a.refused(time.Second)
+	assert.Equal(t, a.allowed(time.Second+growthInterval-1), 4)
+	assert.Equal(t, a.allowed(time.Second+growthInterval), 5)
+	assert.Equal(t, a.allowed(time.Second+growthInterval*9/2), 8)
+	a.setCeiling(2)
+	assert.Equal(t, a.allowed(time.Minute), 2)
+	for range 5 {
+		a.refused(time.Minute)
+	}
+	assert.Equal(t, a.allowed(time.Minute), 1)
+}
+
+// Guards against connections of an old term, of a leaving upstream, or of a lease
+// that was cancelled being used again.
+func TestConnectionsAreClosedInsteadOfReused(t *testing.T) {
+	p, target := start(t, 10, nil)
+	idle, leased, cancelled := acquire(t, p, target), acquire(t, p, target), acquire(t, p, target)
+	assert.NilError(t, cancelled.Cancel())
+	cancelled.Release(false)
+	assert.Equal(t, p.Dump()[0].Idle, 0)
+	idle.Release(false)
+	assert.Equal(t, p.Dump()[0].Idle, 1)
+	target.Term = 2
+	fresh := acquire(t, p, target)
+	assert.Assert(t, fresh.Conn() != idle.Conn())
+	leased.Release(false)
+	assert.Equal(t, p.Dump()[0].Idle, 0)
+	fresh.Release(false)
+	assert.Equal(t, p.Dump()[0].Idle, 1)
+	p.SetLeaving("orders", "a", true)
+	assert.Equal(t, p.Dump()[0].Idle, 0)
+	last := acquire(t, p, target)
+	last.Release(false)
+	assert.Equal(t, p.Dump()[0].Idle, 0)
+	assert.NilError(t, last.Cancel()) // the lease has ended: nothing is sent
+}
+
+// Guards against a waiter that has to wait for a slow opening although another
+// connection is returned meanwhile.
+func TestSlowOpeningBlocksNobody(t *testing.T) {
+	slow := make(chan struct{})
+	opened := 0
+	p, target := start(t, 10, func(c *Config) {
+		c.Dial = func(ctx context.Context, network, address string) (net.Conn, error) {
+			if opened++; opened > 1 {
+				<-slow
+			}
+			return (&net.Dialer{}).DialContext(ctx, network, address)
+		}
+	})
+	first := acquire(t, p, target)
+	got := make(chan *Lease, 1)
+	go func() {
+		l, _ := p.Acquire(context.Background(), target)
+		got <- l
+	}()
+	for p.Dump()[0].Waiting == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	first.Release(false)
+	l := <-got
+	assert.Assert(t, l != nil && l.Conn() == first.Conn())
+	assert.Assert(t, l.generation > first.generation)
+	close(slow)
+	for p.Dump()[0].Opening > 0 {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against requests that fail although a connection becomes free, when the
+// upstream refuses further ones, and against waits without bound.
+func TestRefusedConnections(t *testing.T) {
+	p, target := start(t, 2, nil)
+	one, two := acquire(t, p, target), acquire(t, p, target)
+	got := make(chan error, 1)
+	go func() {
+		_, err := p.Acquire(context.Background(), target)
+		got <- err
+	}()
+	for p.Dump()[0].Limit == 4 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, p.Dump()[0].Limit, 2)
+	one.Release(false)
+	assert.NilError(t, <-got)
+	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
+	defer cancel()
+	_, err := p.Acquire(ctx, target)
+	assert.Equal(t, resultcode.Of(err), resultcode.QueueDeadline)
+	two.Close()
+
+	target.Upstream, target.Address = "b", "127.0.0.1:1"
+	_, err = p.Acquire(t.Context(), target)
+	var open *OpenError
+	assert.Assert(t, errors.As(err, &open))
+	assert.Equal(t, err.Error(), "no connection to upstream b could be opened")
+}
+
+// Guards against session state surviving the reset of a dirty connection.
+func TestDirtyConnectionsAreReset(t *testing.T) {
+	p, target := start(t, 2, nil)
+	target.Connections = 1
+	l := acquire(t, p, target)
+	refusal, err := l.Conn().Apply("SET application_name TO 'x'")
+	assert.NilError(t, err)
+	assert.Equal(t, len(refusal), 0)
+	l.Conn().Settings["application_name"] = "'x'"
+	l.Conn().SetPrepared(StatementKey{1}, "rw1")
+	l.Release(true)
+	again := acquire(t, p, target)
+	assert.Assert(t, again.Conn() == l.Conn())
+	_, known := again.Conn().Prepared(StatementKey{1})
+	assert.Assert(t, !known && len(again.Conn().Settings) == 0)
+}
--- a/internal/wire/reader.go
+++ b/internal/wire/reader.go
@@ -181,6 +181,26 @@
 	return r.stream(headerSize+size, func(part []byte) error { _, err := w.Write(part); return err })
 }
 
+// ForwardRun consumes the frames of one type that are completely buffered, at
+// least one frame in any case, and writes them unchanged.
+func (r *Reader) ForwardRun(w *Writer, kind byte) error {
+	end := r.start
+	for end+headerSize <= r.end && r.buf[end] == kind {
+		length := int(binary.BigEndian.Uint32(r.buf[end+1:]))
+		if length < 4 || length > r.end-end-1 {
+			break
+		}
+		end += 1 + length
+	}
+	if end == r.start {
+		return r.Forward(w)
+	}
+	run := r.buf[r.start:end]
+	r.start = end
+	_, err := w.Write(run)
+	return err
+}
+
 // Skip consumes a frame of any size and drops it.
 func (r *Reader) Skip() error {
 	_, size, err := r.Peek()
--- a/internal/wire/writer.go
+++ b/internal/wire/writer.go
@@ -5,6 +5,9 @@
 	"io"
 )
 
+// directSize is the size in bytes from which a write bypasses the buffer.
+const directSize = bufferSize / 2
+
 // Writer buffers frames. Its buffer is held only between the first write and the
 // flush.
 type Writer struct {
@@ -37,7 +40,11 @@
 func (w *Writer) Write(p []byte) (int, error) {
 	total := len(p)
 	for len(p) > 0 && w.err == nil {
-		if w.n == 0 && len(p) >= bufferSize {
+		if len(p) >= directSize {
+			if w.n > 0 {
+				w.send((*w.pooled)[:w.n])
+				w.n = 0
+			}
 			w.send(p)
 			break
 		}
