--- a/internal/controller/shares/controller_test.go
+++ b/internal/controller/shares/controller_test.go
@@ -55,11 +55,12 @@
 
 		assert.NilError(t, busy.Leave(context.Background()))
 		w.network.set("vm-2", peer.Leaving)
-		assert.DeepEqual(t, w.parts("a"), map[ident.VMName]uint32{"vm-1": shares.TotalParts})
+		assert.DeepEqual(t, w.parts("a"), map[ident.VMName]uint32{"vm-1": shares.TotalParts, "vm-2": 0})
 		w.stops["vm-3"]()
 		w.network.set("vm-3", peer.Dead)
 		w.start("vm-4", "b")
 		time.Sleep(shares.Lease + shares.Guard + 8*time.Second)
+		assert.DeepEqual(t, w.parts("a"), map[ident.VMName]uint32{"vm-1": shares.TotalParts})
 		assert.DeepEqual(t, w.parts("b"), map[ident.VMName]uint32{"vm-4": shares.TotalParts})
 		assert.Equal(t, load(t, w.controllers["vm-1"], 900, 3*time.Second), 0)
 	})
--- a/internal/core/detector/probe.go
+++ b/internal/core/detector/probe.go
@@ -1,7 +1,8 @@
 package detector
 
 import (
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/ident"
@@ -50,7 +51,7 @@
 
 func (d *Detector) tickProbes(now time.Duration) []Send {
 	var out []Send
-	for _, id := range d.sortedProbes() {
+	for _, id := range slices.Sorted(maps.Keys(d.probes)) {
 		p := d.probes[id]
 		if now >= p.end {
 			delete(d.probes, id)
@@ -69,15 +70,6 @@
 	return out
 }
 
-func (d *Detector) sortedProbes() []uint64 {
-	ids := make([]uint64, 0, len(d.probes))
-	for id := range d.probes {
-		ids = append(ids, id)
-	}
-	sort.Slice(ids, func(i, j int) bool { return ids[i] < ids[j] })
-	return ids
-}
-
 // start probes a member.
 func (d *Detector) start(now time.Duration, name ident.VMName) Send {
 	d.lastProbe++
@@ -147,7 +139,8 @@
 // once a round because the ranking passes over the whole view.
 func (d *Detector) fillRemote() bool {
 	byZone := map[ident.AvailabilityZone][]Member{}
-	for _, e := range d.members {
+	for _, name := range slices.Sorted(maps.Keys(d.members)) {
+		e := d.members[name]
 		byZone[e.Member.Zone] = append(byZone[e.Member.Zone], e.Member)
 	}
 	watcher := false
@@ -163,13 +156,14 @@
 		}
 		watchers := Watchers(members, zone, watchersPerZone)
 		if len(watchers) == 0 {
-			watchers = []Member{members[d.rng.IntN(len(members))]}
+			i := d.rounds / 2 % len(members)
+			watchers = members[i : i+1]
 		}
 		for _, m := range watchers {
 			d.remote = append(d.remote, m.Name)
 		}
 	}
-	sort.Slice(d.remote, func(i, j int) bool { return d.remote[i] < d.remote[j] })
+	slices.Sort(d.remote)
 	d.rng.Shuffle(len(d.remote), func(i, j int) { d.remote[i], d.remote[j] = d.remote[j], d.remote[i] })
 	return len(d.remote) > 0
 }
@@ -228,7 +222,7 @@
 
 // judge declares suspects dead whose suspicion is confirmed and old enough.
 func (d *Detector) judge(now time.Duration) {
-	for name := range d.suspects {
+	for _, name := range slices.Sorted(maps.Keys(d.suspects)) {
 		e := d.members[name]
 		if now-e.suspected < d.cfg.Suspicion {
 			continue
--- a/internal/core/shares/borrow.go
+++ b/internal/core/shares/borrow.go
@@ -78,6 +78,9 @@
 // the lender has none to spare.
 type GrantMessage struct {
 	Grants []Want `cbor:"1,keyasint"`
+	// Configuration is the version that the lender's entitlement follows. A borrower
+	// of a newer one takes nothing: the lender may not know of a lower rate.
+	Configuration ident.ConfigurationVersion `cbor:"2,keyasint"`
 }
 
 // candidate is a VM that may be asked.
@@ -140,6 +143,10 @@
 	}
 	r.wanted, r.got = want, 0
 	r.next = now + r.interval
+	if want < b.need(now)*3/4 {
+		// Enough is left for a quarter of the horizon: fewer, larger rounds.
+		r.next = max(r.next, now+b.horizon/5)
+	}
 }
 
 // choose takes the VMs that are not known to be dry, own zone first, then those
--- a/internal/core/shares/changes.go
+++ b/internal/core/shares/changes.go
@@ -55,15 +55,15 @@
 		l.delayPlan(now)
 		return
 	}
-	if !l.fresh(now, a) {
-		return
-	}
 	if l.plan.what == changeLeave {
-		if t, ok := l.leaveTable(); ok {
+		if t, ok := l.leaveTable(); ok && l.fresh(now, a) {
 			l.write(now, a, changeLeave, Row{}, t, "this VM stops")
 		}
 		return
 	}
+	if !l.fresh(now, a) {
+		return
+	}
 	t, given, why := l.gift()
 	if given == 0 || given > l.held {
 		l.plan, l.held = nil, 0
@@ -193,7 +193,7 @@
 		if r.Parts > own.Parts || r.Parts == own.Parts && r.VM < own.VM {
 			return Table{}, 0, ""
 		}
-		if r.Parts < poorest.Parts {
+		if r.Parts < poorest.Parts && !r.Leaving {
 			poorest = r
 		}
 	}
@@ -244,17 +244,17 @@
 	return t, given, fmt.Sprintf("%d VMs have joined", len(joining))
 }
 
-// leaveTable gives all parts to the lessor, or to the next live VM.
+// leaveTable gives all parts to the lessor, or to another live VM. The empty row
+// stays until the lessor removes it, so that no parts are given to this VM again.
 func (l *Ledger) leaveTable() (Table, bool) {
 	own, ok := l.own()
-	if !ok {
+	if !ok || own.Leaving {
 		return Table{}, false
 	}
 	t := l.table.clone()
-	t.remove(own, l.alive)
 	heir := -1
 	for i, r := range t.Rows {
-		if l.present(r) && (heir < 0 || r.VM == own.Lessor) {
+		if r.VM != l.self && !r.Leaving && l.present(r) && (heir < 0 || r.VM == own.Lessor) {
 			heir = i
 		}
 	}
@@ -262,5 +262,8 @@
 		return Table{}, false
 	}
 	t.Rows[heir].Parts += own.Parts
+	own.Parts, own.Leaving = 0, true
+	t.set(own)
+	t.release(l.self, l.alive)
 	return t, true
 }
--- a/internal/core/shares/lease.go
+++ b/internal/core/shares/lease.go
@@ -25,7 +25,7 @@
 		l.read(now, a)
 	}
 	r, ok := l.own()
-	if !ok || now < l.nextAsk {
+	if !ok || r.Leaving || now < l.nextAsk {
 		return
 	}
 	l.nextAsk = now + RenewEvery
@@ -62,7 +62,7 @@
 // ReceiveRequest decides on a lease request of a VM incarnation.
 func (l *Ledger) ReceiveRequest(now time.Duration, from ident.VMName, incarnation ident.Incarnation, q LeaseRequest) (LeaseGrant, bool) {
 	r, ok := l.table.Row(from, incarnation)
-	if !ok || r.Lessor != l.self {
+	if !ok || r.Leaving || r.Lessor != l.self {
 		// The table of the sender may be newer.
 		l.wantRead = l.wantRead || q.Version > l.version
 		return LeaseGrant{}, false
--- a/internal/core/shares/ledger.go
+++ b/internal/core/shares/ledger.go
@@ -205,14 +205,13 @@
 	l.table, l.version, l.loaded = table, version, true
 	l.doubt = nil
 	after, has := l.own()
-	if l.plan != nil && (before != after || l.plan.what == changeLeave && !has) {
+	if l.plan != nil && l.plan.what == changeGive && before != after {
 		l.plan = nil
 	}
-	if l.plan == nil {
-		l.held = 0
-	}
-	if l.leaving && has {
+	if l.leaving {
 		l.held = after.Parts
+	} else if l.plan == nil {
+		l.held = 0
 	}
 	if had && !has {
 		l.leaseUntil = 0
@@ -235,7 +234,10 @@
 
 // Failed tells that a write was certainly not stored.
 func (l *Ledger) Failed(now time.Duration) {
-	l.doubt, l.plan, l.held = nil, nil, 0
+	l.doubt = nil
+	if !l.leaving {
+		l.plan, l.held = nil, 0
+	}
 	l.delayPlan(now)
 }
 
@@ -263,8 +265,8 @@
 
 // Left reports whether this VM, after Leave, holds no parts any more.
 func (l *Ledger) Left() bool {
-	_, ok := l.own()
-	return l.leaving && !ok && l.doubt == nil
+	own, ok := l.own()
+	return l.leaving && l.loaded && (!ok || own.Parts == 0) && l.doubt == nil
 }
 
 // writerName identifies a write of this incarnation.
--- a/internal/core/shares/node.go
+++ b/internal/core/shares/node.go
@@ -1,7 +1,10 @@
 package shares
 
 import (
+	"cmp"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -34,6 +37,8 @@
 	ledger      *Ledger
 	entitled    entitlements
 	peers       []candidate
+	order       []ident.OrganisationName   // of the configuration in force, sorted
+	ordered     ident.ConfigurationVersion // that order is made of
 	parts       uint32
 	usableUntil time.Duration
 }
@@ -101,13 +106,14 @@
 		n.refresh(now)
 	}
 	n.refreshIfChanged(now)
-	peers := n.peers
+	peers, order := n.peers, n.order
 	n.mu.Unlock()
 	asks := outbox{}
-	n.buckets.Range(func(key, value any) bool {
-		n.ask(now, key.(ident.OrganisationName), value.(*Bucket), 0, peers, asks)
-		return true
-	})
+	for _, organisation := range order {
+		if b, ok := n.Bucket(organisation); ok {
+			n.ask(now, organisation, b, 0, peers, asks)
+		}
+	}
 	return actions, asks.list()
 }
 
@@ -142,6 +148,7 @@
 	for to, m := range o {
 		out = append(out, Outgoing{to, *m})
 	}
+	slices.SortFunc(out, func(a, b Outgoing) int { return cmp.Compare(a.To, b.To) })
 	return out
 }
 
@@ -172,7 +179,7 @@
 			b.Release(now, from, incarnation, s.ID, s.Amount)
 		}
 	}
-	var answer GrantMessage
+	answer := GrantMessage{Configuration: n.configurationVersion()}
 	for _, w := range m.Wants {
 		amount := 0.0
 		if b, ok := n.Bucket(w.Organisation); ok {
@@ -185,6 +192,9 @@
 
 // ReceiveGrant credits an answer and returns the organisations that got tokens.
 func (n *Node) ReceiveGrant(now time.Duration, from ident.VMName, m GrantMessage) []ident.OrganisationName {
+	if m.Configuration < n.configurationVersion() {
+		return nil
+	}
 	var credited []ident.OrganisationName
 	for _, g := range m.Grants {
 		if b, ok := n.buckets.Load(g.Organisation); ok && b.(*Bucket).Credit(now, from, g) {
@@ -194,6 +204,15 @@
 	return credited
 }
 
+func (n *Node) configurationVersion() ident.ConfigurationVersion {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.entitled.current == nil {
+		return 0
+	}
+	return n.entitled.current.Version
+}
+
 // Bucket returns the bucket of an organisation of the configuration in force.
 func (n *Node) Bucket(organisation ident.OrganisationName) (*Bucket, bool) {
 	b, ok := n.buckets.Load(organisation)
@@ -217,7 +236,11 @@
 	if n.entitled.current == nil {
 		return
 	}
-	for organisation := range n.entitled.current.Organisations {
+	if current := n.entitled.current; current.Version != n.ordered {
+		n.ordered = current.Version
+		n.order = slices.Sorted(maps.Keys(current.Organisations))
+	}
+	for _, organisation := range n.order {
 		if _, ok := n.buckets.Load(organisation); !ok {
 			n.buckets.Store(organisation, NewBucket(now))
 		}
--- a/internal/core/shares/table.go
+++ b/internal/core/shares/table.go
@@ -43,6 +43,8 @@
 	// LessorTerm increases with each change of the lessor, so that a VM that becomes
 	// lessor again does not count the time before.
 	LessorTerm uint32 `json:"lessor_term,omitempty" cbor:"5,keyasint,omitempty"`
+	// Leaving rows have given their parts away and get none until they are removed.
+	Leaving bool `json:"leaving,omitempty" cbor:"6,keyasint,omitempty"`
 }
 
 // is reports whether the row belongs to this incarnation.
@@ -92,12 +94,13 @@
 	return slices.ContainsFunc(t.Rows, func(r Row) bool { return r.VM == vm })
 }
 
-// Successor returns the next VM in the ring of the table that satisfies usable.
+// Successor returns the next VM in the ring of the table that satisfies usable and
+// is not leaving.
 func (t Table) Successor(vm ident.VMName, usable func(ident.VMName) bool) (ident.VMName, bool) {
 	start := sort.Search(len(t.Rows), func(i int) bool { return t.Rows[i].VM > vm })
 	for i := range t.Rows {
 		r := t.Rows[(start+i)%len(t.Rows)]
-		if r.VM != vm && usable(r.VM) {
+		if r.VM != vm && !r.Leaving && usable(r.VM) {
 			return r.VM, true
 		}
 	}
@@ -133,11 +136,15 @@
 	if i, ok := t.find(old.VM, old.Incarnation); ok {
 		t.Rows = slices.Delete(t.Rows, i, i+1)
 	}
-	if t.Lists(old.VM) {
-		return
+	if !t.Lists(old.VM) {
+		t.release(old.VM, usable)
 	}
+}
+
+// release gives the rows that a VM was lessor of to their own successors.
+func (t *Table) release(vm ident.VMName, usable func(ident.VMName) bool) {
 	for _, r := range slices.Clone(t.Rows) {
-		if r.Lessor == old.VM {
+		if r.Lessor == vm {
 			next, _ := t.Successor(r.VM, usable)
 			t.setLessor(r, next)
 		}
