--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Runs every check: formatter, linter, build and tests with the race detector.
-.PHONY: test check build bench
-test: check build
+.PHONY: test check build bench model
+test: check build model
 	go test -race -timeout 20m ./...
 
 check:
@@ -12,5 +12,9 @@
 build:
 	go build ./...
 
+# Model-checks the protocol specifications with Spin.
+model:
+	./specs/run.sh
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
--- a/internal/core/promotion/machine_test.go
+++ b/internal/core/promotion/machine_test.go
@@ -21,6 +21,10 @@
 			s.advance(time.Duration(pick(20)) * time.Millisecond)
 		}
 	},
+	"read": func(s *simulation, pick func(int) int) {
+		s.vms[pick(3)].read()
+		s.advance(time.Duration(pick(20)) * time.Millisecond)
+	},
 	"advance": func(s *simulation, pick func(int) int) { s.advance(time.Duration(1+pick(20)) * 100 * time.Millisecond) },
 	"cut": func(s *simulation, pick func(int) int) {
 		nodes := s.nodes()
@@ -70,22 +74,9 @@
 	return append(nodes, "platform")
 }
 
-// settle ends all faults and checks that the group serves writes again.
-func (s *simulation) settle() {
-	s.heal()
-	s.advance(20 * time.Second)
-	before := len(s.acked)
-	for i, vm := range s.vms {
-		vm.write(-1 - i)
-	}
-	s.advance(time.Second)
-	if s.failure == nil && len(s.acked) < before+len(s.vms) {
-		s.fail("%d of %d writes acknowledged after all faults ended", len(s.acked)-before, len(s.vms))
-	}
-}
-
 // Guards against a lost acknowledged write, an acknowledgement by an old primary,
-// two primaries in a term, and a group that stays without a primary.
+// two primaries in a term, a read that misses an acknowledged write, and a group that
+// stays without a primary or a read that waits for ever.
 func TestNoAcknowledgedWriteIsLost(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(rapid.Uint64().Draw(t, "seed"))
@@ -116,7 +107,7 @@
 	}
 	random := rand.New(rand.NewPCG(seed, 3))
 	names := []string{
-		"write", "write", "write", "advance", "advance", "cut", "isolate", "reconnect", "pause", "resume", "restart", "outage", "loss", "leave", "kill", "start", "heal",
+		"write", "write", "write", "read", "read", "advance", "advance", "cut", "isolate", "reconnect", "pause", "resume", "restart", "outage", "loss", "leave", "kill", "start", "heal",
 	}
 	for range 120 {
 		operations[names[random.IntN(len(names))]](s, random.IntN)
@@ -143,7 +134,8 @@
 				return false
 			}
 		},
-		"fence a minority": func(s *simulation) { s.rules.majority = func(n int) int { return n / 2 } },
+		"read index from the last streamed statuses": func(s *simulation) { s.indexFromStreams = true },
+		"fence a minority":                           func(s *simulation) { s.rules.majority = func(n int) int { return n / 2 } },
 	}
 	for name, change := range mutants {
 		t.Run(name, func(t *testing.T) {
@@ -161,13 +153,14 @@
 // Guards against seeds that fail without a mutation, and against schedules so
 // harsh that nothing is ever promoted or acknowledged.
 func TestUnchangedRulesPassMutationSeeds(t *testing.T) {
-	promotions, writes := 0, 0
+	promotions, writes, reads := 0, 0, 0
 	for seed := range uint64(mutationSeeds) {
 		s, err := runRandom(seed, func(*simulation) {})
 		assert.NilError(t, err, "seed %d", seed)
 		promotions += len(s.promoted) - 1
 		writes += len(s.acked)
+		reads += s.served
 	}
-	t.Logf("%d promotions, %d acknowledged writes", promotions, writes)
-	assert.Assert(t, promotions > mutationSeeds && writes > mutationSeeds)
+	t.Logf("%d promotions, %d acknowledged writes, %d reads", promotions, writes, reads)
+	assert.Assert(t, promotions > mutationSeeds && writes > mutationSeeds && reads > mutationSeeds)
 }
--- a/internal/core/promotion/sim_test.go
+++ b/internal/core/promotion/sim_test.go
@@ -32,11 +32,14 @@
 	dead    map[string]bool     // nodes that refuse connections
 	loss    int                 // percent
 
-	rules    rules
-	confirms func(*routing.View, ident.UpstreamName, ident.Term, ident.LogPoint) bool
+	// Rules that the mutation checks replace.
+	rules            rules
+	indexFromStreams bool
+	confirms         func(*routing.View, ident.UpstreamName, ident.Term, ident.LogPoint) bool
 
 	promoted map[ident.Term]promotedLog
 	acked    []write
+	served   int // reads
 	outcomes []Outcome
 	failure  error
 }
--- a/internal/core/promotion/simnode_test.go
+++ b/internal/core/promotion/simnode_test.go
@@ -121,6 +121,7 @@
 	machine *Machine
 	view    *routing.View
 	pending []pendingWrite
+	reads   []*pendingRead
 }
 
 type pendingWrite struct {
@@ -138,7 +139,7 @@
 	for _, m := range vm.sim.members {
 		members = append(members, routing.Member{Upstream: m.status.Upstream, Zone: m.zone, Usable: true})
 	}
-	vm.view, vm.pending = routing.NewView(simGroup, members), nil
+	vm.view, vm.pending, vm.reads = routing.NewView(simGroup, members), nil, nil
 	vm.configure()
 	vm.get()
 }
@@ -178,6 +179,7 @@
 		}
 	}
 	vm.pending = kept
+	vm.serveReads()
 	vm.carryOut()
 }
 
--- /dev/null
+++ b/internal/core/promotion/simread_test.go
@@ -0,0 +1,95 @@
+package promotion
+
+import (
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/routing"
+	"github.com/rosemarywall/rosemarywall/internal/group"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+)
+
+// pendingRead is a strict read that has its index and waits for a member.
+type pendingRead struct {
+	acked int // writes that were acknowledged when the read arrived
+	point ident.LogPoint
+}
+
+// read runs a strict read of a caller through this VM.
+func (vm *simVM) read() {
+	s := vm.sim
+	r := &pendingRead{acked: len(s.acked)}
+	if s.indexFromStreams {
+		for i := range vm.view.Seen {
+			if p := vm.view.Seen[i].Status.Received; p.Compare(r.point) > 0 {
+				r.point = p
+			}
+		}
+		vm.reads = append(vm.reads, r)
+		vm.serveReads()
+		return
+	}
+	round := routing.NewIndexRound(len(s.members))
+	for i, m := range s.members {
+		var status group.Status
+		s.call(vm.name, m.node(), func() { status = m.status }, func(answered bool) {
+			vm.during(func() {
+				if !answered || round.Done() || !round.Answer(i, status.Received) {
+					return
+				}
+				r.point = round.Point()
+				vm.reads = append(vm.reads, r)
+				vm.serveReads()
+			})()
+		})
+	}
+}
+
+// serveReads sends the reads that a member of the view satisfies to that member.
+func (vm *simVM) serveReads() {
+	kept := vm.reads[:0]
+	for _, r := range vm.reads {
+		i := vm.view.Replica(routing.Need{Point: r.point}, routing.Place{Zone: vm.zone}, nil, 0, vm.sim.now)
+		if i < 0 {
+			if p, ok := vm.view.PrimaryFor(r.point); ok {
+				i = p
+			}
+		}
+		if i < 0 {
+			kept = append(kept, r)
+			continue
+		}
+		m := vm.sim.members[i]
+		vm.sim.send(vm.name, m.node(), func() { vm.sim.checkRead(m, r) })
+	}
+	vm.reads = kept
+}
+
+// checkRead guards against a read that misses a write acknowledged before it.
+func (s *simulation) checkRead(m *simMember, r *pendingRead) {
+	s.served++
+	for _, w := range s.acked[:r.acked] {
+		if i := int(w.point.Position) - 1; i >= len(m.log) || m.log[i] != w {
+			s.fail("a read at %s on %s misses acknowledged write %s", r.point, m.status.Upstream, w.point)
+		}
+	}
+}
+
+// settle ends all faults and checks that the group serves writes and reads again.
+func (s *simulation) settle() {
+	s.heal()
+	s.advance(20 * time.Second)
+	acked, served := len(s.acked), s.served
+	for i, vm := range s.vms {
+		vm.write(-1 - i)
+		vm.read()
+	}
+	s.advance(time.Second)
+	if s.failure == nil && (len(s.acked) < acked+len(s.vms) || s.served < served+len(s.vms)) {
+		s.fail("%d writes and %d reads of %d each done after all faults ended", len(s.acked)-acked, s.served-served, len(s.vms))
+	}
+	for _, vm := range s.vms {
+		if s.failure == nil && len(vm.reads) > 0 {
+			s.fail("a read at %s waits for ever", vm.reads[0].point)
+		}
+	}
+}
