--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -18,6 +18,7 @@
 	groupcontroller "github.com/rosemarywall/rosemarywall/internal/controller/groups"
 	sharecontroller "github.com/rosemarywall/rosemarywall/internal/controller/shares"
 	"github.com/rosemarywall/rosemarywall/internal/core/shares"
+	"github.com/rosemarywall/rosemarywall/internal/filter"
 	"github.com/rosemarywall/rosemarywall/internal/frontend"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
@@ -44,6 +45,8 @@
 	// SourceAddress is the local IP of connections to upstreams and agents; empty
 	// leaves the choice to the system.
 	SourceAddress string
+	// Baseline replaces parts for measurements; the zero value replaces none.
+	Baseline Baseline
 }
 
 // VM is a running entry VM.
@@ -180,6 +183,9 @@
 // PeerAddress returns the address on which other VMs connect.
 func (v *VM) PeerAddress() string { return v.mesh.Self().Address }
 
+// Counters returns the counters of the data plane.
+func (v *VM) Counters() *filter.Counters { return v.callers.Counters() }
+
 // State returns the state dump.
 func (v *VM) State() map[string]any { return v.admin.State() }
 
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -110,7 +110,8 @@
 		return err
 	}
 	v.callers = frontend.NewServer(frontend.Config{
-		Authoriser: v.configs, Limiter: v.shares, Router: v.groups, Pools: v.pools,
+		Authoriser: v.configs, Limiter: v.cfg.Baseline.limiter(v.shares, v.configs), Router: v.cfg.Baseline.router(v.groups),
+		Pools: v.pools, FirstComeQueue: v.cfg.Baseline.FirstComeQueue,
 		TLS: callerTLS, RequireTLS: s.Callers.TLSRequired, MaxCallers: s.Callers.MaxCallers,
 		MaxMessage: s.Callers.MaxMessageBytes, QueueTimeout: s.Callers.QueueDeadline,
 		ConfirmTimeout: s.Upstreams.ConfirmDeadline, Now: v.clock.Now, Logger: v.log,
--- a/internal/filter/queue/queue.go
+++ b/internal/filter/queue/queue.go
@@ -18,6 +18,9 @@
 type Config struct {
 	// Now is the time since process start.
 	Now func() time.Duration
+	// FirstCome ignores organisations, so that requests run in the order of their
+	// arrival; it is a baseline for measurements.
+	FirstCome bool
 }
 
 // Filter holds one queue per upstream.
@@ -99,10 +102,14 @@
 	q.last++
 	id, ready := q.last, make(chan bool, 1)
 	q.waiting[id] = ready
-	q.core.Add(queue.Entry{
+	entry := queue.Entry{
 		ID: id, Organisation: r.Session.Grant.Organisation, Weight: r.Session.Grant.Weight,
 		Deadline: now + time.Until(r.Deadline),
-	})
+	}
+	if f.cfg.FirstCome {
+		entry.Organisation, entry.Weight = "", 1
+	}
+	q.core.Add(entry)
 	q.step(now)
 	q.mu.Unlock()
 	select {
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -5,6 +5,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarywall/rosemarywall/internal/entry"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 )
 
@@ -41,7 +42,9 @@
 	CallerAddresses []string
 	// Seed makes random choices repeatable.
 	Seed uint64
-	Log  zerolog.Logger
+	// Baseline replaces parts of all VMs for measurements.
+	Baseline entry.Baseline
+	Log      zerolog.Logger
 }
 
 const (
--- a/internal/fleet/faults.go
+++ b/internal/fleet/faults.go
@@ -51,10 +51,10 @@
 				continue
 			}
 			for _, database := range f.cfg.Databases {
-				member := string(memberName(database, j))
+				member := endpoint(database, j)
 				network.CutBoth(upstream.CallersIn(string(a.Name)), member, cut)
 				network.CutBoth(upstream.AgentsIn(string(a.Name)), member, cut)
-				network.CutBoth(string(memberName(database, i)), member, cut)
+				network.CutBoth(endpoint(database, i), member, cut)
 			}
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -87,8 +87,12 @@
 	return out
 }
 
-// memberName names the member of a database in a zone. Names are unique in the
-// installation, because links of the stand-in network are named by member.
+// endpoint names a member in links of the stand-in network.
+func endpoint(database ident.GroupName, zone int) string {
+	return upstream.EndpointOf(database, memberName(database, zone))
+}
+
+// memberName names the member of a database in a zone.
 func memberName(database ident.GroupName, zone int) ident.UpstreamName {
 	return ident.UpstreamName(fmt.Sprintf("%s-%c", database, 'a'+zone))
 }
@@ -108,13 +112,13 @@
 		for j := range f.cfg.Zones {
 			latency := f.latency(i, j)
 			for _, database := range f.cfg.Databases {
-				member := string(memberName(database, j))
-				for _, endpoint := range []string{upstream.CallersIn(string(zone.Name)), upstream.AgentsIn(string(zone.Name))} {
-					network.SetLatency(endpoint, member, latency)
-					network.SetLatency(member, endpoint, latency)
+				member := endpoint(database, j)
+				for _, clients := range []string{upstream.CallersIn(string(zone.Name)), upstream.AgentsIn(string(zone.Name))} {
+					network.SetLatency(clients, member, latency)
+					network.SetLatency(member, clients, latency)
 				}
 				if i != j {
-					network.SetLatency(string(memberName(database, i)), member, latency)
+					network.SetLatency(endpoint(database, i), member, latency)
 				}
 			}
 		}
@@ -197,7 +201,7 @@
 	f.mu.Unlock()
 	vm, err := entry.Start(entry.Config{
 		Settings: &s, Log: f.cfg.Log, Incarnation: incarnation, Links: f.Links, PlainPeers: true,
-		SourceAddress: sourceAddress(m.zone),
+		SourceAddress: sourceAddress(m.zone), Baseline: f.cfg.Baseline,
 	})
 	if err != nil {
 		return errors.Wrapf(err, "start VM %s", name)
--- a/internal/fleet/note.go
+++ b/internal/fleet/note.go
@@ -7,6 +7,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/standin/upstream"
 )
 
 // Key returns the key of an organisation in the first release note.
@@ -51,6 +52,11 @@
 	return ""
 }
 
+// DirectConnectionString returns the address of a member without an entry proxy.
+func (f *Fleet) DirectConnectionString(m *upstream.Member, database ident.GroupName) string {
+	return fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", upstreamUser, upstreamPassword, m.Address(), database)
+}
+
 // ConnectionString returns the address of a database through a VM, with the key of
 // the organisation.
 func (f *Fleet) ConnectionString(vm ident.VMName, organisation ident.OrganisationName, database ident.GroupName) string {
--- a/internal/frontend/config.go
+++ b/internal/frontend/config.go
@@ -45,6 +45,9 @@
 	WriteTimeout time.Duration
 	// ConfirmTimeout bounds the confirmation of a commit; default 5 s.
 	ConfirmTimeout time.Duration
+	// FirstComeQueue serves waiting requests in the order of their arrival, as a
+	// baseline for measurements.
+	FirstComeQueue bool
 	// PlainWrites forwards single writes without BEGIN and COMMIT.
 	PlainWrites bool
 	// ServerVersion is reported until an upstream has reported its own.
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -39,7 +39,7 @@
 	last := forward.New(forward.Config{
 		Pools: cfg.Pools, Router: cfg.Router, Counters: cfg.Counters, ConfirmTimeout: cfg.ConfirmTimeout, Plain: cfg.PlainWrites,
 	})
-	q := queue.New(last, queue.Config{Now: cfg.Now})
+	q := queue.New(last, queue.Config{Now: cfg.Now, FirstCome: cfg.FirstComeQueue})
 	var chain filter.Handler = route.New(q, route.Config{Router: cfg.Router, Counters: cfg.Counters})
 	chain = limit.New(chain, limit.Config{Limiter: cfg.Limiter})
 	chain = authorise.New(chain, authorise.Config{Authoriser: cfg.Authoriser})
--- a/internal/standin/upstream/network.go
+++ b/internal/standin/upstream/network.go
@@ -5,6 +5,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/ident"
 )
 
 // Endpoints of links that are not members.
@@ -21,8 +23,13 @@
 // AgentsIn names the clients of member agents of a zone as an endpoint.
 func AgentsIn(zone string) string { return Agents + "@" + zone }
 
-// Endpoint is the name of the member in links: the group, a slash and the member.
-func (m *Member) Endpoint() string { return string(m.group.cfg.Name) + "/" + string(m.name) }
+// EndpointOf names a member as an endpoint: the group, a slash and the member.
+func EndpointOf(group ident.GroupName, member ident.UpstreamName) string {
+	return string(group) + "/" + string(member)
+}
+
+// Endpoint is the name of the member in links.
+func (m *Member) Endpoint() string { return EndpointOf(m.group.cfg.Name, m.name) }
 
 // Network holds the conditions of all links. A link from Callers or Agents
 // applies to every zone; both it and the link of the zone are applied.
