--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -110,7 +110,8 @@
 		return err
 	}
 	v.callers = frontend.NewServer(frontend.Config{
-		Authoriser: v.configs, Limiter: v.shares, Router: v.groups, Pools: v.pools,
+		Authoriser: v.configs, Limiter: v.cfg.Baseline.limiter(v.shares, v.configs), Router: v.cfg.Baseline.router(v.groups),
+		Pools: v.pools, FirstComeQueue: v.cfg.Baseline.FirstComeQueue,
 		TLS: callerTLS, RequireTLS: s.Callers.TLSRequired, MaxCallers: s.Callers.MaxCallers,
 		MaxMessage: s.Callers.MaxMessageBytes, QueueTimeout: s.Callers.QueueDeadline,
 		ConfirmTimeout: s.Upstreams.ConfirmDeadline, Now: v.clock.Now, Logger: v.log,
@@ -134,7 +135,7 @@
 }
 
 func (v *VM) newAdmin() {
-	v.admin = admin.New(v.ready)
+	v.admin = admin.New(v.Ready)
 	v.admin.Handle("/v1/", v.configs.Handler())
 	v.admin.AddDump("callers", v.callers.Dump)
 	v.admin.AddDump("mesh", func() any { return v.mesh.Dump() })
@@ -144,7 +145,8 @@
 	v.admin.AddDump("platform_calls", func() any { return rawJSON(v.platform.Calls().String()) })
 }
 
-func (v *VM) ready() (bool, string) {
+// Ready reports whether new callers are welcome, and the reason when not.
+func (v *VM) Ready() (bool, string) {
 	if v.draining.Load() {
 		return false, "draining"
 	}
--- a/internal/fleet/note.go
+++ b/internal/fleet/note.go
@@ -7,6 +7,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/standin/upstream"
 )
 
 // Key returns the key of an organisation in the first release note.
@@ -31,7 +32,7 @@
 		fmt.Fprintf(&b, "[add database %s]\n\n", database)
 		for _, member := range f.Standin.Groups[database].Members() {
 			fmt.Fprintf(&b, "[add upstream %s/%s]\nzone = %s\naddress = %s\nagent = %s\nslots = %d\nconnections = %d\n\n",
-				database, member.Name(), f.zoneOf(database, member.Name()), member.Address(), member.AgentAddress(), f.cfg.Slots, f.cfg.Connections)
+				database, member.Name(), f.zoneOf(member.Name()), member.Address(), member.AgentAddress(), f.cfg.Slots, f.cfg.Connections)
 		}
 	}
 	for _, o := range f.cfg.Organisations {
@@ -42,15 +43,20 @@
 	return b.String()
 }
 
-func (f *Fleet) zoneOf(database ident.GroupName, member ident.UpstreamName) ident.AvailabilityZone {
+func (f *Fleet) zoneOf(member ident.UpstreamName) ident.AvailabilityZone {
 	for i, zone := range f.cfg.Zones {
-		if memberName(database, i) == member {
+		if memberName(i) == member {
 			return zone.Name
 		}
 	}
 	return ""
 }
 
+// DirectConnectionString returns the address of a member without an entry proxy.
+func (f *Fleet) DirectConnectionString(m *upstream.Member, database ident.GroupName) string {
+	return fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", upstreamUser, upstreamPassword, m.Address(), database)
+}
+
 // ConnectionString returns the address of a database through a VM, with the key of
 // the organisation.
 func (f *Fleet) ConnectionString(vm ident.VMName, organisation ident.OrganisationName, database ident.GroupName) string {
--- a/internal/standin/upstream/network.go
+++ b/internal/standin/upstream/network.go
@@ -5,6 +5,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/ident"
 )
 
 // Endpoints of links that are not members.
@@ -21,8 +23,13 @@
 // AgentsIn names the clients of member agents of a zone as an endpoint.
 func AgentsIn(zone string) string { return Agents + "@" + zone }
 
-// Endpoint is the name of the member in links: the group, a slash and the member.
-func (m *Member) Endpoint() string { return string(m.group.cfg.Name) + "/" + string(m.name) }
+// EndpointOf names a member as an endpoint: the group, a slash and the member.
+func EndpointOf(group ident.GroupName, member ident.UpstreamName) string {
+	return string(group) + "/" + string(member)
+}
+
+// Endpoint is the name of the member in links.
+func (m *Member) Endpoint() string { return EndpointOf(m.group.cfg.Name, m.name) }
 
 // Network holds the conditions of all links. A link from Callers or Agents
 // applies to every zone; both it and the link of the zone are applied.
@@ -108,77 +115,3 @@
 	}
 	return []string{class}
 }
-
-// shapedListener applies network conditions and pauses to accepted connections.
-type shapedListener struct {
-	net.Listener
-	member *Member
-	class  string
-}
-
-func (l *shapedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	clients := l.member.group.network.clientEndpoints(l.class, conn.RemoteAddr())
-	return &shapedConn{Conn: conn, member: l.member, clients: clients, closed: make(chan struct{})}, nil
-}
-
-// shapedConn delays and withholds bytes as the member and its link require.
-type shapedConn struct {
-	net.Conn
-	member  *Member
-	clients []string
-	once    sync.Once
-	closed  chan struct{}
-}
-
-func (c *shapedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	if n > 0 && !c.pass(c.clients, []string{c.member.Endpoint()}) {
-		return 0, net.ErrClosed
-	}
-	return n, err
-}
-
-func (c *shapedConn) Write(p []byte) (int, error) {
-	if !c.pass([]string{c.member.Endpoint()}, c.clients) {
-		return 0, net.ErrClosed
-	}
-	return c.Conn.Write(p)
-}
-
-// Close also ends waits in Read and Write.
-func (c *shapedConn) Close() error {
-	c.once.Do(func() { close(c.closed) })
-	return c.Conn.Close()
-}
-
-// pass waits until the link carries bytes; false means that the connection closed.
-func (c *shapedConn) pass(froms, tos []string) bool {
-	for {
-		paused := c.member.pauseState()
-		cut, latency, changed := c.member.group.network.conditions(froms, tos)
-		if paused == nil && !cut {
-			return latency == 0 || c.wait(latency)
-		}
-		select {
-		case <-c.closed:
-			return false
-		case <-changed:
-		case <-paused:
-		}
-	}
-}
-
-func (c *shapedConn) wait(d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-c.closed:
-		return false
-	}
-}
