--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -7,6 +7,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/entry"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/settings"
 )
 
 // Zone is an availability zone of the installation.
@@ -44,7 +45,9 @@
 	Seed uint64
 	// Baseline replaces parts of all VMs for measurements.
 	Baseline entry.Baseline
-	Log      zerolog.Logger
+	// Adjust changes the settings of each VM before its first start; nil changes nothing.
+	Adjust func(*settings.Settings)
+	Log    zerolog.Logger
 }
 
 const (
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -18,6 +18,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
 	"github.com/rosemarywall/rosemarywall/internal/platform"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/settings"
 	"github.com/rosemarywall/rosemarywall/internal/standin"
 	"github.com/rosemarywall/rosemarywall/internal/standin/upstream"
@@ -149,6 +150,9 @@
 	if number < len(f.cfg.CallerAddresses) {
 		s.Callers.Listen = netip.MustParseAddrPort(f.cfg.CallerAddresses[number])
 	}
+	if f.cfg.Adjust != nil {
+		f.cfg.Adjust(&s)
+	}
 	return s
 }
 
@@ -253,7 +257,9 @@
 type NoteResult struct {
 	Accepted bool                       `json:"accepted"`
 	Version  ident.ConfigurationVersion `json:"version"`
-	Body     json.RawMessage            `json:"-"`
+	// Code says why the note was not accepted.
+	Code resultcode.Code `json:"code"`
+	Body json.RawMessage `json:"-"`
 }
 
 // ApplyNote sends a release note to a VM and returns its answer; the error holds
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -25,6 +26,7 @@
 
 // fakeVM is the administration address of a VM in front of one configuration.
 type fakeVM struct {
+	mu      sync.Mutex // requests may overlap after an answer was lost
 	current *configuration.Configuration
 	history []configcontroller.HistoryEntry
 	answer  *configcontroller.Result // replaces the answer to a note
@@ -33,6 +35,8 @@
 }
 
 func (f *fakeVM) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	var body any
 	switch r.Method + " " + r.URL.Path {
 	case "GET /v1/configuration":
--- a/internal/sessions/caller_test.go
+++ b/internal/sessions/caller_test.go
@@ -92,12 +92,17 @@
 	name     string
 	conn     net.Conn
 	frontend *pgproto3.Frontend
+	// processID and secretKey identify the connection in a cancel request.
+	processID uint32
+	secretKey []byte
 }
 
+func dial(address string) (net.Conn, error) { return net.Dial("tcp", address) }
+
 // open connects without sending anything.
 func (s *session) open(name string, vm ident.VMName) *caller {
 	s.t.Helper()
-	conn, err := net.Dial("tcp", s.fleet.VM(vm).CallerAddress())
+	conn, err := dial(s.fleet.VM(vm).CallerAddress())
 	assert.NilError(s.t, err)
 	s.t.Cleanup(func() { _ = conn.Close() })
 	fmt.Fprintf(&s.text, "%s connects to %s\n", name, vm)
@@ -154,6 +159,9 @@
 			return "closed"
 		}
 		fmt.Fprintf(&c.s.text, "%s <- %s\n", c.name, describe(m))
+		if key, ok := m.(*pgproto3.BackendKeyData); ok {
+			c.processID, c.secretKey = key.ProcessID, append([]byte(nil), key.SecretKey...)
+		}
 		kind := kindOf(m)
 		for _, l := range last {
 			if kind == l {
--- a/internal/sessions/describe_test.go
+++ b/internal/sessions/describe_test.go
@@ -26,6 +26,9 @@
 	case *pgproto3.BackendKeyData:
 		return kind + " (masked)"
 	case *pgproto3.Query:
+		if len(m.String) > 200 {
+			return fmt.Sprintf("%s of %d bytes", kind, len(m.String))
+		}
 		return fmt.Sprintf("%s %q", kind, m.String)
 	case *pgproto3.Parse:
 		return fmt.Sprintf("%s %q %q", kind, m.Name, m.Query)
