--- a/internal/standin/upstream/agent.go
+++ b/internal/standin/upstream/agent.go
@@ -78,7 +78,9 @@
 	fault, delay := m.takeFault(agentAnswers)
 	switch fault {
 	case DelayAnswer:
-		time.Sleep(delay)
+		if !sleep(m.ended(), delay) {
+			panic(http.ErrAbortHandler)
+		}
 	case DropAnswer, CloseBeforeAnswer, DuplicateAnswer:
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/standin/upstream/fault_test.go
+++ b/internal/standin/upstream/fault_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/rosemarywall/rosemarywall/internal/group"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
 )
 
 // brief returns a context that ends while a fault is certainly still active.
@@ -135,7 +136,8 @@
 	assert.Equal(t, answer(t, frontend), "row 42, SELECT 1, ready I", "the delay hit more than one answer")
 }
 
-// The effect of an agent call whose answer is lost must remain.
+// The effect of an agent call whose answer is lost must remain, and a delayed
+// answer must be late.
 func TestLostAgentAnswer(t *testing.T) {
 	g := startGroup(t, nil)
 	g.Member("b").FailAgentAnswers(DropAnswer, 1, 0)
@@ -143,7 +145,10 @@
 	assert.Assert(t, err != nil)
 	status, err := agentOf(g, "b").Fence(t.Context(), 2, "vm-1")
 	assert.NilError(t, err)
-	assert.Equal(t, string(status.Role), "replica")
+	assert.Equal(t, status.Term, ident.Term(2))
+	g.Member("b").FailAgentAnswers(DelayAnswer, 1, time.Hour)
+	_, err = agentOf(g, "b").Status(brief(t))
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
 }
 
 // The stream must show every change at once and break when the member dies or
--- a/internal/standin/upstream/lifecycle.go
+++ b/internal/standin/upstream/lifecycle.go
@@ -219,12 +219,17 @@
 	return primary
 }
 
+// ended returns a channel that is closed when the member is killed.
+func (m *Member) ended() <-chan struct{} {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.done
+}
+
 // waitContext is the context of waits that only a kill ends.
 func (m *Member) waitContext() (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(context.Background())
-	m.mu.Lock()
-	done := m.done
-	m.mu.Unlock()
+	done := m.ended()
 	go func() {
 		select {
 		case <-done:
--- a/internal/standin/upstream/protocol_test.go
+++ b/internal/standin/upstream/protocol_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"crypto/tls"
 	"database/sql"
+	"errors"
 	"fmt"
 	"net/http/httptest"
 	"slices"
@@ -317,6 +318,14 @@
 	connect(t, g, "a")
 }
 
+// A new connection must cost the configured delay.
+func TestConnectDelay(t *testing.T) {
+	g := startGroup(t, func(cfg *Config) { cfg.Members[0].ConnectDelay = time.Hour })
+	_, err := pgconn.Connect(brief(t), dsn(g, "a"))
+	assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
+	assert.Equal(t, number(t, connect(t, g, "b"), "SELECT 1"), int64(1))
+}
+
 // Statements above the slots must wait for one, in order of arrival.
 func TestSlots(t *testing.T) {
 	g := startGroup(t, func(cfg *Config) { cfg.Members[0].Slots = 1 })
--- a/internal/standin/upstream/replicate.go
+++ b/internal/standin/upstream/replicate.go
@@ -146,9 +146,7 @@
 	if busy || (pending == 0 && !rebuild) {
 		return heartbeat
 	}
-	ctx, cancel := m.waitContext()
-	defer cancel()
-	if m.writer.Acquire(ctx, 1) != nil {
+	if !m.acquireWriter() {
 		return heartbeat
 	}
 	defer m.writer.Release(1)
@@ -163,6 +161,16 @@
 	return m.applyDueLocked()
 }
 
+// acquireWriter waits for the writer; false means that the member was killed.
+func (m *Member) acquireWriter() bool {
+	if m.writer.TryAcquire(1) {
+		return true
+	}
+	ctx, cancel := m.waitContext()
+	defer cancel()
+	return m.writer.Acquire(ctx, 1) == nil
+}
+
 func (m *Member) applyDueLocked() time.Duration {
 	now := time.Now()
 	pending := m.log.entries[m.applied.Position:]
--- a/internal/standin/upstream/replication_test.go
+++ b/internal/standin/upstream/replication_test.go
@@ -85,7 +85,7 @@
 	for _, replica := range []string{"b", "c"} {
 		g.Network().CutBoth(g.Member("a").Endpoint(), g.Member(identName(replica)).Endpoint(), false)
 	}
-	_, err = agentOf(g, "a").Follow(t.Context(), 2, "b", "")
+	_, err = agentOf(g, "a").Follow(t.Context(), 2, "", g.Member("b").AgentAddress())
 	assert.NilError(t, err)
 	eventually(t, "a shows the log of b", func() bool {
 		return g.Member("a").Status().Applied == ident.LogPoint{Term: 2, Position: 5}
