--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -199,7 +199,7 @@
 	f.mu.Unlock()
 	vm, err := entry.Start(entry.Config{
 		Settings: &s, Log: f.cfg.Log, Incarnation: incarnation, Links: f.Links, PlainPeers: true,
-		SourceAddress: sourceAddress(m.zone),
+		SourceAddress: sourceAddress(m.zone), Baseline: f.cfg.Baseline,
 	})
 	if err != nil {
 		return errors.Wrapf(err, "start VM %s", name)
