--- a/internal/standin/upstream/fault_test.go
+++ b/internal/standin/upstream/fault_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/rosemarywall/rosemarywall/internal/group"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
 )
 
 // brief returns a context that ends while a fault is certainly still active.
@@ -88,8 +89,10 @@
 		g.Network().SetLatency(direction.from, direction.to, time.Hour)
 		_, err := conn.Exec(brief(t), "INSERT INTO v VALUES (1) /* request:"+strings.ReplaceAll(direction.to, "/", "-")+" */", pgx.QueryExecModeSimpleProtocol)
 		assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
+		eventually(t, "the request arrives", func() bool {
+			return g.Markers()[strings.ReplaceAll(direction.to, "/", "-")].Executed == direction.executed
+		})
 		g.Network().SetLatency(direction.from, direction.to, 0)
-		assert.Equal(t, g.Markers()[strings.ReplaceAll(direction.to, "/", "-")].Executed, direction.executed)
 	}
 }
 
@@ -103,7 +106,7 @@
 	g.Member("a").FailSQLAnswers(DropAnswer, 1, 0)
 	_, err := conn.Exec(brief(t), write, pgx.QueryExecModeSimpleProtocol)
 	assert.Assert(t, errors.Is(err, context.DeadlineExceeded), "%v", err)
-	assert.DeepEqual(t, g.Markers()["r-17"], MarkerCount{Executed: 1, Committed: 1})
+	eventually(t, "the write takes effect", func() bool { return g.Markers()["r-17"] == MarkerCount{Executed: 1, Committed: 1} })
 	again := connect(t, g, "a")
 	exec(t, again, write)
 	assert.DeepEqual(t, g.Markers()["r-17"], MarkerCount{Executed: 2, Committed: 2})
@@ -135,7 +138,8 @@
 	assert.Equal(t, answer(t, frontend), "row 42, SELECT 1, ready I", "the delay hit more than one answer")
 }
 
-// The effect of an agent call whose answer is lost must remain.
+// The effect of an agent call whose answer is lost must remain, and a delayed
+// answer must be late.
 func TestLostAgentAnswer(t *testing.T) {
 	g := startGroup(t, nil)
 	g.Member("b").FailAgentAnswers(DropAnswer, 1, 0)
@@ -143,7 +147,10 @@
 	assert.Assert(t, err != nil)
 	status, err := agentOf(g, "b").Fence(t.Context(), 2, "vm-1")
 	assert.NilError(t, err)
-	assert.Equal(t, string(status.Role), "replica")
+	assert.Equal(t, status.Term, ident.Term(2))
+	g.Member("b").FailAgentAnswers(DelayAnswer, 1, time.Hour)
+	_, err = agentOf(g, "b").Status(brief(t))
+	assert.ErrorIs(t, err, context.DeadlineExceeded)
 }
 
 // The stream must show every change at once and break when the member dies or
