Keep reads from writing and answer ROLLBACK after a lost connection

Reads run with default_transaction_read_only on, because a function that a SELECT calls may write: such a statement was neither confirmed nor kept from running twice. It now moves to the primary as a write.

--- a/internal/filter/forward/answers.go
+++ b/internal/filter/forward/answers.go
@@ -11,6 +11,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/filter"
 	"github.com/rosemarywall/rosemarywall/internal/frontend/sqltext"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/upstream"
 	"github.com/rosemarywall/rosemarywall/internal/wire"
 )
@@ -317,6 +318,11 @@
 		x.conn.ForgetStatements()
 	}
 	if !x.repeatable(code, frame) {
+		if code == "25006" && x.s.OnPrimary && !x.readOnlyByChoice() {
+			err := resultcode.New(resultcode.RolledBack, "the upstream is no longer the primary")
+			x.h.cfg.Counters.Refuse(err.Code)
+			frame = filter.ErrorFrame(filter.SeverityError, err)
+		}
 		if err := x.pass(frame); err != nil {
 			return err
 		}
@@ -331,7 +337,7 @@
 // holds when the upstream has rolled everything back and the caller has seen
 // nothing.
 func (x *exchange) repeatable(code string, frame []byte) bool {
-	if !x.fresh || x.r.OpenEnd || x.passed() {
+	if !x.fresh || x.r.OpenEnd || x.effect || x.passed() {
 		return false
 	}
 	var reason filter.Reason
@@ -351,15 +357,17 @@
 // readOnlyByChoice reports whether the caller itself asked for a read-only
 // transaction, so that 25006 is the proper answer.
 func (x *exchange) readOnlyByChoice() bool {
+	if x.s.ReadOnlyBlock || x.s.Settings.IsOn(filter.ReadOnlySetting) {
+		return true
+	}
 	for i := range x.r.Ops {
 		for _, s := range x.r.Ops[i].Statements {
-			switch s.Kind {
-			case sqltext.Begin, sqltext.Commit, sqltext.Rollback, sqltext.Control, sqltext.Set:
+			if s.Kind == sqltext.Set && s.Name == filter.ReadOnlySetting {
 				return true
 			}
 		}
 	}
-	return x.s.Settings.IsOn("default_transaction_read_only")
+	return false
 }
 
 // ready handles ReadyForQuery.
--- a/internal/filter/forward/exchange.go
+++ b/internal/filter/forward/exchange.go
@@ -143,11 +143,10 @@
 	writes := false
 	for i := range x.r.Ops {
 		for _, s := range x.r.Ops[i].Statements {
-			if s.Plain {
-				writes = true
-			} else if s.Kind != sqltext.Read {
+			if !s.Plain && s.Kind != sqltext.Read {
 				return false
 			}
+			writes = true
 		}
 	}
 	return writes
--- a/internal/filter/forward/forward.go
+++ b/internal/filter/forward/forward.go
@@ -63,7 +63,9 @@
 
 // lease takes a connection to the target and applies the session's settings.
 func (h *handler) lease(ctx context.Context, r *filter.Request) (*upstream.Lease, error) {
-	lease, err := h.cfg.Pools.Acquire(ctx, r.Target)
+	lease, err := h.cfg.Pools.Acquire(ctx, r.Target, func(c *upstream.Conn) bool {
+		return r.Session.Settings.Applied(c.Settings, !r.Write)
+	})
 	if err != nil {
 		var open *upstream.OpenError
 		if errors.As(err, &open) {
@@ -75,7 +77,7 @@
 		return nil, err
 	}
 	s, conn := r.Session, lease.Conn()
-	if sql := s.Settings.Difference(conn.Settings, conn.Params); sql != "" {
+	if sql := s.Settings.Difference(conn.Settings, conn.Params, !r.Write); sql != "" {
 		refusal, err := conn.Apply(sql)
 		if err != nil {
 			lease.Close()
@@ -86,8 +88,8 @@
 			return nil, resultcode.New(resultcode.InvalidSetting, "the upstream refused the session settings with SQLSTATE %s", wire.ErrorField(refusal, 'C'))
 		}
 		conn.Unnamed = upstream.StatementKey{}
-		s.Settings.MarkApplied(conn.Settings)
 	}
+	s.Settings.MarkApplied(conn.Settings, !r.Write)
 	s.OnPrimary = r.Write
 	s.Lease.Store(lease)
 	h.count(r)
--- a/internal/filter/forward/plan.go
+++ b/internal/filter/forward/plan.go
@@ -39,10 +39,15 @@
 	for _, s := range op.Statements {
 		x.s.Dirty = x.s.Dirty || s.Dirty
 		switch s.Kind {
+		case sqltext.Begin, sqltext.Control:
+			x.s.ReadOnlyBlock = x.s.ReadOnlyBlock || s.ReadOnly
 		case sqltext.Commit:
 			x.commits = true
 		case sqltext.Write, sqltext.CopyIn:
 			x.writes = true
+		case sqltext.Read:
+			// A function that it calls may write; a lease for reads refuses that.
+			x.writes = x.writes || x.s.OnPrimary
 		}
 	}
 }
--- a/internal/filter/forward/resolve.go
+++ b/internal/filter/forward/resolve.go
@@ -42,7 +42,7 @@
 func (x *exchange) resolve(ctx context.Context) error {
 	id := x.lease.Transaction
 	if id == "" {
-		if x.s.InTransaction && !x.writes && x.point.IsZero() {
+		if x.s.InTransaction && !x.wrote() && x.point.IsZero() {
 			return resultcode.New(resultcode.RolledBack, "the connection to the upstream failed; the transaction had written nothing")
 		}
 		return unknown("the upstream did not report a transaction identifier")
@@ -68,6 +68,21 @@
 	}
 }
 
+// wrote reports whether the segment holds a statement of the class of writes, so
+// that the identifier of its transaction may have been lost with its answer.
+func (x *exchange) wrote() bool {
+	for i := range x.expect {
+		if op := x.expect[i].op; op != nil {
+			for _, s := range op.Statements {
+				if s.Kind == sqltext.Write || s.Kind == sqltext.CopyIn || s.Kind == sqltext.Read {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 func unknown(detail string) error { return resultcode.New(resultcode.OutcomeUnknown, "%s", detail) }
 
 // confirmAgain confirms a committed transaction in the present term. When the
@@ -132,8 +147,12 @@
 		return x.resolveLost(cause)
 	}
 	inTransaction := !x.fresh || x.s.InTransaction || x.wrapped
+	rolledBack := !x.fresh && x.s.InTransaction && x.synthesise(sqltext.Rollback, rollbackComplete)
 	x.drop()
 	switch {
+	case rolledBack:
+		x.r.Status = 'I'
+		return x.releaseHeld()
 	case x.errored && !x.passed() && x.retry != nil:
 		return x.retry
 	case x.errored:
@@ -162,7 +181,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), x.h.cfg.ConfirmTimeout)
 	defer cancel()
 	err := x.resolve(ctx)
-	if err == nil && !x.synthesise() {
+	if err == nil && !x.synthesise(sqltext.Commit, commitComplete) {
 		err = unknown("the transaction committed, but its answer was lost")
 	}
 	if err != nil {
@@ -178,12 +197,16 @@
 	return nil
 }
 
-// commitComplete is the answer to COMMIT.
-var commitComplete = append([]byte{'C', 0, 0, 0, 11}, "COMMIT\x00"...)
+// Answers to COMMIT and ROLLBACK.
+var (
+	commitComplete   = append([]byte{'C', 0, 0, 0, 11}, "COMMIT\x00"...)
+	rollbackComplete = append([]byte{'C', 0, 0, 0, 13}, "ROLLBACK\x00"...)
+)
 
-// synthesise adds the answers that were lost to the held ones. It reports false
-// when they cannot be known.
-func (x *exchange) synthesise() bool {
+// synthesise adds the answers that were lost to the held ones, when all of them
+// belong to a statement of the given kind. It reports false when they cannot be
+// known.
+func (x *exchange) synthesise(kind sqltext.Kind, complete []byte) bool {
 	for i := x.next; i < len(x.expect); i++ {
 		e := &x.expect[i]
 		switch {
@@ -192,14 +215,14 @@
 			x.held = append(x.held, e.local...)
 		case e.kind == 'D' && e.op != nil && e.op.Prepared == nil:
 			x.held = append(x.held, noData...)
-		case e.op == nil || !onlyCommit(e.op):
+		case e.op == nil || !only(e.op, kind):
 			return e.kind == 'Q' && x.statement == len(x.statements) && i == len(x.expect)-1
 		case e.kind == 'Q':
 			if x.statement == 0 {
-				x.held = append(x.held, commitComplete...)
+				x.held = append(x.held, complete...)
 			}
 		case e.kind == 'E':
-			x.held = append(x.held, commitComplete...)
+			x.held = append(x.held, complete...)
 		case e.kind == 'P':
 			x.held = append(x.held, parseComplete...)
 		case e.kind == 'B':
@@ -213,11 +236,11 @@
 	return true
 }
 
-// onlyCommit reports whether the message belongs to a single COMMIT statement.
-func onlyCommit(op *filter.Op) bool {
+// only reports whether the message belongs to a single statement of the kind.
+func only(op *filter.Op, kind sqltext.Kind) bool {
 	list := op.Statements
 	if op.Prepared != nil {
 		list = op.Prepared.Statements
 	}
-	return len(list) == 1 && list[0].Kind == sqltext.Commit && !list[0].Chain
+	return len(list) == 1 && list[0].Kind == kind && !list[0].Chain
 }
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -11,6 +11,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/request"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	"github.com/rosemarywall/rosemarywall/internal/upstream"
 )
 
 const (
@@ -52,7 +53,7 @@
 		return h.next.Serve(ctx, r)
 	}
 	pause := firstPause
-	for attempt := 1; ; attempt++ {
+	for serializations := 0; ; {
 		if err := h.choose(ctx, r); err != nil {
 			return refusal(ctx, r, err)
 		}
@@ -69,10 +70,13 @@
 			r.Write = true
 			continue
 		}
-		if retry.Reason == filter.Serialization && attempt >= serializationAttempts {
-			return retry
+		if retry.Reason == filter.Serialization {
+			if serializations++; serializations >= serializationAttempts {
+				return retry
+			}
 		}
-		if retry.Reason == filter.NotSent {
+		var open *upstream.OpenError
+		if retry.Reason == filter.NotSent && !(errors.As(retry.Cause, &open) && open.Full) {
 			h.cfg.Router.ReportFailure(r.Target, retry.Cause)
 		}
 		if !filter.Sleep(ctx, pause) {
--- a/internal/filter/session.go
+++ b/internal/filter/session.go
@@ -46,6 +46,8 @@
 	Dirty bool
 	// InTransaction says that a transaction block is open on the lease.
 	InTransaction bool
+	// ReadOnlyBlock says that the caller made the open transaction read-only.
+	ReadOnlyBlock bool
 	// Unsynced says that the lease is in the middle of an extended batch.
 	Unsynced bool
 	// OpenWrites says that the part of the batch that was sent before a Flush may
@@ -72,6 +74,7 @@
 func (s *Session) EndLease() {
 	s.Lease.Store(nil)
 	s.InTransaction, s.Unsynced, s.OnPrimary, s.Dirty, s.OpenWrites = false, false, false, false, false
+	s.ReadOnlyBlock = false
 	s.Settings.pending = nil
 	if s.Slot != nil {
 		s.Slot.Release()
--- a/internal/filter/settings.go
+++ b/internal/filter/settings.go
@@ -105,20 +105,62 @@
 // Rollback drops the recorded changes.
 func (s *Settings) Rollback() { s.pending = nil }
 
+// ReadOnlySetting makes an upstream refuse writes outside of transactions that
+// ask for them. It is on for every connection leased for reads, because the class
+// of a statement does not show what the functions that it calls do.
+const ReadOnlySetting = "default_transaction_read_only"
+
+var readOnly = Setting{SQL: "on", Text: "on"}
+
+// wanted returns the settings that a connection needs for a read or a write.
+func (s *Settings) wanted(read bool) map[string]Setting {
+	if !read {
+		return s.values
+	}
+	if len(s.values) == 0 {
+		return readOnlyOnly
+	}
+	values := maps.Clone(s.values)
+	values[ReadOnlySetting] = readOnly
+	return values
+}
+
+var readOnlyOnly = map[string]Setting{ReadOnlySetting: readOnly}
+
+// Applied reports whether a connection has exactly the settings of the session.
+func (s *Settings) Applied(applied map[string]string, read bool) bool {
+	n := len(s.values)
+	for name, v := range s.values {
+		if read && name == ReadOnlySetting {
+			n--
+		} else if old, ok := applied[name]; !ok || old != v.SQL {
+			return false
+		}
+	}
+	if read {
+		n++
+		if applied[ReadOnlySetting] != readOnly.SQL {
+			return false
+		}
+	}
+	return n == len(applied)
+}
+
 // Difference returns the statements that bring a connection with the applied
 // settings and the reported parameters to the session's settings, or "".
-func (s *Settings) Difference(applied, reported map[string]string) string {
-	if len(s.values) == 0 && len(applied) == 0 {
+func (s *Settings) Difference(applied, reported map[string]string, read bool) string {
+	if s.Applied(applied, read) {
 		return ""
 	}
+	values := s.wanted(read)
 	var b strings.Builder
 	for _, name := range slices.Sorted(maps.Keys(applied)) {
-		if _, ok := s.values[name]; !ok {
+		if _, ok := values[name]; !ok {
 			b.WriteString("RESET " + QuoteName(name) + ";")
 		}
 	}
-	for _, name := range slices.Sorted(maps.Keys(s.values)) {
-		v := s.values[name]
+	for _, name := range slices.Sorted(maps.Keys(values)) {
+		v := values[name]
 		if old, ok := applied[name]; ok && old == v.SQL {
 			continue
 		} else if !ok && isReported(reported, name, v.Text) {
@@ -130,9 +172,9 @@
 }
 
 // MarkApplied records that a connection has the session's settings.
-func (s *Settings) MarkApplied(applied map[string]string) {
+func (s *Settings) MarkApplied(applied map[string]string, read bool) {
 	clear(applied)
-	for name, v := range s.values {
+	for name, v := range s.wanted(read) {
 		applied[name] = v.SQL
 	}
 }
--- a/internal/frontend/extended.go
+++ b/internal/frontend/extended.go
@@ -10,6 +10,9 @@
 	"github.com/rosemarywall/rosemarywall/internal/wire"
 )
 
+// maxNames bounds the prepared statements and the portals of one caller.
+const maxNames = 2000
+
 // chunkSize is the size in bytes of the memory blocks that hold a batch.
 const chunkSize = 2 << 10
 
@@ -102,6 +105,9 @@
 	if s.aborted && !s.localPrepared(p) {
 		return errAborted
 	}
+	if s.statements[op.Name] == nil && len(s.statements) >= maxNames {
+		return resultcode.New(resultcode.MessageTooLarge, "more than %d prepared statements", maxNames)
+	}
 	s.statements[op.Name] = p
 	if s.localPrepared(p) {
 		op.IsLocal, op.Local = true, parseComplete
@@ -134,6 +140,9 @@
 	if s.portals == nil {
 		s.portals = map[string]*filter.Prepared{}
 	}
+	if len(s.portals) >= maxNames {
+		return resultcode.New(resultcode.MessageTooLarge, "more than %d portals", maxNames)
+	}
 	s.portals[string(portal)] = p
 	op.Portal, op.Name, op.Rest, op.Prepared = portal, string(name), rest, p
 	if s.localPrepared(p) {
@@ -247,7 +256,7 @@
 // Sync. Nothing of the batch runs, and what ran before a Flush is rolled back.
 func (s *session) refuseBatch(err error) {
 	s.giveUp(s.shared.InTransaction)
-	s.writeError(severityError, err)
+	s.writeError(filter.SeverityError, err)
 	s.batch = batch{}
 	s.discarding = true
 }
--- a/internal/frontend/outcome_test.go
+++ b/internal/frontend/outcome_test.go
@@ -133,6 +133,11 @@
 		assert.ErrorContains(t, err, "25P02")
 		assert.NilError(t, tx.Rollback(ctx))
 
+		tx, err = conn.Begin(ctx)
+		assert.NilError(t, err)
+		r.primary.setHook(once("rollback"))
+		assert.NilError(t, tx.Rollback(ctx))
+
 		tx, err = conn.Begin(ctx)
 		assert.NilError(t, err)
 		_, err = tx.Exec(ctx, "INSERT c")
@@ -257,6 +262,27 @@
 	}
 }
 
+// Guards against a function that writes being run unconfirmed or twice because its
+// statement looks like a read.
+func TestReadsThatWriteAreTreatedAsWrites(t *testing.T) {
+	for _, withReplica := range []bool{false, true} {
+		r := newRig(t, withReplica, nil)
+		x := r.raw()
+		x.query("SELECT touch()", "RowDescription D:touch() C:SELECT_1 Z:I")
+		assert.Equal(t, len(r.control.confirmed), 1)
+		x.send(prepare("", "SELECT touch()"), bindTo(""), executeIt, syncIt)
+		x.want("ParseComplete BindComplete D:touch() C:SELECT_1 Z:I")
+		assert.Equal(t, len(r.control.confirmed), 2)
+		x.query("BEGIN READ ONLY; SELECT touch(); COMMIT", "C:BEGIN E:25006 Z:E")
+		x.query("ROLLBACK", "C:ROLLBACK Z:I")
+	}
+	r := newRig(t, false, func(c *Config) { c.PlainWrites = true })
+	x := r.raw()
+	r.primary.setHook(func(string) bool { return r.primary.count("SELECT touch()") < 2 })
+	x.query("SELECT touch()", "E:08007 Z:I")
+	assert.Equal(t, r.primary.count("SELECT touch()"), 2) // the first was refused with 25006
+}
+
 // Guards against a lost read being answered with an error although another
 // upstream could serve it, and against half answers passed off as complete.
 func TestBrokenReads(t *testing.T) {
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -104,7 +104,7 @@
 			return
 		}
 	}
-	s.writeError(severityFatal, err)
+	s.writeError(filter.SeverityFatal, err)
 	_ = s.conn.writer.Flush()
 	s.server.cfg.Logger.Debug().Str("organisation", string(s.shared.Grant.Organisation)).Str("code", resultcode.Of(err).String()).Msg("caller disconnected")
 }
@@ -140,17 +140,17 @@
 	if s.batch.open() {
 		return s.conn.Peek()
 	}
+	if s.shared.Lease.Load() != nil {
+		s.state.Store(int32(stateTransaction))
+	} else {
+		s.state.Store(int32(stateIdle))
+	}
 	if s.conn.reader.Buffered() == 0 {
 		if err := s.conn.writer.Flush(); err != nil {
 			return 0, 0, &filter.Lost{Cause: err}
 		}
 		s.conn.reader.Release()
 	}
-	if s.shared.Lease.Load() != nil {
-		s.state.Store(int32(stateTransaction))
-	} else {
-		s.state.Store(int32(stateIdle))
-	}
 	return s.conn.PeekIdle()
 }
 
@@ -237,7 +237,7 @@
 			return false, err
 		}
 		s.giveUp(inTransaction && !endsTransaction(r))
-		s.writeError(severityError, err)
+		s.writeError(filter.SeverityError, err)
 		return true, nil
 	}
 	if s.shared.Lease.Load() == nil {
@@ -267,7 +267,7 @@
 // refuse answers a simple query or a whole batch with an error and ReadyForQuery.
 func (s *session) refuse(err error, ends bool) {
 	s.giveUp(s.shared.InTransaction && !ends)
-	s.writeError(severityError, err)
+	s.writeError(filter.SeverityError, err)
 	s.ready()
 }
 
--- a/internal/frontend/simple.go
+++ b/internal/frontend/simple.go
@@ -51,7 +51,7 @@
 		s.aborted = false
 		_ = s.conn.writer.Text('C', "ROLLBACK")
 	} else {
-		s.writeError(severityError, errAborted)
+		s.writeError(filter.SeverityError, errAborted)
 	}
 	s.ready()
 }
--- a/internal/frontend/sqltext/classify.go
+++ b/internal/frontend/sqltext/classify.go
@@ -59,6 +59,8 @@
 		}
 	case "create":
 		return create(tokens)
+	case "alter", "drop", "comment", "truncate", "grant", "revoke":
+		return Statement{Kind: Write, Plain: plainDefinition(tokens), Dirty: !plainDefinition(tokens)}
 	case "lock":
 		return Statement{Kind: Write}
 	}
@@ -231,7 +233,22 @@
 	if t := at(tokens, i); t.is("temp") || t.is("temporary") {
 		return unsupported("temporary tables")
 	}
-	return Statement{Kind: Write, Dirty: true}
+	plain := plainDefinition(tokens[i-1:])
+	return Statement{Kind: Write, Plain: plain, Dirty: !plain}
+}
+
+// plainDefinition reports whether a definition statement can run in a transaction
+// block, judged by the kind of object that the second token names.
+func plainDefinition(tokens []token) bool {
+	switch tokens[0].text {
+	case "truncate", "comment":
+		return true
+	}
+	switch second(tokens).text {
+	case "table", "view", "schema", "function", "sequence", "trigger":
+		return true
+	}
+	return false
 }
 
 func declare(tokens []token) Statement {
--- a/internal/frontend/sqltext/settings.go
+++ b/internal/frontend/sqltext/settings.go
@@ -23,13 +23,18 @@
 		s.Local = true
 		tokens = tokens[1:]
 	case t.is("session") && at(tokens, 1).is("characteristics"):
-		return unsupported("SET SESSION CHARACTERISTICS; set default_transaction_read_only or default_transaction_isolation")
+		return characteristics(tokens[2:])
 	case t.is("session") && !at(tokens, 1).is("authorization"):
 		tokens = tokens[1:]
 	}
 	switch t := at(tokens, 0); {
-	case t.is("transaction"), t.is("constraints"):
-		return Statement{Kind: Control, ReadOnly: readOnlyMode(tokens)}
+	case t.is("transaction"):
+		if hasMode(tokens, "write") {
+			return unsupported("SET TRANSACTION READ WRITE; use BEGIN READ WRITE")
+		}
+		return Statement{Kind: Control, ReadOnly: hasMode(tokens, "only")}
+	case t.is("constraints"):
+		return Statement{Kind: Control}
 	case t.is("session"), t.is("role"):
 		return unsupported("SET ROLE and SET SESSION AUTHORIZATION")
 	}
@@ -42,6 +47,40 @@
 	return setValue(sql, s, rest)
 }
 
+// characteristics turns SET SESSION CHARACTERISTICS into the setting that it
+// changes, so that the setting can follow the session.
+func characteristics(tokens []token) Statement {
+	isolation := ""
+	for i, t := range tokens {
+		if t.is("level") {
+			isolation = at(tokens, i+1).text
+			if next := at(tokens, i+2); next.kind == wordToken {
+				isolation += " " + next.text
+			}
+		}
+	}
+	mode := hasMode(tokens, "only") || hasMode(tokens, "write")
+	switch {
+	case isolation != "" && !mode:
+		return Statement{Kind: Set, Name: "default_transaction_isolation", Value: "'" + isolation + "'", Text: isolation}
+	case isolation == "" && hasMode(tokens, "only"):
+		return Statement{Kind: Set, Name: "default_transaction_read_only", Value: "on", Text: "on"}
+	case isolation == "" && mode:
+		return Statement{Kind: Set, Name: "default_transaction_read_only", Value: "off", Text: "off"}
+	}
+	return unsupported("SET SESSION CHARACTERISTICS with several modes")
+}
+
+// hasMode reports whether READ is followed by the word.
+func hasMode(tokens []token, word string) bool {
+	for i, t := range tokens {
+		if t.is("read") && at(tokens, i+1).is(word) {
+			return true
+		}
+	}
+	return false
+}
+
 func setValue(sql string, s Statement, rest []token) Statement {
 	if len(rest) == 0 {
 		s.Kind = Write
@@ -57,6 +96,17 @@
 	case len(rest) == 2 && rest[0].char('-'):
 		s.Text = "-" + rest[1].text
 	}
+	switch s.Name {
+	case "transaction_read_only":
+		if s.Text != "on" {
+			return unsupported("transaction_read_only other than on; use BEGIN READ WRITE")
+		}
+		return Statement{Kind: Control, ReadOnly: true}
+	case "transaction_isolation", "transaction_deferrable":
+		return Statement{Kind: Control}
+	case "role", "session_authorization":
+		return unsupported("SET ROLE and SET SESSION AUTHORIZATION")
+	}
 	if s.Name == "standard_conforming_strings" && s.Text != "on" && !s.Default {
 		return unsupported("standard_conforming_strings other than on")
 	}
--- a/internal/frontend/sqltext/statement.go
+++ b/internal/frontend/sqltext/statement.go
@@ -38,7 +38,7 @@
 // Statement is a classified statement.
 type Statement struct {
 	Kind Kind
-	// ReadOnly marks a Begin of a read-only transaction.
+	// ReadOnly marks a Begin or Control that makes the transaction read-only.
 	ReadOnly bool
 	// Local marks a Set that ends with its transaction.
 	Local bool
@@ -70,6 +70,9 @@
 		switch s.Kind {
 		case Empty, Read, Show, CopyOut:
 		case Set, Reset:
+			if len(list) > 1 && (s.Name == "" || s.Name == "default_transaction_read_only") {
+				return false // what follows could write
+			}
 		case Begin:
 			if !s.ReadOnly {
 				return false
--- /dev/null
+++ b/internal/frontend/standin_test.go
@@ -0,0 +1,258 @@
+package frontend_test
+
+import (
+	"context"
+	"database/sql"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5"
+	"github.com/jackc/pgx/v5/pgconn"
+	_ "github.com/jackc/pgx/v5/stdlib"
+	"gotest.tools/v3/assert"
+
+	groupcontroller "github.com/rosemarywall/rosemarywall/internal/controller/groups"
+	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
+	"github.com/rosemarywall/rosemarywall/internal/frontend"
+	"github.com/rosemarywall/rosemarywall/internal/group"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/peer"
+	"github.com/rosemarywall/rosemarywall/internal/platform"
+	"github.com/rosemarywall/rosemarywall/internal/request"
+	"github.com/rosemarywall/rosemarywall/internal/standin"
+	member "github.com/rosemarywall/rosemarywall/internal/standin/upstream"
+	"github.com/rosemarywall/rosemarywall/internal/upstream"
+)
+
+// open admits everybody and holds a fixed configuration.
+type open struct{ configuration *configuration.Configuration }
+
+func (o open) Authorise(n ident.OrganisationName, d ident.GroupName, _ string) (request.Grant, error) {
+	return request.Grant{Organisation: n, Database: d, Weight: 1, Open: true}, nil
+}
+func (o open) Check(request.Grant) error                               { return nil }
+func (o open) Take(context.Context, ident.OrganisationName, int) error { return nil }
+func (o open) Current() *configuration.Configuration                   { return o.configuration }
+func (o open) OnChange(func(*configuration.Configuration))             {}
+
+// system is a stand-in group behind entry VMs.
+type system struct {
+	*standin.Standin
+	server  *frontend.Server
+	address string
+}
+
+func startSystem(t *testing.T) *system {
+	t.Helper()
+	cfg := member.Config{Name: "deckbook", User: "u", Password: "p"}
+	for _, name := range []ident.UpstreamName{"a", "b", "c"} {
+		cfg.Members = append(cfg.Members, member.MemberConfig{Name: name, Zone: "z1", Slots: 4, Connections: 16, Lag: 2 * time.Millisecond})
+	}
+	s, err := standin.Start(standin.Config{Groups: []member.Config{cfg}})
+	assert.NilError(t, err)
+	t.Cleanup(s.Close)
+	conf := configuration.Empty()
+	conf.Zones["z1"] = configuration.Zone{Region: "r", State: configuration.ZoneIn, Weight: 1}
+	database := configuration.Database{Upstreams: map[ident.UpstreamName]configuration.Upstream{}}
+	for _, m := range s.Groups["deckbook"].Members() {
+		database.Upstreams[m.Name()] = configuration.Upstream{Zone: "z1", Address: m.Address(), Agent: m.AgentAddress(), Slots: 4, Connections: 16, State: configuration.UpstreamIn}
+	}
+	conf.Databases["deckbook"] = database
+	x := &system{Standin: s}
+	all := open{conf}
+	var seeds []string
+	for _, name := range []ident.VMName{"vm1", "vm2"} {
+		meshListener, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		address := meshListener.Addr().String()
+		mesh, err := peer.New(peer.Config{Self: peer.Member{Name: name, Zone: "z1", Address: address, Incarnation: 1}, Listener: meshListener, Seeds: seeds})
+		assert.NilError(t, err)
+		seeds = append(seeds, address)
+		router := groupcontroller.New(groupcontroller.Options{
+			Mesh: mesh, Platform: platform.NewHTTP(s.Platform.Address()), Configuration: all,
+			NewAgent: func(_ ident.GroupName, _ ident.UpstreamName, a string) group.Agent { return group.NewHTTP(a) },
+		})
+		mesh.Start()
+		t.Cleanup(mesh.Close)
+		router.Start()
+		t.Cleanup(router.Stop)
+		pools := upstream.New(upstream.Config{Credentials: upstream.Credentials{User: "u", Password: "p"}})
+		t.Cleanup(pools.Close)
+		x.server = frontend.NewServer(frontend.Config{Authoriser: all, Limiter: all, Router: router, Pools: pools})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		x.address = l.Addr().String()
+		go x.server.Serve(l)
+	}
+	return x
+}
+
+func (s *system) url() string { return "postgres://org@" + s.address + "/deckbook?sslmode=disable" }
+
+func (s *system) connect(t *testing.T) *pgx.Conn {
+	t.Helper()
+	c, err := pgx.Connect(t.Context(), s.url())
+	assert.NilError(t, err)
+	return c
+}
+
+// Guards against ordinary use of drivers failing through the proxy.
+func TestDriversThroughTheProxy(t *testing.T) {
+	s := startSystem(t)
+	ctx := t.Context()
+	c := s.connect(t)
+	_, err := c.Exec(ctx, "CREATE TABLE t (id int PRIMARY KEY, v text)")
+	assert.NilError(t, err)
+	tag, err := c.PgConn().CopyFrom(ctx, strings.NewReader("1\ta\n2\tb\n"), "COPY t FROM STDIN")
+	assert.NilError(t, err)
+	assert.Equal(t, tag.String(), "COPY 2")
+	batch := &pgx.Batch{}
+	for i := 3; i <= 6; i++ {
+		batch.Queue("INSERT INTO t VALUES ($1, $2)", i, "c")
+	}
+	batch.Queue("SELECT count(*) FROM t")
+	results := c.SendBatch(ctx, batch)
+	for range 4 {
+		_, err := results.Exec()
+		assert.NilError(t, err)
+	}
+	var count int
+	assert.NilError(t, results.QueryRow().Scan(&count))
+	assert.NilError(t, results.Close())
+	assert.Equal(t, count, 6)
+	_, err = c.Exec(ctx, "INSERT INTO t VALUES (1, 'again')")
+	var pg *pgconn.PgError
+	assert.Assert(t, errors.As(err, &pg) && pg.Code == "23505", "%v", err)
+
+	db, err := sql.Open("pgx", s.url())
+	assert.NilError(t, err)
+	defer db.Close()
+	tx, err := db.BeginTx(ctx, &sql.TxOptions{ReadOnly: true})
+	assert.NilError(t, err)
+	assert.NilError(t, tx.QueryRow("SELECT count(*) FROM t").Scan(&count))
+	_, err = tx.Exec("DELETE FROM t")
+	assert.Assert(t, errors.As(err, &pg) && pg.Code == "25006", "%v", err)
+	assert.NilError(t, tx.Rollback())
+	tx, err = db.Begin()
+	assert.NilError(t, err)
+	_, err = tx.Exec("DELETE FROM t WHERE id > $1", 2)
+	assert.NilError(t, err)
+	assert.NilError(t, tx.Commit())
+	assert.NilError(t, db.QueryRow("SELECT count(*) FROM t").Scan(&count))
+	assert.Equal(t, count, 2)
+	assert.Assert(t, s.server.Counters().ReadsReplica.Load() > 0)
+}
+
+// outcome records what callers were told about each write.
+type outcome struct {
+	mu             sync.Mutex
+	acked, refused []int
+	unknown        int
+	// lost are errors of the connection itself, which there must be none of.
+	lost []error
+}
+
+func (o *outcome) note(id int, err error) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var pg *pgconn.PgError
+	switch {
+	case err == nil:
+		o.acked = append(o.acked, id)
+	case errors.As(err, &pg) && pg.Code == "08007":
+		o.unknown++
+	case !errors.As(err, &pg):
+		o.lost = append(o.lost, err)
+	default:
+		o.refused = append(o.refused, id)
+	}
+	return len(o.lost) == 0
+}
+
+func (o *outcome) lostCount() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.lost)
+}
+
+func (o *outcome) count() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.acked)
+}
+
+// Guards against lost acknowledged writes, writes that run twice and false "not
+// run" answers while the primary is killed, for single writes and transactions.
+func TestPrimaryDiesUnderWrites(t *testing.T) {
+	s := startSystem(t)
+	c := s.connect(t)
+	_, err := c.Exec(t.Context(), "CREATE TABLE w (id int)")
+	assert.NilError(t, err)
+	var o outcome
+	var writers sync.WaitGroup
+	stop := make(chan struct{})
+	for w := range 6 {
+		conn := s.connect(t)
+		writers.Go(func() {
+			for i := w; ; i += 6 {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				if err := write(conn, i, w%2 == 0); !o.note(i, err) {
+					return
+				}
+			}
+		})
+	}
+	waitFor := func(n int) {
+		for deadline := time.Now().Add(30 * time.Second); o.count() < n; time.Sleep(time.Millisecond) {
+			assert.Assert(t, time.Now().Before(deadline), "%d writes acknowledged", o.count())
+			assert.Equal(t, o.lostCount(), 0, "%v", o.lost)
+		}
+	}
+	waitFor(100)
+	s.Groups["deckbook"].Member("a").Kill()
+	waitFor(o.count() + 100)
+	close(stop)
+	writers.Wait()
+	assert.Equal(t, len(o.lost), 0, "%v", o.lost)
+	seen := map[int]int{}
+	rows, err := c.Query(t.Context(), "SELECT id FROM w")
+	assert.NilError(t, err)
+	for rows.Next() {
+		var id int
+		assert.NilError(t, rows.Scan(&id))
+		seen[id]++
+	}
+	assert.NilError(t, rows.Err())
+	for _, id := range o.acked {
+		assert.Equal(t, seen[id], 1, "acknowledged write %d", id)
+	}
+	for _, id := range o.refused {
+		assert.Equal(t, seen[id], 0, "refused write %d", id)
+	}
+	for id, n := range seen {
+		assert.Equal(t, n, 1, "write %d", id)
+	}
+	t.Logf("%d acknowledged, %d refused as not run, %d unknown; counters %v", len(o.acked), len(o.refused), o.unknown, s.server.Counters().Snapshot())
+}
+
+// write inserts one row by itself or in a transaction.
+func write(c *pgx.Conn, id int, alone bool) error {
+	ctx := context.Background()
+	if alone {
+		_, err := c.Exec(ctx, "INSERT INTO w VALUES ($1)", id)
+		return err
+	}
+	return pgx.BeginFunc(ctx, c, func(tx pgx.Tx) error {
+		_, err := tx.Exec(ctx, fmt.Sprintf("INSERT INTO w VALUES (%d)", id))
+		return err
+	})
+}
--- a/internal/upstream/lease.go
+++ b/internal/upstream/lease.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/request"
+	"github.com/rosemarywall/rosemarywall/internal/wire"
 )
 
 const (
@@ -137,7 +138,7 @@
 	_ = c.net.SetDeadline(time.Now().Add(resetTimeout))
 	defer func() { _ = c.net.SetDeadline(time.Time{}) }()
 	for _, s := range statements {
-		if s != "" && !c.run(s) {
+		if s != "" && !c.clean(s) {
 			return false
 		}
 	}
@@ -152,39 +153,36 @@
 func (c *Conn) Apply(statement string) (refusal []byte, err error) {
 	_ = c.net.SetDeadline(time.Now().Add(resetTimeout))
 	defer func() { _ = c.net.SetDeadline(time.Time{}) }()
-	_ = c.W.Text('Q', statement)
-	if err := c.W.Flush(); err != nil {
-		return nil, err
-	}
-	for {
-		switch kind, body, err := c.R.Next(); {
-		case err != nil:
-			return nil, err
-		case kind == 'E':
-			refusal = append([]byte(nil), body...)
-		case kind == 'Z':
-			return refusal, nil
-		}
-	}
+	refusal, _, err = c.run(statement)
+	return refusal, err
+}
+
+// clean runs a statement and reports whether it succeeded and left the connection
+// outside a transaction.
+func (c *Conn) clean(statement string) bool {
+	refusal, status, err := c.run(statement)
+	return err == nil && refusal == nil && status == 'I'
 }
 
-// run executes a statement without a result and reports whether it succeeded and
-// left the connection outside a transaction.
-func (c *Conn) run(statement string) bool {
+// run executes a statement without a result.
+func (c *Conn) run(statement string) (refusal []byte, status byte, err error) {
 	_ = c.W.Text('Q', statement)
-	if c.W.Flush() != nil {
-		return false
+	if err := c.W.Flush(); err != nil {
+		return nil, 0, err
 	}
-	ok := true
 	for {
 		kind, body, err := c.R.Next()
 		switch {
 		case err != nil:
-			return false
+			return nil, 0, err
 		case kind == 'E':
-			ok = false
-		case kind == 'Z':
-			return ok && len(body) == 1 && body[0] == 'I'
+			refusal = append([]byte(nil), body...)
+		case kind == 'S':
+			if name, value, err := wire.Parameter(body); err == nil {
+				c.Params[name] = value
+			}
+		case kind == 'Z' && len(body) == 1:
+			return refusal, body[0], nil
 		}
 	}
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,12 +39,11 @@
 func (p *pool) total() int { return len(p.idle) + len(p.leases) + p.opening }
 
 // acquire leases a connection.
-func (p *pool) acquire(ctx context.Context, target request.Target) (*Lease, error) {
+func (p *pool) acquire(ctx context.Context, target request.Target, prefer func(*Conn) bool) (*Lease, error) {
 	p.mu.Lock()
 	closing := p.retarget(target)
 	for len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
+		c := p.takePreferred(prefer)
 		if !c.alive() {
 			closing = append(closing, c)
 			continue
@@ -61,6 +61,21 @@
 	return p.wait(ctx, w)
 }
 
+// takePreferred takes the connection that was used last among those that prefer
+// accepts, or among all.
+func (p *pool) takePreferred(prefer func(*Conn) bool) *Conn {
+	best := len(p.idle) - 1
+	for i := best; i >= 0 && prefer != nil; i-- {
+		if prefer(p.idle[i]) {
+			best = i
+			break
+		}
+	}
+	c := p.idle[best]
+	p.idle = slices.Delete(p.idle, best, best+1)
+	return c
+}
+
 func (p *pool) wait(ctx context.Context, w *waiter) (*Lease, error) {
 	select {
 	case a := <-w.ready:
@@ -169,7 +184,7 @@
 		n = len(p.waiters)
 	}
 	for _, w := range p.waiters[:n] {
-		w.ready <- answer{err: &OpenError{Upstream: p.target.Upstream, Cause: err}}
+		w.ready <- answer{err: &OpenError{Upstream: p.target.Upstream, Full: refusedConnection(err), Cause: err}}
 	}
 	p.waiters = p.waiters[n:]
 	p.openMore()
@@ -244,7 +259,9 @@
 // OpenError reports that no connection to an upstream could be opened.
 type OpenError struct {
 	Upstream ident.UpstreamName
-	Cause    error
+	// Full says that the upstream works but has no connection left (53300).
+	Full  bool
+	Cause error
 }
 
 // Error names the upstream and hides the cause, which may hold addresses and
--- a/internal/upstream/pools.go
+++ b/internal/upstream/pools.go
@@ -89,9 +89,10 @@
 }
 
 // Acquire leases a connection to the target, waiting until one is free or ctx
-// ends. The request has not been sent when it fails.
-func (p *Pools) Acquire(ctx context.Context, target request.Target) (*Lease, error) {
-	return p.pool(target).acquire(ctx, target)
+// ends. Among idle connections it takes one that prefer accepts, when there is
+// one; prefer may be nil. The request has not been sent when it fails.
+func (p *Pools) Acquire(ctx context.Context, target request.Target, prefer func(*Conn) bool) (*Lease, error) {
+	return p.pool(target).acquire(ctx, target, prefer)
 }
 
 func (p *Pools) pool(target request.Target) *pool {
