--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -17,6 +17,7 @@
 	configcontroller "github.com/rosemarywall/rosemarywall/internal/controller/configuration"
 	groupcontroller "github.com/rosemarywall/rosemarywall/internal/controller/groups"
 	sharecontroller "github.com/rosemarywall/rosemarywall/internal/controller/shares"
+	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
 	"github.com/rosemarywall/rosemarywall/internal/core/shares"
 	"github.com/rosemarywall/rosemarywall/internal/filter"
 	"github.com/rosemarywall/rosemarywall/internal/frontend"
@@ -186,6 +187,9 @@
 // Counters returns the counters of the data plane.
 func (v *VM) Counters() *filter.Counters { return v.callers.Counters() }
 
+// Shares returns the VM's parts and buckets.
+func (v *VM) Shares() sharecontroller.Dump { return v.shares.Dump() }
+
 // State returns the state dump.
 func (v *VM) State() map[string]any { return v.admin.State() }
 
@@ -234,3 +238,9 @@
 		}
 	}
 }
+
+// Configuration returns the configuration in force on this VM.
+func (v *VM) Configuration() *configuration.Configuration { return v.configs.Current() }
+
+// Uptime returns the time since the VM started, on the clock of its decisions.
+func (v *VM) Uptime() time.Duration { return v.clock.Now() }
--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -13,13 +13,14 @@
 
 // Command holds the options of the load tool, as tags of go-flags describe them.
 type Command struct {
-	Scenario    string `long:"scenario" description:"name of an embedded scenario"`
-	File        string `long:"file" description:"scenario file"`
-	List        bool   `long:"list" description:"list the embedded scenarios"`
-	Seed        uint64 `long:"seed" default:"1" description:"seed of the offered load"`
-	JSON        bool   `long:"json" description:"print one JSON object"`
-	NoBaselines bool   `long:"no-baselines" description:"leave out the runs of the baselines"`
-	Dump        string `long:"dump" description:"file for the state dumps at the end of the load"`
+	Scenario     string `long:"scenario" description:"name of an embedded scenario"`
+	File         string `long:"file" description:"scenario file"`
+	List         bool   `long:"list" description:"list the embedded scenarios"`
+	Installation string `long:"installation" description:"testeno or lone-star, instead of the scenario's own"`
+	Seed         uint64 `long:"seed" default:"1" description:"seed of the offered load"`
+	JSON         bool   `long:"json" description:"print one JSON object"`
+	NoBaselines  bool   `long:"no-baselines" description:"leave out the runs of the baselines"`
+	Dump         string `long:"dump" description:"file for the state dumps at the end of the load"`
 }
 
 // Run carries out the options. broken says that a promise was broken.
@@ -31,6 +32,12 @@
 	if err != nil {
 		return false, err
 	}
+	if c.Installation != "" {
+		if installations[c.Installation] == nil {
+			return false, errors.Newf("no installation %q", c.Installation)
+		}
+		scenario.Installation = c.Installation
+	}
 	report, err := c.report(ctx, scenario, log)
 	if err != nil {
 		return false, err
--- a/internal/load/finish.go
+++ b/internal/load/finish.go
@@ -11,6 +11,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgconn"
 
+	groupcontroller "github.com/rosemarywall/rosemarywall/internal/controller/groups"
+	"github.com/rosemarywall/rosemarywall/internal/core/promotion"
 	"github.com/rosemarywall/rosemarywall/internal/filter"
 	"github.com/rosemarywall/rosemarywall/internal/fleet"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
@@ -78,7 +80,7 @@
 		}
 	}
 	sort.Slice(r.events, func(i, j int) bool { return r.events[i].At < r.events[j].At })
-	result := &Result{Scenario: r.scenario, Seed: r.options.Seed, Baseline: r.options.Baseline, History: h, Events: r.events, Dumps: dumps}
+	result := &Result{Scenario: r.scenario, Seed: r.options.Seed, Baseline: r.options.Baseline, History: h, Events: r.events, Dumps: dumps, Changes: changes(dumps)}
 	result.readsReplica, result.readsPrimary = r.counters.reads()
 	result.weights = map[ident.OrganisationName]float64{}
 	for _, o := range r.config.Organisations {
@@ -99,6 +101,23 @@
 	return dumps
 }
 
+// changes collects the unplanned changes of primaries from state dumps, by term.
+func changes(dumps map[ident.VMName]map[string]any) map[ident.GroupName][]promotion.Outcome {
+	found := map[ident.GroupName][]promotion.Outcome{}
+	for _, state := range dumps {
+		groups, _ := state["groups"].(map[ident.GroupName]groupcontroller.GroupDump)
+		for name, g := range groups {
+			if g.Last != nil && !g.Last.Planned {
+				found[name] = append(found[name], *g.Last)
+			}
+		}
+	}
+	for _, of := range found {
+		sort.Slice(of, func(i, j int) bool { return of[i].Term < of[j].Term })
+	}
+	return found
+}
+
 // endVMs ends all VMs, whose idle connections may take up the limit of an upstream.
 func (r *run) endVMs() {
 	var ended sync.WaitGroup
--- a/internal/load/record.go
+++ b/internal/load/record.go
@@ -37,6 +37,8 @@
 	// Unknown means that the connection broke, the time was over, or the proxy said
 	// that the outcome is unknown.
 	Unknown Outcome = "unknown"
+	// Unsent means that no session was free before the end of the run.
+	Unsent Outcome = "unsent"
 	// Failed means that the upstream answered with an error of its own.
 	Failed Outcome = "failed"
 )
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"sort"
 	"sync"
 	"time"
 
@@ -17,7 +18,7 @@
 )
 
 const (
-	startLimit   = 20 * time.Second
+	startLimit   = 30 * time.Second
 	noteLimit    = 8 * time.Second
 	pollInterval = 20 * time.Millisecond
 )
@@ -64,6 +65,8 @@
 // Run starts the installation, runs the scenario and returns what was seen.
 func Run(ctx context.Context, scenario Scenario, options Options) (*Result, error) {
 	r := &run{scenario: scenario, options: options, ctx: ctx, workload: newWorkload(), config: installations[scenario.Installation]()}
+	r.scenario = scenario.resolve(r.config)
+	scenario = r.scenario
 	r.config.Seed, r.config.Log = options.Seed, options.Log
 	r.config.Baseline = r.baseline()
 	if scenario.Slots > 0 {
@@ -106,12 +109,17 @@
 // now is the time since the start of the load.
 func (r *run) now() time.Duration { return time.Since(r.start) }
 
-// note applies a release note through the first VM that accepts it.
+// note applies a release note through the first VM that accepts it. Ready VMs come
+// first, as an operator would choose.
 func (r *run) note(text string) error {
 	ctx, cancel := context.WithTimeout(r.ctx, noteLimit)
 	defer cancel()
 	var last error
-	for _, vm := range r.fleet.Names() {
+	names := r.fleet.Names()
+	sort.SliceStable(names, func(i, j int) bool {
+		return r.balancer.isReadyNow(names[i]) && !r.balancer.isReadyNow(names[j])
+	})
+	for _, vm := range names {
 		if r.fleet.VM(vm) == nil {
 			continue
 		}
@@ -131,7 +139,7 @@
 	deadline := time.Now().Add(startLimit)
 	err := retry(r.ctx, deadline, func() error {
 		err := r.note(r.fleet.FirstNote() + r.secondKeys())
-		if err != nil && r.balancer.look() > 0 {
+		if err != nil && r.configured() {
 			return nil // an attempt that was answered with an error was accepted later
 		}
 		return err
@@ -139,13 +147,7 @@
 	if err != nil {
 		return errors.Wrap(err, "first release note")
 	}
-	err = retry(r.ctx, deadline, func() error {
-		if ready := r.balancer.look(); ready < len(r.fleet.Names()) {
-			return errors.Newf("%d of %d VMs are ready", ready, len(r.fleet.Names()))
-		}
-		return nil
-	})
-	if err != nil {
+	if err := retry(r.ctx, deadline, r.settled); err != nil {
 		return err
 	}
 	for _, database := range r.config.Databases {
@@ -157,6 +159,42 @@
 	return nil
 }
 
+// configured reports whether every VM has a configuration.
+func (r *run) configured() bool {
+	for _, name := range r.fleet.Names() {
+		if r.fleet.VM(name).Configuration().Version == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// fullBucket is the part of its burst that a settled bucket holds.
+const fullBucket = 0.95
+
+// settled returns an error until every VM is ready and has its share of every
+// rate. After a first note that takes F and the guard, and the filling of the buckets.
+func (r *run) settled() error {
+	if ready := r.balancer.look(); ready < len(r.fleet.Names()) {
+		return errors.Newf("%d of %d VMs are ready", ready, len(r.fleet.Names()))
+	}
+	if r.config.Baseline.StaticShares > 0 {
+		return nil
+	}
+	for _, name := range r.fleet.Names() {
+		shares := r.fleet.VM(name).Shares()
+		if len(shares.Buckets) < len(r.config.Organisations) {
+			return errors.Newf("VM %s has shares of %d organisations", name, len(shares.Buckets))
+		}
+		for organisation, level := range shares.Buckets {
+			if level.Burst == 0 || level.Tokens < fullBucket*level.Burst {
+				return errors.Newf("VM %s holds %.0f of %.0f tokens of %s", name, level.Tokens, level.Burst, organisation)
+			}
+		}
+	}
+	return nil
+}
+
 // secondKeys adds the keys that the timetable withdraws.
 func (r *run) secondKeys() string {
 	var sections string
