--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -187,6 +187,9 @@
 // Counters returns the counters of the data plane.
 func (v *VM) Counters() *filter.Counters { return v.callers.Counters() }
 
+// Shares returns the VM's parts and buckets.
+func (v *VM) Shares() sharecontroller.Dump { return v.shares.Dump() }
+
 // State returns the state dump.
 func (v *VM) State() map[string]any { return v.admin.State() }
 
