Probe silent replicas and prove the primary before transactions read

A read on a paused replica hung for ever, because a paused process keeps its connections. After 1 s without an answer the replica is now probed, and the read moves on.

--- a/internal/filter/forward/answers.go
+++ b/internal/filter/forward/answers.go
@@ -23,6 +23,9 @@
 	pollInterval = 500 * time.Millisecond
 	// pollTimeout bounds that question.
 	pollTimeout = 50 * time.Millisecond
+	// pollsPerProbe is the number of poll intervals between probes of an upstream
+	// that runs a long read.
+	pollsPerProbe = 10
 	// minFrame is the smallest message in bytes.
 	minFrame = 5
 )
@@ -30,6 +33,9 @@
 // errReplaced reports that the upstream is no longer the primary.
 var errReplaced = errors.New("the upstream was replaced as primary")
 
+// errSilent reports that the upstream does not respond.
+var errSilent = errors.New("the upstream does not respond")
+
 // errFatal reports that the upstream ended the connection.
 var errFatal = errors.New("the upstream ended the connection")
 
@@ -67,18 +73,16 @@
 		if err := x.flushCaller(); err != nil {
 			return 0, 0, err
 		}
-		if x.r.Write || x.s.OnPrimary {
-			x.polling = true
-			_ = x.conn.SetReadDeadline(time.Now().Add(pollInterval))
-		}
+		x.polling = true
+		_ = x.conn.SetReadDeadline(time.Now().Add(pollInterval))
 	}
 	for {
 		kind, size, err := x.conn.R.Peek()
 		if err == nil || !isTimeout(err) {
 			return kind, size, err
 		}
-		if x.replaced() {
-			return 0, 0, errReplaced
+		if err := x.unanswered(); err != nil {
+			return 0, 0, err
 		}
 		_ = x.conn.SetReadDeadline(time.Now().Add(pollInterval))
 	}
@@ -104,6 +108,24 @@
 	return errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// unanswered decides whether to wait longer for an answer. On the primary only a
+// newer primary ends the wait, because before that the outcome could not be
+// resolved. A replica must respond to a probe.
+func (x *exchange) unanswered() error {
+	x.polls++
+	switch {
+	case x.s.OnPrimary:
+		if x.replaced() {
+			return errReplaced
+		}
+	case x.polls%pollsPerProbe == 2:
+		if !x.h.cfg.Pools.Responds(x.lease.Target()) {
+			return errSilent
+		}
+	}
+	return nil
+}
+
 // replaced asks whether the group has a newer primary than the connection's.
 func (x *exchange) replaced() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
--- a/internal/filter/forward/exchange.go
+++ b/internal/filter/forward/exchange.go
@@ -79,6 +79,7 @@
 	statements []sqltext.Statement
 	retry      *filter.Retry
 	polling    bool
+	polls      int // poll intervals that passed without an answer
 	writeDone  chan error
 	broken     bool // the connection is out of step and must be closed
 }
--- a/internal/filter/forward/forward.go
+++ b/internal/filter/forward/forward.go
@@ -98,6 +98,7 @@
 
 func (h *handler) count(r *filter.Request) {
 	switch {
+	case !r.Counted:
 	case r.Write:
 		h.cfg.Counters.Writes.Add(1)
 	case r.Target.Primary:
--- a/internal/filter/queue/queue.go
+++ b/internal/filter/queue/queue.go
@@ -163,6 +163,19 @@
 	}
 }
 
+// Outstanding returns the number of requests that run or wait on an upstream.
+func (f *Filter) Outstanding(group ident.GroupName, upstream ident.UpstreamName) int {
+	f.mu.RLock()
+	q := f.queues[key{group, upstream}]
+	f.mu.RUnlock()
+	if q == nil {
+		return 0
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.core.Running() + q.core.Waiting()
+}
+
 // State describes a queue in a dump.
 type State struct {
 	Group    ident.GroupName    `json:"group"`
--- a/internal/filter/request.go
+++ b/internal/filter/request.go
@@ -57,6 +57,11 @@
 	// OpenEnd says that the request ends with Flush, so that more of its batch
 	// follows.
 	OpenEnd bool
+	// Reads says that a Write request shows the caller data before its commit, so
+	// that the primary must be proved to satisfy Need.
+	Reads bool
+	// Counted says that the request counts as a read or a write.
+	Counted bool
 	// Cost is the number of statements that count against the rate.
 	Cost int
 	// Need states the required freshness of a read.
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -25,8 +25,9 @@
 )
 
 // PrimaryReader is implemented by routers that can prove a primary to be current
-// before a transaction reads from it. Without it, a transaction block that only
-// reads may see the state of a primary that was replaced moments ago.
+// before a transaction reads from it. Without it, reads in a transaction that may
+// write can see the state of a primary that was replaced moments ago. Commits do
+// not need the proof, because a former primary refuses them.
 type PrimaryReader interface {
 	// PrimaryFor returns the primary once it satisfies the need. Errors are those
 	// of Router.Primary.
@@ -93,7 +94,7 @@
 	switch {
 	case !r.Write:
 		r.Target, err = h.cfg.Router.Read(ctx, database, r.Need)
-	case proves:
+	case proves && r.Reads:
 		r.Target, err = reader.PrimaryFor(ctx, database, r.Need)
 	default:
 		r.Target, err = h.cfg.Router.Primary(ctx, database)
@@ -111,8 +112,8 @@
 		return err
 	}
 	var retry *filter.Retry
-	if errors.As(err, &retry) && retry.Answer != nil {
-		return retry
+	if errors.As(err, &retry) && retry.Reason == filter.Refused {
+		return resultcode.New(resultcode.NoPrimary, "the primary refused writes until the deadline")
 	}
 	if r.Write {
 		return resultcode.New(resultcode.NoPrimary, "the primary could not be reached before the deadline")
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -13,6 +13,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/filter/limit"
 	"github.com/rosemarywall/rosemarywall/internal/filter/queue"
 	"github.com/rosemarywall/rosemarywall/internal/filter/route"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/upstream"
 )
 
@@ -154,6 +155,12 @@
 	return ctx.Err()
 }
 
+// Outstanding returns the number of requests that run or wait on an upstream. It
+// has the form of routing.Outstanding.
+func (s *Server) Outstanding(group ident.GroupName, upstream ident.UpstreamName) int {
+	return s.queue.Outstanding(group, upstream)
+}
+
 // Dump is the state of a server.
 type Dump struct {
 	// Callers counts connected callers by state.
--- a/internal/frontend/simple.go
+++ b/internal/frontend/simple.go
@@ -121,6 +121,15 @@
 		all = parsedStatements(r.Ops)
 	}
 	r.Write = r.OpenEnd || !sqltext.ReadOnlyStatements(all)
+	r.Reads, r.Counted = r.OpenEnd, false
+	for _, statement := range all {
+		switch statement.Kind {
+		case sqltext.Read, sqltext.CopyOut, sqltext.Begin:
+			r.Reads, r.Counted = true, executes
+		case sqltext.Write, sqltext.CopyIn:
+			r.Counted = executes
+		}
+	}
 	r.Deadline = time.Now().Add(s.server.cfg.QueueTimeout)
 	r.Need = s.need(all)
 	if executes {
--- a/internal/frontend/standin_test.go
+++ b/internal/frontend/standin_test.go
@@ -148,6 +148,51 @@
 	assert.Assert(t, s.server.Counters().ReadsReplica.Load() > 0)
 }
 
+// Guards against reads that hang or fail because the replica that runs them stops
+// without closing its connections.
+func TestReadsSurviveAPausedReplica(t *testing.T) {
+	s := startSystem(t)
+	c := s.connect(t)
+	_, err := c.Exec(t.Context(), "CREATE TABLE t (id int)")
+	assert.NilError(t, err)
+	var readers sync.WaitGroup
+	var mu sync.Mutex
+	reads := 0
+	stop := make(chan struct{})
+	for range 4 {
+		conn := s.connect(t)
+		readers.Go(func() {
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+				}
+				var n int
+				if err := conn.QueryRow(context.Background(), "SELECT count(*) FROM t").Scan(&n); err != nil {
+					t.Error(err)
+					return
+				}
+				mu.Lock()
+				reads++
+				mu.Unlock()
+			}
+		})
+	}
+	count := func() int { mu.Lock(); defer mu.Unlock(); return reads }
+	for count() < 100 {
+		time.Sleep(time.Millisecond)
+	}
+	s.Groups["deckbook"].Member("b").Pause()
+	before := s.server.Counters().ReadsReplica.Load()
+	for goal := count() + 200; count() < goal; {
+		time.Sleep(time.Millisecond)
+	}
+	close(stop)
+	readers.Wait() // also the reader that was on the paused replica
+	assert.Assert(t, s.server.Counters().ReadsReplica.Load() > before)
+}
+
 // outcome records what callers were told about each write.
 type outcome struct {
 	mu             sync.Mutex
--- a/internal/upstream/lease.go
+++ b/internal/upstream/lease.go
@@ -105,14 +105,18 @@
 	return p.owner.sendCancel(ctx, c)
 }
 
+// dial opens a network connection to an upstream.
+func (p *Pools) dial(ctx context.Context, address string) (net.Conn, error) {
+	if p.cfg.Dial != nil {
+		return p.cfg.Dial(ctx, "tcp", address)
+	}
+	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+}
+
 // sendCancel delivers a CancelRequest on a connection of its own and waits until
 // the upstream has closed it.
 func (p *Pools) sendCancel(ctx context.Context, c *Conn) error {
-	dial := p.cfg.Dial
-	if dial == nil {
-		dial = (&net.Dialer{}).DialContext
-	}
-	conn, err := dial(ctx, "tcp", c.target.Address)
+	conn, err := p.dial(ctx, c.target.Address)
 	if err != nil {
 		return err
 	}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -14,6 +14,7 @@
 // pool holds the connections to one upstream.
 type pool struct {
 	owner *Pools
+	probe probe
 
 	mu         sync.Mutex
 	admission  admission
--- /dev/null
+++ b/internal/upstream/probe.go
@@ -0,0 +1,60 @@
+package upstream
+
+import (
+	"context"
+	"encoding/binary"
+	"sync"
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/request"
+)
+
+const (
+	// probeTimeout bounds a probe.
+	probeTimeout = time.Second
+	// probeAge is how long the result of a probe is used again.
+	probeAge = time.Second
+	// sslRequestCode is the request code of an SSLRequest.
+	sslRequestCode = 80877103
+)
+
+// probe tells whether an upstream responds at all.
+type probe struct {
+	mu       sync.Mutex
+	at       time.Duration
+	known    bool
+	responds bool
+}
+
+// Responds asks whether the upstream still answers, for a request that got no
+// answer for a while: an upstream that is paused or cut off does not close its
+// connections. The question is an SSLRequest, which takes no connection slot. It
+// takes up to 1 s; requests that ask at the same time share the answer.
+func (p *Pools) Responds(target request.Target) bool {
+	b := &p.pool(target).probe
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.known && p.cfg.Now()-b.at < probeAge {
+		return b.responds
+	}
+	b.responds = p.ask(target.Address)
+	b.known, b.at = true, p.cfg.Now()
+	return b.responds
+}
+
+func (p *Pools) ask(address string) bool {
+	ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+	defer cancel()
+	conn, err := p.dial(ctx, address)
+	if err != nil {
+		return false
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(time.Now().Add(probeTimeout))
+	packet := binary.BigEndian.AppendUint32(nil, 8)
+	if _, err := conn.Write(binary.BigEndian.AppendUint32(packet, sslRequestCode)); err != nil {
+		return false
+	}
+	_, err = conn.Read(make([]byte, 1))
+	return err == nil
+}
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -2,7 +2,13 @@
 
 import (
 	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
+	"math/big"
 	"net"
 	"testing"
 	"time"
@@ -138,6 +144,37 @@
 	assert.Equal(t, err.Error(), "no connection to upstream b could be opened")
 }
 
+// Guards against connections to upstreams without TLS, or with a certificate that
+// was not checked, when TLS is configured.
+func TestTLS(t *testing.T) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	assert.NilError(t, err)
+	certificate, err := x509.ParseCertificate(der)
+	assert.NilError(t, err)
+	g, err := standin.Start(standin.Config{
+		Name: "orders", User: "u", Password: "p", Members: []standin.MemberConfig{{Name: "a"}},
+		TLS: &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}},
+	}, standin.NewNetwork())
+	assert.NilError(t, err)
+	defer g.Close()
+	trusted := x509.NewCertPool()
+	p := New(Config{Credentials: Credentials{User: "u", Password: "p"}, TLS: func() *tls.Config { return &tls.Config{RootCAs: trusted, ServerName: "127.0.0.1"} }})
+	defer p.Close()
+	target := request.Target{Group: "orders", Upstream: "a", Address: g.Member("a").Address(), Term: 1, Connections: 1}
+	_, err = p.Acquire(t.Context(), target, nil)
+	var open *OpenError
+	assert.Assert(t, errors.As(err, &open))
+	trusted.AddCert(certificate) // the next connection sees the reloaded trust
+	l := acquire(t, p, target)
+	_, encrypted := l.Conn().net.(*tls.Conn)
+	assert.Assert(t, encrypted)
+	l.Release(false)
+	assert.Assert(t, acquire(t, p, target).Conn() == l.Conn()) // found alive below TLS
+}
+
 // Guards against session state surviving the reset of a dirty connection.
 func TestDirtyConnectionsAreReset(t *testing.T) {
 	p, target := start(t, 2, nil)
