--- a/specs/run.sh
+++ b/specs/run.sh
@@ -23,7 +23,7 @@
 		spin -a "$@" "$file" >spin.log || { cat spin.log >&2; exit 1; }
 		# Generated code; the model has one process, so partial order reduction saves nothing.
 		gcc -w -O2 -DSAFETY -DNOREDUCE -DCOLLAPSE -DMEMLIM=2000 -o pan pan.c
-		./pan -m1000000 >report 2>&1
+		./pan -m2000000 >report 2>&1
 	)
 }
 
