Add plots, the comparison with a direct connection and record files

Rows of the load are not unique any more, so that a write that runs twice leaves two rows instead of an error of its own.

--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -20,6 +20,9 @@
 	Seed         uint64 `long:"seed" default:"1" description:"seed of the offered load"`
 	JSON         bool   `long:"json" description:"print one JSON object"`
 	NoBaselines  bool   `long:"no-baselines" description:"leave out the runs of the baselines"`
+	Plot         string `long:"plot" description:"directory for plots in SVG"`
+	Direct       bool   `long:"direct" description:"compare one proxy with a direct connection"`
+	Records      string `long:"records" description:"file for the records of all requests, one JSON object a line"`
 	Dump         string `long:"dump" description:"file for the state dumps at the end of the load"`
 }
 
@@ -28,6 +31,9 @@
 	if c.List {
 		return false, list(out)
 	}
+	if c.Direct {
+		return false, c.direct(ctx, out, log)
+	}
 	scenario, err := c.scenario()
 	if err != nil {
 		return false, err
@@ -47,6 +53,16 @@
 			return false, err
 		}
 	}
+	if c.Records != "" {
+		if err := writeRecords(c.Records, report.Result); err != nil {
+			return false, err
+		}
+	}
+	if c.Plot != "" {
+		if err := WritePlots(c.Plot, "svg", report.Result); err != nil {
+			return false, err
+		}
+	}
 	if c.JSON {
 		return report.Broken(), report.WriteJSON(out)
 	}
@@ -105,3 +121,18 @@
 	}
 	return errors.Wrap(os.WriteFile(file, encoded, 0o600), "write state dumps")
 }
+
+func writeRecords(file string, result *Result) (err error) {
+	f, err := os.Create(file)
+	if err != nil {
+		return errors.Wrap(err, "create file of records")
+	}
+	defer func() { err = errors.CombineErrors(err, f.Close()) }()
+	encoder := json.NewEncoder(f)
+	for i := range result.History.Records {
+		if err := encoder.Encode(&result.History.Records[i]); err != nil {
+			return errors.Wrap(err, "write records")
+		}
+	}
+	return nil
+}
--- a/internal/load/finish.go
+++ b/internal/load/finish.go
@@ -134,7 +134,12 @@
 	if primary == nil {
 		return errors.New("there is none")
 	}
-	conn, err := pgconn.Connect(ctx, r.fleet.DirectConnectionString(primary, database))
+	var conn *pgconn.PgConn
+	// A member that was cut off or paused learns late that its old callers are gone.
+	err := retry(ctx, time.Now().Add(collectLimit), func() (err error) {
+		conn, err = pgconn.Connect(ctx, r.fleet.DirectConnectionString(primary, database))
+		return err
+	})
 	if err != nil {
 		return err
 	}
--- a/internal/load/judge.go
+++ b/internal/load/judge.go
@@ -89,7 +89,7 @@
 func doubledWrites(h *History) []Violation {
 	return each(h, func(r *Record) string {
 		if n := h.Executions[r.ID].Committed; r.Kind.writes() && n > 1 {
-			return fmt.Sprintf("committed %d times", n)
+			return fmt.Sprintf("committed %d times, after earlier refusals %v", n, r.Earlier)
 		}
 		return ""
 	})
--- a/internal/load/record.go
+++ b/internal/load/record.go
@@ -65,6 +65,8 @@
 	// Attempts counts sendings; more than one after a refusal that asks the caller
 	// to connect again.
 	Attempts int
+	// Earlier are the refusals of the earlier attempts.
+	Earlier []Refusal
 	// Statements is the number of statements that the last attempt was charged for.
 	Statements int
 
@@ -81,6 +83,14 @@
 	Fault string
 }
 
+// Refusal is the end of one attempt that the caller repeated.
+type Refusal struct {
+	VM   ident.VMName
+	At   time.Duration
+	Code resultcode.Code
+	Text string
+}
+
 // Execution is what the group of a request knows about it.
 type Execution struct {
 	// Committed counts the request in the log of the final primary.
--- a/internal/load/session.go
+++ b/internal/load/session.go
@@ -114,6 +114,7 @@
 		if !again(&r) || r.Attempts == maxAttempts || ctx.Err() != nil {
 			break
 		}
+		r.Earlier = append(r.Earlier, Refusal{VM: vm, At: s.run.now(), Code: r.Code, Text: r.Text})
 		vm = s.chooseVM(vm)
 	}
 	r.Done = s.run.now()
--- a/internal/load/statement.go
+++ b/internal/load/statement.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	createRecords = "create table load_record (session bigint, number bigint, id text, primary key (session, number))"
-	createFixed   = "create table load_fixed (number bigint primary key)"
+	// Rows are not unique, so that a write that runs twice leaves two.
+	createRecords = "create table load_record (session bigint, number bigint, id text); " +
+		"create index load_record_session on load_record (session, number)"
+	createFixed = "create table load_fixed (number bigint primary key)"
 	// fixedRows is the number of rows that a scan returns.
 	fixedRows = 40
 )
