--- a/internal/filter/forward/answers.go
+++ b/internal/filter/forward/answers.go
@@ -11,6 +11,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/filter"
 	"github.com/rosemarywall/rosemarywall/internal/frontend/sqltext"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/upstream"
 	"github.com/rosemarywall/rosemarywall/internal/wire"
 )
@@ -22,6 +23,9 @@
 	pollInterval = 500 * time.Millisecond
 	// pollTimeout bounds that question.
 	pollTimeout = 50 * time.Millisecond
+	// pollsPerProbe is the number of poll intervals between probes of an upstream
+	// that runs a long read.
+	pollsPerProbe = 10
 	// minFrame is the smallest message in bytes.
 	minFrame = 5
 )
@@ -29,6 +33,9 @@
 // errReplaced reports that the upstream is no longer the primary.
 var errReplaced = errors.New("the upstream was replaced as primary")
 
+// errSilent reports that the upstream does not respond.
+var errSilent = errors.New("the upstream does not respond")
+
 // errFatal reports that the upstream ended the connection.
 var errFatal = errors.New("the upstream ended the connection")
 
@@ -66,18 +73,16 @@
 		if err := x.flushCaller(); err != nil {
 			return 0, 0, err
 		}
-		if x.r.Write || x.s.OnPrimary {
-			x.polling = true
-			_ = x.conn.SetReadDeadline(time.Now().Add(pollInterval))
-		}
+		x.polling = true
+		_ = x.conn.SetReadDeadline(time.Now().Add(pollInterval))
 	}
 	for {
 		kind, size, err := x.conn.R.Peek()
 		if err == nil || !isTimeout(err) {
 			return kind, size, err
 		}
-		if x.replaced() {
-			return 0, 0, errReplaced
+		if err := x.unanswered(); err != nil {
+			return 0, 0, err
 		}
 		_ = x.conn.SetReadDeadline(time.Now().Add(pollInterval))
 	}
@@ -103,6 +108,24 @@
 	return errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// unanswered decides whether to wait longer for an answer. On the primary only a
+// newer primary ends the wait, because before that the outcome could not be
+// resolved. A replica must respond to a probe.
+func (x *exchange) unanswered() error {
+	x.polls++
+	switch {
+	case x.s.OnPrimary:
+		if x.replaced() {
+			return errReplaced
+		}
+	case x.polls%pollsPerProbe == 2:
+		if !x.h.cfg.Pools.Responds(x.lease.Target()) {
+			return errSilent
+		}
+	}
+	return nil
+}
+
 // replaced asks whether the group has a newer primary than the connection's.
 func (x *exchange) replaced() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
@@ -317,6 +340,11 @@
 		x.conn.ForgetStatements()
 	}
 	if !x.repeatable(code, frame) {
+		if code == "25006" && x.s.OnPrimary && !x.readOnlyByChoice() {
+			err := resultcode.New(resultcode.RolledBack, "the upstream is no longer the primary")
+			x.h.cfg.Counters.Refuse(err.Code)
+			frame = filter.ErrorFrame(filter.SeverityError, err)
+		}
 		if err := x.pass(frame); err != nil {
 			return err
 		}
@@ -331,7 +359,7 @@
 // holds when the upstream has rolled everything back and the caller has seen
 // nothing.
 func (x *exchange) repeatable(code string, frame []byte) bool {
-	if !x.fresh || x.r.OpenEnd || x.passed() {
+	if !x.fresh || x.r.OpenEnd || x.effect || x.passed() {
 		return false
 	}
 	var reason filter.Reason
@@ -351,15 +379,17 @@
 // readOnlyByChoice reports whether the caller itself asked for a read-only
 // transaction, so that 25006 is the proper answer.
 func (x *exchange) readOnlyByChoice() bool {
+	if x.s.ReadOnlyBlock || x.s.Settings.IsOn(filter.ReadOnlySetting) {
+		return true
+	}
 	for i := range x.r.Ops {
 		for _, s := range x.r.Ops[i].Statements {
-			switch s.Kind {
-			case sqltext.Begin, sqltext.Commit, sqltext.Rollback, sqltext.Control, sqltext.Set:
+			if s.Kind == sqltext.Set && s.Name == filter.ReadOnlySetting {
 				return true
 			}
 		}
 	}
-	return x.s.Settings.IsOn("default_transaction_read_only")
+	return false
 }
 
 // ready handles ReadyForQuery.
--- a/internal/filter/forward/exchange.go
+++ b/internal/filter/forward/exchange.go
@@ -79,6 +79,7 @@
 	statements []sqltext.Statement
 	retry      *filter.Retry
 	polling    bool
+	polls      int // poll intervals that passed without an answer
 	writeDone  chan error
 	broken     bool // the connection is out of step and must be closed
 }
@@ -143,11 +144,10 @@
 	writes := false
 	for i := range x.r.Ops {
 		for _, s := range x.r.Ops[i].Statements {
-			if s.Plain {
-				writes = true
-			} else if s.Kind != sqltext.Read {
+			if !s.Plain && s.Kind != sqltext.Read {
 				return false
 			}
+			writes = true
 		}
 	}
 	return writes
--- a/internal/load/command.go
+++ b/internal/load/command.go
@@ -13,13 +13,17 @@
 
 // Command holds the options of the load tool, as tags of go-flags describe them.
 type Command struct {
-	Scenario    string `long:"scenario" description:"name of an embedded scenario"`
-	File        string `long:"file" description:"scenario file"`
-	List        bool   `long:"list" description:"list the embedded scenarios"`
-	Seed        uint64 `long:"seed" default:"1" description:"seed of the offered load"`
-	JSON        bool   `long:"json" description:"print one JSON object"`
-	NoBaselines bool   `long:"no-baselines" description:"leave out the runs of the baselines"`
-	Dump        string `long:"dump" description:"file for the state dumps at the end of the load"`
+	Scenario     string `long:"scenario" description:"name of an embedded scenario"`
+	File         string `long:"file" description:"scenario file"`
+	List         bool   `long:"list" description:"list the embedded scenarios"`
+	Installation string `long:"installation" description:"testeno or lone-star, instead of the scenario's own"`
+	Seed         uint64 `long:"seed" default:"1" description:"seed of the offered load"`
+	JSON         bool   `long:"json" description:"print one JSON object"`
+	NoBaselines  bool   `long:"no-baselines" description:"leave out the runs of the baselines"`
+	Plot         string `long:"plot" description:"directory for plots in SVG"`
+	Direct       bool   `long:"direct" description:"compare one proxy with a direct connection"`
+	Records      string `long:"records" description:"file for the records of all requests, one JSON object a line"`
+	Dump         string `long:"dump" description:"file for the state dumps at the end of the load"`
 }
 
 // Run carries out the options. broken says that a promise was broken.
@@ -27,10 +31,19 @@
 	if c.List {
 		return false, list(out)
 	}
+	if c.Direct {
+		return false, c.direct(ctx, out, log)
+	}
 	scenario, err := c.scenario()
 	if err != nil {
 		return false, err
 	}
+	if c.Installation != "" {
+		if installations[c.Installation] == nil {
+			return false, errors.Newf("no installation %q", c.Installation)
+		}
+		scenario.Installation = c.Installation
+	}
 	report, err := c.report(ctx, scenario, log)
 	if err != nil {
 		return false, err
@@ -40,6 +53,16 @@
 			return false, err
 		}
 	}
+	if c.Records != "" {
+		if err := writeRecords(c.Records, report.Result); err != nil {
+			return false, err
+		}
+	}
+	if c.Plot != "" {
+		if err := WritePlots(c.Plot, "svg", report.Result); err != nil {
+			return false, err
+		}
+	}
 	if c.JSON {
 		return report.Broken(), report.WriteJSON(out)
 	}
@@ -98,3 +121,18 @@
 	}
 	return errors.Wrap(os.WriteFile(file, encoded, 0o600), "write state dumps")
 }
+
+func writeRecords(file string, result *Result) (err error) {
+	f, err := os.Create(file)
+	if err != nil {
+		return errors.Wrap(err, "create file of records")
+	}
+	defer func() { err = errors.CombineErrors(err, f.Close()) }()
+	encoder := json.NewEncoder(f)
+	for i := range result.History.Records {
+		if err := encoder.Encode(&result.History.Records[i]); err != nil {
+			return errors.Wrap(err, "write records")
+		}
+	}
+	return nil
+}
--- a/internal/load/measure.go
+++ b/internal/load/measure.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/rosemarywall/rosemarywall/internal/core/promotion"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 )
 
@@ -38,8 +39,8 @@
 	Group ident.GroupName `json:"group"`
 	// GapMS is from the last acknowledgement before the fault to the first after it.
 	GapMS float64 `json:"gap_ms"`
-	// DetectionMS is from the fault to the decision to replace the primary, NaN when
-	// no dump shows it.
+	// DetectionMS is from the old primary's last status to the decision to replace it,
+	// NaN when no dump shows it.
 	DetectionMS float64 `json:"-"`
 }
 
@@ -52,7 +53,7 @@
 	m := Measures{
 		ReadsOnReplicas:   ratio(float64(result.readsReplica), float64(result.readsReplica+result.readsPrimary)),
 		ZoneChangeService: zoneChangeService(h.Records, result.Events),
-		FailoverGaps:      failoverGaps(h.Records, result.Events),
+		FailoverGaps:      withDetection(failoverGaps(h.Records, result.Events), result.Changes),
 		Outcomes:          outcomes(h.Records), Latencies: latencies(h.Records), Offered: len(h.Records),
 	}
 	m.Answered = m.Outcomes[string(OK)]
@@ -180,6 +181,25 @@
 	return gaps
 }
 
+// withDetection adds the detection times of the changes of primaries that VMs
+// report. A VM keeps only its last change, so the times of a group are used only
+// when there is one for each fault.
+func withDetection(gaps []FailoverGap, changes map[ident.GroupName][]promotion.Outcome) []FailoverGap {
+	faults := map[ident.GroupName]int{}
+	for _, gap := range gaps {
+		faults[gap.Group]++
+	}
+	next := map[ident.GroupName]int{}
+	for i := range gaps {
+		group := gaps[i].Group
+		if of := changes[group]; len(of) == faults[group] {
+			gaps[i].DetectionMS = float64(of[next[group]].Detection.Microseconds()) / 1000
+			next[group]++
+		}
+	}
+	return gaps
+}
+
 func stopsMember(a Action) bool {
 	return a == "kill-member" || a == "pause-member" || a == "cut-member"
 }
--- a/internal/load/session.go
+++ b/internal/load/session.go
@@ -23,6 +23,9 @@
 	// maxAttempts bounds the sendings of a request that was refused with the request
 	// to connect again.
 	maxAttempts = 4
+	// backlogLimit is how long after the end of the load sessions still send requests
+	// that came due before.
+	backlogLimit = 3 * time.Second
 	// reconnectPause is the wait of a caller that found no VM.
 	reconnectPause = 50 * time.Millisecond
 )
@@ -41,7 +44,7 @@
 	conns map[ident.VMName]*pgconn.PgConn
 	home  ident.VMName
 	token string
-	// known is the VM whose connection has the current token.
+	// tokenAt is the token that each connection carries.
 	tokenAt      map[ident.VMName]string
 	tried, acked int64
 	requests     int
@@ -52,6 +55,10 @@
 func (s *session) serve(ctx context.Context, due <-chan time.Duration) {
 	s.conns, s.tokenAt = map[ident.VMName]*pgconn.PgConn{}, map[ident.VMName]string{}
 	for intended := range due {
+		if s.run.now() > s.run.scenario.Duration+backlogLimit {
+			s.records = append(s.records, s.unsent(intended))
+			continue
+		}
 		s.request(ctx, intended)
 	}
 	for vm := range s.conns {
@@ -59,6 +66,14 @@
 	}
 }
 
+// unsent records a request that came due and was never sent.
+func (s *session) unsent(intended time.Duration) Record {
+	return Record{
+		ID: fmt.Sprintf("s%d-unsent", s.number), Session: s.number, Kind: Read, Organisation: s.organisation, Group: s.group,
+		Intended: intended, Sent: s.run.now(), Done: s.run.now(), Outcome: Unsent,
+	}
+}
+
 func (s *session) drop(vm ident.VMName) {
 	if conn := s.conns[vm]; conn != nil {
 		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
@@ -99,6 +114,7 @@
 		if !again(&r) || r.Attempts == maxAttempts || ctx.Err() != nil {
 			break
 		}
+		r.Earlier = append(r.Earlier, Refusal{VM: vm, At: s.run.now(), Code: r.Code, Text: r.Text})
 		vm = s.chooseVM(vm)
 	}
 	r.Done = s.run.now()
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -26,7 +26,7 @@
 
 // fakeVM is the administration address of a VM in front of one configuration.
 type fakeVM struct {
-	mu      sync.Mutex
+	mu      sync.Mutex // requests may overlap after an answer was lost
 	current *configuration.Configuration
 	history []configcontroller.HistoryEntry
 	answer  *configcontroller.Result // replaces the answer to a note
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -2,7 +2,13 @@
 
 import (
 	"context"
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/tls"
+	"crypto/x509"
 	"errors"
+	"math/big"
 	"net"
 	"testing"
 	"time"
@@ -30,7 +36,7 @@
 
 func acquire(t *testing.T, p *Pools, target request.Target) *Lease {
 	t.Helper()
-	l, err := p.Acquire(t.Context(), target)
+	l, err := p.Acquire(t.Context(), target, nil)
 	assert.NilError(t, err)
 	return l
 }
@@ -93,7 +99,7 @@
 	first := acquire(t, p, target)
 	got := make(chan *Lease, 1)
 	go func() {
-		l, _ := p.Acquire(context.Background(), target)
+		l, _ := p.Acquire(context.Background(), target, nil)
 		got <- l
 	}()
 	for p.Dump()[0].Waiting == 0 {
@@ -116,7 +122,7 @@
 	one, two := acquire(t, p, target), acquire(t, p, target)
 	got := make(chan error, 1)
 	go func() {
-		_, err := p.Acquire(context.Background(), target)
+		_, err := p.Acquire(context.Background(), target, nil)
 		got <- err
 	}()
 	for p.Dump()[0].Limit == 4 {
@@ -127,17 +133,48 @@
 	assert.NilError(t, <-got)
 	ctx, cancel := context.WithTimeout(t.Context(), time.Millisecond)
 	defer cancel()
-	_, err := p.Acquire(ctx, target)
+	_, err := p.Acquire(ctx, target, nil)
 	assert.Equal(t, resultcode.Of(err), resultcode.QueueDeadline)
 	two.Close()
 
 	target.Upstream, target.Address = "b", "127.0.0.1:1"
-	_, err = p.Acquire(t.Context(), target)
+	_, err = p.Acquire(t.Context(), target, nil)
 	var open *OpenError
 	assert.Assert(t, errors.As(err, &open))
 	assert.Equal(t, err.Error(), "no connection to upstream b could be opened")
 }
 
+// Guards against connections to upstreams without TLS, or with a certificate that
+// was not checked, when TLS is configured.
+func TestTLS(t *testing.T) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	assert.NilError(t, err)
+	template := &x509.Certificate{SerialNumber: big.NewInt(1), NotAfter: time.Now().Add(time.Hour), IPAddresses: []net.IP{net.IPv4(127, 0, 0, 1)}, IsCA: true, BasicConstraintsValid: true}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	assert.NilError(t, err)
+	certificate, err := x509.ParseCertificate(der)
+	assert.NilError(t, err)
+	g, err := standin.Start(standin.Config{
+		Name: "orders", User: "u", Password: "p", Members: []standin.MemberConfig{{Name: "a"}},
+		TLS: &tls.Config{Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}}},
+	}, standin.NewNetwork())
+	assert.NilError(t, err)
+	defer g.Close()
+	trusted := x509.NewCertPool()
+	p := New(Config{Credentials: Credentials{User: "u", Password: "p"}, TLS: func() *tls.Config { return &tls.Config{RootCAs: trusted, ServerName: "127.0.0.1"} }})
+	defer p.Close()
+	target := request.Target{Group: "orders", Upstream: "a", Address: g.Member("a").Address(), Term: 1, Connections: 1}
+	_, err = p.Acquire(t.Context(), target, nil)
+	var open *OpenError
+	assert.Assert(t, errors.As(err, &open))
+	trusted.AddCert(certificate) // the next connection sees the reloaded trust
+	l := acquire(t, p, target)
+	_, encrypted := l.Conn().net.(*tls.Conn)
+	assert.Assert(t, encrypted)
+	l.Release(false)
+	assert.Assert(t, acquire(t, p, target).Conn() == l.Conn()) // found alive below TLS
+}
+
 // Guards against session state surviving the reset of a dirty connection.
 func TestDirtyConnectionsAreReset(t *testing.T) {
 	p, target := start(t, 2, nil)
