Bound the wait for another note on the same VM

Change: a channel of capacity 1, left at the deadline; and each attempt at a pending proposal waits one second longer, up to five.

--- a/internal/controller/configuration/acknowledge.go
+++ b/internal/controller/configuration/acknowledge.go
@@ -21,6 +21,9 @@
 	// acceptor has not; each further watcher waits takeOverStep longer.
 	takeOverAfter = 2 * time.Second
 	takeOverStep  = time.Second
+	// maxPatience bounds the steps that are added for each earlier attempt. They give
+	// a slow fleet time to acknowledge, because every attempt starts the count again.
+	maxPatience = 5
 )
 
 var errAcknowledged = errors.New("the zone has acknowledged already")
@@ -96,15 +99,20 @@
 	waited := c.clock.Now() - c.since
 	version := c.known.Version
 	patience := time.Duration(c.takeOverRank(version)) * takeOverStep
-	if c.known.Attempt > 0 {
-		patience += takeOverAfter
+	if attempt := c.known.Attempt; attempt > 0 {
+		patience += takeOverAfter + time.Duration(min(attempt, maxPatience))*takeOverStep
 	}
 	c.mu.Unlock()
-	if !pending || waited < patience || !c.applying.TryLock() {
+	if !pending || waited < patience {
+		return
+	}
+	select {
+	case c.applying <- struct{}{}:
+	default:
 		return
 	}
 	c.completing.Go(func() {
-		defer c.applying.Unlock()
+		defer func() { <-c.applying }()
 		ctx, cancel := context.WithTimeout(ctx, takeOverAfter)
 		defer cancel()
 		c.vars.Add("proposals_taken_over", 1)
--- a/internal/controller/configuration/apply.go
+++ b/internal/controller/configuration/apply.go
@@ -72,9 +72,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, ApplyDeadline)
 	defer cancel()
-	c.applying.Lock()
+	select {
+	case c.applying <- struct{}{}:
+	case <-ctx.Done():
+		return failed(resultcode.New(resultcode.NoteConflict, "another note is going through this VM"))
+	}
 	result := c.apply(ctx, note, text)
-	c.applying.Unlock()
+	<-c.applying
 	c.vars.Add("notes_"+string(result.Outcome), 1)
 	if result.Outcome == Accepted {
 		result.InForceAfter, result.Lagging = c.awaitInForce(result.Version)
--- a/internal/controller/configuration/controller.go
+++ b/internal/controller/configuration/controller.go
@@ -50,7 +50,7 @@
 	snapshot   atomic.Pointer[snapshot]
 	vars       *expvar.Map
 
-	applying   sync.Mutex // one note at a time goes through this VM
+	applying   chan struct{} // holds one element while a note goes through this VM
 	completing sync.WaitGroup
 
 	mu        sync.Mutex // guards all fields below
@@ -90,6 +90,7 @@
 		versions: map[ident.VMName]reported{},
 		rampFrom: notReturning,
 		changed:  make(chan struct{}, 1),
+		applying: make(chan struct{}, 1),
 		ackDue:   make(chan struct{}, 1),
 	}
 	c.ramp.random = rand.New(rand.NewPCG(o.Seed, 2))
--- a/internal/controller/configuration/controller_test.go
+++ b/internal/controller/configuration/controller_test.go
@@ -253,12 +253,17 @@
 	runFleet(t, func(f *testFleet) {
 		f.setUp()
 		f.setOutage(true)
-		vm := f.start("plovdiv-a-1", "plovdiv-a", 2)
-		time.Sleep(2 * time.Second)
+		var vm *testVM
+		for name, old := range f.network.vms {
+			if _, watcher := old.rank(); !watcher { // watchers ask nearly every VM anyway
+				vm = f.start(name, old.member.Zone, 2)
+			}
+		}
+		time.Sleep(2*exchangeInterval + 100*time.Millisecond) // two rounds of questions
 		vm.mu.Lock()
 		assert.Assert(t, vm.core.Qualified())
 		vm.mu.Unlock()
-		time.Sleep(2 * time.Second)
+		time.Sleep(freshness.F)
 		_, err := vm.Authorise("web", "deck", key)
 		assert.NilError(t, err)
 		f.setOutage(false)
--- a/internal/controller/configuration/propose.go
+++ b/internal/controller/configuration/propose.go
@@ -172,7 +172,7 @@
 }
 
 // complete takes over the pending proposal and accepts it if enough zones
-// acknowledge before ctx ends. The caller holds the applying lock.
+// acknowledge before ctx ends. The caller has put its element into applying.
 func (c *Controller) complete(ctx context.Context) (ident.ConfigurationVersion, error) {
 	s, err := c.readStored(ctx)
 	if err != nil {
