Pass COPY errors on before Sync and bound the setting of settings

An error during COPY in the extended protocol reached the caller only after its Sync, which many drivers send only after the error. Notices and parameters that come during COPY no longer end it.

--- a/internal/filter/forward/answers.go
+++ b/internal/filter/forward/answers.go
@@ -236,38 +236,47 @@
 	return nil
 }
 
-// parameter handles ParameterStatus. The parameters of the group stay here.
+// parameter handles ParameterStatus.
 func (x *exchange) parameter(e *expectation) error {
 	_, frame, err := x.conn.R.NextFrame()
 	if err != nil {
 		return err
 	}
+	own, err := x.noteParameter(frame)
+	switch {
+	case err != nil:
+		return err
+	case own || e.drop:
+		return nil
+	case len(x.held) > 0:
+		x.held = append(x.held, frame...)
+		return nil
+	}
+	return x.pass(frame)
+}
+
+// noteParameter records a ParameterStatus. It reports whether the parameter is one
+// of the group, which is not passed on.
+func (x *exchange) noteParameter(frame []byte) (own bool, err error) {
 	name, value, err := wire.Parameter(frame[minFrame:])
 	if err != nil {
-		return err
+		return false, err
 	}
 	switch name {
 	case "group_transaction":
 		x.lease.Transaction = value
-		return nil
+		return true, nil
 	case "group_term":
 		n, err := strconv.ParseUint(value, 10, 64)
 		x.term = ident.Term(n)
-		return err
+		return true, err
 	case "group_position":
 		n, err := strconv.ParseUint(value, 10, 64)
 		x.point = ident.LogPoint{Term: x.term, Position: ident.Position(n)}
-		return err
+		return true, err
 	}
 	x.conn.Params[name] = value
-	if e.drop {
-		return nil
-	}
-	if len(x.held) > 0 {
-		x.held = append(x.held, frame...)
-		return nil
-	}
-	return x.pass(frame)
+	return false, nil
 }
 
 // commandComplete holds the message back when it may acknowledge a commit.
@@ -352,6 +361,13 @@
 	for x.next < len(x.expect) && x.expect[x.next].kind != 'S' && x.expect[x.next].kind != 'Q' {
 		x.next++
 	}
+	if x.needSync {
+		x.needSync = false
+		if err := x.flushCaller(); err != nil {
+			return err
+		}
+		return x.skipToSync()
+	}
 	return nil
 }
 
--- a/internal/filter/forward/copyin.go
+++ b/internal/filter/forward/copyin.go
@@ -24,7 +24,7 @@
 	answered := make(chan struct{})
 	go func() {
 		defer close(answered)
-		_, _, _ = x.conn.R.Peek() // the result is read again by answers
+		x.awaitAnswer()
 		caller.Interrupt()
 	}()
 	err := x.pump(e.kind == 'E')
@@ -34,10 +34,36 @@
 	}
 	<-answered
 	caller.Resume()
+	if err == nil && len(x.early) > 0 {
+		err = x.pass(x.early)
+	}
 	return err
 }
 
-// pump copies CopyData until CopyDone or CopyFail. In the extended protocol the
+// awaitAnswer waits for the message that ends the COPY, or an error, which answers
+// reads again. Notices and parameters that come before are kept.
+func (x *exchange) awaitAnswer() {
+	for {
+		kind, _, err := x.conn.R.Peek()
+		if err != nil || kind != 'N' && kind != 'S' && kind != 'A' {
+			return
+		}
+		_, frame, err := x.conn.R.NextFrame()
+		if err != nil {
+			return
+		}
+		if kind == 'S' {
+			if own, err := x.noteParameter(frame); own || err != nil {
+				continue
+			}
+		}
+		if kind != 'A' && len(x.early) < keepBuffers {
+			x.early = append(x.early, frame...)
+		}
+	}
+}
+
+// pump copies CopyData until CopyDone or CopyFail, or until the upstream answers. In the extended protocol the
 // upstream has ignored the Sync sent before, so the caller's next one follows.
 func (x *exchange) pump(extended bool) error {
 	caller, reader := x.s.Caller, x.s.Caller.Reader()
@@ -45,9 +71,7 @@
 	for {
 		kind, _, err := caller.Peek()
 		if errors.Is(err, filter.ErrInterrupted) {
-			if extended && !done {
-				return x.skipToSync()
-			}
+			x.needSync = extended
 			return nil
 		}
 		if err != nil {
@@ -108,13 +132,8 @@
 
 // skipToSync drops the caller's messages up to Sync and sends that.
 func (x *exchange) skipToSync() error {
-	x.s.Caller.Resume()
 	for {
 		kind, _, err := x.s.Caller.Peek()
-		if errors.Is(err, filter.ErrInterrupted) {
-			x.s.Caller.Resume()
-			continue
-		}
 		if err != nil {
 			return &filter.Lost{Cause: err}
 		}
@@ -122,13 +141,8 @@
 			return &filter.Lost{Cause: err}
 		}
 		if kind == 'S' {
-			x.emitNow(syncFrame)
-			return nil
+			_, _ = x.conn.W.Write(syncFrame)
+			return x.pumpFlush()
 		}
 	}
 }
-
-func (x *exchange) emitNow(frame []byte) {
-	_, _ = x.conn.W.Write(frame)
-	_ = x.conn.W.Flush()
-}
--- a/internal/filter/forward/exchange.go
+++ b/internal/filter/forward/exchange.go
@@ -80,8 +80,12 @@
 	retry      *filter.Retry
 	polling    bool
 	polls      int // poll intervals that passed without an answer
-	writeDone  chan error
-	broken     bool // the connection is out of step and must be closed
+	// needSync says that the upstream has ignored the Sync of the batch, because it
+	// was in COPY mode; early holds messages that came meanwhile.
+	needSync  bool
+	early     []byte
+	writeDone chan error
+	broken    bool // the connection is out of step and must be closed
 }
 
 var exchanges = sync.Pool{New: func() any { return new(exchange) }}
--- a/internal/filter/settings.go
+++ b/internal/filter/settings.go
@@ -28,9 +28,6 @@
 	pending []change
 }
 
-// Len returns the number of settings.
-func (s *Settings) Len() int { return len(s.values) }
-
 // IsOn reports whether a boolean setting is set to on.
 func (s *Settings) IsOn(name string) bool {
 	switch strings.ToLower(s.values[name].Text) {
@@ -67,6 +64,12 @@
 	delete(s.values, name)
 }
 
+// maxSettings bounds the settings of one session.
+const maxSettings = 256
+
+// Full reports whether the session can take no further setting.
+func (s *Settings) Full() bool { return len(s.values)+len(s.pending) >= maxSettings }
+
 // Record notes a SET or RESET that the upstream has run; Commit or Rollback
 // decides about it.
 func (s *Settings) Record(statement sqltext.Statement) {
--- a/internal/frontend/fakes_test.go
+++ b/internal/frontend/fakes_test.go
@@ -27,19 +27,18 @@
 	quiet   bool // no group_transaction
 	noLog   bool // keeps no statements
 
-	mu         sync.Mutex
-	hook       func(sql string) bool
-	afterHook  func(sql string) bool
-	log        []string
-	committed  map[string]bool
-	position   int
-	term       int
-	txids      int
-	cancels    int
-	maxConns   int
-	conns      map[net.Conn]bool
-	opened     int
-	afterReady func(sql string) bool
+	mu        sync.Mutex
+	hook      func(sql string) bool
+	afterHook func(sql string) bool
+	log       []string
+	committed map[string]bool
+	position  int
+	term      int
+	txids     int
+	cancels   int
+	maxConns  int
+	conns     map[net.Conn]bool
+	opened    int
 }
 
 func newFakeUpstream(t testing.TB) *fakeUpstream {
@@ -302,6 +301,9 @@
 		c.b.Send(rowDescriptionMessage)
 	}
 	n := 1
+	if text == "crossed" {
+		c.b.Send(&pgproto3.BindComplete{})
+	}
 	if rest, ok := strings.CutPrefix(text, "rows "); ok {
 		n, _ = strconv.Atoi(rest)
 		text = strings.Repeat("x", 100)
@@ -323,6 +325,9 @@
 		return true
 	}
 	c.b.Send(&pgproto3.CopyInResponse{ColumnFormatCodes: []uint16{0}})
+	// Neither a notice nor the identifier of the transaction ends the COPY.
+	c.b.Send(&pgproto3.NoticeResponse{Message: "started"})
+	c.b.Send(&pgproto3.ParameterStatus{Name: "group_transaction", Value: "copy"})
 	_ = c.b.Flush()
 	size := 0
 	for {
@@ -388,12 +393,9 @@
 	if c.txid != "" && !c.f.quiet {
 		c.b.Send(&pgproto3.ParameterStatus{Name: "group_transaction", Value: c.txid})
 	}
-	c.f.mu.Lock()
-	after := c.f.afterReady
-	c.f.mu.Unlock()
-	if after != nil && !after(sql) {
-		return false
-	}
 	c.b.Send(&pgproto3.ReadyForQuery{TxStatus: c.status})
+	if sql == "SELECT late" { // an answer that nobody asked for
+		c.b.Send(&pgproto3.CommandComplete{CommandTag: []byte("SELECT 7")})
+	}
 	return c.b.Flush() == nil
 }
--- a/internal/frontend/local.go
+++ b/internal/frontend/local.go
@@ -239,7 +239,7 @@
 	if strings.HasPrefix(name, settingPrefix) {
 		return s.setOwn(name, value)
 	}
-	if !validName(name) || name == "role" || name == "session_authorization" ||
+	if s.shared.Settings.Full() || !validName(name) || name == "role" || name == "session_authorization" ||
 		name == "standard_conforming_strings" && value != "on" {
 		return resultcode.New(resultcode.InvalidSetting, "startup setting that is not supported")
 	}
--- a/internal/frontend/outcome_test.go
+++ b/internal/frontend/outcome_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -17,14 +18,8 @@
 // once returns a hook that closes the connection at the first statement that
 // begins with the prefix.
 func once(prefix string) func(string) bool {
-	done := false
-	return func(sql string) bool {
-		if done || !strings.HasPrefix(sql, prefix) {
-			return true
-		}
-		done = true
-		return false
-	}
+	var done atomic.Bool
+	return func(sql string) bool { return !strings.HasPrefix(sql, prefix) || done.Swap(true) }
 }
 
 // wantCode asserts SQLSTATE and result code of an error, and that the code is in
--- a/internal/frontend/session_test.go
+++ b/internal/frontend/session_test.go
@@ -87,6 +87,47 @@
 	})
 }
 
+// Guards against statements that the proxy answers itself disagreeing with what
+// later requests see.
+func TestLocalStatements(t *testing.T) {
+	r := newRig(t, false, nil)
+	x := r.raw()
+	x.query("BEGIN", "C:BEGIN Z:T")
+	x.query("SET work_mem = '1MB'", "C:SET Z:T")
+	x.query("SET LOCAL a.b = 1", "C:SET Z:T")
+	x.query("COMMIT", "C:COMMIT Z:I")
+	x.query("SET a.c = 'x'", "C:SET Z:I")
+	r.primary.closeAll()
+	x.query("SELECT 1", "RowDescription D:1 C:SELECT_1 Z:I")
+	assert.Equal(t, r.primary.count(`SET "work_mem" TO '1MB'`), 1)
+	assert.Equal(t, r.primary.count(`SET "a"."c" TO 'x'`), 1)
+	assert.Equal(t, r.primary.count(`SET "a"."b"`), 0)
+	x.query("RESET work_mem", "C:RESET Z:I")
+	x.query("SELECT 2", "RowDescription D:2 C:SELECT_1 Z:I")
+	assert.Equal(t, r.primary.count(`RESET "work_mem"`), 1)
+	x.send(prepare("s", "SELECT 1"), prepare("t", "SELECT 2"), syncIt)
+	x.want("ParseComplete ParseComplete Z:I")
+	x.query("DEALLOCATE s", "C:DEALLOCATE Z:I")
+	x.query("DEALLOCATE s", "E:26000 Z:I")
+	x.query("DISCARD ALL", "C:DISCARD_ALL Z:I")
+	x.send(bindTo("t"), syncIt)
+	x.want("E:26000 Z:I")
+	x.query("SELECT 3", "RowDescription D:3 C:SELECT_1 Z:I")
+	assert.Equal(t, r.primary.count(`RESET "a"."c"`), 1)
+	x.query("SELECT 1; DEALLOCATE ALL", "E:0A000 Z:I")
+}
+
+// Guards against answers of one request being taken for those of another.
+func TestCrossedAndLateAnswers(t *testing.T) {
+	r := newRig(t, false, func(c *Config) { c.QueueTimeout = 100 * time.Millisecond })
+	x := r.raw()
+	x.query("SELECT late", "RowDescription D:late C:SELECT_1 Z:I")
+	x.query("SELECT 1", "RowDescription D:1 C:SELECT_1 Z:I")
+	assert.Equal(t, r.primary.openedConns(), 2)
+	x.query("SELECT crossed", "E:57P03 Z:I") // repeated as a read until the deadline
+	x.query("SELECT 2", "RowDescription D:2 C:SELECT_1 Z:I")
+}
+
 // Guards against statements that need a session of their own running on a pooled
 // connection, and against state left behind for the next caller.
 func TestUnsupportedAndDirtyStatements(t *testing.T) {
--- a/internal/frontend/simple.go
+++ b/internal/frontend/simple.go
@@ -94,6 +94,8 @@
 		switch {
 		case statement.Kind == sqltext.Unsupported:
 			return resultcode.New(resultcode.FeatureNotSupported, "%s", statement.Reason)
+		case statement.Kind == sqltext.Set && s.shared.Settings.Full():
+			return resultcode.New(resultcode.InvalidSetting, "too many session settings")
 		case len(list) > 1 && (isOwnSetting(statement) || statement.Kind == sqltext.Deallocate):
 			return resultcode.New(resultcode.FeatureNotSupported, "settings of the proxy and DEALLOCATE in a query of several statements")
 		}
--- a/internal/upstream/lease.go
+++ b/internal/upstream/lease.go
@@ -17,6 +17,9 @@
 	terminateTimeout = 100 * time.Millisecond
 	// resetTimeout bounds a reset; a connection that takes longer is closed.
 	resetTimeout = 5 * time.Second
+	// applyTimeout bounds the setting of session settings. A request waits for it,
+	// and moves on to another upstream within its deadline of 5 s afterwards.
+	applyTimeout = time.Second
 	// cancelTimeout bounds the delivery of a CancelRequest.
 	cancelTimeout = 2 * time.Second
 	// cancelCode is the request code of a CancelRequest.
@@ -155,7 +158,7 @@
 // the upstream's ErrorResponse when the statement failed, and an error when the
 // connection broke.
 func (c *Conn) Apply(statement string) (refusal []byte, err error) {
-	_ = c.net.SetDeadline(time.Now().Add(resetTimeout))
+	_ = c.net.SetDeadline(time.Now().Add(applyTimeout))
 	defer func() { _ = c.net.SetDeadline(time.Time{}) }()
 	refusal, _, err = c.run(statement)
 	return refusal, err
