Send session settings together with the request

A caller whose connection had other settings paid one exchange for each request. Reads and wrapped writes now carry the settings in the same segment; if one is refused, the answers are dropped and nothing has run. CancelRequests use TLS where it is configured, and the buffer that held the key is cleared.

--- a/internal/filter/forward/answers.go
+++ b/internal/filter/forward/answers.go
@@ -49,8 +49,10 @@
 	for x.next < len(x.expect) {
 		e := &x.expect[x.next]
 		if e.isLocal {
-			if err := x.pass(e.local); err != nil {
-				return err
+			if !e.drop {
+				if err := x.pass(e.local); err != nil {
+					return err
+				}
 			}
 			x.next++
 			continue
@@ -158,6 +160,9 @@
 	case 'C':
 		return x.commandComplete(e)
 	case 'G':
+		if x.settingsErr != nil {
+			return x.settingsErr // the connection is closed, which ends the COPY
+		}
 		return x.copyIn(e)
 	}
 	if kind == 'D' && !e.drop && len(x.held) == 0 {
@@ -338,6 +343,13 @@
 	if severity := wire.ErrorField(body, 'V'); severity == "FATAL" || severity == "PANIC" {
 		return errFatal
 	}
+	if e.settings || x.settingsErr != nil {
+		if e.settings {
+			x.dropAnswers(body)
+		}
+		x.skipAnswers()
+		return nil
+	}
 	if e.drop && e.kind == 'Q' && !x.commits { // BEGIN or ROLLBACK of the proxy
 		x.unsafe = true
 		return nil
@@ -358,9 +370,7 @@
 			return err
 		}
 	}
-	for x.next < len(x.expect) && x.expect[x.next].kind != 'S' && x.expect[x.next].kind != 'Q' {
-		x.next++
-	}
+	x.skipAnswers()
 	if x.needSync {
 		x.needSync = false
 		if err := x.flushCaller(); err != nil {
@@ -371,6 +381,13 @@
 	return nil
 }
 
+// skipAnswers moves to the ReadyForQuery that follows an error.
+func (x *exchange) skipAnswers() {
+	for x.next < len(x.expect) && x.expect[x.next].kind != 'S' && x.expect[x.next].kind != 'Q' {
+		x.next++
+	}
+}
+
 // repeatable decides whether the request can be repeated after an error, which
 // holds when the upstream has rolled everything back and the caller has seen
 // nothing.
@@ -419,6 +436,9 @@
 	}
 	x.status = body[0]
 	x.next++
+	if e.settings && x.settingsErr == nil {
+		x.s.Settings.MarkApplied(x.conn.Settings, !x.r.Write)
+	}
 	if !x.wrapped {
 		x.s.InTransaction = x.status != 'I'
 	}
--- a/internal/filter/forward/exchange.go
+++ b/internal/filter/forward/exchange.go
@@ -34,6 +34,8 @@
 	key   upstream.StatementKey
 	name  string
 	local []byte
+	// settings marks the statements that apply the session's settings.
+	settings bool
 	// isLocal says that no message was sent and local is the answer.
 	isLocal bool
 }
@@ -80,6 +82,8 @@
 	retry      *filter.Retry
 	polling    bool
 	polls      int // poll intervals that passed without an answer
+	// settingsErr is the refusal of the session's settings.
+	settingsErr error
 	// needSync says that the upstream has ignored the Sync of the batch, because it
 	// was in COPY mode; early holds messages that came meanwhile.
 	needSync  bool
@@ -118,6 +122,11 @@
 // run carries out all segments.
 func (x *exchange) run() error {
 	x.wrapped = x.wrappable()
+	if x.fresh {
+		if err := x.applySettings(); err != nil {
+			return err
+		}
+	}
 	if x.wrapped {
 		x.query(true, "BEGIN")
 	}
@@ -130,10 +139,13 @@
 		if err := x.segment(); err != nil {
 			return err
 		}
-		if x.errored {
+		if x.errored || x.settingsErr != nil {
 			break
 		}
 	}
+	if x.settingsErr != nil {
+		return x.settingsErr // the connection is closed, which ends BEGIN
+	}
 	if x.wrapped {
 		return x.commitWrapped()
 	}
--- a/internal/filter/forward/forward.go
+++ b/internal/filter/forward/forward.go
@@ -9,7 +9,6 @@
 	"github.com/rosemarywall/rosemarywall/internal/request"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/upstream"
-	"github.com/rosemarywall/rosemarywall/internal/wire"
 )
 
 // defaultConfirmTimeout bounds confirmation and resolution of a commit.
@@ -61,7 +60,7 @@
 	return nil
 }
 
-// lease takes a connection to the target and applies the session's settings.
+// lease takes a connection to the target.
 func (h *handler) lease(ctx context.Context, r *filter.Request) (*upstream.Lease, error) {
 	lease, err := h.cfg.Pools.Acquire(ctx, r.Target, func(c *upstream.Conn) bool {
 		return r.Session.Settings.Applied(c.Settings, !r.Write)
@@ -76,20 +75,7 @@
 		}
 		return nil, err
 	}
-	s, conn := r.Session, lease.Conn()
-	if sql := s.Settings.Difference(conn.Settings, conn.Params, !r.Write); sql != "" {
-		refusal, err := conn.Apply(sql)
-		if err != nil {
-			lease.Close()
-			return nil, &filter.Retry{Reason: filter.NotSent, Cause: err}
-		}
-		if refusal != nil {
-			lease.Release(true)
-			return nil, resultcode.New(resultcode.InvalidSetting, "the upstream refused the session settings with SQLSTATE %s", wire.ErrorField(refusal, 'C'))
-		}
-		conn.Unnamed = upstream.StatementKey{}
-	}
-	s.Settings.MarkApplied(conn.Settings, !r.Write)
+	s := r.Session
 	s.OnPrimary = r.Write
 	s.Lease.Store(lease)
 	h.count(r)
--- a/internal/frontend/fakes_test.go
+++ b/internal/frontend/fakes_test.go
@@ -253,6 +253,10 @@
 	tag := word
 	switch word {
 	case "SET", "RESET":
+		if strings.Contains(sql, "bad_setting") {
+			c.fail("42704", "no such setting")
+			return false
+		}
 		if strings.Contains(sql, "default_transaction_read_only") {
 			c.readOnly = word == "SET"
 		}
--- a/internal/frontend/session_test.go
+++ b/internal/frontend/session_test.go
@@ -117,6 +117,22 @@
 	x.query("SELECT 1; DEALLOCATE ALL", "E:0A000 Z:I")
 }
 
+// Guards against statements that run with settings other than those of their
+// session, because the upstream refused a setting.
+func TestRefusedSettingsStopTheRequest(t *testing.T) {
+	r := newRig(t, false, nil)
+	x := r.raw("bad_setting", "1")
+	x.query("SELECT 1", "E:22023 Z:I")
+	x.query("INSERT a", "E:22023 Z:I")
+	x.query("COPY t FROM STDIN", "E:22023 Z:I")
+	x.query("BEGIN", "E:22023 Z:I")
+	x.send(prepare("", "SELECT 1"), bindTo(""), executeIt, syncIt)
+	x.want("E:22023 Z:I")
+	assert.Equal(t, len(r.control.confirmed), 0)
+	assert.Equal(t, r.primary.count("BEGIN"), 2) // those of the proxy around INSERT and COPY
+	r.raw().query("SELECT 1", "RowDescription D:1 C:SELECT_1 Z:I")
+}
+
 // Guards against answers of one request being taken for those of another.
 func TestCrossedAndLateAnswers(t *testing.T) {
 	r := newRig(t, false, func(c *Config) { c.QueueTimeout = 100 * time.Millisecond })
--- a/internal/frontend/startup.go
+++ b/internal/frontend/startup.go
@@ -204,7 +204,9 @@
 	if err != nil || len(rest) != 0 {
 		return "", malformed("password message")
 	}
-	return string(key), nil
+	text := string(key)
+	clear(body) // the buffer is used again
+	return text, nil
 }
 
 // welcome reports the parameters and the cancel key.
--- a/internal/upstream/lease.go
+++ b/internal/upstream/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/binary"
 	"errors"
 	"io"
@@ -127,6 +128,9 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = conn.SetDeadline(deadline)
 	}
+	if conn, err = p.encrypt(ctx, conn); err != nil {
+		return err
+	}
 	packet := binary.BigEndian.AppendUint32(nil, uint32(12+len(c.secret)))
 	packet = binary.BigEndian.AppendUint32(packet, cancelCode)
 	packet = binary.BigEndian.AppendUint32(packet, c.pid)
@@ -140,6 +144,27 @@
 	return nil
 }
 
+// encrypt negotiates TLS, if it is configured, so that the cancel key is not sent
+// in the clear.
+func (p *Pools) encrypt(ctx context.Context, conn net.Conn) (net.Conn, error) {
+	if p.cfg.TLS == nil {
+		return conn, nil
+	}
+	cfg := p.cfg.TLS()
+	if cfg == nil {
+		return conn, nil
+	}
+	accepted, err := requestTLS(conn)
+	if err != nil {
+		return nil, err
+	}
+	if !accepted {
+		return nil, errors.New("the upstream refused TLS")
+	}
+	secured := tls.Client(conn, cfg)
+	return secured, secured.HandshakeContext(ctx)
+}
+
 // reset runs the statements and reports whether the connection is clean.
 func (c *Conn) reset(statements ...string) bool {
 	_ = c.net.SetDeadline(time.Now().Add(resetTimeout))
--- a/internal/upstream/probe.go
+++ b/internal/upstream/probe.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"net"
 	"sync"
 	"time"
 
@@ -51,10 +52,17 @@
 	}
 	defer conn.Close()
 	_ = conn.SetDeadline(time.Now().Add(probeTimeout))
+	_, err = requestTLS(conn)
+	return err == nil
+}
+
+// requestTLS sends an SSLRequest and returns whether the upstream accepts TLS.
+func requestTLS(conn net.Conn) (bool, error) {
 	packet := binary.BigEndian.AppendUint32(nil, 8)
 	if _, err := conn.Write(binary.BigEndian.AppendUint32(packet, sslRequestCode)); err != nil {
-		return false
+		return false, err
 	}
-	_, err = conn.Read(make([]byte, 1))
-	return err == nil
+	var answer [1]byte
+	_, err := conn.Read(answer[:])
+	return answer[0] == 'S', err
 }
