--- a/internal/load/rate.go
+++ b/internal/load/rate.go
@@ -92,7 +92,12 @@
 // the load offered up to then was inside rate and burst in every window that ends
 // with it. Refused requests are offered load too.
 func insideRate(records []*Record, rate Rate) map[*Record]bool {
-	order := append([]*Record(nil), records...)
+	var order []*Record
+	for _, r := range records {
+		if r.Outcome != Unsent {
+			order = append(order, r)
+		}
+	}
 	sort.SliceStable(order, func(i, j int) bool { return order[i].Sent < order[j].Sent })
 	inside := make(map[*Record]bool, len(order))
 	level, last := rate.Burst, time.Duration(0)
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/HdrHistogram/hdrhistogram-go"
 
+	"github.com/rosemarywall/rosemarywall/internal/core/promotion"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 )
 
@@ -23,6 +24,8 @@
 	Counts     map[string]int
 	Violations []Violation
 	Measures   Measures
+	// Changes are the unplanned changes of primaries that VMs carried out, by term.
+	Changes map[ident.GroupName][]promotion.Outcome
 	// Dumps are the state dumps of the running VMs at the end of the load.
 	Dumps map[ident.VMName]map[string]any
 
@@ -44,14 +47,15 @@
 	result.Measures = measure(result)
 }
 
-// Broken reports whether any promise was broken or a fault could not be carried out.
+// Broken reports whether any promise was broken, a fault could not be carried out, or
+// nothing was answered.
 func (result *Result) Broken() bool {
 	for _, e := range result.Events {
 		if e.Error != "" {
 			return true
 		}
 	}
-	return len(result.Violations) > 0
+	return len(result.Violations) > 0 || result.Measures.Answered == 0
 }
 
 // latencies returns the latency of each kind and of all.
