Return the connection before a commit is confirmed

The wait for a replica held the upstream's slot and connection, so that writes of one VM were bounded by the replication delay. The acknowledgement is still held; the upstream serves others meanwhile.

--- a/internal/filter/forward/exchange.go
+++ b/internal/filter/forward/exchange.go
@@ -49,6 +49,9 @@
 	conn  *upstream.Conn
 	w     *wire.Writer
 	fresh bool
+	// onPrimary is the session's OnPrimary, also after the lease was returned.
+	onPrimary bool
+	finished  bool
 	// wrapped says that the proxy sent BEGIN and owes COMMIT.
 	wrapped bool
 	// unsafe says that a segment was sent whose effect may have been committed
@@ -99,7 +102,8 @@
 	w := r.Session.Caller.Writer()
 	*x = exchange{
 		h: h, r: r, s: r.Session, lease: lease, conn: lease.Conn(), w: w, fresh: fresh,
-		mark: w.Sent(), pendingMark: w.Pending(), unnamed: lease.Conn().Unnamed,
+		onPrimary: r.Session.OnPrimary,
+		mark:      w.Sent(), pendingMark: w.Pending(), unnamed: lease.Conn().Unnamed,
 		out: x.out[:0], scratch: x.scratch[:0], expect: x.expect[:0], held: x.held[:0],
 	}
 	return x
@@ -265,12 +269,15 @@
 	if x.errored {
 		x.held = x.held[:0]
 	}
+	if x.status == 'I' && !x.r.OpenEnd && !x.point.IsZero() {
+		x.finish() // the connection and the slot serve others while the commit is confirmed
+	}
 	return x.releaseHeld()
 }
 
 // releaseHeld confirms a commit that is pending and passes on the held messages.
 func (x *exchange) releaseHeld() error {
-	if !x.point.IsZero() && x.s.OnPrimary {
+	if !x.point.IsZero() && x.onPrimary {
 		if err := x.confirm(); err != nil {
 			return err
 		}
@@ -291,6 +298,10 @@
 // finish ends the request: it returns the connection or keeps it for the open
 // transaction.
 func (x *exchange) finish() {
+	if x.finished {
+		return
+	}
+	x.finished = true
 	s := x.s
 	x.r.Failed = x.errored
 	x.r.Status = x.status
--- a/internal/frontend/outcome_test.go
+++ b/internal/frontend/outcome_test.go
@@ -179,6 +179,9 @@
 		t.Fatal("acknowledged before the confirmation")
 	default:
 	}
+	// The upstream is free for others meanwhile.
+	assert.Equal(t, r.server.Outstanding("orders", "one"), 0)
+	assert.Equal(t, r.server.cfg.Pools.Dump()[0].Idle, 1)
 	release <- nil
 	assert.NilError(t, <-done)
 
