Send BEGIN with the first statement of its block

BEGIN cost an exchange and held a slot while the caller prepared its statement, and a planned move between BEGIN and the first write ended in an error. A BEGIN that is certain to succeed is now answered at once and sent with the first statement, which can move to another upstream until the caller has seen a part of its answer.

--- a/internal/filter/authorise/authorise.go
+++ b/internal/filter/authorise/authorise.go
@@ -27,7 +27,7 @@
 // Serve implements filter.Handler.
 func (h *handler) Serve(ctx context.Context, r *filter.Request) error {
 	err := h.cfg.Authoriser.Check(r.Session.Grant)
-	open := r.Session.Lease.Load() != nil
+	open := r.Session.Lease.Load() != nil || r.Begin != ""
 	if err != nil && !(open && resultcode.Is(err, resultcode.ZoneOut)) {
 		return err
 	}
--- a/internal/filter/forward/answers.go
+++ b/internal/filter/forward/answers.go
@@ -11,8 +11,6 @@
 	"github.com/rosemarywall/rosemarywall/internal/filter"
 	"github.com/rosemarywall/rosemarywall/internal/frontend/sqltext"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
-	"github.com/rosemarywall/rosemarywall/internal/resultcode"
-	"github.com/rosemarywall/rosemarywall/internal/upstream"
 	"github.com/rosemarywall/rosemarywall/internal/wire"
 )
 
@@ -160,8 +158,8 @@
 	case 'C':
 		return x.commandComplete(e)
 	case 'G':
-		if x.settingsErr != nil {
-			return x.settingsErr // the connection is closed, which ends the COPY
+		if x.prefixErr != nil {
+			return x.prefixErr // the connection is closed, which ends the COPY
 		}
 		return x.copyIn(e)
 	}
@@ -332,99 +330,6 @@
 	}
 }
 
-// errorResponse passes an error on, or keeps it when the request can be repeated.
-func (x *exchange) errorResponse(e *expectation) error {
-	_, frame, err := x.conn.R.NextFrame()
-	if err != nil {
-		return err
-	}
-	body := frame[minFrame:]
-	code := wire.ErrorField(body, 'C')
-	if severity := wire.ErrorField(body, 'V'); severity == "FATAL" || severity == "PANIC" {
-		return errFatal
-	}
-	if e.settings || x.settingsErr != nil {
-		if e.settings {
-			x.dropAnswers(body)
-		}
-		x.skipAnswers()
-		return nil
-	}
-	if e.drop && e.kind == 'Q' && !x.commits { // BEGIN or ROLLBACK of the proxy
-		x.unsafe = true
-		return nil
-	}
-	x.errored = true
-	x.held = x.held[:0]
-	x.conn.Unnamed = upstream.StatementKey{}
-	if code == "0A000" || code == "26000" {
-		x.conn.ForgetStatements()
-	}
-	if !x.repeatable(code, frame) {
-		if code == "25006" && x.s.OnPrimary && !x.readOnlyByChoice() {
-			err := resultcode.New(resultcode.RolledBack, "the upstream is no longer the primary")
-			x.h.cfg.Counters.Refuse(err.Code)
-			frame = filter.ErrorFrame(filter.SeverityError, err)
-		}
-		if err := x.pass(frame); err != nil {
-			return err
-		}
-	}
-	x.skipAnswers()
-	if x.needSync {
-		x.needSync = false
-		if err := x.flushCaller(); err != nil {
-			return err
-		}
-		return x.skipToSync()
-	}
-	return nil
-}
-
-// skipAnswers moves to the ReadyForQuery that follows an error.
-func (x *exchange) skipAnswers() {
-	for x.next < len(x.expect) && x.expect[x.next].kind != 'S' && x.expect[x.next].kind != 'Q' {
-		x.next++
-	}
-}
-
-// repeatable decides whether the request can be repeated after an error, which
-// holds when the upstream has rolled everything back and the caller has seen
-// nothing.
-func (x *exchange) repeatable(code string, frame []byte) bool {
-	if !x.fresh || x.r.OpenEnd || x.effect || x.passed() {
-		return false
-	}
-	var reason filter.Reason
-	switch {
-	case code == "25006" && !x.readOnlyByChoice():
-		reason = filter.Refused
-	case code == "40001" && x.wrapped:
-		reason = filter.Serialization
-	default:
-		return false
-	}
-	x.w.Truncate(x.pendingMark)
-	x.retry = &filter.Retry{Reason: reason, Answer: append([]byte(nil), frame...)}
-	return true
-}
-
-// readOnlyByChoice reports whether the caller itself asked for a read-only
-// transaction, so that 25006 is the proper answer.
-func (x *exchange) readOnlyByChoice() bool {
-	if x.s.ReadOnlyBlock || x.s.Settings.IsOn(filter.ReadOnlySetting) {
-		return true
-	}
-	for i := range x.r.Ops {
-		for _, s := range x.r.Ops[i].Statements {
-			if s.Kind == sqltext.Set && s.Name == filter.ReadOnlySetting {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // ready handles ReadyForQuery.
 func (x *exchange) ready(e *expectation) error {
 	_, body, err := x.conn.R.Next()
@@ -436,7 +341,7 @@
 	}
 	x.status = body[0]
 	x.next++
-	if e.settings && x.settingsErr == nil {
+	if e.settings && x.prefixErr == nil {
 		x.s.Settings.MarkApplied(x.conn.Settings, !x.r.Write)
 	}
 	if !x.wrapped {
--- /dev/null
+++ b/internal/filter/forward/errors.go
@@ -0,0 +1,118 @@
+package forward
+
+import (
+	"github.com/rosemarywall/rosemarywall/internal/filter"
+	"github.com/rosemarywall/rosemarywall/internal/frontend/sqltext"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	"github.com/rosemarywall/rosemarywall/internal/upstream"
+	"github.com/rosemarywall/rosemarywall/internal/wire"
+)
+
+// errorResponse passes an error on, or keeps it when the request can be repeated.
+func (x *exchange) errorResponse(e *expectation) error {
+	_, frame, err := x.conn.R.NextFrame()
+	if err != nil {
+		return err
+	}
+	body := frame[minFrame:]
+	code := wire.ErrorField(body, 'C')
+	if severity := wire.ErrorField(body, 'V'); severity == "FATAL" || severity == "PANIC" {
+		return errFatal
+	}
+	if x.ownError(e, body, code) {
+		return nil
+	}
+	x.errored = true
+	x.held = x.held[:0]
+	x.conn.Unnamed = upstream.StatementKey{}
+	if code == "0A000" || code == "26000" {
+		x.conn.ForgetStatements()
+	}
+	if !x.repeatable(code, frame) {
+		if err := x.pass(x.translate(code, frame)); err != nil {
+			return err
+		}
+	}
+	x.skipAnswers()
+	if x.needSync {
+		x.needSync = false
+		if err := x.flushCaller(); err != nil {
+			return err
+		}
+		return x.skipToSync()
+	}
+	return nil
+}
+
+// ownError handles an error that answers a message of the proxy.
+func (x *exchange) ownError(e *expectation, body []byte, code string) bool {
+	switch {
+	case e.settings:
+		x.dropAnswers(refusedSettings(body))
+	case x.prefixErr != nil:
+	case e.begin && x.writes:
+		x.dropAnswers(resultcode.New(resultcode.OutcomeUnknown, "the upstream refused BEGIN with SQLSTATE %s", code))
+	case e.begin:
+		x.dropAnswers(resultcode.New(resultcode.RolledBack, "the upstream refused BEGIN with SQLSTATE %s", code))
+	case e.drop && e.kind == 'Q' && !x.commits: // BEGIN or ROLLBACK around a request
+		x.unsafe = true
+	default:
+		return false
+	}
+	x.skipAnswers()
+	return true
+}
+
+// translate replaces 25006 of a former primary, which the caller did not ask for.
+func (x *exchange) translate(code string, frame []byte) []byte {
+	if code != "25006" || !x.s.OnPrimary || x.opaque || x.readOnlyByChoice() {
+		return frame
+	}
+	err := resultcode.New(resultcode.RolledBack, "the upstream is no longer the primary")
+	x.h.cfg.Counters.Refuse(err.Code)
+	return filter.ErrorFrame(filter.SeverityError, err)
+}
+
+// skipAnswers moves to the ReadyForQuery that follows an error.
+func (x *exchange) skipAnswers() {
+	for x.next < len(x.expect) && x.expect[x.next].kind != 'S' && x.expect[x.next].kind != 'Q' {
+		x.next++
+	}
+}
+
+// repeatable decides whether the request can be repeated after an error, which
+// holds when the upstream has rolled everything back and the caller has seen
+// nothing.
+func (x *exchange) repeatable(code string, frame []byte) bool {
+	if !x.fresh || x.r.OpenEnd || x.effect || x.opaque || x.passed() {
+		return false
+	}
+	var reason filter.Reason
+	switch {
+	case code == "25006" && !x.readOnlyByChoice():
+		reason = filter.Refused
+	case code == "40001" && x.wrapped:
+		reason = filter.Serialization
+	default:
+		return false
+	}
+	x.w.Truncate(x.pendingMark)
+	x.retry = &filter.Retry{Reason: reason, Answer: append([]byte(nil), frame...)}
+	return true
+}
+
+// readOnlyByChoice reports whether the caller itself asked for a read-only
+// transaction, so that 25006 is the proper answer.
+func (x *exchange) readOnlyByChoice() bool {
+	if x.s.ReadOnlyBlock || x.s.Settings.IsOn(filter.ReadOnlySetting) {
+		return true
+	}
+	for i := range x.r.Ops {
+		for _, s := range x.r.Ops[i].Statements {
+			if s.Kind == sqltext.Set && s.Name == filter.ReadOnlySetting {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/filter/forward/exchange.go
+++ b/internal/filter/forward/exchange.go
@@ -36,6 +36,8 @@
 	local []byte
 	// settings marks the statements that apply the session's settings.
 	settings bool
+	// begin marks the BEGIN that the caller has sent before.
+	begin bool
 	// isLocal says that no message was sent and local is the answer.
 	isLocal bool
 }
@@ -57,6 +59,9 @@
 	// unsafe says that a segment was sent whose effect may have been committed
 	// without an answer.
 	unsafe bool
+	// opaque says that the request holds a statement such as CALL, which may commit
+	// a part of its work.
+	opaque bool
 	// effect says that an earlier segment may have committed something.
 	effect bool
 	// commits says that the segment holds a COMMIT of the caller, and writes that
@@ -85,8 +90,8 @@
 	retry      *filter.Retry
 	polling    bool
 	polls      int // poll intervals that passed without an answer
-	// settingsErr is the refusal of the session's settings.
-	settingsErr error
+	// prefixErr is the refusal of the session's settings or of BEGIN.
+	prefixErr error
 	// needSync says that the upstream has ignored the Sync of the batch, because it
 	// was in COPY mode; early holds messages that came meanwhile.
 	needSync  bool
@@ -131,8 +136,13 @@
 			return err
 		}
 	}
-	if x.wrapped {
+	switch {
+	case x.wrapped:
 		x.query(true, "BEGIN")
+	case x.fresh && x.r.Begin != "":
+		x.query(true, x.r.Begin)
+		x.expect[len(x.expect)-1].begin = true
+		x.s.InTransaction, x.s.ReadOnlyBlock = true, x.r.BeginReadOnly
 	}
 	ops := x.r.Ops
 	for len(ops) > 0 {
@@ -143,12 +153,12 @@
 		if err := x.segment(); err != nil {
 			return err
 		}
-		if x.errored || x.settingsErr != nil {
+		if x.errored || x.prefixErr != nil {
 			break
 		}
 	}
-	if x.settingsErr != nil {
-		return x.settingsErr // the connection is closed, which ends BEGIN
+	if x.prefixErr != nil {
+		return x.prefixErr // the connection is closed, which ends the transaction
 	}
 	if x.wrapped {
 		return x.commitWrapped()
@@ -158,7 +168,7 @@
 
 // wrappable reports whether the request runs between BEGIN and COMMIT of the proxy.
 func (x *exchange) wrappable() bool {
-	if !x.fresh || !x.r.Write || x.r.OpenEnd || x.h.cfg.Plain {
+	if !x.fresh || !x.r.Write || x.r.OpenEnd || x.r.Begin != "" || x.h.cfg.Plain {
 		return false
 	}
 	writes := false
--- a/internal/filter/forward/plan.go
+++ b/internal/filter/forward/plan.go
@@ -38,6 +38,7 @@
 func (x *exchange) note(op *filter.Op) {
 	for _, s := range op.Statements {
 		x.s.Dirty = x.s.Dirty || s.Dirty
+		x.opaque = x.opaque || s.Dirty && s.Kind == sqltext.Write
 		switch s.Kind {
 		case sqltext.Begin, sqltext.Control:
 			x.s.ReadOnlyBlock = x.s.ReadOnlyBlock || s.ReadOnly
--- a/internal/filter/forward/resolve.go
+++ b/internal/filter/forward/resolve.go
@@ -121,9 +121,12 @@
 		clean := x.status == 'I' && !x.broken
 		dirty := x.s.Dirty
 		x.s.EndLease()
-		if clean {
+		switch {
+		case clean:
 			lease.Release(dirty)
-		} else {
+		case x.status == 'E' && !x.broken:
+			lease.ResetWith("ROLLBACK")
+		default:
 			lease.Close()
 		}
 		return err
--- a/internal/filter/forward/settings.go
+++ b/internal/filter/forward/settings.go
@@ -10,14 +10,14 @@
 // applySettings brings a fresh connection to the session's settings. A read and a
 // wrapped write send the statements together with the request, which saves an
 // exchange: if a setting is refused, their answers are dropped and they have had
-// no effect. Other requests wait for the answer.
+// no effect. So does the first request of a transaction block. Other requests wait for the answer.
 func (x *exchange) applySettings() error {
 	sql := x.s.Settings.Difference(x.conn.Settings, x.conn.Params, !x.r.Write)
 	if sql == "" {
 		x.s.Settings.MarkApplied(x.conn.Settings, !x.r.Write)
 		return nil
 	}
-	if x.wrapped || !x.r.Write && !x.r.OpenEnd {
+	if x.wrapped || x.r.Begin != "" || !x.r.Write && !x.r.OpenEnd {
 		x.query(true, sql)
 		x.expect[len(x.expect)-1].settings = true
 		return nil
@@ -39,9 +39,9 @@
 	return resultcode.New(resultcode.InvalidSetting, "the upstream refused the session settings with SQLSTATE %s", wire.ErrorField(refusal, 'C'))
 }
 
-// dropAnswers drops the answers to come, because a setting was refused.
-func (x *exchange) dropAnswers(refusal []byte) {
-	x.settingsErr = refusedSettings(refusal)
+// dropAnswers drops the answers to come, because a setting or BEGIN was refused.
+func (x *exchange) dropAnswers(err error) {
+	x.prefixErr = err
 	for i := x.next; i < len(x.expect); i++ {
 		x.expect[i].drop = true
 	}
--- a/internal/filter/request.go
+++ b/internal/filter/request.go
@@ -52,6 +52,11 @@
 type Request struct {
 	Session *Session
 	Ops     []Op
+	// Begin is the text of a BEGIN that the caller has sent before and that is sent
+	// with this request; empty when there is none.
+	Begin string
+	// BeginReadOnly says that Begin starts a read-only transaction.
+	BeginReadOnly bool
 	// Write says that the request needs the primary.
 	Write bool
 	// OpenEnd says that the request ends with Flush, so that more of its batch
--- a/internal/frontend/extended.go
+++ b/internal/frontend/extended.go
@@ -30,6 +30,8 @@
 	ops   []filter.Op
 	chunk []byte
 	size  int
+	// remote says that a message of the batch is for the upstream.
+	remote bool
 	// flushed says that a part of the batch was sent before.
 	flushed bool
 }
@@ -75,9 +77,16 @@
 		return err
 	}
 	b.ops = append(b.ops, op)
+	b.remote = b.remote || !op.IsLocal
 	return nil
 }
 
+// portal is a bound statement. Local portals are known to the proxy only.
+type portal struct {
+	*filter.Prepared
+	local bool
+}
+
 // parse decodes Parse and keeps the statement.
 func (s *session) parse(op *filter.Op, body []byte) error {
 	name, definition, err := wire.CString(body)
@@ -125,7 +134,7 @@
 
 // bind decodes the names in Bind.
 func (s *session) bind(op *filter.Op, body []byte) error {
-	portal, rest, err := wire.CString(body)
+	portalName, rest, err := wire.CString(body)
 	if err != nil {
 		return err
 	}
@@ -138,14 +147,15 @@
 		return errNoStatement
 	}
 	if s.portals == nil {
-		s.portals = map[string]*filter.Prepared{}
+		s.portals = map[string]portal{}
 	}
 	if len(s.portals) >= maxNames {
 		return resultcode.New(resultcode.MessageTooLarge, "more than %d portals", maxNames)
 	}
-	s.portals[string(portal)] = p
-	op.Portal, op.Name, op.Rest, op.Prepared = portal, string(name), rest, p
-	if s.localPrepared(p) {
+	local := s.localPrepared(p)
+	s.portals[string(portalName)] = portal{p, local}
+	op.Portal, op.Name, op.Rest, op.Prepared = portalName, string(name), rest, p
+	if local {
 		op.IsLocal, op.Local = true, bindComplete
 	} else if s.aborted {
 		return errAborted
@@ -170,15 +180,17 @@
 	if err != nil {
 		return err
 	}
-	p := s.portals[name]
+	bound := s.portals[name]
 	if kind == 'S' {
-		if p = s.statements[name]; p == nil {
+		p := s.statements[name]
+		if p == nil {
 			return errNoStatement
 		}
 		op.Prepared, op.Name = p, name
+		bound = portal{p, s.localPrepared(p)}
 	}
-	if p != nil && s.localPrepared(p) {
-		op.IsLocal, op.Local = true, describeLocal(kind, p.Statements[0])
+	if bound.local {
+		op.IsLocal, op.Local = true, describeLocal(kind, bound.Statements[0])
 		return nil
 	}
 	if s.aborted {
@@ -199,20 +211,22 @@
 }
 
 func (s *session) execute(op *filter.Op, body []byte) error {
-	portal, rest, err := wire.CString(body)
+	name, rest, err := wire.CString(body)
 	if err != nil {
 		return err
 	}
 	if len(rest) != 4 {
 		return wire.ErrMalformed
 	}
-	p := s.portals[string(portal)]
+	p := s.portals[string(name)]
 	switch {
-	case p == nil && s.aborted:
+	case p.Prepared == nil && s.aborted:
 		return errAborted
-	case p == nil: // the upstream answers that there is no such portal
+	case p.Prepared == nil: // the upstream answers that there is no such portal
 		op.Statements = []sqltext.Statement{{Kind: sqltext.Read}}
-	case s.localPrepared(p):
+	case p.local && !s.localPrepared(p.Prepared):
+		return resultcode.New(resultcode.FeatureNotSupported, "transaction control that was bound before other statements of its batch")
+	case p.local:
 		return s.executeLocal(op, p.Statements[0])
 	default:
 		op.Statements = p.Statements
@@ -222,7 +236,7 @@
 
 func (s *session) executeLocal(op *filter.Op, statement sqltext.Statement) error {
 	op.IsLocal = true
-	if endsBlock(statement) {
+	if s.aborted && endsBlock(statement) {
 		s.aborted = false
 		op.Local = tagFrame("ROLLBACK")
 		return nil
@@ -246,7 +260,7 @@
 		op.IsLocal, op.Local = true, closeComplete
 		return nil
 	}
-	if s.shared.Lease.Load() == nil && s.portals[name] == nil {
+	if bound, known := s.portals[name]; bound.local || !known && s.shared.Lease.Load() == nil {
 		op.IsLocal, op.Local = true, closeComplete
 	}
 	return nil
@@ -255,7 +269,7 @@
 // refuseBatch answers an error in an extended batch; messages are dropped until
 // Sync. Nothing of the batch runs, and what ran before a Flush is rolled back.
 func (s *session) refuseBatch(err error) {
-	s.giveUp(s.shared.InTransaction)
+	s.giveUp(s.inBlock())
 	s.writeError(filter.SeverityError, err)
 	s.batch = batch{}
 	s.discarding = true
@@ -311,7 +325,7 @@
 	if _, err := s.serve(); err != nil {
 		return err
 	}
-	if !s.shared.InTransaction {
+	if !s.inBlock() {
 		s.portals = nil
 	}
 	s.ready()
--- a/internal/frontend/local.go
+++ b/internal/frontend/local.go
@@ -38,9 +38,9 @@
 	case sqltext.Deallocate:
 		return true
 	case sqltext.Reset:
-		return isOwnSetting(statement) || !s.shared.InTransaction
+		return isOwnSetting(statement) || !s.inBlock()
 	}
-	return isOwnSetting(statement)
+	return isOwnSetting(statement) || s.deferrable(statement) || s.endsDeferred(statement)
 }
 
 // answerLocal carries a local statement out and returns the answer. The row
@@ -57,6 +57,8 @@
 		}
 		delete(s.statements, statement.Name)
 		return tagFrame("DEALLOCATE"), nil
+	case sqltext.Begin, sqltext.Commit, sqltext.Rollback:
+		return s.answerBlock(statement)
 	case sqltext.Reset:
 		return s.reset(statement)
 	case sqltext.Set:
--- a/internal/frontend/outcome_test.go
+++ b/internal/frontend/outcome_test.go
@@ -130,6 +130,8 @@
 
 		tx, err = conn.Begin(ctx)
 		assert.NilError(t, err)
+		_, err = tx.Exec(ctx, "INSERT c")
+		assert.NilError(t, err)
 		r.primary.setHook(once("rollback"))
 		assert.NilError(t, tx.Rollback(ctx))
 
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/filter"
+	"github.com/rosemarywall/rosemarywall/internal/frontend/sqltext"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/wire"
 )
@@ -45,12 +46,14 @@
 
 	// aborted says that the open transaction was rolled back by the proxy.
 	aborted bool
+	// begin is a BEGIN that was answered and not sent yet.
+	begin *sqltext.Statement
 	// discarding says that an error has occurred in an extended batch and messages
 	// are dropped until Sync.
 	discarding bool
 	batch      batch
 	statements map[string]*filter.Prepared
-	portals    map[string]*filter.Prepared
+	portals    map[string]portal
 
 	// asked says that the caller wants session tokens, and carries that it has one.
 	asked, carries bool
@@ -67,7 +70,7 @@
 
 // shed reports whether the session should end when it is idle.
 func (s *session) shed() bool {
-	return s.epoch < s.server.epoch.Load() && s.shared.Lease.Load() == nil && !s.aborted && !s.batch.open()
+	return s.epoch < s.server.epoch.Load() && s.shared.Lease.Load() == nil && !s.aborted && s.begin == nil && !s.batch.open()
 }
 
 // run serves the caller until it leaves.
@@ -140,7 +143,7 @@
 	if s.batch.open() {
 		return s.conn.Peek()
 	}
-	if s.shared.Lease.Load() != nil {
+	if s.shared.Lease.Load() != nil || s.begin != nil {
 		s.state.Store(int32(stateTransaction))
 	} else {
 		s.state.Store(int32(stateIdle))
@@ -173,7 +176,7 @@
 	}
 	err := resultcode.New(resultcode.MessageTooLarge, "message of %d bytes; the limit is %d", size, s.server.cfg.MaxMessage)
 	if kind == 'Q' || kind == 'F' {
-		s.refuse(err, false)
+		s.refuse(err)
 		return nil
 	}
 	s.refuseBatch(err)
@@ -196,7 +199,7 @@
 		return s.simpleQuery(frame)
 	case 'F':
 		if !s.discarding {
-			s.refuse(resultcode.New(resultcode.FeatureNotSupported, "function call messages"), false)
+			s.refuse(resultcode.New(resultcode.FeatureNotSupported, "function call messages"))
 		}
 		return nil
 	case 'S':
@@ -221,7 +224,7 @@
 // the caller's connection must end; a refusal is written to the caller.
 func (s *session) serve() (refused bool, err error) {
 	r := &s.request
-	inTransaction := s.shared.InTransaction
+	inTransaction := s.inBlock()
 	s.prepareRequest()
 	if s.shared.Lease.Load() != nil {
 		err = s.server.chain.Serve(context.Background(), r)
@@ -240,6 +243,7 @@
 		s.writeError(filter.SeverityError, err)
 		return true, nil
 	}
+	s.begin = nil
 	if s.shared.Lease.Load() == nil {
 		s.portals = nil
 		s.aborted = r.Status == 'T' || r.Status == 'E'
@@ -260,13 +264,14 @@
 // inside a transaction block.
 func (s *session) giveUp(inTransaction bool) {
 	s.shared.Abandon()
+	s.begin = nil
 	s.aborted = s.aborted || inTransaction
 	s.portals = nil
 }
 
 // refuse answers a simple query or a whole batch with an error and ReadyForQuery.
-func (s *session) refuse(err error, ends bool) {
-	s.giveUp(s.shared.InTransaction && !ends)
+func (s *session) refuse(err error) {
+	s.giveUp(s.inBlock())
 	s.writeError(filter.SeverityError, err)
 	s.ready()
 }
@@ -277,6 +282,8 @@
 	switch {
 	case s.aborted:
 		status = 'E'
+	case s.begin != nil:
+		status = 'T'
 	case s.shared.InTransaction:
 		status = s.request.Status
 	}
--- a/internal/frontend/simple.go
+++ b/internal/frontend/simple.go
@@ -29,7 +29,7 @@
 		return nil
 	}
 	if err := s.check(list); err != nil {
-		s.refuse(err, false)
+		s.refuse(err)
 		return nil
 	}
 	if len(list) == 1 && (list[0].Kind == sqltext.Empty || s.isLocal(list[0])) {
@@ -65,7 +65,7 @@
 	}
 	answer, err := s.answerLocal(statement, true)
 	if err != nil {
-		s.refuse(err, false)
+		s.refuse(err)
 		return
 	}
 	_, _ = s.conn.writer.Write(answer)
@@ -122,6 +122,10 @@
 	if !executes {
 		all = parsedStatements(r.Ops)
 	}
+	if s.begin != nil && s.shared.Lease.Load() == nil {
+		r.Begin, r.BeginReadOnly = s.begin.Value, s.begin.ReadOnly
+		all = append([]sqltext.Statement{*s.begin}, all...)
+	}
 	r.Write = r.OpenEnd || !sqltext.ReadOnlyStatements(all)
 	r.Reads, r.Counted = r.OpenEnd, false
 	for _, statement := range all {
--- a/internal/frontend/sqltext/classify.go
+++ b/internal/frontend/sqltext/classify.go
@@ -23,7 +23,7 @@
 	case "set", "reset", "show":
 		return setting(sql, tokens)
 	case "begin", "start":
-		return Statement{Kind: Begin, ReadOnly: readOnlyMode(tokens)}
+		return Statement{Kind: Begin, ReadOnly: readOnlyMode(tokens), Value: canonicalBegin(tokens)}
 	case "commit", "end":
 		return transactionEnd(tokens, Commit)
 	case "rollback", "abort":
--- a/internal/frontend/sqltext/sqltext_test.go
+++ b/internal/frontend/sqltext/sqltext_test.go
@@ -101,6 +101,19 @@
 	}
 }
 
+// Guards against a BEGIN that may fail being taken for one that is certain to
+// succeed: what follows it would run outside a transaction.
+func TestCanonicalBegin(t *testing.T) {
+	for sql, want := range map[string]string{
+		"begin": "BEGIN", "BEGIN WORK": "BEGIN", "start transaction": "BEGIN", "start work": "", "start": "", "begin;": "BEGIN",
+		"begin transaction isolation level repeatable read, read only": "BEGIN isolation level repeatable read read only",
+		"begin read write not deferrable":                              "BEGIN read write not deferrable",
+		"begin isolation level serializable":                           "", "begin read": "", "begin , read only": "", "begin 'x'": "", "begin read onlyx": "",
+	} {
+		assert.Equal(t, Parse(sql)[0].Value, want, sql)
+	}
+}
+
 // Guards against queries of several statements being sent to a replica when one
 // of them writes, and to the primary when none does.
 func TestReadOnlyStatements(t *testing.T) {
--- a/internal/frontend/sqltext/statement.go
+++ b/internal/frontend/sqltext/statement.go
@@ -45,7 +45,8 @@
 	// Name is the setting of Set, Reset and Show, in lower case.
 	Name string
 	// Value is the value of a Set as it was written; Text is the decoded literal
-	// when the value is a single string, word or number.
+	// when the value is a single string, word or number. For a Begin that is
+	// certain to succeed, Value is its text.
 	Value, Text string
 	// Default marks SET ... TO DEFAULT.
 	Default bool
