--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -28,15 +28,16 @@
 
 	mu    sync.Mutex
 	dumps map[string]func() any
+	vars  map[string]expvar.Var
 }
 
 // New returns a server that is not listening yet.
 func New(ready Readiness) *Server {
-	s := &Server{mux: http.NewServeMux(), ready: ready, dumps: map[string]func() any{}}
+	s := &Server{mux: http.NewServeMux(), ready: ready, dumps: map[string]func() any{}, vars: map[string]expvar.Var{}}
 	s.http = &http.Server{Handler: s.mux, ReadHeaderTimeout: headerTimeout}
 	s.mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	s.mux.HandleFunc("GET /readyz", s.serveReady)
-	s.mux.Handle("GET /debug/vars", expvar.Handler())
+	s.mux.HandleFunc("GET /debug/vars", s.serveVars)
 	s.mux.HandleFunc("GET /debug/state", s.serveState)
 	return s
 }
@@ -51,6 +52,33 @@
 	s.dumps[component] = dump
 }
 
+// AddVars adds the metrics of a component to /debug/vars. They belong to this server,
+// so that several VMs can run in one process.
+func (s *Server) AddVars(component string, vars expvar.Var) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vars[component] = vars
+}
+
+// serveVars writes the metrics of the process and of the components as one JSON object.
+func (s *Server) serveVars(w http.ResponseWriter, _ *http.Request) {
+	all := map[string]json.RawMessage{}
+	expvar.Do(func(v expvar.KeyValue) { all[v.Key] = json.RawMessage(v.Value.String()) })
+	s.mu.Lock()
+	for name, v := range s.vars {
+		all[name] = json.RawMessage(v.String())
+	}
+	s.mu.Unlock()
+	writeJSON(w, all)
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	encoder := json.NewEncoder(w)
+	encoder.SetIndent("", "  ")
+	_ = encoder.Encode(value)
+}
+
 // Serve answers requests on the listener until Shutdown.
 func (s *Server) Serve(listener net.Listener) error {
 	if err := s.http.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
@@ -72,10 +100,7 @@
 }
 
 func (s *Server) serveState(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	encoder := json.NewEncoder(w)
-	encoder.SetIndent("", "  ")
-	_ = encoder.Encode(s.State())
+	writeJSON(w, s.State())
 }
 
 // State returns the state of every component, by name.
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -105,6 +105,9 @@
 		vm := d.vms[i%len(d.vms)]
 		d.say("%-17s %s", o.Name, d.fleet.ConnectionString(vm, o.Name, d.config.Databases[i%len(d.config.Databases)]))
 	}
+	for _, vm := range d.vms {
+		d.say("administration address of %s: %s", vm, d.fleet.VM(vm).AdminAddress())
+	}
 	d.say("serving; press Ctrl-C to drain and end")
 	<-ctx.Done()
 	drain, cancel := context.WithTimeout(context.Background(), drainDeadline)
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"expvar"
 	"net"
 	"net/http"
 	"net/netip"
@@ -142,6 +143,12 @@
 	v.admin.AddDump("configuration", v.configs.Dump)
 	v.admin.AddDump("shares", func() any { return v.shares.Dump() })
 	v.admin.AddDump("groups", func() any { return v.groups.Dump() })
+	v.admin.AddVars("callers", expvar.Func(func() any { return v.callers.Counters().Snapshot() }))
+	v.admin.AddVars("mesh", v.mesh.Vars())
+	v.admin.AddVars("configuration", v.configs.Vars())
+	v.admin.AddVars("shares", v.shares.Vars())
+	v.admin.AddVars("groups", v.groups.Vars())
+	v.admin.AddVars("platform_calls", v.platform.Calls())
 	v.admin.AddDump("platform_calls", func() any { return rawJSON(v.platform.Calls().String()) })
 }
 
