--- a/internal/filter/forward/answers.go
+++ b/internal/filter/forward/answers.go
@@ -49,8 +49,10 @@
 	for x.next < len(x.expect) {
 		e := &x.expect[x.next]
 		if e.isLocal {
-			if err := x.pass(e.local); err != nil {
-				return err
+			if !e.drop {
+				if err := x.pass(e.local); err != nil {
+					return err
+				}
 			}
 			x.next++
 			continue
@@ -158,6 +160,9 @@
 	case 'C':
 		return x.commandComplete(e)
 	case 'G':
+		if x.settingsErr != nil {
+			return x.settingsErr // the connection is closed, which ends the COPY
+		}
 		return x.copyIn(e)
 	}
 	if kind == 'D' && !e.drop && len(x.held) == 0 {
@@ -236,38 +241,47 @@
 	return nil
 }
 
-// parameter handles ParameterStatus. The parameters of the group stay here.
+// parameter handles ParameterStatus.
 func (x *exchange) parameter(e *expectation) error {
 	_, frame, err := x.conn.R.NextFrame()
 	if err != nil {
 		return err
 	}
+	own, err := x.noteParameter(frame)
+	switch {
+	case err != nil:
+		return err
+	case own || e.drop:
+		return nil
+	case len(x.held) > 0:
+		x.held = append(x.held, frame...)
+		return nil
+	}
+	return x.pass(frame)
+}
+
+// noteParameter records a ParameterStatus. It reports whether the parameter is one
+// of the group, which is not passed on.
+func (x *exchange) noteParameter(frame []byte) (own bool, err error) {
 	name, value, err := wire.Parameter(frame[minFrame:])
 	if err != nil {
-		return err
+		return false, err
 	}
 	switch name {
 	case "group_transaction":
 		x.lease.Transaction = value
-		return nil
+		return true, nil
 	case "group_term":
 		n, err := strconv.ParseUint(value, 10, 64)
 		x.term = ident.Term(n)
-		return err
+		return true, err
 	case "group_position":
 		n, err := strconv.ParseUint(value, 10, 64)
 		x.point = ident.LogPoint{Term: x.term, Position: ident.Position(n)}
-		return err
+		return true, err
 	}
 	x.conn.Params[name] = value
-	if e.drop {
-		return nil
-	}
-	if len(x.held) > 0 {
-		x.held = append(x.held, frame...)
-		return nil
-	}
-	return x.pass(frame)
+	return false, nil
 }
 
 // commandComplete holds the message back when it may acknowledge a commit.
@@ -329,6 +343,13 @@
 	if severity := wire.ErrorField(body, 'V'); severity == "FATAL" || severity == "PANIC" {
 		return errFatal
 	}
+	if e.settings || x.settingsErr != nil {
+		if e.settings {
+			x.dropAnswers(body)
+		}
+		x.skipAnswers()
+		return nil
+	}
 	if e.drop && e.kind == 'Q' && !x.commits { // BEGIN or ROLLBACK of the proxy
 		x.unsafe = true
 		return nil
@@ -349,10 +370,22 @@
 			return err
 		}
 	}
+	x.skipAnswers()
+	if x.needSync {
+		x.needSync = false
+		if err := x.flushCaller(); err != nil {
+			return err
+		}
+		return x.skipToSync()
+	}
+	return nil
+}
+
+// skipAnswers moves to the ReadyForQuery that follows an error.
+func (x *exchange) skipAnswers() {
 	for x.next < len(x.expect) && x.expect[x.next].kind != 'S' && x.expect[x.next].kind != 'Q' {
 		x.next++
 	}
-	return nil
 }
 
 // repeatable decides whether the request can be repeated after an error, which
@@ -403,6 +436,9 @@
 	}
 	x.status = body[0]
 	x.next++
+	if e.settings && x.settingsErr == nil {
+		x.s.Settings.MarkApplied(x.conn.Settings, !x.r.Write)
+	}
 	if !x.wrapped {
 		x.s.InTransaction = x.status != 'I'
 	}
--- a/internal/upstream/lease.go
+++ b/internal/upstream/lease.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/binary"
 	"errors"
 	"io"
@@ -17,6 +18,9 @@
 	terminateTimeout = 100 * time.Millisecond
 	// resetTimeout bounds a reset; a connection that takes longer is closed.
 	resetTimeout = 5 * time.Second
+	// applyTimeout bounds the setting of session settings. A request waits for it,
+	// and moves on to another upstream within its deadline of 5 s afterwards.
+	applyTimeout = time.Second
 	// cancelTimeout bounds the delivery of a CancelRequest.
 	cancelTimeout = 2 * time.Second
 	// cancelCode is the request code of a CancelRequest.
@@ -124,6 +128,9 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		_ = conn.SetDeadline(deadline)
 	}
+	if conn, err = p.encrypt(ctx, conn); err != nil {
+		return err
+	}
 	packet := binary.BigEndian.AppendUint32(nil, uint32(12+len(c.secret)))
 	packet = binary.BigEndian.AppendUint32(packet, cancelCode)
 	packet = binary.BigEndian.AppendUint32(packet, c.pid)
@@ -137,6 +144,27 @@
 	return nil
 }
 
+// encrypt negotiates TLS, if it is configured, so that the cancel key is not sent
+// in the clear.
+func (p *Pools) encrypt(ctx context.Context, conn net.Conn) (net.Conn, error) {
+	if p.cfg.TLS == nil {
+		return conn, nil
+	}
+	cfg := p.cfg.TLS()
+	if cfg == nil {
+		return conn, nil
+	}
+	accepted, err := requestTLS(conn)
+	if err != nil {
+		return nil, err
+	}
+	if !accepted {
+		return nil, errors.New("the upstream refused TLS")
+	}
+	secured := tls.Client(conn, cfg)
+	return secured, secured.HandshakeContext(ctx)
+}
+
 // reset runs the statements and reports whether the connection is clean.
 func (c *Conn) reset(statements ...string) bool {
 	_ = c.net.SetDeadline(time.Now().Add(resetTimeout))
@@ -155,7 +183,7 @@
 // the upstream's ErrorResponse when the statement failed, and an error when the
 // connection broke.
 func (c *Conn) Apply(statement string) (refusal []byte, err error) {
-	_ = c.net.SetDeadline(time.Now().Add(resetTimeout))
+	_ = c.net.SetDeadline(time.Now().Add(applyTimeout))
 	defer func() { _ = c.net.SetDeadline(time.Time{}) }()
 	refusal, _, err = c.run(statement)
 	return refusal, err
