Ask members for read indexes over one WebSocket each

Change: GET /v1/questions carries numbered status questions; the client falls back to GET /v1/status while the connection is not open.

--- a/internal/controller/groups/stream.go
+++ b/internal/controller/groups/stream.go
@@ -35,6 +35,9 @@
 }
 
 func (s *stream) run() {
+	if closer, ok := s.agent.(interface{ Close() }); ok {
+		defer closer.Close()
+	}
 	for s.ctx.Err() == nil {
 		lines, err := s.follow()
 		if s.ctx.Err() != nil {
--- a/internal/group/http.go
+++ b/internal/group/http.go
@@ -38,6 +38,8 @@
 	base   string
 	client *http.Client
 	zone   ident.AvailabilityZone
+	// questions carries Status calls once its connection is open.
+	questions *questions
 }
 
 var _ Agent = (*HTTP)(nil)
@@ -58,14 +60,18 @@
 // NewHTTP returns a client of the member agent at address, IP:port.
 func NewHTTP(address string, options ...Option) *HTTP {
 	h := &HTTP{base: "http://" + address, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2}}}
+	h.questions = &questions{agent: h}
 	for _, option := range options {
 		option(h)
 	}
 	return h
 }
 
-// CloseIdle closes connections that carry no call.
-func (h *HTTP) CloseIdle() { h.client.CloseIdleConnections() }
+// Close closes the connections to the agent that carry no call or only questions.
+func (h *HTTP) Close() {
+	h.questions.close()
+	h.client.CloseIdleConnections()
+}
 
 // Requests of the calls that change a member.
 type (
@@ -93,6 +99,11 @@
 
 // Status asks for the current status.
 func (h *HTTP) Status(ctx context.Context) (Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, DefaultTimeout)
+	defer cancel()
+	if c := h.questions.current(); c != nil {
+		return h.questions.ask(ctx, c)
+	}
 	var status Status
 	err := h.call(ctx, DefaultTimeout, http.MethodGet, "/v1/status", nil, &status)
 	return status, err
--- a/internal/standin/upstream/agent.go
+++ b/internal/standin/upstream/agent.go
@@ -26,6 +26,7 @@
 		m.answer(w, m.Status(), nil)
 	})
 	mux.HandleFunc("GET /v1/stream", m.stream)
+	mux.HandleFunc("GET /v1/questions", m.questions)
 	mux.HandleFunc("GET /v1/transaction/{id}", func(w http.ResponseWriter, r *http.Request) {
 		m.answer(w, group.TransactionAnswer{State: m.transactionState(r.PathValue("id"))}, nil)
 	})
@@ -75,13 +76,7 @@
 
 // answer sends a JSON answer, subject to the faults of the agent.
 func (m *Member) answer(w http.ResponseWriter, body any, err error) {
-	fault, delay := m.takeFault(agentAnswers)
-	switch fault {
-	case DelayAnswer:
-		if !sleep(m.ended(), delay) {
-			panic(http.ErrAbortHandler)
-		}
-	case DropAnswer, CloseBeforeAnswer, DuplicateAnswer:
+	if !m.mayAnswer() {
 		panic(http.ErrAbortHandler)
 	}
 	if err != nil {
@@ -96,6 +91,19 @@
 	_ = json.NewEncoder(w).Encode(body)
 }
 
+// mayAnswer applies the faults of the agent to the next answer; false means that the
+// connection closes without it.
+func (m *Member) mayAnswer() bool {
+	fault, delay := m.takeFault(agentAnswers)
+	switch fault {
+	case DelayAnswer:
+		return sleep(m.ended(), delay)
+	case DropAnswer, CloseBeforeAnswer, DuplicateAnswer:
+		return false
+	}
+	return true
+}
+
 // stream sends a status line on every change and at least every streamInterval.
 func (m *Member) stream(w http.ResponseWriter, r *http.Request) {
 	w.Header().Set("Content-Type", "application/x-ndjson")
