Resolve commits whose answer was lost, and notice callers that left

A lost answer to COMMIT on a living primary ended in RW1012 after 5 s, because its position was not known. The group controller now tells the end of the primary's log (PrimaryPoint). Before an acknowledgement the transaction is asked for again in the confirmed term: the first answer could come from a primary that was just replaced. A caller that closes its connection during a statement no longer keeps its slot.

--- a/internal/controller/groups/router.go
+++ b/internal/controller/groups/router.go
@@ -221,6 +221,27 @@
 	return agent.Transaction(ctx, id)
 }
 
+// PrimaryPoint asks the primary for the point of its last log entry, which is at
+// or past every commit that the primary has answered before the call.
+func (c *Controller) PrimaryPoint(ctx context.Context, database ident.GroupName) (request.Target, ident.LogPoint, error) {
+	target, err := c.Primary(ctx, database)
+	if err != nil {
+		return request.Target{}, ident.LogPoint{}, err
+	}
+	agent := c.group(database).agent(target.Upstream)
+	if agent == nil {
+		return request.Target{}, ident.LogPoint{}, errSilent
+	}
+	status, err := agent.Status(ctx)
+	if err != nil {
+		return request.Target{}, ident.LogPoint{}, err
+	}
+	if status.Upstream != target.Upstream || status.Term != target.Term {
+		return request.Target{}, ident.LogPoint{}, resultcode.New(resultcode.NoPrimary, "group %s changes its primary", database)
+	}
+	return target, status.Received, nil
+}
+
 // ReportFailure implements request.Router. The upstream is avoided until its next
 // status arrives.
 func (c *Controller) ReportFailure(target request.Target, err error) {
--- a/internal/filter/forward/answers.go
+++ b/internal/filter/forward/answers.go
@@ -1,12 +1,8 @@
 package forward
 
 import (
-	"context"
-	"errors"
-	"os"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/filter"
 	"github.com/rosemarywall/rosemarywall/internal/frontend/sqltext"
@@ -14,28 +10,8 @@
 	"github.com/rosemarywall/rosemarywall/internal/wire"
 )
 
-const (
-	// pollInterval is how long an answer may be outstanding before the proxy asks
-	// whether the group has a newer primary, because a paused or cut-off primary
-	// does not close its connections.
-	pollInterval = 500 * time.Millisecond
-	// pollTimeout bounds that question.
-	pollTimeout = 50 * time.Millisecond
-	// pollsPerProbe is the number of poll intervals between probes of an upstream
-	// that runs a long read.
-	pollsPerProbe = 10
-	// minFrame is the smallest message in bytes.
-	minFrame = 5
-)
-
-// errReplaced reports that the upstream is no longer the primary.
-var errReplaced = errors.New("the upstream was replaced as primary")
-
-// errSilent reports that the upstream does not respond.
-var errSilent = errors.New("the upstream does not respond")
-
-// errFatal reports that the upstream ended the connection.
-var errFatal = errors.New("the upstream ended the connection")
+// minFrame is the smallest message in bytes.
+const minFrame = 5
 
 // allowed lists the answers to each message type.
 var allowed = map[byte]string{
@@ -66,74 +42,6 @@
 	return nil
 }
 
-// peek waits for the next message. Before it blocks, the caller gets what was
-// passed on so far.
-func (x *exchange) peek() (byte, int, error) {
-	if x.conn.R.Buffered() < minFrame {
-		if err := x.flushCaller(); err != nil {
-			return 0, 0, err
-		}
-		x.polling = true
-		_ = x.conn.SetReadDeadline(time.Now().Add(pollInterval))
-	}
-	for {
-		kind, size, err := x.conn.R.Peek()
-		if err == nil || !isTimeout(err) {
-			return kind, size, err
-		}
-		if err := x.unanswered(); err != nil {
-			return 0, 0, err
-		}
-		_ = x.conn.SetReadDeadline(time.Now().Add(pollInterval))
-	}
-}
-
-// flushCaller sends what was written to the caller, which may be answers of
-// earlier requests only.
-func (x *exchange) flushCaller() error {
-	if x.w.Pending() == 0 {
-		return nil
-	}
-	earlier := !x.passed() && x.w.Pending() == x.pendingMark
-	if err := x.w.Flush(); err != nil {
-		return &filter.Lost{Cause: err}
-	}
-	if earlier {
-		x.mark, x.pendingMark = x.w.Sent(), 0
-	}
-	return nil
-}
-
-func isTimeout(err error) bool {
-	return errors.Is(err, os.ErrDeadlineExceeded)
-}
-
-// unanswered decides whether to wait longer for an answer. On the primary only a
-// newer primary ends the wait, because before that the outcome could not be
-// resolved. A replica must respond to a probe.
-func (x *exchange) unanswered() error {
-	x.polls++
-	switch {
-	case x.s.OnPrimary:
-		if x.replaced() {
-			return errReplaced
-		}
-	case x.polls%pollsPerProbe == 2:
-		if !x.h.cfg.Pools.Responds(x.lease.Target()) {
-			return errSilent
-		}
-	}
-	return nil
-}
-
-// replaced asks whether the group has a newer primary than the connection's.
-func (x *exchange) replaced() bool {
-	ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
-	defer cancel()
-	now, err := x.h.cfg.Router.Primary(ctx, x.s.Grant.Database)
-	return err == nil && now.Term > x.lease.Target().Term
-}
-
 // message handles one message of the upstream.
 func (x *exchange) message(e *expectation, kind byte, size int) error {
 	if x.conn.R.Buffered() < minFrame+size {
@@ -288,6 +196,9 @@
 	if err != nil {
 		return err
 	}
+	if e.tag != "" && string(frame[minFrame:len(frame)-1]) != e.tag {
+		return x.crossed('C') // the late answer of an earlier request
+	}
 	x.committed = string(frame[minFrame:]) == "COMMIT\x00"
 	if !e.drop {
 		x.track(e)
--- a/internal/filter/forward/exchange.go
+++ b/internal/filter/forward/exchange.go
@@ -36,6 +36,8 @@
 	local []byte
 	// settings marks the statements that apply the session's settings.
 	settings bool
+	// tag is the CommandComplete that a query of the proxy must get.
+	tag string
 	// begin marks the BEGIN that the caller has sent before.
 	begin bool
 	// isLocal says that no message was sent and local is the answer.
@@ -84,12 +86,13 @@
 	status      byte
 	errored     bool
 	// committed says that the last CommandComplete was that of COMMIT.
-	committed  bool
-	statement  int // index of the statement of a Q that answers next
-	statements []sqltext.Statement
-	retry      *filter.Retry
-	polling    bool
-	polls      int // poll intervals that passed without an answer
+	committed   bool
+	statement   int // index of the statement of a Q that answers next
+	statements  []sqltext.Statement
+	retry       *filter.Retry
+	polling     bool
+	polls       int // poll intervals that passed without an answer
+	cancelPolls int // poll intervals since the statement was cancelled
 	// prefixErr is the refusal of the session's settings or of BEGIN.
 	prefixErr error
 	// needSync says that the upstream has ignored the Sync of the batch, because it
@@ -139,9 +142,11 @@
 	switch {
 	case x.wrapped:
 		x.query(true, "BEGIN")
+		x.expect[len(x.expect)-1].tag = "BEGIN"
 	case x.fresh && x.r.Begin != "":
 		x.query(true, x.r.Begin)
-		x.expect[len(x.expect)-1].begin = true
+		last := &x.expect[len(x.expect)-1]
+		last.begin, last.tag = true, "BEGIN"
 		x.s.InTransaction, x.s.ReadOnlyBlock = true, x.r.BeginReadOnly
 	}
 	ops := x.r.Ops
--- a/internal/filter/forward/resolve.go
+++ b/internal/filter/forward/resolve.go
@@ -9,6 +9,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/frontend/sqltext"
 	"github.com/rosemarywall/rosemarywall/internal/group"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/request"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
@@ -55,7 +56,7 @@
 			x.h.cfg.Counters.Resolved.Add(1)
 			return resultcode.New(resultcode.RolledBack, "the group reports the transaction as aborted")
 		case state == group.TransactionCommitted:
-			if x.confirmAgain(ctx) {
+			if x.confirmAgain(ctx, id) {
 				x.h.cfg.Counters.Resolved.Add(1)
 				return nil
 			}
@@ -85,28 +86,55 @@
 
 func unknown(detail string) error { return resultcode.New(resultcode.OutcomeUnknown, "%s", detail) }
 
-// confirmAgain confirms a committed transaction in the present term. When the
-// connection broke before the position was known, the first entry of a newer term
-// stands for it: its log begins with everything that was committed before.
-func (x *exchange) confirmAgain(ctx context.Context) bool {
-	target, err := x.h.cfg.Router.Primary(ctx, x.s.Grant.Database)
-	if err != nil {
+// PointSource is implemented by routers that can tell how far the log of the
+// primary reaches. Without it, the commit of a connection that broke before its
+// position was reported stays unknown as long as the term does not change.
+type PointSource interface {
+	// PrimaryPoint asks the primary for the point of its last log entry.
+	PrimaryPoint(ctx context.Context, database ident.GroupName) (request.Target, ident.LogPoint, error)
+}
+
+// confirmAgain confirms a committed transaction in the present term. The state of
+// the transaction is asked for once more in that term, because the earlier answer
+// may come from a primary whose log was cut when the term changed.
+func (x *exchange) confirmAgain(ctx context.Context, id string) bool {
+	router, database := x.h.cfg.Router, x.s.Grant.Database
+	target, point, ok := x.pointOf(ctx)
+	if !ok || router.Confirm(ctx, target, point) != nil {
 		return false
 	}
-	point := x.point
-	if point.IsZero() {
-		if target.Term <= x.lease.Target().Term {
-			return false
-		}
-		point = ident.LogPoint{Term: target.Term}
+	if state, err := router.Transaction(ctx, database, id); err != nil || state != group.TransactionCommitted {
+		return false
 	}
-	if err := x.h.cfg.Router.Confirm(ctx, target, point); err != nil {
+	if now, err := router.Primary(ctx, database); err != nil || now.Term != target.Term {
 		return false
 	}
 	x.advance(point)
 	return true
 }
 
+// pointOf returns a point of the present term at or past the commit. When the
+// connection broke before the position was reported, the first entry of a newer
+// term stands for it, since its log begins with everything that was committed
+// before, and in the same term the present end of the primary's log.
+func (x *exchange) pointOf(ctx context.Context) (request.Target, ident.LogPoint, bool) {
+	target, err := x.h.cfg.Router.Primary(ctx, x.s.Grant.Database)
+	switch {
+	case err != nil:
+		return target, ident.LogPoint{}, false
+	case !x.point.IsZero():
+		return target, x.point, true
+	case target.Term > x.lease.Target().Term:
+		return target, ident.LogPoint{Term: target.Term}, true
+	}
+	source, ok := x.h.cfg.Router.(PointSource)
+	if !ok {
+		return target, ident.LogPoint{}, false
+	}
+	target, point, err := source.PrimaryPoint(ctx, x.s.Grant.Database)
+	return target, point, err == nil
+}
+
 // failed ends a request that did not complete and decides what the caller is told.
 func (x *exchange) failed(err error) error {
 	x.stopPolling()
--- a/internal/filter/session.go
+++ b/internal/filter/session.go
@@ -18,6 +18,8 @@
 	// Peek waits for the next message of the caller. It fails with ErrInterrupted
 	// after Interrupt.
 	Peek() (kind byte, size int, err error)
+	// Gone reports whether the caller has closed its connection.
+	Gone() bool
 	// Interrupt wakes Peek; Resume lets it wait again.
 	Interrupt()
 	Resume()
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -9,6 +9,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/filter"
 	"github.com/rosemarywall/rosemarywall/internal/wire"
+	"github.com/rosemarywall/rosemarywall/internal/wire/sockets"
 )
 
 // errShed tells an idle session to disconnect.
@@ -95,6 +96,9 @@
 	return c.Peek()
 }
 
+// Gone implements filter.Caller. Input that was not read yet hides the end.
+func (c *callerConn) Gone() bool { return sockets.Probe(c.net) == sockets.Closed }
+
 func (c *callerConn) setIdle(idle bool) {
 	c.mu.Lock()
 	c.idle = idle
--- a/internal/frontend/outcome_test.go
+++ b/internal/frontend/outcome_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/rosemarywall/rosemarywall/internal/group"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/request"
@@ -225,6 +226,30 @@
 	wantCode(t, err, "40001", "RW1013")
 }
 
+// Guards against callers that leave during a statement keeping their slot, and
+// against cancelling anything else.
+func TestCallerLeavesDuringStatement(t *testing.T) {
+	r := newRig(t, false, nil)
+	x := r.raw()
+	running, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	r.primary.setHook(func(sql string) bool {
+		if sql == "SELECT slow" {
+			close(running)
+			<-release
+		}
+		return true
+	})
+	x.send(&pgproto3.Query{String: "SELECT slow"})
+	<-running
+	x.c.Close()
+	for r.server.Outstanding("orders", "one") > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, r.primary.cancelled(), 1)
+	r.raw().query("SELECT 1", "RowDescription D:1 C:SELECT_1 Z:I")
+}
+
 // Guards against callers seeing an error because pooled connections died while
 // idle, and against writes running twice in that case.
 func TestDeadIdleConnectionsAreReplaced(t *testing.T) {
--- a/internal/frontend/standin_test.go
+++ b/internal/frontend/standin_test.go
@@ -232,8 +232,32 @@
 }
 
 // Guards against lost acknowledged writes, writes that run twice and false "not
-// run" answers while the primary is killed, for single writes and transactions.
-func TestPrimaryDiesUnderWrites(t *testing.T) {
+// run" answers while the primary is killed or its answers are lost, for single
+// writes and transactions.
+func TestWritesUnderFaults(t *testing.T) {
+	faults := func(kinds ...member.AnswerFault) func(*system, func(int)) {
+		return func(s *system, wait func(int)) {
+			for range 5 {
+				for _, kind := range kinds {
+					s.Groups["deckbook"].Member("a").FailSQLAnswers(kind, 2, 10*time.Millisecond)
+					wait(10)
+				}
+			}
+		}
+	}
+	for name, disturb := range map[string]func(s *system, wait func(int)){
+		"primary killed":  func(s *system, wait func(int)) { wait(100); s.Groups["deckbook"].Member("a").Kill(); wait(100) },
+		"primary paused":  func(s *system, wait func(int)) { wait(100); s.Groups["deckbook"].Member("a").Pause(); wait(100) },
+		"answers lost":    faults(member.CloseBeforeAnswer),
+		"answers delayed": faults(member.DelayAnswer, member.CloseBeforeAnswer),
+	} {
+		t.Run(name, func(t *testing.T) { writeUnder(t, disturb) })
+	}
+}
+
+// writeUnder runs writers while disturb disturbs, and compares what callers were
+// told with the rows at the end.
+func writeUnder(t *testing.T, disturb func(s *system, wait func(acknowledged int))) {
 	s := startSystem(t)
 	c := s.connect(t)
 	_, err := c.Exec(t.Context(), "CREATE TABLE w (id int)")
@@ -256,18 +280,22 @@
 			}
 		})
 	}
-	waitFor := func(n int) {
+	disturb(s, func(n int) {
+		n += o.count()
 		for deadline := time.Now().Add(30 * time.Second); o.count() < n; time.Sleep(time.Millisecond) {
 			assert.Assert(t, time.Now().Before(deadline), "%d writes acknowledged", o.count())
 			assert.Equal(t, o.lostCount(), 0, "%v", o.lost)
 		}
-	}
-	waitFor(100)
-	s.Groups["deckbook"].Member("a").Kill()
-	waitFor(o.count() + 100)
+	})
 	close(stop)
 	writers.Wait()
 	assert.Equal(t, len(o.lost), 0, "%v", o.lost)
+	o.compare(t, c)
+	t.Logf("%d acknowledged, %d refused as not run, %d unknown; counters %v", len(o.acked), len(o.refused), o.unknown, s.server.Counters().Snapshot())
+}
+
+// compare asserts that the rows agree with what callers were told.
+func (o *outcome) compare(t *testing.T, c *pgx.Conn) {
 	seen := map[int]int{}
 	rows, err := c.Query(t.Context(), "SELECT id FROM w")
 	assert.NilError(t, err)
@@ -286,7 +314,6 @@
 	for id, n := range seen {
 		assert.Equal(t, n, 1, "write %d", id)
 	}
-	t.Logf("%d acknowledged, %d refused as not run, %d unknown; counters %v", len(o.acked), len(o.refused), o.unknown, s.server.Counters().Snapshot())
 }
 
 // write inserts one row by itself or in a transaction.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,13 +6,13 @@
 	"errors"
 	"net"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/request"
 	"github.com/rosemarywall/rosemarywall/internal/wire"
+	"github.com/rosemarywall/rosemarywall/internal/wire/sockets"
 )
 
 // maxStatements is the number of statements kept prepared on one connection.
@@ -47,10 +47,7 @@
 	cancelled  bool
 	idleSince  time.Duration
 
-	// raw, probe and silent serve alive.
-	raw    syscall.RawConn
-	probe  func(fd uintptr) bool
-	silent bool
+	watch *sockets.Watch
 }
 
 // Prepared returns the name under which the statement is prepared.
@@ -88,31 +85,7 @@
 	if c.R.Buffered() > 0 {
 		return false
 	}
-	if c.raw == nil {
-		return true
-	}
-	c.silent = false
-	err := c.raw.Read(c.probe)
-	return err == nil && c.silent
-}
-
-// watch prepares alive; connections without a file descriptor are not watched.
-func (c *Conn) watch() {
-	plain := c.net
-	if t, ok := plain.(*tls.Conn); ok {
-		plain = t.NetConn()
-	}
-	sc, ok := plain.(syscall.Conn)
-	if !ok {
-		return
-	}
-	c.raw, _ = sc.SyscallConn()
-	var b [1]byte
-	c.probe = func(fd uintptr) bool {
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		c.silent = errors.Is(err, syscall.EAGAIN)
-		return true
-	}
+	return c.watch.State() == sockets.Silent
 }
 
 // open establishes a connection. The library does the startup, TLS and
@@ -157,7 +130,7 @@
 		Settings: map[string]string{}, prepared: map[StatementKey]string{},
 	}
 	c.R, c.W = wire.NewReader(h.Conn, p.cfg.MaxMessage), wire.NewWriter(h.Conn)
-	c.watch()
+	c.watch = sockets.NewWatch(h.Conn)
 	keepAlive(h.Conn)
 	return c
 }
--- a/internal/upstream/lease.go
+++ b/internal/upstream/lease.go
@@ -117,6 +117,13 @@
 	return (&net.Dialer{}).DialContext(ctx, "tcp", address)
 }
 
+// Cancelled reports whether Cancel was called.
+func (l *Lease) Cancelled() bool {
+	l.pool.mu.Lock()
+	defer l.pool.mu.Unlock()
+	return !l.done && l.conn.cancelled
+}
+
 // sendCancel delivers a CancelRequest on a connection of its own and waits until
 // the upstream has closed it.
 func (p *Pools) sendCancel(ctx context.Context, c *Conn) error {
