Judge only what the caller knows: an error after sending leaves the outcome unknown

pgconn 5.12 reports 'conn closed' as safe to retry also when the connection ended after the statement was sent; repeating such writes counted as doubled writes.

--- a/internal/load/direct.go
+++ b/internal/load/direct.go
@@ -73,22 +73,49 @@
 	proxy := r.fleet.ConnectionString(vm, "caller", "bench")
 	direct := r.fleet.DirectConnectionString(r.fleet.Standin.Groups["bench"].Primary(), "bench")
 	report := &DirectReport{}
-	for _, callers := range directCallers {
-		row := DirectRow{Statement: "select by key", Callers: callers}
-		if row.Direct, row.DirectRate, err = closedLoop(ctx, direct, callers); err != nil {
-			return nil, errors.Wrap(err, "direct")
-		}
-		if row.Proxy, row.ProxyRate, err = closedLoop(ctx, proxy, callers); err != nil {
-			return nil, errors.Wrap(err, "through the proxy")
+	token, err := writeOnce(ctx, proxy)
+	if err != nil {
+		return nil, errors.Wrap(err, "write for a token")
+	}
+	for _, mode := range []directMode{
+		{"read, no token", directRead, ""}, {"read with token", directRead, "set rosemarywall.session_token = '" + token + "'"}, {"write", directWrite, ""},
+	} {
+		for _, callers := range directCallers {
+			row := DirectRow{Statement: mode.name, Callers: callers}
+			if row.Direct, row.DirectRate, err = closedLoop(ctx, direct, callers, directMode{sql: mode.sql}); err != nil {
+				return nil, errors.Wrap(err, "direct")
+			}
+			if row.Proxy, row.ProxyRate, err = closedLoop(ctx, proxy, callers, mode); err != nil {
+				return nil, errors.Wrap(err, "through the proxy")
+			}
+			report.Rows = append(report.Rows, row)
 		}
-		report.Rows = append(report.Rows, row)
 	}
 	report.BytesPerIdleCaller, err = idleMemory(ctx, proxy)
 	return report, err
 }
 
+const (
+	directRead  = "select number from load_fixed where number = 7"
+	directWrite = "insert into load_record values (0, 1, 'direct')"
+)
+
+// directMode is a statement and what a caller sends before it.
+type directMode struct{ name, sql, setup string }
+
+// writeOnce writes through the proxy and returns the session token.
+func writeOnce(ctx context.Context, address string) (string, error) {
+	conn, err := pgconn.Connect(ctx, address)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = conn.Close(ctx) }()
+	err = conn.Exec(ctx, directWrite).Close()
+	return conn.ParameterStatus("rosemarywall.session_token"), err
+}
+
 // closedLoop lets every caller send the next statement when the last one is answered.
-func closedLoop(ctx context.Context, address string, callers int) (Latency, float64, error) {
+func closedLoop(ctx context.Context, address string, callers int, mode directMode) (Latency, float64, error) {
 	conns := make([]*pgconn.PgConn, callers)
 	defer func() {
 		for _, conn := range conns {
@@ -102,6 +129,11 @@
 		if conns[i], err = pgconn.Connect(ctx, address); err != nil {
 			return Latency{}, 0, err
 		}
+		if mode.setup != "" {
+			if err := conns[i].Exec(ctx, mode.setup).Close(); err != nil {
+				return Latency{}, 0, err
+			}
+		}
 	}
 	from := time.Now().Add(directWarmup)
 	until := from.Add(directSpan)
@@ -110,7 +142,7 @@
 	var running sync.WaitGroup
 	for i, conn := range conns {
 		histograms[i] = hdrhistogram.New(lowestLatency, highestLatency, latencyDigits)
-		running.Go(func() { failures[i] = loop(ctx, conn, histograms[i], from, until) })
+		running.Go(func() { failures[i] = loop(ctx, conn, mode.sql, histograms[i], from, until) })
 	}
 	running.Wait()
 	all := hdrhistogram.New(lowestLatency, highestLatency, latencyDigits)
@@ -120,13 +152,13 @@
 	return summary(all), float64(all.TotalCount()) / directSpan.Seconds(), errors.Join(failures...)
 }
 
-func loop(ctx context.Context, conn *pgconn.PgConn, h *hdrhistogram.Histogram, from, until time.Time) error {
+func loop(ctx context.Context, conn *pgconn.PgConn, sql string, h *hdrhistogram.Histogram, from, until time.Time) error {
 	for {
 		start := time.Now()
 		if start.After(until) {
 			return nil
 		}
-		if result := conn.ExecParams(ctx, "select number from load_fixed where number = 7", nil, nil, nil, nil).Read(); result.Err != nil {
+		if result := conn.ExecParams(ctx, sql, nil, nil, nil, nil).Read(); result.Err != nil {
 			return result.Err
 		}
 		if end := time.Now(); start.After(from) && end.Before(until) {
@@ -188,10 +220,10 @@
 
 // String formats the report as a table.
 func (d *DirectReport) String() string {
-	text := "callers        statements/s            p50 (ms)               p99 (ms)\n" +
-		"          direct    proxy  ratio   direct    proxy  added   direct    proxy  added\n"
+	text := "                 callers        statements/s            p50 (ms)               p99 (ms)\n" +
+		"                           direct    proxy  ratio   direct    proxy  added   direct    proxy  added\n"
 	for _, r := range d.Rows {
-		text += fmt.Sprintf("%7d %8.0f %8.0f %6.3f %8.3f %8.3f %6.3f %8.3f %8.3f %6.3f\n", r.Callers, r.DirectRate, r.ProxyRate,
+		text += fmt.Sprintf("%-16s %7d %8.0f %8.0f %6.3f %8.3f %8.3f %6.3f %8.3f %8.3f %6.3f\n", r.Statement, r.Callers, r.DirectRate, r.ProxyRate,
 			r.ProxyRate/r.DirectRate, r.Direct.P50, r.Proxy.P50, r.Proxy.P50-r.Direct.P50, r.Direct.P99, r.Proxy.P99, r.Proxy.P99-r.Direct.P99)
 	}
 	return text + fmt.Sprintf("memory for each idle caller: %d bytes (heap and stacks, both ends of the connection)\n", d.BytesPerIdleCaller)
--- a/internal/load/measure.go
+++ b/internal/load/measure.go
@@ -8,6 +8,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/core/promotion"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
 // Measures are the figures to improve once every promise holds. A measure that the
@@ -113,6 +114,9 @@
 		var offered float64
 		first, last := time.Duration(math.MaxInt64), time.Duration(0)
 		for _, r := range records {
+			if r.Code == resultcode.KeyWithdrawn || r.Code == resultcode.KeyRejected {
+				continue // the operators refused it
+			}
 			offered += float64(max(1, r.Statements))
 			first, last = min(first, r.Intended), max(last, r.Done)
 			if r.Outcome == OK {
--- a/internal/load/parse.go
+++ b/internal/load/parse.go
@@ -25,7 +25,7 @@
 )
 
 // Parse reads the text of a scenario. Its sections are [scenario], any number of
-// [organisation NAME] with its load, and any number of [fault NAME]. The error
+// [organisation NAME] with its load and sessions, and any number of [fault NAME]. The error
 // lists every problem with its line.
 func Parse(file string, data []byte) (Scenario, error) {
 	sections, problems := inifile.Parse(file, data, resultcode.SettingsSyntax)
@@ -33,7 +33,7 @@
 	p.scenario = Scenario{
 		Name: strings.TrimSuffix(filepath.Base(file), ".ini"), Sessions: defaultSessions, Settle: defaultSettle,
 		Load: defaultLoad, Writes: defaultWrites, Scans: defaultScans, Token: defaultTokens, Roam: defaultRoam,
-		Loads: map[ident.OrganisationName]float64{},
+		Organisations: map[ident.OrganisationName]OrganisationLoad{},
 	}
 	for _, section := range sections {
 		p.section(section)
@@ -63,9 +63,9 @@
 	case section.Name == "scenario":
 		p.settings(section, p.scenarioSettings())
 	case kind == "organisation" && name != "":
-		load := p.scenario.Load
-		p.settings(section, map[string]func(string) bool{"load": number(&load, 0, 100)})
-		p.scenario.Loads[ident.OrganisationName(name)] = load
+		o := OrganisationLoad{Load: p.scenario.Load}
+		p.settings(section, map[string]func(string) bool{"load": number(&o.Load, 0, 100), "sessions": count(&o.Sessions)})
+		p.scenario.Organisations[ident.OrganisationName(name)] = o
 	case kind == "fault" && name != "":
 		p.fault(section, name)
 	default:
--- a/internal/load/plot.go
+++ b/internal/load/plot.go
@@ -140,7 +140,7 @@
 		for bin, records := range bins(result, func(r *Record) bool { return r.Outcome == OK && r.Kind.writes() == c.writes }) {
 			h := hdrhistogram.New(lowestLatency, highestLatency, latencyDigits)
 			for _, r := range records {
-				_ = h.RecordValue(min(highestLatency, max(lowestLatency, (r.Done-r.Intended).Microseconds())))
+				record(h, r)
 			}
 			if len(records) > 0 {
 				l.points = append(l.points, plotter.XY{X: middle(bin), Y: float64(h.ValueAtQuantile(c.at)) / 1000})
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -53,6 +53,7 @@
 	{"failover_gap_ms", "", func(r *Result) float64 { return r.Measures.longestGap() }, gapNote},
 	{"worst_organisation_share", FirstComeQueue, func(r *Result) float64 { return r.Measures.WorstOrganisationShare },
 		func(r *Result) string { return string(r.Measures.WorstOrganisation) }},
+	{"others_p99_ms", FirstComeQueue, func(r *Result) float64 { return r.othersLatency() }, nil},
 	{"wrongful_refusals", StaticShares, func(r *Result) float64 { return r.Measures.WrongfulRefusals },
 		func(r *Result) string {
 			return fmt.Sprintf("%d of %d inside the rate", r.Measures.WrongfulCount, r.Measures.InsideCount)
@@ -149,7 +150,7 @@
 	writeLatencies(&b, r)
 	writeMap(&b, "outcomes", r.Measures.Outcomes)
 	for _, o := range r.organisations() {
-		fmt.Fprintf(&b, "  %-18s offered %5d  answered %5d  refused for rate %5d  other %5d\n", o.Name, o.Offered, o.Answered, o.RateExceeded, o.Other)
+		fmt.Fprintf(&b, "  %-18s offered %5d  answered %5d  refused for rate %5d  other %5d  p99 %8.1f ms\n", o.Name, o.Offered, o.Answered, o.RateExceeded, o.Other, o.P99)
 	}
 	_, err := io.WriteString(w, b.String())
 	return err
@@ -203,6 +204,27 @@
 	}
 }
 
+// othersLatency returns the largest p99 of the organisations that no fault
+// overloads; NaN in a scenario without such a fault.
+func (result *Result) othersLatency() float64 {
+	overloaded := map[ident.OrganisationName]bool{}
+	for _, f := range result.Scenario.Faults {
+		if f.Action == "overload" {
+			overloaded[ident.OrganisationName(f.Target)] = true
+		}
+	}
+	worst := math.NaN()
+	if len(overloaded) == 0 {
+		return worst
+	}
+	for _, o := range result.organisations() {
+		if !overloaded[o.Name] && (math.IsNaN(worst) || o.P99 > worst) {
+			worst = o.P99
+		}
+	}
+	return worst
+}
+
 // Organisation is what one organisation offered and got.
 type Organisation struct {
 	Name         ident.OrganisationName `json:"name"`
@@ -210,6 +232,7 @@
 	Answered     int                    `json:"answered"`
 	RateExceeded int                    `json:"rate_exceeded"`
 	Other        int                    `json:"other"`
+	P99          float64                `json:"p99_ms"`
 }
 
 func (result *Result) organisations() []Organisation {
@@ -226,6 +249,7 @@
 				o.Other++
 			}
 		}
+		o.P99 = p99(records)
 		all = append(all, o)
 	}
 	sort.Slice(all, func(i, j int) bool { return all[i].Name < all[j].Name })
--- a/internal/load/resolve.go
+++ b/internal/load/resolve.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
 	"strings"
 
 	"github.com/rosemarywall/rosemarywall/internal/fleet"
@@ -35,11 +34,10 @@
 	for i := range s.Faults {
 		s.Faults[i].Target = resolved(s.Faults[i].Target)
 	}
-	loads := maps.Clone(s.Loads)
-	clear(loads)
-	for name, load := range s.Loads {
-		loads[ident.OrganisationName(resolved(string(name)))] = load
+	organisations := map[ident.OrganisationName]OrganisationLoad{}
+	for name, load := range s.Organisations {
+		organisations[ident.OrganisationName(resolved(string(name)))] = load
 	}
-	s.Loads = loads
+	s.Organisations = organisations
 	return s
 }
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -58,6 +58,22 @@
 	return len(result.Violations) > 0 || result.Measures.Answered == 0
 }
 
+// p99 returns the latency of answered requests in milliseconds, zero without any.
+func p99(records []*Record) float64 {
+	h := hdrhistogram.New(lowestLatency, highestLatency, latencyDigits)
+	for _, r := range records {
+		record(h, r)
+	}
+	return summary(h).P99
+}
+
+// record adds the latency of an answered request.
+func record(h *hdrhistogram.Histogram, r *Record) {
+	if r.Outcome == OK {
+		_ = h.RecordValue(min(highestLatency, max(lowestLatency, (r.Done-r.Intended).Microseconds())))
+	}
+}
+
 // latencies returns the latency of each kind and of all.
 func latencies(records []Record) map[Kind]Latency {
 	histograms := map[Kind]*hdrhistogram.Histogram{}
@@ -70,7 +86,7 @@
 			if histograms[kind] == nil {
 				histograms[kind] = hdrhistogram.New(lowestLatency, highestLatency, latencyDigits)
 			}
-			_ = histograms[kind].RecordValue(min(highestLatency, max(lowestLatency, (r.Done-r.Intended).Microseconds())))
+			record(histograms[kind], r)
 		}
 	}
 	out := map[Kind]Latency{}
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"sort"
+	"strings"
 	"sync"
 	"time"
 
@@ -15,6 +16,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/entry"
 	"github.com/rosemarywall/rosemarywall/internal/fleet"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
 const (
@@ -123,14 +125,20 @@
 		if r.fleet.VM(vm) == nil {
 			continue
 		}
-		if _, last = r.fleet.ApplyNote(ctx, vm, text); last == nil {
-			return nil
+		if _, last = r.fleet.ApplyNote(ctx, vm, text); last == nil || undecided(last) {
+			return last
 		}
-		r.options.Log.Warn().Err(last).Str("vm", string(vm)).Dur("at", time.Since(r.start)).Msg("release note not accepted")
+		r.options.Log.Warn().Err(last).Str("vm", string(vm)).Msg("release note not accepted")
 	}
 	return last
 }
 
+// undecided reports whether the note, or one before it, may still be accepted.
+func undecided(err error) bool {
+	text := err.Error()
+	return strings.Contains(text, resultcode.NoteConflict.String()) || strings.Contains(text, resultcode.NoteNotAccepted.String())
+}
+
 // prepare configures the installation, waits until all VMs are ready and creates
 // the tables.
 func (r *run) prepare() error {
@@ -246,12 +254,14 @@
 		timetable.Go(func() { r.disturb(ctx, f) })
 	}
 	perRequest := 1 + 3*r.scenario.Transactions
-	for i, o := range r.config.Organisations {
-		due := make(chan time.Duration, maxBacklog)
-		load.Go(func() { r.generate(ctx, o, perRequest, due) })
-		for _, s := range sessions[i*r.scenario.Sessions : (i+1)*r.scenario.Sessions] {
-			load.Go(func() { s.serve(ctx, due) })
-		}
+	due := map[ident.OrganisationName]chan time.Duration{}
+	for _, o := range r.config.Organisations {
+		arrivals := make(chan time.Duration, maxBacklog)
+		due[o.Name] = arrivals
+		load.Go(func() { r.generate(ctx, o, perRequest, arrivals) })
+	}
+	for _, s := range sessions {
+		load.Go(func() { s.serve(ctx, due[s.organisation]) })
 	}
 	load.Wait()
 	timetable.Wait()
@@ -272,14 +282,14 @@
 	}
 	var sessions []*session
 	for _, o := range r.config.Organisations {
-		for i := range r.scenario.Sessions {
+		for i := range r.scenario.sessionsOf(o.Name) {
 			number := len(sessions) + 1
 			s := &session{
 				run: r, number: number, organisation: o.Name, group: r.config.Databases[number%len(r.config.Databases)],
 				key: "main", secret: fleet.Key(o.Name),
 				random: rand.New(rand.NewPCG(r.options.Seed, uint64(number))),
 			}
-			s.carriesToken = float64(i) < r.scenario.Token*float64(r.scenario.Sessions)
+			s.carriesToken = float64(i) < r.scenario.Token*float64(r.scenario.sessionsOf(o.Name))
 			if withdrawn[o.Name] && i%2 == 1 {
 				s.key, s.secret = secondKey, secondSecret(o.Name)
 			}
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -49,9 +49,30 @@
 	// positive.
 	Slots, Connections int
 	Baselines          []Baseline
-	// Loads replaces Load for single organisations.
-	Loads  map[ident.OrganisationName]float64
-	Faults []Fault
+	// Organisations replaces Load and Sessions for single organisations.
+	Organisations map[ident.OrganisationName]OrganisationLoad
+	Faults        []Fault
+}
+
+// OrganisationLoad is what one organisation offers. Zero sessions means those of
+// the scenario.
+type OrganisationLoad struct {
+	Load     float64
+	Sessions int
+}
+
+func (s Scenario) sessionsOf(organisation ident.OrganisationName) int {
+	if n := s.Organisations[organisation].Sessions; n > 0 {
+		return n
+	}
+	return s.Sessions
+}
+
+func (s Scenario) loadOf(organisation ident.OrganisationName) float64 {
+	if o, ok := s.Organisations[organisation]; ok {
+		return o.Load
+	}
+	return s.Load
 }
 
 // Fault is an entry of the timetable.
--- a/internal/load/session.go
+++ b/internal/load/session.go
@@ -165,7 +165,9 @@
 	}
 	r.Sent, r.Needed, r.Tried = s.run.now(), s.acked, s.tried
 	if err := s.send(ctx, conn, r); err != nil {
-		s.refused(r, err, pgconn.SafeToRetry(err))
+		// pgconn.SafeToRetry does not count here: pgconn 5.12 also reports "conn closed"
+		// when the connection ends after the statement was sent.
+		s.refused(r, err, false)
 	} else {
 		r.Outcome, r.Code, r.SQLState, r.Text = OK, 0, "", ""
 		if token := conn.ParameterStatus("rosemarywall.session_token"); r.Kind.writes() && token != "" {
@@ -181,6 +183,9 @@
 // connection returns the session's connection to a VM. It carries the newest token
 // when the session uses one.
 func (s *session) connection(ctx context.Context, vm ident.VMName) (*pgconn.PgConn, error) {
+	if conn := s.conns[vm]; conn != nil && conn.IsClosed() {
+		s.drop(vm)
+	}
 	conn := s.conns[vm]
 	if conn == nil {
 		var err error
--- a/internal/load/statement.go
+++ b/internal/load/statement.go
@@ -107,16 +107,16 @@
 // transaction inserts a row, reads it inside the block and commits.
 func (s *session) transaction(ctx context.Context, conn *pgconn.PgConn, r *Record) error {
 	if err := conn.Exec(ctx, "begin").Close(); err != nil {
-		return err
+		return errors.Wrap(err, "begin")
 	}
 	r.Statements++
 	if err := s.insert(ctx, conn, r); err != nil {
-		return abort(ctx, conn, err)
+		return abort(ctx, conn, errors.Wrap(err, "insert"))
 	}
 	sql := fmt.Sprintf("select coalesce(max(number), 0) from load_record where session = %d", s.number)
 	rows, _, err := s.exec(ctx, conn, r, sql)
 	if err != nil {
-		return abort(ctx, conn, err)
+		return abort(ctx, conn, errors.Wrap(err, "select"))
 	}
 	if seen := cell(rows, 0, 0); r.Fault == "" && seen != strconv.FormatInt(r.Number, 10) {
 		r.Fault = fmt.Sprintf("transaction that inserted row %d reads %q", r.Number, seen)
@@ -124,7 +124,7 @@
 	r.Statements++
 	tags, err := conn.Exec(ctx, "commit").ReadAll()
 	if err != nil {
-		return err
+		return errors.Wrap(err, "commit")
 	}
 	if len(tags) != 1 || tags[0].CommandTag.String() != "COMMIT" {
 		return errors.Newf("commit answered %v", tags)
--- a/internal/load/workload.go
+++ b/internal/load/workload.go
@@ -44,11 +44,7 @@
 func (r *run) generate(ctx context.Context, o fleet.Organisation, perRequest float64, due chan<- time.Duration) {
 	defer close(due)
 	random := rand.New(rand.NewPCG(r.options.Seed, hash(string(o.Name))))
-	load, ok := r.scenario.Loads[o.Name]
-	if !ok {
-		load = r.scenario.Load
-	}
-	base := load * o.Rate / perRequest
+	base := r.scenario.loadOf(o.Name) * o.Rate / perRequest
 	if base <= 0 {
 		return
 	}
