--- a/internal/core/detector/detector.go
+++ b/internal/core/detector/detector.go
@@ -18,7 +18,6 @@
 	suspected time.Duration // when the suspicion began here
 	by        map[ident.VMName]bool
 	died      time.Duration // when the member was first seen dead or leaving
-	checked   bool          // this VM has probed the suspect to confirm
 	listed    bool          // in the platform's last list
 }
 
@@ -50,6 +49,7 @@
 	hash       uint64
 	order      []ident.VMName // own zone, probing order
 	remote     []ident.VMName // watchers of other zones, probing order
+	watcher    bool           // when the last round was built
 	urgent     []ident.VMName // suspects that this VM probes next
 	suspects   map[ident.VMName]bool
 	probes     map[uint64]*probe
--- a/internal/core/detector/probe.go
+++ b/internal/core/detector/probe.go
@@ -40,7 +40,7 @@
 		}
 	}
 	if now >= d.nextRemote {
-		d.nextRemote += d.cfg.Period
+		d.nextRemote += d.cfg.RemotePeriod
 		if name, ok := d.nextRemoteTarget(); ok {
 			out = append(out, d.start(now, name))
 		}
@@ -62,6 +62,8 @@
 		}
 		if !p.indirect && now >= p.deadline {
 			p.indirect = true
+			// Also repeated directly, since a small zone has no other members to ask.
+			out = append(out, d.message(p.target, Message{Type: Ping, Probe: id}))
 			for _, helper := range d.helpers(p.target, d.cfg.Indirect) {
 				out = append(out, d.message(helper, Message{Type: PingRequest, Probe: id, Target: p.target}))
 			}
@@ -138,25 +140,27 @@
 // fillRemote builds a round over the watchers of the other zones. It is computed
 // once a round because the ranking passes over the whole view.
 func (d *Detector) fillRemote() bool {
-	byZone := map[ident.AvailabilityZone][]Member{}
-	for _, name := range slices.Sorted(maps.Keys(d.members)) {
-		e := d.members[name]
-		byZone[e.Member.Zone] = append(byZone[e.Member.Zone], e.Member)
+	zone := []Member{d.Self()}
+	for _, name := range d.order {
+		zone = append(zone, d.members[name].Member)
 	}
-	watcher := false
-	for _, m := range Watchers(byZone[d.cfg.Self.Zone], d.cfg.Self.Zone, watchersPerZone) {
-		watcher = watcher || m.Name == d.cfg.Self.Name
-	}
-	if !watcher {
+	d.watcher = slices.ContainsFunc(Watchers(zone, d.cfg.Self.Zone, watchersPerZone), func(m Member) bool {
+		return m.Name == d.cfg.Self.Name
+	})
+	if !d.watcher {
 		return false
 	}
-	for zone, members := range byZone {
-		if zone == d.cfg.Self.Zone {
-			continue
+	byZone := map[ident.AvailabilityZone][]Member{}
+	for _, name := range slices.Sorted(maps.Keys(d.members)) {
+		if m := d.members[name].Member; m.Zone != d.cfg.Self.Zone {
+			byZone[m.Zone] = append(byZone[m.Zone], m)
 		}
+	}
+	for _, zone := range slices.Sorted(maps.Keys(byZone)) {
+		members := byZone[zone]
 		watchers := Watchers(members, zone, watchersPerZone)
 		if len(watchers) == 0 {
-			i := d.rounds / 2 % len(members)
+			i := d.rng.IntN(len(members))
 			watchers = members[i : i+1]
 		}
 		for _, m := range watchers {
@@ -192,10 +196,24 @@
 	}
 	if e.Member.State == Alive {
 		d.stats.Suspicions++
+	} else if e.by[d.cfg.Self.Name] {
+		// The suspicion may have been told only to VMs that were unreachable.
+		d.announceAgain(name)
+		return
 	}
 	d.suspect(now, e.Record, d.cfg.Self.Name)
 }
 
+// announceAgain repeats this VM's own suspicion once its transmissions are spent.
+func (d *Detector) announceAgain(name ident.VMName) {
+	for _, u := range d.updates {
+		if u.name == name {
+			return
+		}
+	}
+	d.announce(name, d.cfg.Self.Name)
+}
+
 // suspect merges a suspicion by a VM against the incarnation in r.
 func (d *Detector) suspect(now time.Duration, r Record, by ident.VMName) {
 	name := r.Member.Name
@@ -204,20 +222,31 @@
 		r.Member.State, r.By = Suspect, ""
 		e = d.store(now, r)
 	}
-	if by == "" || e.by[by] || len(e.by) >= d.cfg.Confirmations {
+	if by == "" || len(e.by) >= d.cfg.Confirmations {
 		return
 	}
-	e.by[by] = true
-	d.announce(name, by)
-	if !e.checked && by != d.cfg.Self.Name && d.mayProbe(e.Member) {
-		e.checked = true
+	if by != d.cfg.Self.Name && !e.by[d.cfg.Self.Name] && d.mayProbe(e.Member) && !d.probing(name) {
 		d.urgent = append(d.urgent, name)
 	}
+	if !e.by[by] {
+		e.by[by] = true
+		d.announce(name, by)
+	}
+}
+
+// probing reports whether a probe of the member is in flight or due next.
+func (d *Detector) probing(name ident.VMName) bool {
+	for _, p := range d.probes {
+		if p.target == name && p.origin == "" {
+			return true
+		}
+	}
+	return slices.Contains(d.urgent, name)
 }
 
 // mayProbe reports whether this VM holds links to the member.
 func (d *Detector) mayProbe(m Member) bool {
-	return m.Zone == d.cfg.Self.Zone || len(d.remote) > 0
+	return m.Zone == d.cfg.Self.Zone || d.watcher
 }
 
 // judge declares suspects dead whose suspicion is confirmed and old enough.
--- /dev/null
+++ b/internal/core/detector/property_test.go
@@ -0,0 +1,202 @@
+package detector
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+)
+
+// checkStep checks what must hold in one VM's view at any time.
+func (s *sim) checkStep(t *rapid.T) func(*simVM) {
+	type seen struct{ by, of ident.VMName }
+	highest := map[seen]ident.Incarnation{}
+	lives := map[ident.VMName]int{}
+	return func(vm *simVM) {
+		self := vm.core.Self()
+		if self.State == Dead || self.State == Suspect {
+			t.Fatalf("%s counts itself as %s", self.Name, self.State)
+		}
+		if lives[self.Name] != vm.life {
+			lives[self.Name] = vm.life
+			for _, name := range s.names {
+				delete(highest, seen{self.Name, name})
+			}
+		}
+		for name, e := range vm.core.members {
+			key := seen{self.Name, name}
+			if e.Member.Incarnation < highest[key] {
+				t.Fatalf("%s went back to an earlier incarnation of %s", self.Name, name)
+			}
+			highest[key] = e.Member.Incarnation
+		}
+		limit := vm.core.cfg.UpdateBytes + 100 // one record about the receiver comes on top
+		if s.largest > limit {
+			t.Fatalf("a probe message carries about %d bytes of records", s.largest)
+		}
+	}
+}
+
+// differences lists what is wrong in the views after a quiet time.
+func (s *sim) differences() string {
+	for _, name := range s.names {
+		vm := s.vms[name]
+		if !vm.running || vm.left {
+			continue
+		}
+		for _, other := range s.names {
+			o := s.vms[other]
+			m, known := vm.core.Member(other)
+			state := fmt.Sprintf("%s sees %s as %s/%d (known %v), which has incarnation %d", name, other, m.State, m.Incarnation, known, o.self.Incarnation)
+			switch {
+			case o.running && !o.left && (!known || m.State != Alive || m.Incarnation != o.self.Incarnation):
+				return state
+			case (!o.running || o.left) && known && !m.State.gone():
+				return state + " and has stopped"
+			}
+		}
+	}
+	return ""
+}
+
+func (s *sim) actions() map[string]func(*rapid.T) {
+	index := rapid.IntRange(0, len(s.names)-1)
+	pick := func(t *rapid.T) *simVM { return s.vms[s.names[index.Draw(t, "vm")]] }
+	return map[string]func(*rapid.T){
+		"": func(*rapid.T) { s.run(s.Now + 200*time.Millisecond) },
+		"pass": func(t *rapid.T) {
+			s.run(s.Now + time.Duration(rapid.IntRange(1, 8000).Draw(t, "ms"))*time.Millisecond)
+		},
+		"pause": func(t *rapid.T) {
+			pick(t).paused = s.Now + time.Duration(rapid.IntRange(1, 20000).Draw(t, "ms"))*time.Millisecond
+		},
+		"restart": func(t *rapid.T) {
+			if vm := pick(t); s.running() > 2 || !vm.running {
+				s.stop(vm)
+				s.start(vm)
+			}
+		},
+		"stop": func(t *rapid.T) {
+			if s.running() > 2 {
+				s.stop(pick(t))
+			}
+		},
+		"leave": func(t *rapid.T) {
+			if vm := pick(t); s.running() > 2 && vm.running && !vm.left && vm.paused <= s.Now {
+				vm.left = true
+				s.carry(vm, vm.core.Leave(s.Now))
+				life := vm.life
+				s.At(s.Now+100*time.Millisecond, func() {
+					if vm.life == life {
+						s.stop(vm)
+					}
+				})
+			}
+		},
+		"cut": func(t *rapid.T) { s.cut[[2]ident.VMName{pick(t).self.Name, pick(t).self.Name}] = true },
+		"partition": func(t *rapid.T) {
+			side := rapid.Uint64().Draw(t, "side")
+			for i, a := range s.names {
+				for j, b := range s.names {
+					if side>>i&1 != side>>j&1 {
+						s.cut[[2]ident.VMName{a, b}] = true
+					}
+				}
+			}
+		},
+		"messages": func(t *rapid.T) {
+			s.loss, s.duplicate = rapid.Float64Range(0, 0.5).Draw(t, "loss"), rapid.Float64Range(0, 1).Draw(t, "duplicate")
+			s.jitter = time.Duration(rapid.IntRange(1, 600).Draw(t, "jitter")) * time.Millisecond
+		},
+		"heal": func(*rapid.T) { s.heal() },
+	}
+}
+
+func (s *sim) heal() {
+	clear(s.cut)
+	s.loss, s.duplicate, s.jitter = 0, 0, time.Millisecond
+	for _, vm := range s.vms {
+		vm.paused = min(vm.paused, s.Now)
+	}
+}
+
+// running counts the VMs that run and have not left.
+func (s *sim) running() (n int) {
+	for _, vm := range s.vms {
+		if vm.running && !vm.left {
+			n++
+		}
+	}
+	return n
+}
+
+// quiet is the time after which views must agree: several exchanges of records.
+const quiet = 3 * time.Minute
+
+// Guards against views that stay wrong after faults have ended: members forgotten,
+// dead ones kept, live ones held dead after a partition, earlier incarnations; and
+// against probe messages that grow with the number of changes.
+func TestViewsAgreeAfterFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := newSim(rapid.Uint64().Draw(t, "seed"), rapid.IntRange(2, 3).Draw(t, "zones"), rapid.IntRange(1, 3).Draw(t, "per zone"))
+		for _, name := range s.names {
+			s.start(s.vms[name])
+		}
+		s.onStep = s.checkStep(t)
+		s.list()
+		s.run(30 * time.Second)
+		if d := s.differences(); d != "" {
+			t.Fatalf("after start: %s", d)
+		}
+		t.Repeat(s.actions())
+		s.heal()
+		s.run(s.Now + quiet)
+		if d := s.differences(); d != "" {
+			t.Fatal(d)
+		}
+	})
+}
+
+// Guards against a VM that takes its own isolation for the death of all others,
+// and against others that do not notice it.
+func TestIsolatedVMDeclaresNobodyDead(t *testing.T) {
+	s := newSim(3, 3, 3)
+	for _, name := range s.names {
+		s.start(s.vms[name])
+	}
+	s.run(30 * time.Second)
+	lone := s.vms[s.names[4]]
+	for _, name := range s.names {
+		s.cut[[2]ident.VMName{lone.self.Name, name}] = true
+		s.cut[[2]ident.VMName{name, lone.self.Name}] = true
+	}
+	s.run(2 * time.Minute)
+	for _, m := range lone.core.Members() {
+		assert.Assert(t, m.State != Dead, "%s", m.Name)
+	}
+	for _, name := range s.names {
+		if m, _ := s.vms[name].core.Member(lone.self.Name); name != lone.self.Name {
+			assert.Equal(t, m.State, Dead, "in the view of %s", name)
+		}
+	}
+}
+
+// Guards against a suspicion by one VM that kills a member which others reach.
+func TestOneWayCutKillsNobody(t *testing.T) {
+	s := newSim(4, 1, 5)
+	for _, name := range s.names {
+		s.start(s.vms[name])
+	}
+	s.run(20 * time.Second)
+	s.cut[[2]ident.VMName{s.names[0], s.names[1]}] = true
+	s.onStep = func(vm *simVM) {
+		for _, m := range vm.core.Members() {
+			assert.Assert(t, m.State != Dead, "%s in the view of %s", m.Name, vm.self.Name)
+		}
+	}
+	s.run(2 * time.Minute)
+}
--- a/internal/core/detector/types.go
+++ b/internal/core/detector/types.go
@@ -62,9 +62,9 @@
 	return r.Member.State.gravity() > old.Member.State.gravity()
 }
 
-// hash covers what converged views agree on. A suspicion is transient and counts
-// as alive. Members that are gone do not count, because VMs forget them at
-// different times.
+// hash covers what converged views agree on. A suspicion counts, so that one that
+// lasts reaches VMs that can settle it. Members that are gone do not count, because
+// VMs forget them at different times.
 func (r Record) hash() uint64 {
 	if r.Member.State.gone() {
 		return 0
@@ -72,7 +72,7 @@
 	h := fnv.New64a()
 	h.Write([]byte(r.Member.Name))
 	x := h.Sum64() ^ uint64(r.Member.Incarnation)*0x9e3779b97f4a7c15
-	return mix(x ^ uint64(r.Refutation))
+	return mix(x ^ uint64(r.Refutation)<<8 ^ uint64(r.Member.State))
 }
 
 func mix(x uint64) uint64 {
@@ -118,6 +118,8 @@
 	Self Member
 	// Period is the time between probes.
 	Period time.Duration
+	// RemotePeriod is the time between a watcher's probes of other zones.
+	RemotePeriod time.Duration
 	// DirectTimeout is the time after which others are asked to probe.
 	DirectTimeout time.Duration
 	// Indirect is the number of members asked to probe, k.
@@ -140,7 +142,7 @@
 // DefaultConfig returns the values used by entry VMs.
 func DefaultConfig(self Member) Config {
 	return Config{
-		Self: self, Period: 500 * time.Millisecond, DirectTimeout: 200 * time.Millisecond,
+		Self: self, Period: 500 * time.Millisecond, RemotePeriod: time.Second, DirectTimeout: 200 * time.Millisecond,
 		Indirect: 3, Suspicion: 1500 * time.Millisecond, Confirmations: 2,
 		UpdateBytes: 400, SyncQuiet: 5 * time.Second, SyncRecords: 200, Forget: time.Hour,
 	}
--- a/internal/core/shares/property_test.go
+++ b/internal/core/shares/property_test.go
@@ -16,8 +16,8 @@
 // the VMs. Idle times between let the buckets fill: only a fleet that has just
 // spent its whole burst shows a token too many.
 func (s *sim) press() {
-	defer func() { s.at(s.now+15*time.Millisecond, s.press) }()
-	if s.now%(s.busyFor+s.idleFor) < s.idleFor {
+	defer func() { s.At(s.Now+15*time.Millisecond, s.press) }()
+	if s.Now%(s.busyFor+s.idleFor) < s.idleFor {
 		return
 	}
 	if s.rng.IntN(20) == 0 {
@@ -47,15 +47,15 @@
 	pick := func(t *rapid.T) *simVM { return s.vms[index.Draw(t, "vm")] }
 	return map[string]func(*rapid.T){
 		"": func(t *rapid.T) {
-			s.run(s.now + 100*time.Millisecond)
+			s.run(s.Now + 100*time.Millisecond)
 			if s.violation != "" {
 				t.Fatal(s.violation)
 			}
 		},
-		"pass": func(t *rapid.T) { s.run(s.now + millis(t, 4000)) },
+		"pass": func(t *rapid.T) { s.run(s.Now + millis(t, 4000)) },
 		"pause": func(t *rapid.T) {
 			vm := pick(t)
-			vm.paused = s.now + millis(t, 16000)
+			vm.paused = s.Now + millis(t, 16000)
 		},
 		"restart":  func(t *rapid.T) { s.start(pick(t)) },
 		"suspect":  func(t *rapid.T) { pick(t).falsely[pick(t).member.Name] = true },
@@ -136,9 +136,9 @@
 	for i := range 2 { // planned restarts
 		vm := s.vms[3+i%2]
 		vm.node.WithLedger(vm.clock(s), func(l *Ledger) { l.Leave(vm.clock(s)) })
-		s.run(s.now + 8*time.Second)
+		s.run(s.Now + 8*time.Second)
 		s.start(vm)
-		s.run(s.now + 10*time.Second)
+		s.run(s.Now + 10*time.Second)
 	}
 	s.idleFor = 1500 * time.Millisecond
 	victim := s.vms[0].member.Name // is taken for dead, and cut off from its zone
@@ -146,13 +146,13 @@
 		vm.falsely[victim] = true
 		s.cut[[2]ident.VMName{victim, vm.member.Name}] = true
 	}
-	s.run(s.now + 10*time.Second)
+	s.run(s.Now + 10*time.Second)
 	stale := s.vms[3] // never learns of a lower rate
 	stale.deaf = true
 	s.accept(func(c *configuration.Configuration) {
 		c.Organisations[acme] = configuration.Organisation{Rate: 20, Burst: 20}
 	})
-	s.run(s.now + 20*time.Second)
+	s.run(s.Now + 20*time.Second)
 	return s.violation
 }
 
--- a/internal/core/shares/sim_test.go
+++ b/internal/core/shares/sim_test.go
@@ -1,13 +1,13 @@
 package shares
 
 import (
-	"container/heap"
 	"fmt"
 	"math/rand/v2"
 	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
 	"github.com/rosemarywall/rosemarywall/internal/core/detector"
+	"github.com/rosemarywall/rosemarywall/internal/core/eventqueue"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 )
 
@@ -24,27 +24,6 @@
 	ignoreVersions
 )
 
-// event is work at a time.
-type event struct {
-	at  time.Duration
-	seq int
-	run func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // simVM is one VM of the simulation.
 type simVM struct {
 	member  detector.Member
@@ -66,10 +45,8 @@
 
 // sim runs VMs, messages and the platform on virtual time.
 type sim struct {
+	eventqueue.Queue
 	rng      *rand.Rand
-	now      time.Duration
-	queue    events
-	seq      int
 	vms      []*simVM
 	tables   map[ident.AvailabilityZone]storedTable
 	version  uint64 // of the store
@@ -128,11 +105,6 @@
 	return s
 }
 
-func (s *sim) at(when time.Duration, run func()) {
-	s.seq++
-	heap.Push(&s.queue, event{max(when, s.now), s.seq, run})
-}
-
 // on runs an event of a VM; while the VM is paused it waits, after a restart it is
 // dropped.
 func (s *sim) on(vm *simVM, when time.Duration, run func()) {
@@ -141,44 +113,37 @@
 	attempt = func() {
 		switch {
 		case vm.life != life:
-		case vm.paused > s.now:
-			s.at(vm.paused, attempt)
+		case vm.paused > s.Now:
+			s.At(vm.paused, attempt)
 		default:
 			run()
 		}
 	}
-	s.at(when, attempt)
+	s.At(when, attempt)
 }
 
-func (s *sim) run(until time.Duration) {
-	for len(s.queue) > 0 && s.queue[0].at <= until && s.violation == "" {
-		e := heap.Pop(&s.queue).(event)
-		s.now = e.at
-		e.run()
-	}
-	s.now = until
-}
+func (s *sim) run(until time.Duration) { s.Run(until, func() bool { return s.violation != "" }) }
 
 // start gives a VM a new life. Its clock starts at zero.
 func (s *sim) start(vm *simVM) {
 	vm.life++
 	vm.member.Incarnation++
-	vm.started, vm.paused, vm.filled = s.now, 0, false
+	vm.started, vm.paused, vm.filled = s.Now, 0, false
 	vm.falsely = map[ident.VMName]bool{}
 	vm.node = NewNode(0, vm.member, rand.New(rand.NewPCG(s.rng.Uint64(), 5)))
 	vm.version = s.config.Version
 	vm.node.SetConfiguration(0, s.config)
-	s.on(vm, s.now+time.Duration(s.rng.Int64N(int64(20*time.Millisecond))), func() { s.tick(vm) })
+	s.on(vm, s.Now+time.Duration(s.rng.Int64N(int64(20*time.Millisecond))), func() { s.tick(vm) })
 }
 
-func (vm *simVM) clock(s *sim) time.Duration { return s.now - vm.started }
+func (vm *simVM) clock(s *sim) time.Duration { return s.Now - vm.started }
 
 func (s *sim) tick(vm *simVM) {
 	now := vm.clock(s)
 	var view []detector.Member
 	for _, other := range s.vms {
 		m := other.member
-		if vm.falsely[m.Name] || other.paused > s.now+2*time.Second || s.cut[[2]ident.VMName{vm.member.Name, m.Name}] {
+		if vm.falsely[m.Name] || other.paused > s.Now+2*time.Second || s.cut[[2]ident.VMName{vm.member.Name, m.Name}] {
 			m.State = detector.Dead
 		}
 		view = append(view, m)
@@ -195,7 +160,7 @@
 	s.sendAsks(vm, asks)
 	s.checkParts()
 	s.checkTokens()
-	s.on(vm, s.now+20*time.Millisecond, func() { s.tick(vm) })
+	s.on(vm, s.Now+20*time.Millisecond, func() { s.tick(vm) })
 }
 
 // fill applies the mutation of a fresh VM that starts with a full burst.
@@ -249,7 +214,7 @@
 			if from.member.Zone != vm.member.Zone {
 				delay *= 3
 			}
-			s.on(vm, s.now+delay, func() { receive(vm) })
+			s.on(vm, s.Now+delay, func() { receive(vm) })
 		}
 	}
 }
@@ -269,11 +234,11 @@
 		})
 	}
 	if a.Read && !s.offPlatform[name] {
-		s.at(s.now+s.latency(), func() { s.answer(vm, start) })
+		s.At(s.Now+s.latency(), func() { s.answer(vm, start) })
 	}
 	if a.Write != nil && !s.offPlatform[name] {
 		write := *a.Write
-		s.at(s.now+s.latency(), func() {
+		s.At(s.Now+s.latency(), func() {
 			if stored := s.tables[vm.member.Zone]; stored.version == write.Base {
 				s.version++
 				s.tables[vm.member.Zone] = storedTable{write.Table.clone(), s.version}
@@ -310,7 +275,7 @@
 func (s *sim) answer(vm *simVM, start time.Duration) {
 	stored := s.tables[vm.member.Zone]
 	table := stored.table.clone()
-	s.on(vm, s.now+time.Millisecond, func() {
+	s.on(vm, s.Now+time.Millisecond, func() {
 		vm.node.WithLedger(vm.clock(s), func(l *Ledger) { l.Observe(vm.clock(s), start, table, stored.version) })
 	})
 }
@@ -318,7 +283,7 @@
 // serves reports whether a VM takes requests: it runs and its configuration is
 // fresh.
 func (s *sim) serves(vm *simVM) bool {
-	return vm.paused <= s.now && (vm.version == s.config.Version || s.now-s.accepted <= Freshness)
+	return vm.paused <= s.Now && (vm.version == s.config.Version || s.Now-s.accepted <= Freshness)
 }
 
 // take lets a VM admit one request.
@@ -327,10 +292,10 @@
 	if !ok || !b.Take(vm.clock(s), 1) {
 		return false
 	}
-	s.model.advance(s.now)
+	s.model.advance(s.Now)
 	s.model.level--
 	if s.model.level < -1e-6 && s.violation == "" {
-		s.violation = fmt.Sprintf("at %s the fleet admitted %.3f more than rate and burst allow", s.now, -s.model.level)
+		s.violation = fmt.Sprintf("at %s the fleet admitted %.3f more than rate and burst allow", s.Now, -s.model.level)
 	}
 	return true
 }
@@ -345,9 +310,9 @@
 			sum += level.Tokens + level.Borrowed
 		}
 	}
-	s.model.advance(s.now)
+	s.model.advance(s.Now)
 	if sum > s.model.level+1e-6 && s.violation == "" {
-		s.violation = fmt.Sprintf("at %s the fleet holds %.3f tokens more than rate and burst allow", s.now, sum-s.model.level)
+		s.violation = fmt.Sprintf("at %s the fleet holds %.3f tokens more than rate and burst allow", s.Now, sum-s.model.level)
 	}
 }
 
@@ -355,14 +320,14 @@
 func (s *sim) checkParts() {
 	used := map[ident.AvailabilityZone]uint64{}
 	for _, vm := range s.vms {
-		if vm.paused <= s.now {
+		if vm.paused <= s.Now {
 			parts, _ := vm.node.ledger.Parts(vm.clock(s))
 			used[vm.member.Zone] += uint64(parts)
 		}
 	}
 	for zone, sum := range used {
 		if sum > TotalParts && s.violation == "" {
-			s.violation = fmt.Sprintf("at %s zone %s uses %d parts", s.now, zone, sum)
+			s.violation = fmt.Sprintf("at %s zone %s uses %d parts", s.Now, zone, sum)
 		}
 	}
 }
@@ -378,19 +343,19 @@
 		next.Zones[name] = zone
 	}
 	change(&next)
-	s.config, s.accepted = &next, s.now
+	s.config, s.accepted = &next, s.Now
 	o := next.Organisations[acme]
-	s.model.advance(s.now)
+	s.model.advance(s.Now)
 	s.model.rate, s.model.burst = max(s.model.rate, o.Rate), max(s.model.burst, o.Burst)
-	s.at(s.now+Freshness+Validity, func() {
+	s.At(s.Now+Freshness+Validity, func() {
 		if s.config.Version == next.Version {
-			s.model.advance(s.now)
+			s.model.advance(s.Now)
 			s.model.rate, s.model.burst = o.Rate, o.Burst
-			s.model.advance(s.now)
+			s.model.advance(s.Now)
 		}
 	})
 	for _, vm := range s.vms {
-		s.on(vm, s.now+time.Duration(s.rng.Int64N(int64(Freshness))), func() {
+		s.on(vm, s.Now+time.Duration(s.rng.Int64N(int64(Freshness))), func() {
 			if vm.version < next.Version && !vm.deaf {
 				vm.version = next.Version
 				vm.node.SetConfiguration(vm.clock(s), &next)
--- a/internal/core/shares/skew_test.go
+++ b/internal/core/shares/skew_test.go
@@ -23,15 +23,15 @@
 	s.run(30 * time.Second)
 	s.noTransfers = !transfers
 	s.messages = 0
-	start := s.now
+	start := s.Now
 	var r skewed
 	vm := s.vms[0]
 	var arrive func()
 	arrive = func() {
 		b, _ := vm.node.Bucket(acme)
 		b.Attempt(vm.clock(s), 1)
-		s.attempt(vm, s.now, func(admitted bool) {
-			if s.now-start < time.Second {
+		s.attempt(vm, s.Now, func(admitted bool) {
+			if s.Now-start < time.Second {
 				return
 			}
 			r.requests++
@@ -42,9 +42,9 @@
 				}
 			}
 		})
-		s.at(s.now+time.Duration(s.rng.ExpFloat64()/(0.9*rate)*float64(time.Second)), arrive)
+		s.At(s.Now+time.Duration(s.rng.ExpFloat64()/(0.9*rate)*float64(time.Second)), arrive)
 	}
-	s.at(s.now, arrive)
+	s.At(s.Now, arrive)
 	s.run(start + skewTime)
 	r.messagesPerSecond = float64(s.messages) / skewTime.Seconds()
 	return r
@@ -55,11 +55,11 @@
 	switch {
 	case s.take(vm):
 		done(true)
-	case s.now-since >= 50*time.Millisecond:
+	case s.Now-since >= 50*time.Millisecond:
 		done(false)
 	default:
 		s.sendAsks(vm, vm.node.Short(vm.clock(s), acme, 1))
-		s.at(s.now+5*time.Millisecond, func() { s.attempt(vm, since, done) })
+		s.At(s.Now+5*time.Millisecond, func() { s.attempt(vm, since, done) })
 	}
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -40,8 +40,9 @@
 type Member = detector.Member
 
 // MaxPiggyback is the number of payload bytes of all kinds together that ride on
-// one detector message. It keeps the control traffic of a VM below 6 KB/s.
-const MaxPiggyback = 512
+// one detector message. A watcher sends and receives about 6 such messages a
+// second each, so its probes stay below 6 KB/s in total.
+const MaxPiggyback = 400
 
 // Mesh sends messages to other VMs and knows which are alive.
 type Mesh interface {
