--- a/internal/controller/groups/promote.go
+++ b/internal/controller/groups/promote.go
@@ -47,9 +47,6 @@
 	defer p.mu.Unlock()
 	event(p.machine, p.group.controller.options.Now())
 	p.publish()
-	for _, action := range p.machine.Take() {
-		p.carryOut(action)
-	}
 	for _, outcome := range p.machine.Outcomes() {
 		p.last = &outcome
 		p.group.controller.metrics.changed(outcome)
@@ -58,6 +55,9 @@
 			Str("reason", outcome.Reason).Dur("detection_ms", outcome.Detection).Dur("gap_ms", outcome.Total()).
 			Msg("primary changed")
 	}
+	for _, action := range p.machine.Take() {
+		p.carryOut(action)
+	}
 }
 
 // publish copies the record into the view of the data plane.
--- a/internal/controller/groups/router.go
+++ b/internal/controller/groups/router.go
@@ -29,19 +29,19 @@
 	if g == nil {
 		return request.Target{}, resultcode.New(resultcode.NoPrimary, "group %s is not configured", database)
 	}
-	if v := g.view.Load(); v != nil {
-		if i, ok := v.WritePrimary(); ok {
-			return c.target(v, i), nil
-		}
-	}
-	return c.waitPrimary(ctx, g)
+	return c.waitPrimary(ctx, g, ident.LogPoint{})
 }
 
-func (c *Controller) waitPrimary(ctx context.Context, g *groupState) (request.Target, error) {
+// waitPrimary waits for a primary that takes requests and satisfies point.
+func (c *Controller) waitPrimary(ctx context.Context, g *groupState, point ident.LogPoint) (request.Target, error) {
+	v := g.view.Load()
+	if i, ok := v.PrimaryFor(point); ok {
+		return c.target(v, i), nil
+	}
 	c.metrics.primaryWaits.Add(1)
 	var target request.Target
 	err := g.wait(ctx, func(v *routing.View) bool {
-		i, ok := v.WritePrimary()
+		i, ok := v.PrimaryFor(point)
 		if ok {
 			target = c.target(v, i)
 		}
@@ -121,6 +121,22 @@
 	return target, nil
 }
 
+// PrimaryFor returns the primary once it is proved to hold what the need asks for.
+// A transaction that reads before it writes uses it, because a former primary
+// refuses writes but not reads. The error carries NoPrimary.
+func (c *Controller) PrimaryFor(ctx context.Context, database ident.GroupName, need request.ReadNeed) (request.Target, error) {
+	g := c.group(database)
+	if g == nil {
+		return request.Target{}, resultcode.New(resultcode.NoPrimary, "group %s is not configured", database)
+	}
+	need.Strict = need.Strict || need.AcceptedAge > 0
+	point, err := c.readPoint(ctx, g, need)
+	if err != nil {
+		return request.Target{}, resultcode.Wrap(err, resultcode.NoPrimary, "group %s cannot prove a position", database)
+	}
+	return c.waitPrimary(ctx, g, point)
+}
+
 func (c *Controller) replica(v *routing.View, need routing.Need) (request.Target, bool) {
 	var now time.Duration
 	if need.Age > 0 {
