Let reads use the old primary while a planned move is under way

Cause: a move held reads back together with writes. Change: reads use ReadPrimary, which checks the term only. A stream that breaks is opened again at once only when it had lasted for StreamGap, so that a member that closes every stream causes no tight loop.

--- a/internal/controller/groups/router.go
+++ b/internal/controller/groups/router.go
@@ -108,7 +108,7 @@
 		return target, nil
 	}
 	err := g.wait(ctx, func(v *routing.View) bool {
-		if i, ok := v.PrimaryFor(point); ok {
+		if i, ok := v.ReadPrimary(point); ok {
 			target = c.target(v, i)
 			return true
 		}
--- a/internal/controller/groups/stream.go
+++ b/internal/controller/groups/stream.go
@@ -36,13 +36,14 @@
 
 func (s *stream) run() {
 	for s.ctx.Err() == nil {
-		lines, err := s.follow()
+		opened := s.group.controller.options.Now()
+		err := s.follow()
 		if s.ctx.Err() != nil {
 			return
 		}
 		s.broken(err)
-		if lines > 0 { // tells at once whether the process is gone
-			continue
+		if s.group.controller.options.Now()-opened >= StreamGap {
+			continue // tells at once whether the process is gone
 		}
 		select {
 		case <-s.ctx.Done():
@@ -52,13 +53,13 @@
 }
 
 // follow reads one stream until it breaks or pauses for longer than StreamGap.
-func (s *stream) follow() (lines int, err error) {
+func (s *stream) follow() error {
 	ctx, cancel := context.WithCancelCause(s.ctx)
 	defer cancel(nil)
 	s.last.Store(int64(s.group.controller.options.Now()))
 	watchdog := time.AfterFunc(StreamGap, func() { cancel(errSilent) })
 	defer watchdog.Stop()
-	err = s.agent.Stream(ctx, func(status group.Status) {
+	err := s.agent.Stream(ctx, func(status group.Status) {
 		now := s.group.controller.options.Now()
 		if gap := now - time.Duration(s.last.Swap(int64(now))); gap > StreamGap {
 			cancel(errSilent)
@@ -66,17 +67,16 @@
 		if ctx.Err() != nil {
 			return
 		}
-		lines++
 		watchdog.Reset(StreamGap)
 		s.received(status, now)
 	})
 	if cause := context.Cause(ctx); cause != nil {
-		return lines, cause
+		return cause
 	}
 	if err == nil {
 		err = io.EOF
 	}
-	return lines, err
+	return err
 }
 
 var errSilent = errors.New("member agent stream is silent")
--- a/internal/core/promotion/simread_test.go
+++ b/internal/core/promotion/simread_test.go
@@ -50,7 +50,7 @@
 	for _, r := range vm.reads {
 		i := vm.view.Replica(routing.Need{Point: r.point}, routing.Place{Zone: vm.zone}, nil, 0, vm.sim.now)
 		if i < 0 {
-			if p, ok := vm.view.PrimaryFor(r.point); ok {
+			if p, ok := vm.view.ReadPrimary(r.point); ok {
 				i = p
 			}
 		}
--- a/internal/core/routing/choose.go
+++ b/internal/core/routing/choose.go
@@ -81,6 +81,13 @@
 	return 2
 }
 
+// ReadPrimary is PrimaryFor for reads, which a planned move does not hold back: the
+// old primary of a move serves reads until a newer term is recorded.
+func (v *View) ReadPrimary(point ident.LogPoint) (int, bool) {
+	i := v.Primary
+	return i, i >= 0 && !v.Seen[i].Down && v.Seen[i].Status.Term >= point.Term
+}
+
 // PrimaryFor returns the primary when it holds every acknowledged entry up to
 // point, which holds when its term is not below the point's.
 func (v *View) PrimaryFor(point ident.LogPoint) (int, bool) {
