--- a/internal/filter/forward/answers.go
+++ b/internal/filter/forward/answers.go
@@ -23,6 +23,9 @@
 	pollInterval = 500 * time.Millisecond
 	// pollTimeout bounds that question.
 	pollTimeout = 50 * time.Millisecond
+	// pollsPerProbe is the number of poll intervals between probes of an upstream
+	// that runs a long read.
+	pollsPerProbe = 10
 	// minFrame is the smallest message in bytes.
 	minFrame = 5
 )
@@ -30,6 +33,9 @@
 // errReplaced reports that the upstream is no longer the primary.
 var errReplaced = errors.New("the upstream was replaced as primary")
 
+// errSilent reports that the upstream does not respond.
+var errSilent = errors.New("the upstream does not respond")
+
 // errFatal reports that the upstream ended the connection.
 var errFatal = errors.New("the upstream ended the connection")
 
@@ -43,8 +49,10 @@
 	for x.next < len(x.expect) {
 		e := &x.expect[x.next]
 		if e.isLocal {
-			if err := x.pass(e.local); err != nil {
-				return err
+			if !e.drop {
+				if err := x.pass(e.local); err != nil {
+					return err
+				}
 			}
 			x.next++
 			continue
@@ -67,18 +75,16 @@
 		if err := x.flushCaller(); err != nil {
 			return 0, 0, err
 		}
-		if x.r.Write || x.s.OnPrimary {
-			x.polling = true
-			_ = x.conn.SetReadDeadline(time.Now().Add(pollInterval))
-		}
+		x.polling = true
+		_ = x.conn.SetReadDeadline(time.Now().Add(pollInterval))
 	}
 	for {
 		kind, size, err := x.conn.R.Peek()
 		if err == nil || !isTimeout(err) {
 			return kind, size, err
 		}
-		if x.replaced() {
-			return 0, 0, errReplaced
+		if err := x.unanswered(); err != nil {
+			return 0, 0, err
 		}
 		_ = x.conn.SetReadDeadline(time.Now().Add(pollInterval))
 	}
@@ -104,6 +110,24 @@
 	return errors.Is(err, os.ErrDeadlineExceeded)
 }
 
+// unanswered decides whether to wait longer for an answer. On the primary only a
+// newer primary ends the wait, because before that the outcome could not be
+// resolved. A replica must respond to a probe.
+func (x *exchange) unanswered() error {
+	x.polls++
+	switch {
+	case x.s.OnPrimary:
+		if x.replaced() {
+			return errReplaced
+		}
+	case x.polls%pollsPerProbe == 2:
+		if !x.h.cfg.Pools.Responds(x.lease.Target()) {
+			return errSilent
+		}
+	}
+	return nil
+}
+
 // replaced asks whether the group has a newer primary than the connection's.
 func (x *exchange) replaced() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
@@ -136,6 +160,9 @@
 	case 'C':
 		return x.commandComplete(e)
 	case 'G':
+		if x.settingsErr != nil {
+			return x.settingsErr // the connection is closed, which ends the COPY
+		}
 		return x.copyIn(e)
 	}
 	if kind == 'D' && !e.drop && len(x.held) == 0 {
@@ -214,38 +241,47 @@
 	return nil
 }
 
-// parameter handles ParameterStatus. The parameters of the group stay here.
+// parameter handles ParameterStatus.
 func (x *exchange) parameter(e *expectation) error {
 	_, frame, err := x.conn.R.NextFrame()
 	if err != nil {
 		return err
 	}
+	own, err := x.noteParameter(frame)
+	switch {
+	case err != nil:
+		return err
+	case own || e.drop:
+		return nil
+	case len(x.held) > 0:
+		x.held = append(x.held, frame...)
+		return nil
+	}
+	return x.pass(frame)
+}
+
+// noteParameter records a ParameterStatus. It reports whether the parameter is one
+// of the group, which is not passed on.
+func (x *exchange) noteParameter(frame []byte) (own bool, err error) {
 	name, value, err := wire.Parameter(frame[minFrame:])
 	if err != nil {
-		return err
+		return false, err
 	}
 	switch name {
 	case "group_transaction":
 		x.lease.Transaction = value
-		return nil
+		return true, nil
 	case "group_term":
 		n, err := strconv.ParseUint(value, 10, 64)
 		x.term = ident.Term(n)
-		return err
+		return true, err
 	case "group_position":
 		n, err := strconv.ParseUint(value, 10, 64)
 		x.point = ident.LogPoint{Term: x.term, Position: ident.Position(n)}
-		return err
+		return true, err
 	}
 	x.conn.Params[name] = value
-	if e.drop {
-		return nil
-	}
-	if len(x.held) > 0 {
-		x.held = append(x.held, frame...)
-		return nil
-	}
-	return x.pass(frame)
+	return false, nil
 }
 
 // commandComplete holds the message back when it may acknowledge a commit.
@@ -307,6 +343,13 @@
 	if severity := wire.ErrorField(body, 'V'); severity == "FATAL" || severity == "PANIC" {
 		return errFatal
 	}
+	if e.settings || x.settingsErr != nil {
+		if e.settings {
+			x.dropAnswers(body)
+		}
+		x.skipAnswers()
+		return nil
+	}
 	if e.drop && e.kind == 'Q' && !x.commits { // BEGIN or ROLLBACK of the proxy
 		x.unsafe = true
 		return nil
@@ -327,10 +370,22 @@
 			return err
 		}
 	}
+	x.skipAnswers()
+	if x.needSync {
+		x.needSync = false
+		if err := x.flushCaller(); err != nil {
+			return err
+		}
+		return x.skipToSync()
+	}
+	return nil
+}
+
+// skipAnswers moves to the ReadyForQuery that follows an error.
+func (x *exchange) skipAnswers() {
 	for x.next < len(x.expect) && x.expect[x.next].kind != 'S' && x.expect[x.next].kind != 'Q' {
 		x.next++
 	}
-	return nil
 }
 
 // repeatable decides whether the request can be repeated after an error, which
@@ -381,6 +436,9 @@
 	}
 	x.status = body[0]
 	x.next++
+	if e.settings && x.settingsErr == nil {
+		x.s.Settings.MarkApplied(x.conn.Settings, !x.r.Write)
+	}
 	if !x.wrapped {
 		x.s.InTransaction = x.status != 'I'
 	}
--- a/internal/filter/forward/exchange.go
+++ b/internal/filter/forward/exchange.go
@@ -34,6 +34,8 @@
 	key   upstream.StatementKey
 	name  string
 	local []byte
+	// settings marks the statements that apply the session's settings.
+	settings bool
 	// isLocal says that no message was sent and local is the answer.
 	isLocal bool
 }
@@ -47,6 +49,9 @@
 	conn  *upstream.Conn
 	w     *wire.Writer
 	fresh bool
+	// onPrimary is the session's OnPrimary, also after the lease was returned.
+	onPrimary bool
+	finished  bool
 	// wrapped says that the proxy sent BEGIN and owes COMMIT.
 	wrapped bool
 	// unsafe says that a segment was sent whose effect may have been committed
@@ -79,8 +84,15 @@
 	statements []sqltext.Statement
 	retry      *filter.Retry
 	polling    bool
-	writeDone  chan error
-	broken     bool // the connection is out of step and must be closed
+	polls      int // poll intervals that passed without an answer
+	// settingsErr is the refusal of the session's settings.
+	settingsErr error
+	// needSync says that the upstream has ignored the Sync of the batch, because it
+	// was in COPY mode; early holds messages that came meanwhile.
+	needSync  bool
+	early     []byte
+	writeDone chan error
+	broken    bool // the connection is out of step and must be closed
 }
 
 var exchanges = sync.Pool{New: func() any { return new(exchange) }}
@@ -90,7 +102,8 @@
 	w := r.Session.Caller.Writer()
 	*x = exchange{
 		h: h, r: r, s: r.Session, lease: lease, conn: lease.Conn(), w: w, fresh: fresh,
-		mark: w.Sent(), pendingMark: w.Pending(), unnamed: lease.Conn().Unnamed,
+		onPrimary: r.Session.OnPrimary,
+		mark:      w.Sent(), pendingMark: w.Pending(), unnamed: lease.Conn().Unnamed,
 		out: x.out[:0], scratch: x.scratch[:0], expect: x.expect[:0], held: x.held[:0],
 	}
 	return x
@@ -113,6 +126,11 @@
 // run carries out all segments.
 func (x *exchange) run() error {
 	x.wrapped = x.wrappable()
+	if x.fresh {
+		if err := x.applySettings(); err != nil {
+			return err
+		}
+	}
 	if x.wrapped {
 		x.query(true, "BEGIN")
 	}
@@ -125,10 +143,13 @@
 		if err := x.segment(); err != nil {
 			return err
 		}
-		if x.errored {
+		if x.errored || x.settingsErr != nil {
 			break
 		}
 	}
+	if x.settingsErr != nil {
+		return x.settingsErr // the connection is closed, which ends BEGIN
+	}
 	if x.wrapped {
 		return x.commitWrapped()
 	}
@@ -248,12 +269,15 @@
 	if x.errored {
 		x.held = x.held[:0]
 	}
+	if x.status == 'I' && !x.r.OpenEnd && !x.point.IsZero() {
+		x.finish() // the connection and the slot serve others while the commit is confirmed
+	}
 	return x.releaseHeld()
 }
 
 // releaseHeld confirms a commit that is pending and passes on the held messages.
 func (x *exchange) releaseHeld() error {
-	if !x.point.IsZero() && x.s.OnPrimary {
+	if !x.point.IsZero() && x.onPrimary {
 		if err := x.confirm(); err != nil {
 			return err
 		}
@@ -274,6 +298,10 @@
 // finish ends the request: it returns the connection or keeps it for the open
 // transaction.
 func (x *exchange) finish() {
+	if x.finished {
+		return
+	}
+	x.finished = true
 	s := x.s
 	x.r.Failed = x.errored
 	x.r.Status = x.status
--- a/internal/frontend/simple.go
+++ b/internal/frontend/simple.go
@@ -94,6 +94,8 @@
 		switch {
 		case statement.Kind == sqltext.Unsupported:
 			return resultcode.New(resultcode.FeatureNotSupported, "%s", statement.Reason)
+		case statement.Kind == sqltext.Set && s.shared.Settings.Full():
+			return resultcode.New(resultcode.InvalidSetting, "too many session settings")
 		case len(list) > 1 && (isOwnSetting(statement) || statement.Kind == sqltext.Deallocate):
 			return resultcode.New(resultcode.FeatureNotSupported, "settings of the proxy and DEALLOCATE in a query of several statements")
 		}
@@ -121,6 +123,15 @@
 		all = parsedStatements(r.Ops)
 	}
 	r.Write = r.OpenEnd || !sqltext.ReadOnlyStatements(all)
+	r.Reads, r.Counted = r.OpenEnd, false
+	for _, statement := range all {
+		switch statement.Kind {
+		case sqltext.Read, sqltext.CopyOut, sqltext.Begin:
+			r.Reads, r.Counted = true, executes
+		case sqltext.Write, sqltext.CopyIn:
+			r.Counted = executes
+		}
+	}
 	r.Deadline = time.Now().Add(s.server.cfg.QueueTimeout)
 	r.Need = s.need(all)
 	if executes {
