Keep one PrimaryFor of the group controller

Change: the version that shares waitPrimary stays; it also proves a position when an accepted age is set.

--- a/internal/controller/groups/router.go
+++ b/internal/controller/groups/router.go
@@ -53,31 +53,6 @@
 	return target, nil
 }
 
-// PrimaryFor returns the primary once it satisfies the need, so that reads of a
-// transaction on it are as fresh as those of Read. The error carries NoPrimary.
-func (c *Controller) PrimaryFor(ctx context.Context, database ident.GroupName, need request.ReadNeed) (request.Target, error) {
-	g := c.group(database)
-	if g == nil {
-		return request.Target{}, resultcode.New(resultcode.NoPrimary, "group %s is not configured", database)
-	}
-	point, err := c.readPoint(ctx, g, need)
-	if err != nil {
-		return request.Target{}, resultcode.Wrap(err, resultcode.NoPrimary, "group %s cannot prove a position", database)
-	}
-	var target request.Target
-	err = g.wait(ctx, func(v *routing.View) bool {
-		i, ok := v.PrimaryFor(point)
-		if ok {
-			target = c.target(v, i)
-		}
-		return ok
-	})
-	if err != nil {
-		return request.Target{}, resultcode.Wrap(err, resultcode.NoPrimary, "group %s has no reachable primary that proves %s", g.name, point)
-	}
-	return target, nil
-}
-
 // Read implements request.Router.
 func (c *Controller) Read(ctx context.Context, database ident.GroupName, need request.ReadNeed) (request.Target, error) {
 	g := c.group(database)
