Refuse a write as not run when only former primaries answered

Change: route.refusal answers RW1010; the failover gap is reported for every group when a zone is cut off. Result: the new test fails without the change and passes with it.

--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -104,7 +104,9 @@
 		return err
 	}
 	var retry *filter.Retry
-	if errors.As(err, &retry) && retry.Answer != nil {
+	// The refusal of a member that was not the primary tells the caller nothing: to it
+	// the group has one address, and its statement may write.
+	if errors.As(err, &retry) && retry.Answer != nil && retry.Reason != filter.Refused {
 		return retry
 	}
 	if r.Write {
--- a/internal/frontend/outcome_test.go
+++ b/internal/frontend/outcome_test.go
@@ -257,6 +257,17 @@
 	}
 }
 
+// Guards against the 25006 of a former primary being passed on when no newer primary
+// is known before the deadline.
+func TestReadOnlyRefusalUntilTheDeadline(t *testing.T) {
+	r := newRig(t, true, func(cfg *Config) { cfg.QueueTimeout = 100 * time.Millisecond })
+	conn := r.connect("")
+	r.control.set(func() { r.control.primary = *r.control.replica })
+	_, err := conn.Exec(t.Context(), "INSERT a")
+	wantCode(t, err, "57P03", "RW1010")
+	assert.Equal(t, r.primary.count("INSERT"), 0)
+}
+
 // Guards against a lost read being answered with an error although another
 // upstream could serve it, and against half answers passed off as complete.
 func TestBrokenReads(t *testing.T) {
--- a/internal/load/parse.go
+++ b/internal/load/parse.go
@@ -15,7 +15,7 @@
 
 // Defaults of a scenario.
 const (
-	defaultSessions = 12
+	defaultSessions = 6
 	defaultSettle   = 3 * time.Second
 	defaultLoad     = 0.3
 	defaultWrites   = 0.25
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -82,7 +82,11 @@
 func gapNote(r *Result) string {
 	var notes []string
 	for _, gap := range r.Measures.FailoverGaps {
-		notes = append(notes, fmt.Sprintf("%s: detected after %.0f ms", gap.Fault, gap.DetectionMS))
+		note := fmt.Sprintf("%s %s %.0f ms", gap.Fault, gap.Group, gap.GapMS)
+		if !math.IsNaN(gap.DetectionMS) {
+			note += fmt.Sprintf(" (detection %.0f)", gap.DetectionMS)
+		}
+		notes = append(notes, note)
 	}
 	return strings.Join(notes, "; ")
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -282,14 +282,14 @@
 	}
 	var sessions []*session
 	for _, o := range r.config.Organisations {
-		for i := range r.scenario.sessionsOf(o.Name) {
+		for i := range r.scenario.sessionsOf(o) {
 			number := len(sessions) + 1
 			s := &session{
 				run: r, number: number, organisation: o.Name, group: r.config.Databases[number%len(r.config.Databases)],
 				key: "main", secret: fleet.Key(o.Name),
 				random: rand.New(rand.NewPCG(r.options.Seed, uint64(number))),
 			}
-			s.carriesToken = float64(i) < r.scenario.Token*float64(r.scenario.sessionsOf(o.Name))
+			s.carriesToken = float64(i) < r.scenario.Token*float64(r.scenario.sessionsOf(o))
 			if withdrawn[o.Name] && i%2 == 1 {
 				s.key, s.secret = secondKey, secondSecret(o.Name)
 			}
