Tell doubled and late answers from those of the next request

Each segment now begins with one to three Close messages, whose number differs from that of the segment before, and a connection with another number of answers is closed.

--- a/internal/filter/errors.go
+++ b/internal/filter/errors.go
@@ -19,6 +19,9 @@
 	NotSent Reason = iota
 	// Refused means that the upstream refused the request as a read-only member.
 	Refused
+	// Stale means that the connection held the answer of an earlier request. It was
+	// closed, and what reached the upstream cannot have had an effect.
+	Stale
 	// Serialization means that the upstream rolled the transaction back with 40001.
 	Serialization
 )
--- a/internal/filter/forward/answers.go
+++ b/internal/filter/forward/answers.go
@@ -23,10 +23,8 @@
 	for x.next < len(x.expect) {
 		e := &x.expect[x.next]
 		if e.isLocal {
-			if !e.drop {
-				if err := x.pass(e.local); err != nil {
-					return err
-				}
+			if err := x.passLocal(e); err != nil {
+				return err
 			}
 			x.next++
 			continue
@@ -42,11 +40,31 @@
 	return nil
 }
 
+// passLocal writes an answer of the proxy. Before the first answer of the upstream
+// it stays in the buffer, so that the request can still be repeated.
+func (x *exchange) passLocal(e *expectation) error {
+	if e.drop {
+		return nil
+	}
+	if !x.answered && x.w.Pending() == x.pendingMark {
+		if err := x.flushCaller(); err != nil {
+			return err
+		}
+	}
+	answered := x.answered
+	err := x.pass(e.local)
+	x.answered = answered
+	return err
+}
+
 // message handles one message of the upstream.
 func (x *exchange) message(e *expectation, kind byte, size int) error {
 	if x.conn.R.Buffered() < minFrame+size {
 		x.stopPolling() // the message has begun to arrive and is read without a bound
 	}
+	if e.marker > 0 {
+		return x.markerAnswer(e, kind)
+	}
 	switch kind {
 	case 'S':
 		return x.parameter(e)
@@ -114,6 +132,7 @@
 			return err
 		}
 	}
+	x.answered = true
 	if err := x.conn.R.Forward(x.w); err != nil {
 		if x.w.Err() != nil {
 			return &filter.Lost{Cause: err}
@@ -125,6 +144,7 @@
 
 // rows passes the rows on that are in the buffer.
 func (x *exchange) rows() error {
+	x.answered = true
 	if err := x.conn.R.ForwardRun(x.w, 'D'); err != nil {
 		if x.w.Err() != nil {
 			return &filter.Lost{Cause: err}
@@ -141,6 +161,7 @@
 			return err
 		}
 	}
+	x.answered = true
 	if _, err := x.w.Write(frame); err != nil {
 		return &filter.Lost{Cause: err}
 	}
--- a/internal/filter/forward/errors.go
+++ b/internal/filter/forward/errors.go
@@ -16,7 +16,7 @@
 	}
 	body := frame[minFrame:]
 	code := wire.ErrorField(body, 'C')
-	if severity := wire.ErrorField(body, 'V'); severity == "FATAL" || severity == "PANIC" {
+	if fatal(body) {
 		return errFatal
 	}
 	if x.ownError(e, body, code) {
--- a/internal/filter/forward/exchange.go
+++ b/internal/filter/forward/exchange.go
@@ -36,6 +36,9 @@
 	local []byte
 	// settings marks the statements that apply the session's settings.
 	settings bool
+	// marker is the number of CloseComplete messages that the marker of the segment
+	// still has to get.
+	marker int
 	// tag is the CommandComplete that a query of the proxy must get.
 	tag string
 	// begin marks the BEGIN that the caller has sent before.
@@ -53,6 +56,8 @@
 	conn  *upstream.Conn
 	w     *wire.Writer
 	fresh bool
+	// answered says that a message of the upstream was passed on.
+	answered bool
 	// onPrimary is the session's OnPrimary, also after the lease was returned.
 	onPrimary bool
 	finished  bool
@@ -198,7 +203,7 @@
 	if err := x.send(); err != nil {
 		// The upstream cannot have run an incomplete message. Without the final
 		// Sync nothing is committed except by a COMMIT inside the segment.
-		x.unsafe = x.commits && len(x.expect) > 1
+		x.unsafe = x.commits && len(x.expect) > 2 // the marker and a single Query
 		return err
 	}
 	err := x.answers()
--- /dev/null
+++ b/internal/filter/forward/marker.go
@@ -0,0 +1,61 @@
+package forward
+
+import (
+	"bytes"
+	"errors"
+
+	"github.com/rosemarywall/rosemarywall/internal/upstream"
+	"github.com/rosemarywall/rosemarywall/internal/wire"
+)
+
+// An answer that the upstream sends twice, or late, looks like the answer to the
+// next request. So each segment begins with one to three Close messages for a
+// statement that does not exist, one more or fewer than the segment before, which
+// the upstream answers with as many CloseComplete. An old answer begins with
+// another number of them. The messages need no parsing and no exchange of their
+// own.
+
+// errStale reports the answer of an earlier request.
+var errStale = errors.New("the connection held an answer of an earlier request")
+
+// closeNothing closes a prepared statement whose name is never used.
+var closeNothing = []byte{'C', 0, 0, 0, 8, 'S', 'r', 'w', 0}
+
+// markers are the Close messages by their number.
+var markers = func() (out [upstream.Markers + 1][]byte) {
+	for n := range out {
+		out[n] = bytes.Repeat(closeNothing, n)
+	}
+	return out
+}()
+
+// markerAnswer handles a message while CloseComplete messages of the marker are
+// still to come.
+func (x *exchange) markerAnswer(e *expectation, kind byte) error {
+	switch kind {
+	case '3':
+		if e.marker--; e.marker == 0 {
+			x.next++
+		}
+		return x.conn.R.Skip()
+	case 'N', 'A':
+		return x.conn.R.Skip()
+	case 'S':
+		return x.parameter(e)
+	case 'E':
+		_, body, err := x.conn.R.Next()
+		if err != nil {
+			return err
+		}
+		if fatal(body) {
+			return errFatal
+		}
+	}
+	return errStale
+}
+
+// fatal reports whether an ErrorResponse ends the connection.
+func fatal(body []byte) bool {
+	severity := wire.ErrorField(body, 'V')
+	return severity == "FATAL" || severity == "PANIC"
+}
--- a/internal/filter/forward/plan.go
+++ b/internal/filter/forward/plan.go
@@ -106,7 +106,15 @@
 	return append(append(frame, text...), 0)
 }
 
-func (x *exchange) emit(frame []byte) { x.out = append(x.out, frame) }
+// emit adds a message to the segment, which begins with a marker.
+func (x *exchange) emit(frame []byte) {
+	if len(x.out) == 0 && !x.s.Unsynced {
+		n := x.conn.NextMarker()
+		x.out = append(x.out, markers[n])
+		x.expect = append(x.expect, expectation{kind: 'C', drop: true, marker: n})
+	}
+	x.out = append(x.out, frame)
+}
 
 // planOp sends one message of the extended protocol.
 func (x *exchange) planOp(op *filter.Op) {
--- a/internal/filter/forward/resolve.go
+++ b/internal/filter/forward/resolve.go
@@ -194,6 +194,9 @@
 		return nil
 	case x.fresh && !x.effect && !x.r.OpenEnd && !x.passed():
 		x.w.Truncate(x.pendingMark)
+		if errors.Is(cause, errStale) {
+			return &filter.Retry{Reason: filter.Stale, Cause: cause}
+		}
 		return &filter.Retry{Reason: filter.NotSent, Cause: cause}
 	}
 	x.h.cfg.Router.ReportFailure(x.lease.Target(), cause)
--- a/internal/filter/forward/wait.go
+++ b/internal/filter/forward/wait.go
@@ -68,10 +68,10 @@
 // flushCaller sends what was written to the caller, which may be answers of
 // earlier requests only.
 func (x *exchange) flushCaller() error {
-	if x.w.Pending() == 0 {
+	earlier := !x.passed() && x.w.Pending() == x.pendingMark
+	if x.w.Pending() == 0 || !earlier && !x.answered {
 		return nil
 	}
-	earlier := !x.passed() && x.w.Pending() == x.pendingMark
 	if err := x.w.Flush(); err != nil {
 		return &filter.Lost{Cause: err}
 	}
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -71,6 +71,12 @@
 			r.Write = true
 			continue
 		}
+		if retry.Reason == filter.Stale {
+			if ctx.Err() != nil {
+				return refusal(ctx, r, retry)
+			}
+			continue
+		}
 		if retry.Reason == filter.Serialization {
 			if serializations++; serializations >= serializationAttempts {
 				return retry
--- a/internal/frontend/doc.go
+++ b/internal/frontend/doc.go
@@ -9,6 +9,8 @@
 //   - After an error in the extended protocol, messages are discarded until Sync.
 //   - A transaction that the proxy had to give up is rolled back at the upstream;
 //     the caller sees state 'E' until it sends ROLLBACK or COMMIT.
+//   - A BEGIN that is certain to succeed is answered at once and sent with the first
+//     statement of its block.
 //   - A batch that holds a refused statement does not run at all.
 //   - An idle caller holds a read buffer of 512 bytes and no write buffer.
 //   - No error, log line or dump holds a key, a password or a part of a statement.
--- a/internal/frontend/standin_test.go
+++ b/internal/frontend/standin_test.go
@@ -249,6 +249,7 @@
 		"primary killed":  func(s *system, wait func(int)) { wait(100); s.Groups["deckbook"].Member("a").Kill(); wait(100) },
 		"primary paused":  func(s *system, wait func(int)) { wait(100); s.Groups["deckbook"].Member("a").Pause(); wait(100) },
 		"answers lost":    faults(member.CloseBeforeAnswer),
+		"answers doubled": faults(member.DuplicateAnswer),
 		"answers delayed": faults(member.DelayAnswer, member.CloseBeforeAnswer),
 	} {
 		t.Run(name, func(t *testing.T) { writeUnder(t, disturb) })
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -39,6 +39,7 @@
 	prepared map[StatementKey]string
 	sequence int
 	stale    bool
+	marker   int
 
 	pid        uint32
 	secret     []byte
@@ -62,6 +63,16 @@
 	return "rw" + strconv.Itoa(c.sequence)
 }
 
+// Markers is the number of different markers of requests; see NextMarker.
+const Markers = 3
+
+// NextMarker returns a number from 1 to Markers that differs from that of the
+// request before on this connection.
+func (c *Conn) NextMarker() int {
+	c.marker = c.marker%Markers + 1
+	return c.marker
+}
+
 // SetPrepared records that the upstream has prepared the statement.
 func (c *Conn) SetPrepared(key StatementKey, name string) { c.prepared[key] = name }
 
