--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Runs every check: formatter, linter, build and tests with the race detector.
-.PHONY: test check build bench model
+.PHONY: test check build model bench
 test: check build model
 	go test -race -timeout 20m ./...
 
--- a/specs/run.sh
+++ b/specs/run.sh
@@ -7,7 +7,8 @@
 specs=${*:-*.pml}
 
 if ! command -v spin >/dev/null; then
-	apt-get install -y spin >/dev/null || { echo "specs: spin is missing and cannot be installed" >&2; exit 1; }
+	{ apt-get install -y spin || { apt-get update && apt-get install -y spin; }; } >/dev/null 2>&1 ||
+		{ echo "specs: spin is missing and cannot be installed" >&2; exit 1; }
 fi
 
 work=$(mktemp -d)
