Pass group objects of the platform's watch to the group controller

Cause: a VM without the record of a promotion learned it only from the proposer's message or its own failed update. Change: the zone's watchers watch group objects in the same call and relay them.

--- a/internal/controller/configuration/controller.go
+++ b/internal/controller/configuration/controller.go
@@ -24,7 +24,7 @@
 	Now() time.Duration
 }
 
-// Options are the parts that a Controller uses. All but Log are needed.
+// Options are the parts that a Controller uses. All but OnGroup and Log are needed.
 type Options struct {
 	Mesh     peer.Mesh
 	Platform platform.Client
@@ -34,7 +34,10 @@
 	Seed uint64
 	// ShareTable returns the VMs that a share-table object lists.
 	ShareTable func(value json.RawMessage) ([]ident.VMName, error)
-	Log        zerolog.Logger
+	// OnGroup is given the group objects that the platform's watch shows while this
+	// VM is a watcher; nil ignores them.
+	OnGroup func(platform.Object)
+	Log     zerolog.Logger
 }
 
 // Controller keeps the configuration of this VM current and proves that it is.
@@ -45,6 +48,7 @@
 	clock      Clock
 	writer     *platform.Writer
 	shareTable func(json.RawMessage) ([]ident.VMName, error)
+	onGroup    func(platform.Object)
 	log        zerolog.Logger
 	ramp       ramp
 	snapshot   atomic.Pointer[snapshot]
@@ -81,7 +85,7 @@
 func New(o Options) *Controller {
 	self := o.Mesh.Self()
 	c := &Controller{
-		mesh: o.Mesh, platform: o.Platform, clock: o.Clock, writer: o.Writer, shareTable: o.ShareTable, log: o.Log,
+		mesh: o.Mesh, platform: o.Platform, clock: o.Clock, writer: o.Writer, shareTable: o.ShareTable, onGroup: o.OnGroup, log: o.Log,
 		vars:     new(expvar.Map).Init(),
 		core:     freshness.New(self.Name, self.Zone, self.Incarnation),
 		random:   rand.New(rand.NewPCG(o.Seed, 1)),
--- a/internal/controller/configuration/watch.go
+++ b/internal/controller/configuration/watch.go
@@ -25,7 +25,9 @@
 	directInterval = 10 * time.Second
 )
 
-var watchedKinds = []platform.Kind{platform.KindConfiguration, platform.KindZoneAck, platform.KindShareTable}
+// watchedKinds are the kinds of one watch. Group objects share it, because every
+// waiting watch counts as a call.
+var watchedKinds = []platform.Kind{platform.KindConfiguration, platform.KindZoneAck, platform.KindShareTable, platform.KindGroup}
 
 // Names of the objects of kind configuration.
 const (
@@ -137,6 +139,11 @@
 	if err != nil {
 		return 0, err
 	}
+	for _, object := range changes.Objects {
+		if object.Kind == platform.KindGroup && c.onGroup != nil {
+			c.onGroup(object)
+		}
+	}
 	return max(after, changes.Version), c.takeObjects(changes.Objects, at)
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -126,6 +126,7 @@
 		Mesh: v.mesh, Platform: v.platform, Clock: v.clock,
 		Writer: platform.NewWriter(fmt.Sprintf("%s-%d", s.VM.Name, v.cfg.Incarnation), seed),
 		Seed:   seed, ShareTable: shareTableVMs, Log: v.log,
+		OnGroup: func(o platform.Object) { v.groups.Observe(o) },
 	})
 	v.shares = sharecontroller.New(sharecontroller.Config{
 		Mesh: v.mesh, Platform: v.platform, Source: v.configs, Log: v.log, Seed: seed,
