--- a/internal/core/detector/property_test.go
+++ b/internal/core/detector/property_test.go
@@ -8,6 +8,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	_ "github.com/rosemarywall/rosemarywall/internal/fixedseed" // repeatable property tests
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 )
 
--- a/internal/core/promotion/machine_test.go
+++ b/internal/core/promotion/machine_test.go
@@ -9,6 +9,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/rosemarywall/rosemarywall/internal/core/routing"
+	_ "github.com/rosemarywall/rosemarywall/internal/fixedseed" // repeatable property tests
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 )
 
--- a/internal/core/queue/queue_test.go
+++ b/internal/core/queue/queue_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	_ "github.com/rosemarywall/rosemarywall/internal/fixedseed" // repeatable property tests
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
--- a/internal/core/routing/index_test.go
+++ b/internal/core/routing/index_test.go
@@ -6,6 +6,8 @@
 
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
+
+	_ "github.com/rosemarywall/rosemarywall/internal/fixedseed" // repeatable property tests
 )
 
 // Guards against a read that shares a round which started before the read arrived,
