--- a/internal/controller/configuration/controller.go
+++ b/internal/controller/configuration/controller.go
@@ -56,6 +56,7 @@
 	mu        sync.Mutex // guards all fields below
 	core      *freshness.State
 	random    *rand.Rand
+	contacts  [randomContacts]ident.VMName
 	current   *view
 	held      *view
 	known     proposal // the highest proposal known
--- a/internal/controller/configuration/exchange.go
+++ b/internal/controller/configuration/exchange.go
@@ -1,7 +1,9 @@
 package configcontroller
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/core/freshness"
@@ -16,6 +18,12 @@
 	// attestAfter is the age of the newest platform reading at which watchers start
 	// to collect attestations. Two watches of watchTime fit into it.
 	attestAfter = 1200 * time.Millisecond
+	// randomContacts is the number of VMs among which a VM draws the one that it asks
+	// beside its watchers. Asking any VM of 3,700 would open about four connections a
+	// second and keep thousands of them until they are idle.
+	randomContacts = 16
+	// contactDraws is the mean number of questions after which a contact is replaced.
+	contactDraws = 80
 )
 
 // exchange asks other VMs regularly. Every VM asks the watchers of its zone and one
@@ -48,7 +56,7 @@
 	_, watcher := c.rank()
 	c.mu.Lock()
 	if len(members) > 0 {
-		choose(members[c.random.IntN(len(members))])
+		choose(c.contact(members))
 	}
 	stale := c.clock.Now()-c.core.LastReading().At > attestAfter
 	qualified := c.core.Qualified()
@@ -69,6 +77,22 @@
 	return targets
 }
 
+// contact draws the VM to ask among a few that change slowly. The caller holds the lock.
+func (c *Controller) contact(members []peer.Member) peer.Member {
+	if len(members) <= randomContacts {
+		return members[c.random.IntN(len(members))]
+	}
+	name := &c.contacts[c.random.IntN(randomContacts)]
+	at, known := slices.BinarySearchFunc(members, *name, func(m peer.Member, name ident.VMName) int {
+		return cmp.Compare(m.Name, name)
+	})
+	if !known || members[at].State != peer.Alive || c.random.IntN(contactDraws) == 0 {
+		at = c.random.IntN(len(members))
+		*name = members[at].Name
+	}
+	return members[at]
+}
+
 // acknowledged reports whether a majority of the own zone has acknowledged the
 // known proposal. The caller holds the lock.
 func (c *Controller) acknowledged() (ballot, uint64, bool) {
--- /dev/null
+++ b/internal/controller/groups/follow_test.go
@@ -0,0 +1,155 @@
+package groupcontroller
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/peer"
+	"github.com/rosemarywall/rosemarywall/internal/platform"
+)
+
+// followFleet starts six VMs in three zones that follow groups on demand. The
+// configuration has the group of f and one that is withdrawn before the end.
+func followFleet(t *testing.T, f *fakeGroup, test func(fleet []*Controller)) {
+	conf := testConfiguration(nil)
+	network, store := &fakeNetwork{}, &fakePlatform{objects: map[string]platform.Object{}}
+	source := &fakeSource{current: conf}
+	conf.Databases["other"] = configuration.Database{}
+	var fleet []*Controller
+	for i := range 6 {
+		zone := ident.AvailabilityZone([]string{"za", "zb", "zc"}[i%3])
+		fleet = append(fleet, New(Options{
+			Mesh: network.join(ident.VMName(fmt.Sprint("vm", i)), zone), Platform: store, Configuration: source,
+			NewAgent: f.factory, Log: zerolog.Nop(), FollowAll: 1,
+		}))
+	}
+	for _, c := range fleet {
+		c.Start()
+	}
+	time.Sleep(time.Second)
+	test(fleet)
+	for _, c := range fleet {
+		c.Stop()
+	}
+}
+
+// following returns the VMs that follow the test group, with their zones.
+func following(fleet []*Controller) (vms []*Controller, zones map[ident.AvailabilityZone]bool) {
+	zones = map[ident.AvailabilityZone]bool{}
+	for _, c := range fleet {
+		if c.group(testGroup) != nil {
+			vms = append(vms, c)
+			zones[c.self.Zone] = true
+		}
+	}
+	return vms, zones
+}
+
+// other returns a VM that does not follow the test group.
+func other(fleet []*Controller) *Controller {
+	for _, c := range fleet {
+		if c.group(testGroup) == nil {
+			return c
+		}
+	}
+	return nil
+}
+
+// Guards against a group without witnesses in different zones, against a VM that
+// cannot serve a group that it did not follow, and against streams that are kept
+// after the last request or dropped while requests come.
+func TestFollowOnDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		followFleet(t, newFakeGroup(), func(fleet []*Controller) {
+			vms, zones := following(fleet)
+			assert.Equal(t, len(vms), standingFollowers)
+			assert.Equal(t, len(zones), standingFollowers)
+			c := other(fleet)
+			for range 4 { // one request in each 40 s keeps the group
+				target, err := c.Primary(within(t, time.Second), testGroup)
+				assert.NilError(t, err)
+				assert.Equal(t, target.Upstream, ident.UpstreamName("a"))
+				assert.NilError(t, c.Confirm(within(t, time.Second), target, at(1, 1)))
+				time.Sleep(40 * time.Second)
+			}
+			g := c.group(testGroup)
+			assert.Assert(t, g != nil)
+			time.Sleep(idleFollow + followSweep + dropGrace)
+			assert.Assert(t, c.group(testGroup) == nil)
+			assert.Assert(t, g.ctx.Err() != nil, "streams are still open")
+			vms, _ = following(fleet)
+			assert.Equal(t, len(vms), standingFollowers)
+		})
+	})
+}
+
+// Guards against a dead primary that is not replaced within the target, or replaced
+// twice, when only some VMs follow its group, and against a VM with requests that
+// does not learn the new one.
+func TestFailoverOnDemand(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeGroup()
+		followFleet(t, f, func(fleet []*Controller) {
+			c := other(fleet)
+			_, err := c.Primary(within(t, time.Second), testGroup)
+			assert.NilError(t, err)
+			f.moveTo("c", at(1, 9), at(1, 9))
+			synctest.Wait()
+			f.change("a", func(m *fakeMember) { m.refuse = true })
+			time.Sleep(time.Second)
+			vms, _ := following(fleet)
+			assert.Equal(t, len(vms), standingFollowers+1)
+			for _, vm := range vms {
+				target, err := vm.Primary(within(t, time.Millisecond), testGroup)
+				assert.NilError(t, err)
+				assert.Equal(t, target.Upstream, ident.UpstreamName("c"))
+				assert.Equal(t, target.Term, ident.Term(2))
+			}
+			unplanned, _ := promotions(fleet)
+			assert.Equal(t, unplanned, int64(1))
+		})
+	})
+}
+
+// Guards against standing followers that differ between views of equal content, and
+// against a VM that carries far more than its part of the groups.
+func TestStandingFollowersAreSpread(t *testing.T) {
+	network := &fakeNetwork{}
+	for i := range 60 {
+		network.join(ident.VMName(fmt.Sprintf("vm%02d", i)), ident.AvailabilityZone(fmt.Sprint("z", i%6)))
+	}
+	members := network.meshes[0].Members()
+	p := newPlacement(members)
+	const groups = 2000
+	load := map[ident.VMName]int{}
+	for i := range groups {
+		name := ident.GroupName(fmt.Sprint("group-", i))
+		vms := p.standing(name)
+		assert.Equal(t, len(vms), standingFollowers)
+		zones := map[ident.AvailabilityZone]bool{}
+		for _, vm := range vms {
+			zones[vm.Zone] = true
+			load[vm.Name]++
+		}
+		assert.Equal(t, len(zones), standingFollowers)
+		for _, m := range members {
+			assert.Equal(t, p.follows(m, name), containsMember(vms, m.Name))
+		}
+	}
+	for _, m := range members {
+		mean := groups * standingFollowers / len(members)
+		assert.Assert(t, load[m.Name] > mean/2 && load[m.Name] < 2*mean, "%s follows %d", m.Name, load[m.Name])
+	}
+}
+
+func containsMember(vms []peer.Member, name ident.VMName) bool {
+	return slices.ContainsFunc(vms, func(m peer.Member) bool { return m.Name == name })
+}
--- a/internal/controller/groups/group.go
+++ b/internal/controller/groups/group.go
@@ -5,6 +5,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/core/routing"
 	"github.com/rosemarywall/rosemarywall/internal/group"
@@ -21,6 +22,8 @@
 	promoter   *promoter
 	ctx        context.Context
 	cancel     context.CancelFunc
+	used       atomic.Bool   // by a request since the last sweep
+	idleSince  time.Duration // guarded by the controller's configuring
 
 	mu      sync.Mutex
 	waiters []*waiter
@@ -47,7 +50,7 @@
 	if !slices.Equal(g.view.Load().Members, members) {
 		g.update(func(v *routing.View) *routing.View { return v.WithMembers(members) })
 	}
-	g.promoter.configure(members, g.controller.options.Mesh.Members())
+	g.promoter.configure(members)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	wanted := map[ident.UpstreamName]bool{}
@@ -71,6 +74,22 @@
 
 func (g *groupState) stop() { g.cancel() }
 
+// stopAfter stops after d or when the controller stops.
+func (g *groupState) stopAfter(d time.Duration) {
+	select {
+	case <-g.ctx.Done():
+	case <-time.After(d):
+	}
+	g.stop()
+}
+
+// waiting reports whether requests wait for a change of the view.
+func (g *groupState) waiting() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.waiters) > 0
+}
+
 // agent returns the agent client of a member, nil when it is not configured.
 func (g *groupState) agent(name ident.UpstreamName) group.Agent {
 	g.mu.Lock()
--- a/internal/controller/groups/object.go
+++ b/internal/controller/groups/object.go
@@ -157,7 +157,9 @@
 }
 
 func (c *Controller) toMachine(name ident.GroupName, event func(*promotion.Machine, time.Duration)) {
-	if g := c.group(name); g != nil {
+	// A question reaches a VM that another one takes for a follower; it becomes one,
+	// and has evidence of its own when the question is repeated.
+	if g := c.demand(name); g != nil {
 		g.promoter.drive(event)
 	}
 }
--- a/internal/controller/groups/options.go
+++ b/internal/controller/groups/options.go
@@ -51,7 +51,10 @@
 	Now func() time.Duration
 	// ReadWait is how long a read waits for a replica; zero means DefaultReadWait.
 	ReadWait time.Duration
-	Log      zerolog.Logger
+	// FollowAll is the number of groups up to which every VM follows all groups; zero
+	// means DefaultFollowAll.
+	FollowAll int
+	Log       zerolog.Logger
 }
 
 // Controller follows the groups of the configuration. It implements
@@ -65,6 +68,10 @@
 	turn    atomic.Uint64
 	metrics metrics
 
+	placing   sync.Mutex // guards view and placement
+	view      []peer.Member
+	placement placement
+
 	configuring sync.Mutex
 	started     bool
 	stopped     bool
@@ -87,6 +94,9 @@
 	if options.ReadWait == 0 {
 		options.ReadWait = DefaultReadWait
 	}
+	if options.FollowAll == 0 {
+		options.FollowAll = DefaultFollowAll
+	}
 	c := &Controller{options: options, self: options.Mesh.Self()}
 	c.groups.Store(&map[ident.GroupName]*groupState{})
 	c.place.Store(&routing.Place{Zone: c.self.Zone})
@@ -105,6 +115,7 @@
 	c.configuring.Unlock()
 	c.configure(c.options.Configuration.Current())
 	c.spawn(func() { c.list(c.ctx) })
+	c.spawn(func() { c.sweep(c.ctx) })
 }
 
 // spawn runs a function that Stop waits for; after Stop it runs nothing.
@@ -139,11 +150,29 @@
 		}
 	}
 	c.live.Store(int64(max(1, live)))
+	if c.onDemand(c.options.Configuration.Current()) {
+		c.spawn(c.refollow) // the mesh may hold its own lock
+		return
+	}
 	for _, g := range *c.groups.Load() {
-		g.promoter.configure(g.view.Load().Members, members)
+		g.promoter.configure(g.view.Load().Members)
 	}
 }
 
+// refollow applies a changed view while groups are followed on demand.
+func (c *Controller) refollow() {
+	c.configuring.Lock()
+	defer c.configuring.Unlock()
+	conf := c.options.Configuration.Current()
+	if !c.started || c.stopped || !c.onDemand(conf) {
+		return
+	}
+	for _, g := range *c.groups.Load() {
+		g.promoter.configure(g.view.Load().Members)
+	}
+	c.followStanding(conf)
+}
+
 // configure applies a configuration: new groups are followed, removed ones are
 // left, and changed members are replaced.
 func (c *Controller) configure(conf *configuration.Configuration) {
@@ -154,18 +183,24 @@
 	}
 	c.place.Store(&routing.Place{Zone: c.self.Zone, Region: conf.Zones[c.self.Zone].Region})
 	old := *c.groups.Load()
-	next := make(map[ident.GroupName]*groupState, len(conf.Databases))
+	next := make(map[ident.GroupName]*groupState, len(old))
+	all := !c.onDemand(conf)
 	for name, database := range conf.Databases {
-		members := membersOf(conf, database)
 		g, ok := old[name]
-		if !ok {
-			g = newGroup(c, name, members)
-			c.spawn(g.promoter.run)
+		switch {
+		case ok:
+			g.configure(membersOf(conf, database))
+		case all:
+			g = c.start(name, membersOf(conf, database))
+		default:
+			continue
 		}
-		g.configure(members)
 		next[name] = g
 	}
 	c.groups.Store(&next)
+	if !all {
+		c.followStanding(conf)
+	}
 	for name, g := range old {
 		if _, ok := next[name]; !ok {
 			g.stop()
--- a/internal/controller/groups/promote.go
+++ b/internal/controller/groups/promote.go
@@ -11,7 +11,6 @@
 	"github.com/rosemarywall/rosemarywall/internal/core/routing"
 	"github.com/rosemarywall/rosemarywall/internal/group"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
-	"github.com/rosemarywall/rosemarywall/internal/peer"
 )
 
 // Time bounds of the promotion's calls and ticks.
@@ -71,18 +70,13 @@
 	p.group.update(func(v *routing.View) *routing.View { return v.WithRecord(record).WithHeld(held) })
 }
 
-// configure passes the members and the live VMs to the machine.
-func (p *promoter) configure(members []routing.Member, mesh []peer.Member) {
+// configure passes the members and the VMs that follow the group to the machine.
+func (p *promoter) configure(members []routing.Member) {
 	list := make([]promotion.Member, 0, len(members))
 	for _, m := range members {
 		list = append(list, promotion.Member{Upstream: m.Upstream, Zone: m.Zone, Region: m.Region, Usable: m.Usable})
 	}
-	var vms []promotion.VM
-	for _, vm := range mesh {
-		if vm.State == peer.Alive || vm.State == peer.Suspect {
-			vms = append(vms, promotion.VM{Name: vm.Name, Zone: vm.Zone})
-		}
-	}
+	vms := p.group.controller.followers(p.group.name)
 	p.drive(func(m *promotion.Machine, now time.Duration) { m.Configure(now, list, vms) })
 }
 
--- a/internal/controller/groups/router.go
+++ b/internal/controller/groups/router.go
@@ -25,7 +25,7 @@
 
 // Primary implements request.Router.
 func (c *Controller) Primary(ctx context.Context, database ident.GroupName) (request.Target, error) {
-	g := c.group(database)
+	g := c.demand(database)
 	if g == nil {
 		return request.Target{}, resultcode.New(resultcode.NoPrimary, "group %s is not configured", database)
 	}
@@ -55,7 +55,7 @@
 
 // Read implements request.Router.
 func (c *Controller) Read(ctx context.Context, database ident.GroupName, need request.ReadNeed) (request.Target, error) {
-	g := c.group(database)
+	g := c.demand(database)
 	if g == nil {
 		return request.Target{}, resultcode.New(resultcode.NoUpstream, "group %s is not configured", database)
 	}
@@ -135,7 +135,7 @@
 
 // Confirm implements request.Router.
 func (c *Controller) Confirm(ctx context.Context, target request.Target, point ident.LogPoint) error {
-	g := c.group(target.Group)
+	g := c.demand(target.Group)
 	if g == nil {
 		return resultcode.New(resultcode.OutcomeUnknown, "group %s is not configured", target.Group)
 	}
@@ -185,7 +185,7 @@
 }
 
 func (c *Controller) askTransaction(ctx context.Context, target request.Target, id string) (group.TransactionState, error) {
-	g := c.group(target.Group)
+	g := c.demand(target.Group)
 	if g == nil {
 		return group.TransactionUnknown, errSilent
 	}
@@ -199,7 +199,7 @@
 // ReportFailure implements request.Router. The upstream is avoided until its next
 // status arrives.
 func (c *Controller) ReportFailure(target request.Target, err error) {
-	g := c.group(target.Group)
+	g := c.demand(target.Group)
 	if g == nil {
 		return
 	}
--- a/internal/core/configuration/diff.go
+++ b/internal/core/configuration/diff.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"reflect"
 	"slices"
 	"strings"
 )
@@ -30,7 +31,7 @@
 // Diff lists what changes from one configuration to the other, ordered by kind
 // and name. Versions are not compared.
 func Diff(from, to *Configuration) []Change {
-	before, after := flatten(from), flatten(to)
+	before, after := flatten(from, to), flatten(to, from)
 	var changes []Change
 	for id, old := range before {
 		now, still := after[id]
@@ -56,27 +57,48 @@
 	name string
 }
 
-// flatten lists every item with its own settings as text, without its parts.
-func flatten(c *Configuration) map[itemID]map[string]string {
+// flatten lists every item of c that other does not have in the same state, with
+// its own settings as text, without its parts. Comparing the items first keeps the
+// cost of a note that changes little below that of encoding the configuration.
+func flatten(c, other *Configuration) map[itemID]map[string]string {
 	items := map[itemID]map[string]string{}
+	add := func(kind Kind, name string, item any) { items[itemID{kind, name}] = settingsText(item) }
 	for name, zone := range c.Zones {
-		items[itemID{KindZone, string(name)}] = settingsText(zone)
+		if o, ok := other.Zones[name]; !ok || o != zone {
+			add(KindZone, string(name), zone)
+		}
 	}
 	for name, database := range c.Databases {
-		items[itemID{KindDatabase, string(name)}] = settingsText(database)
+		o, ok := other.Databases[name]
+		if !ok || o.Open != database.Open {
+			add(KindDatabase, string(name), database)
+		}
 		for upstream, value := range database.Upstreams {
-			items[itemID{KindUpstream, string(name) + "/" + string(upstream)}] = settingsText(value)
+			if u, ok := o.Upstreams[upstream]; !ok || u != value {
+				add(KindUpstream, string(name)+"/"+string(upstream), value)
+			}
 		}
 	}
 	for name, organisation := range c.Organisations {
-		items[itemID{KindOrganisation, string(name)}] = settingsText(organisation)
+		o, ok := other.Organisations[name]
+		if !ok || !sameSettings(o, organisation) {
+			add(KindOrganisation, string(name), organisation)
+		}
 		for key, hash := range organisation.Keys {
-			items[itemID{KindKey, string(name) + "/" + key}] = map[string]string{"hash": hash}
+			if h, ok := o.Keys[key]; !ok || h != hash {
+				items[itemID{KindKey, string(name) + "/" + key}] = map[string]string{"hash": hash}
+			}
 		}
 	}
 	return items
 }
 
+// sameSettings compares all settings of an organisation but its keys.
+func sameSettings(a, b Organisation) bool {
+	a.Keys, b.Keys = nil, nil
+	return reflect.DeepEqual(a, b)
+}
+
 func settingsText(item any) map[string]string {
 	encoded, _ := json.Marshal(item)
 	var fields map[string]json.RawMessage
--- a/internal/core/promotion/fence.go
+++ b/internal/core/promotion/fence.go
@@ -90,10 +90,6 @@
 	if p == nil || !promoted(p, term) && m.promotedTerm != term {
 		return
 	}
-	delay := time.Duration(0)
-	if m.promotedTerm != term {
-		delay = time.Duration(m.rank()+1) * RankDelay
-	}
 	for i := range m.members {
 		s := &m.members[i]
 		if s == p || !strays(s, p.Upstream, term) {
@@ -103,13 +99,22 @@
 		if !s.straying {
 			s.straying, s.strayed, s.followed = true, m.now, m.now-FollowInterval
 		}
-		if m.now-s.strayed >= delay && m.now-s.followed >= FollowInterval {
+		if m.now-s.followed >= FollowInterval && m.now-s.strayed >= m.followDelay(term) {
 			s.followed = m.now
 			m.act(Follow{Upstream: s.Upstream, Term: term, Primary: p.Upstream})
 		}
 	}
 }
 
+// followDelay is the time after which this VM calls a member that strays. It ranks
+// all VMs, so it is not computed for a group whose members all follow.
+func (m *Machine) followDelay(term ident.Term) time.Duration {
+	if m.promotedTerm == term {
+		return 0
+	}
+	return time.Duration(m.rank()+1) * RankDelay
+}
+
 func strays(s *memberState, primary ident.UpstreamName, term ident.Term) bool {
 	if !s.known || s.status.Term > term {
 		return false
--- a/internal/core/promotion/machine.go
+++ b/internal/core/promotion/machine.go
@@ -88,7 +88,9 @@
 
 func (m *Machine) act(action any) { m.out = append(m.out, action) }
 
-// Configure sets the members of the group and the live VMs, this one included.
+// Configure sets the members of the group and the live VMs that always follow it.
+// A VM that is not among them follows the group only while it has requests for it;
+// it proposes after the others, which do not know of it.
 func (m *Machine) Configure(now time.Duration, members []Member, vms []VM) {
 	m.now, m.vms = now, vms
 	old := m.members
@@ -157,6 +159,9 @@
 	}
 }
 
+// Known reports whether the group's object has been read or announced.
+func (m *Machine) Known() bool { return m.objectKnown }
+
 // noteChange starts the flap window when an unplanned change completes before the
 // eyes of this VM; one that it only reads about may be long past.
 func (m *Machine) noteChange(record Record) {
--- a/internal/core/promotion/suspicion.go
+++ b/internal/core/promotion/suspicion.go
@@ -189,7 +189,8 @@
 	m.propose(why)
 }
 
-// rank is this VM's place in the order of proposers.
+// rank is this VM's place in the order of proposers. A VM that is not listed ranks
+// last.
 func (m *Machine) rank() int {
 	var zone ident.AvailabilityZone
 	if p, _ := m.primary(); p != nil {
@@ -197,12 +198,16 @@
 	} else if p := m.member(m.record.Primary); p != nil {
 		zone = p.Zone
 	}
-	rank := 0
+	rank, listed := 0, false
 	for _, vm := range m.vms {
+		listed = listed || vm.Name == m.self.Name
 		if vm.Name != m.self.Name && m.before(vm, m.self, zone) {
 			rank++
 		}
 	}
+	if !listed {
+		return len(m.vms)
+	}
 	return rank
 }
 
