--- a/internal/capacity/configuration.go
+++ b/internal/capacity/configuration.go
@@ -92,6 +92,7 @@
 	self    peer.Member
 	handle  map[peer.Kind]func(peer.Member, cbor.RawMessage)
 	mailbox chan func()
+	traffic atomic.Int64 // bytes sent and received
 }
 
 type meshNetwork struct {
@@ -140,6 +141,8 @@
 	}
 	m.messages.Add(1)
 	m.bytes.Add(int64(size))
+	m.traffic.Add(int64(size))
+	m.meshes[to].traffic.Add(int64(size))
 	m.mu.Lock()
 	m.links[[2]ident.VMName{m.self.Name, to}] = true
 	m.mu.Unlock()
@@ -168,6 +171,7 @@
 type configurationRun struct {
 	VMs                   int
 	Messages, Bytes       float64 // per VM and second without notes
+	Busiest               float64 // bytes per second sent and received by the busiest VM
 	Links                 float64 // VMs to which a VM sent within the run of idleSeconds
 	NoteMessages          float64 // per VM and note, above the idle traffic
 	NoteBytes             float64
@@ -202,6 +206,9 @@
 	before, start := fleet.counts(), processorTime()
 	network.mu.Lock()
 	clear(network.links)
+	for _, m := range network.meshes {
+		m.traffic.Store(0)
+	}
 	network.mu.Unlock()
 	time.Sleep(idleSeconds * time.Second)
 	idle := fleet.counts().minus(before)
@@ -209,6 +216,9 @@
 	r.Processor = time.Duration(float64(processorTime()-start) / per)
 	r.Messages, r.Bytes = idle.messages/per, idle.bytes/per
 	r.ReadsIdle, r.WritesIdle = idle.reads/idleSeconds, idle.writes/idleSeconds
+	for _, m := range network.meshes {
+		r.Busiest = max(r.Busiest, float64(m.traffic.Load())/idleSeconds)
+	}
 	network.mu.Lock()
 	r.Links = float64(len(network.links)) / float64(r.VMs)
 	network.mu.Unlock()
--- a/internal/capacity/platform.go
+++ b/internal/capacity/platform.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -118,3 +119,40 @@
 		calls[kind] = (calls[kind] - idle[kind]*part) / events
 	}
 }
+
+// Call rates as the controllers have them; the run of the role fleet checks the sum
+// of the first three per watcher.
+const (
+	configurationWatches = 2.0        // per watcher and second: one watch of 500 ms
+	tableWatches         = 1.0 / 25   // per watcher and second: one watch of 25 s
+	rosterReads          = 1.0 / 5    // per watcher and second
+	watchersPerZone      = 2          // of each zone
+	noteReads            = 439.0      // per note at 24 zones, measured by the role configuration
+	noteWrites           = 20.8       // per note at 24 zones, measured by the role configuration
+	restartCalls         = 13.0       // gets and lists per restart, measured by the role fleet
+	restartWrites        = 3.0        // per restart, measured by the role fleet
+	wakesPerWrite        = 25.53 / 18 // watch calls per watcher and write, measured by the role fleet
+	primaryWrites        = 2.0        // per change of a primary
+)
+
+// reportPlatform adds the calls of all VMs at the design size.
+func reportPlatform(out io.Writer) error {
+	watchers := float64(watchersPerZone * DesignZones)
+	restarts := perSecond(DesignRestartsPerDay + DesignFailuresPerDay)
+	reads, writes := 0.0, 0.0
+	row := func(name string, r, w float64) {
+		reads, writes = reads+r, writes+w
+		fmt.Fprintf(out, "%-40s %8.2f reads/s %6.2f writes/s\n", name, r, w)
+	}
+	row("watches of configuration and tables", watchers*configurationWatches, 0)
+	row("watches of share tables", watchers*tableWatches, 0)
+	row("readings of the list of VMs", watchers*rosterReads, 0)
+	row("notes", perSecond(DesignChangesPerDay)*noteReads, perSecond(DesignChangesPerDay)*noteWrites)
+	row("restarts and failures", restarts*(restartCalls+restartWrites*watchers*wakesPerWrite), restarts*restartWrites)
+	row("primary changes", perSecond(DesignPrimariesPerDay)*primaryWrites, perSecond(DesignPrimariesPerDay)*primaryWrites)
+	fmt.Fprintf(out, "%-40s %8.2f reads/s %6.2f writes/s; bounds %d and %d\n", "total", reads, writes, BoundPlatformReads, BoundPlatformWrites)
+	const servers = 16
+	followed := float64(DesignDatabases) * servers
+	fmt.Fprintf(out, "groups followed on demand: one read for each; if each of %d VMs of a group leaves and follows it once in 75 s: %.0f reads/s\n", servers, followed/75)
+	return nil
+}
--- a/internal/capacity/report.go
+++ b/internal/capacity/report.go
@@ -13,7 +13,7 @@
 
 // Command selects the roles to measure.
 type Command struct {
-	Roles []string `long:"role" description:"role to measure: wire, detector, piggyback, shares, configuration, groups, following, contacts, pools, fleet; all when absent"`
+	Roles []string `long:"role" description:"role to measure: sizes, wire, detector, piggyback, shares, configuration, groups, following, contacts, pools, platform, fleet; all when absent"`
 }
 
 // part is a role's measurement.
@@ -25,9 +25,10 @@
 // Run measures the selected roles and prints the figures of docs/CAPACITY.md.
 func (c Command) Run(out io.Writer) error {
 	parts := []part{
+		{"sizes", func(out io.Writer) error { _, err := io.WriteString(out, SizeTable()); return err }},
 		{"wire", reportWire}, {"detector", reportDetector}, {"piggyback", reportPiggyback},
 		{"shares", reportShares}, {"configuration", reportConfiguration}, {"groups", reportGroups}, {"following", reportFollowing}, {"contacts", reportContacts},
-		{"pools", reportPools}, {"fleet", reportFleet},
+		{"pools", reportPools}, {"platform", reportPlatform}, {"fleet", reportFleet},
 	}
 	for _, role := range c.Roles {
 		if !slices.ContainsFunc(parts, func(p part) bool { return p.name == role }) {
@@ -49,9 +50,6 @@
 // micros formats a time as microseconds.
 func micros(d time.Duration) float64 { return float64(d) / float64(time.Microsecond) }
 
-// core formats processor time per second as a percentage of a core.
-func core(perSecond time.Duration) float64 { return 100 * perSecond.Seconds() }
-
 func reportWire(out io.Writer) error {
 	h, err := measureHandshake(200)
 	fmt.Fprintf(out, "overhead per message: %d bytes of WebSocket header, %d of TLS record\n", webSocketMin, tlsRecord)
--- a/internal/capacity/roles.go
+++ b/internal/capacity/roles.go
@@ -11,7 +11,7 @@
 	if err := reportSizes(out); err != nil {
 		return err
 	}
-	var messages, bytes, force, noteBytes, reads, links []Point
+	var messages, bytes, force, noteBytes, reads, busiest []Point
 	for _, size := range []struct{ zones, perZone, notes int }{{6, 8, 5}, {12, 8, 5}, {24, 8, 5}} {
 		r, err := runConfiguration(size.zones, size.perZone, size.notes)
 		if err != nil {
@@ -20,7 +20,7 @@
 		x := float64(size.zones)
 		messages, bytes = append(messages, Point{x, r.Messages}), append(bytes, Point{x, r.Bytes})
 		force, reads = append(force, Point{x, r.InForce.Seconds() * 1000}), append(reads, Point{x, r.ReadsNote})
-		noteBytes, links = append(noteBytes, Point{x, r.NoteBytes}), append(links, Point{x, r.Links})
+		noteBytes = append(noteBytes, Point{x, r.NoteBytes})
 		reportRun(out, fmt.Sprintf("%d zones of %d VMs", size.zones, size.perZone), r)
 	}
 	Series{"configuration", "messages sent", "1/s per VM", "zones", messages, DesignZones}.write(out)
@@ -36,18 +36,19 @@
 		}
 		x := float64(perZone)
 		messages, bytes = append(messages, Point{x, r.Messages}), append(bytes, Point{x, r.Bytes})
-		force = append(force, Point{x, r.InForce.Seconds() * 1000})
+		force, busiest = append(force, Point{x, r.InForce.Seconds() * 1000}), append(busiest, Point{x, r.Busiest})
 		reportRun(out, fmt.Sprintf("3 zones of %d VMs", perZone), r)
 	}
 	Series{"configuration", "messages sent", "1/s per VM", "VMs a zone", messages, DesignZoneVMs}.write(out)
 	Series{"configuration", "bytes sent", "bytes/s per VM", "VMs a zone", bytes, DesignZoneVMs}.write(out)
 	Series{"configuration", "time to be in force", "ms", "VMs a zone", force, DesignZoneVMs}.write(out)
+	Series{"configuration", "busiest VM", "bytes/s sent and received", "VMs a zone", busiest, DesignZoneVMs}.write(out)
 	return nil
 }
 
 func reportRun(out io.Writer, name string, r configurationRun) {
-	fmt.Fprintf(out, "%s: %.2f messages and %.0f bytes sent per VM and second, to %.1f VMs in %d s; per note %.2f messages and %.0f bytes per VM, %.0f ms to be in force, %.0f reads and %.1f writes; platform %.1f reads/s and %.1f writes/s without notes\n",
-		name, r.Messages, r.Bytes, r.Links, idleSeconds, r.NoteMessages, r.NoteBytes, r.InForce.Seconds()*1000, r.ReadsNote, r.WritesNote, r.ReadsIdle, r.WritesIdle)
+	fmt.Fprintf(out, "%s: %.2f messages and %.0f bytes sent per VM and second, %.0f bytes sent and received by the busiest VM, to %.1f VMs in %d s; per note %.2f messages and %.0f bytes per VM, %.0f ms to be in force, %.0f reads and %.1f writes; platform %.1f reads/s and %.1f writes/s without notes\n",
+		name, r.Messages, r.Bytes, r.Busiest, r.Links, idleSeconds, r.NoteMessages, r.NoteBytes, r.InForce.Seconds()*1000, r.ReadsNote, r.WritesNote, r.ReadsIdle, r.WritesIdle)
 }
 
 // reportSizes measures the configuration itself.
--- a/internal/capacity/shares.go
+++ b/internal/capacity/shares.go
@@ -198,13 +198,14 @@
 	}
 }
 
-// runEscrow measures a zone for five virtual seconds.
+// runEscrow measures a zone for six virtual seconds, a multiple of the time between
+// renewals.
 func runEscrow(vms, organisations, servers int, part float64) (escrowRun, error) {
 	s := newEscrow(vms, organisations, servers, part)
 	s.run(5 * time.Second)
 	memory := s.run1.Memory
 	s.run1 = escrowRun{Memory: memory}
-	const seconds = 5
+	const seconds = 6
 	start := processorTime()
 	s.run(s.now + seconds*time.Second)
 	r := s.run1
--- a/internal/capacity/size.go
+++ b/internal/capacity/size.go
@@ -1,6 +1,10 @@
 package capacity
 
-import "time"
+import (
+	"fmt"
+	"strings"
+	"time"
+)
 
 // The size to design for, as docs/design.md states it.
 const (
@@ -29,7 +33,6 @@
 	BoundPlatformReads  = 2000      // calls per second; a waiting watch counts as one
 	BoundInForce        = 4 * time.Second
 	BoundFailover       = 9 * time.Second
-	BoundDetectionDead  = time.Second // failover gap of a dead process
 )
 
 const day = 24 * time.Hour
@@ -40,5 +43,36 @@
 	StatementsPerVM = DesignStatements / DesignVMs
 )
 
+// SizeTable is the table of sizes and bounds in docs/CAPACITY.md.
+func SizeTable() string {
+	var b strings.Builder
+	b.WriteString("| size or bound | value |\n|---|---|\n")
+	row := func(name, form string, value any) { fmt.Fprintf(&b, "| %s | "+form+" |\n", name, value) }
+	row("VMs", "%d", DesignVMs)
+	row("zones", "%d", DesignZones)
+	row("regions", "%d", DesignRegions)
+	row("VMs a zone", "%d", DesignZoneVMs)
+	row("databases", "%d", DesignDatabases)
+	row("members of a database", "%d", DesignMembers)
+	row("caller connections", "%d", DesignCallers)
+	row("callers a VM", "%d", CallersPerVM)
+	row("statements per second", "%d", DesignStatements)
+	row("statements per second and VM", "%d", StatementsPerVM)
+	row("organisations served by a VM", "%d", DesignOrganisations)
+	row("configuration changes a day", "%d", DesignChangesPerDay)
+	row("primary changes a day", "%d", DesignPrimariesPerDay)
+	row("VM failures a day", "%d", DesignFailuresPerDay)
+	row("VM restarts a day", "%d", DesignRestartsPerDay)
+	row("bound: processor for control per VM", "%g%% of a core", BoundCore*100)
+	row("bound: memory for control per VM", "%d MiB", BoundMemory>>20)
+	row("bound: traffic for control per VM, sent and received", "%d bytes/s", BoundTraffic)
+	row("bound: memory per idle caller", "%d bytes", BoundIdleCaller)
+	row("bound: platform writes", "%d/s", BoundPlatformWrites)
+	row("bound: platform reads", "%d/s", BoundPlatformReads)
+	row("bound: a note is in force", "%v", BoundInForce)
+	row("bound: primary change", "%v", BoundFailover)
+	return b.String()
+}
+
 // perSecond converts a number per day.
 func perSecond(perDay float64) float64 { return perDay / day.Seconds() }
