Ask one watcher in turn while the reading is young

Every VM asked both watchers of its zone twice a second. It now asks them in turn while its newest platform reading is younger than 1.7 s, and both otherwise.

--- a/internal/controller/configuration/controller.go
+++ b/internal/controller/configuration/controller.go
@@ -57,6 +57,7 @@
 	core      *freshness.State
 	random    *rand.Rand
 	contacts  [randomContacts]ident.VMName
+	turn      int // of the watchers of the zone
 	current   *view
 	held      *view
 	known     proposal // the highest proposal known
--- a/internal/controller/configuration/exchange.go
+++ b/internal/controller/configuration/exchange.go
@@ -18,6 +18,11 @@
 	// attestAfter is the age of the newest platform reading at which watchers start
 	// to collect attestations. Two watches of watchTime fit into it.
 	attestAfter = 1200 * time.Millisecond
+	// bothAfter is the age of the newest platform reading at which a VM asks both
+	// watchers of its zone. Younger readings need one, in turn: a reading is dated by
+	// the start of its watch and is up to three times watchTime old when the next
+	// question is answered.
+	bothAfter = 1700 * time.Millisecond
 	// randomContacts is the number of VMs among which a VM draws the one that it asks
 	// beside its watchers. Asking any VM of 3,700 would open about four connections a
 	// second and keep thousands of them until they are idle.
@@ -26,8 +31,8 @@
 	contactDraws = 80
 )
 
-// exchange asks other VMs regularly. Every VM asks the watchers of its zone and one
-// VM chosen at random, which finds a way around watchers that are cut off.
+// exchange asks other VMs regularly. Every VM asks a watcher of its zone and one VM
+// chosen at random, which finds a way around watchers that are cut off.
 func (c *Controller) exchange(ctx context.Context) {
 	ticker := time.NewTicker(exchangeInterval)
 	defer ticker.Stop()
@@ -52,9 +57,14 @@
 			}
 		}
 	}
-	choose(watchersOf(members, self.Zone)...)
+	watchers := watchersOf(members, self.Zone)
 	_, watcher := c.rank()
 	c.mu.Lock()
+	c.turn++
+	if len(watchers) > 0 && !watcher && c.clock.Now()-c.core.LastReading().At < bothAfter {
+		watchers = watchers[c.turn%len(watchers):][:1]
+	}
+	choose(watchers...)
 	if len(members) > 0 {
 		choose(c.contact(members))
 	}
--- a/internal/controller/groups/doc.go
+++ b/internal/controller/groups/doc.go
@@ -25,12 +25,12 @@
 //
 // # Size
 //
-// Every VM follows every group of the configuration, one stream per member: at
-// today's sizes nine streams. At 7,600 groups a VM must follow only the groups
-// that its callers use: 22,800 streams of ten lines a second would exceed the
-// budget of 6 KB/s and 2.6% of a core. A group is then followed from its first
-// request until it has had none for a minute, and a few VMs per group, by
-// rendezvous hash, follow it always, so that each failure has witnesses in two
-// zones. Records of changes go to every VM directly; at 3,700 VMs they go to the
-// watchers of each zone, which pass them on.
+// Up to DefaultFollowAll groups every VM follows every group, one stream per member.
+// Above, a VM follows a group from its first request until it has had none for a
+// minute, and three VMs in different zones, by rendezvous hash, follow it always, so
+// that each failure has proposers and witnesses. Only these three confirm a failure
+// and are ranked as proposers; a VM that follows the group for its requests proposes
+// after them. docs/CAPACITY.md has the figures. Records of changes go to every VM
+// directly; at 3,700 VMs they have to go to the watchers of each zone, which pass
+// them on.
 package groupcontroller
--- a/internal/core/configuration/configuration_test.go
+++ b/internal/core/configuration/configuration_test.go
@@ -13,6 +13,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/golden"
 
+	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
@@ -134,3 +135,46 @@
 	sum := HashKey(s)
 	return fmt.Sprintf("%x", sum[:])
 }
+
+// Guards against changes that a comparison of whole items overlooks: every own
+// field of each kind is altered alone, and nothing else may be listed.
+func TestDiffFindsEachField(t *testing.T) {
+	make := func() *Configuration {
+		c := Empty()
+		c.Zones["z"] = Zone{Region: "r", State: ZoneIn, Weight: 1}
+		c.Databases["d"] = Database{Upstreams: map[ident.UpstreamName]Upstream{"u": {Zone: "z", Slots: 1}, "v": {Zone: "z"}}}
+		c.Organisations["o"] = Organisation{Rate: 1, Databases: []ident.GroupName{"d"}, Keys: map[string]string{"k": "1", "l": "2"}}
+		return c
+	}
+	upstream := func(c *Configuration, change func(*Upstream)) {
+		u := c.Databases["d"].Upstreams["u"]
+		change(&u)
+		c.Databases["d"].Upstreams["u"] = u
+	}
+	organisation := func(c *Configuration, change func(*Organisation)) {
+		o := c.Organisations["o"]
+		change(&o)
+		c.Organisations["o"] = o
+	}
+	for want, change := range map[string]func(*Configuration){
+		"change zone z":              func(c *Configuration) { c.Zones["z"] = Zone{Region: "r", State: ZoneOut, Weight: 1} },
+		"change database d":          func(c *Configuration) { d := c.Databases["d"]; d.Open = true; c.Databases["d"] = d },
+		"add upstream d/w":           func(c *Configuration) { c.Databases["d"].Upstreams["w"] = Upstream{} },
+		"withdraw upstream d/u":      func(c *Configuration) { delete(c.Databases["d"].Upstreams, "u") },
+		"change upstream d/u":        func(c *Configuration) { upstream(c, func(u *Upstream) { u.Connections = 2 }) },
+		"change upstream d/u (agent": func(c *Configuration) { upstream(c, func(u *Upstream) { u.Agent = "1" }) },
+		"change organisation o":      func(c *Configuration) { organisation(c, func(o *Organisation) { o.Burst = 2 }) },
+		"change organisation o (databases": func(c *Configuration) {
+			organisation(c, func(o *Organisation) { o.Databases = []ident.GroupName{"d", "e"} })
+		},
+		"change key o/k":   func(c *Configuration) { c.Organisations["o"].Keys["k"] = "3" },
+		"withdraw key o/l": func(c *Configuration) { delete(c.Organisations["o"].Keys, "l") },
+	} {
+		next := make()
+		change(next)
+		changes := Diff(make(), next)
+		assert.Equal(t, len(changes), 1, want)
+		assert.Assert(t, strings.HasPrefix(changes[0].String(), want), "%s, want %s", changes[0], want)
+	}
+	assert.Equal(t, len(Diff(make(), make())), 0)
+}
