Announce records through the watchers of each zone

A proposer told every VM of the fleet. While groups are followed on demand it now tells the VMs of its zone and two watchers of each other zone, which pass the record on: 200 messages instead of 3,700 at the design size.

--- a/internal/controller/groups/doc.go
+++ b/internal/controller/groups/doc.go
@@ -30,7 +30,6 @@
 // minute, and three VMs in different zones, by rendezvous hash, follow it always, so
 // that each failure has proposers and witnesses. Only these three confirm a failure
 // and are ranked as proposers; a VM that follows the group for its requests proposes
-// after them. docs/CAPACITY.md has the figures. Records of changes go to every VM
-// directly; at 3,700 VMs they have to go to the watchers of each zone, which pass
-// them on.
+// after them. Records of changes go to the VMs of the proposer's zone and to the
+// watchers of the other zones, which pass them on. docs/CAPACITY.md has the figures.
 package groupcontroller
--- a/internal/controller/groups/follow_test.go
+++ b/internal/controller/groups/follow_test.go
@@ -3,10 +3,12 @@
 import (
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
@@ -150,6 +152,48 @@
 	}
 }
 
+// Guards against a proposer that opens a connection to every VM of a large fleet, and
+// against VMs of other zones that a record does not reach.
+func TestRecordsGoThroughWatchers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &fakeNetwork{}
+		const zones, perZone = 5, 8
+		for i := range zones * perZone {
+			network.join(ident.VMName(fmt.Sprintf("vm%02d", i)), ident.AvailabilityZone(fmt.Sprint("z", i%zones)))
+		}
+		conf := testConfiguration(nil)
+		conf.Databases["other"] = configuration.Database{}
+		var sent sync.Map // VM names to the VMs that told them the record
+		var fleet []*Controller
+		for _, mesh := range network.meshes {
+			fleet = append(fleet, New(Options{
+				Mesh: mesh, Platform: &fakePlatform{objects: map[string]platform.Object{}},
+				Configuration: &fakeSource{current: conf}, Log: zerolog.Nop(), FollowAll: 1,
+			}))
+			receive := mesh.handle[kindRecord]
+			mesh.handle[kindRecord] = func(from peer.Member, body cbor.RawMessage) {
+				tellers, _ := sent.LoadOrStore(mesh.self.Name, &sync.Map{})
+				tellers.(*sync.Map).Store(from.Name, true)
+				receive(from, body)
+			}
+		}
+		fleet[0].announce(recordMessage{Group: testGroup, Version: 3})
+		time.Sleep(time.Second)
+		direct := 0
+		for _, mesh := range network.meshes[1:] {
+			tellers, told := sent.Load(mesh.self.Name)
+			assert.Assert(t, told, "%s was not told", mesh.self.Name)
+			if _, ok := tellers.(*sync.Map).Load(fleet[0].self.Name); ok {
+				direct++
+			}
+		}
+		assert.Equal(t, direct, perZone-1+relaysPerZone*(zones-1))
+		for _, c := range fleet {
+			c.Stop()
+		}
+	})
+}
+
 func containsMember(vms []peer.Member, name ident.VMName) bool {
 	return slices.ContainsFunc(vms, func(m peer.Member) bool { return m.Name == name })
 }
--- a/internal/controller/groups/object.go
+++ b/internal/controller/groups/object.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/rosemarywall/rosemarywall/internal/core/detector"
 	"github.com/rosemarywall/rosemarywall/internal/core/promotion"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
@@ -24,6 +26,9 @@
 // listInterval is the pause between attempts to list the group objects at start.
 const listInterval = 500 * time.Millisecond
 
+// relaysPerZone is the number of VMs of a zone that pass records on: its watchers.
+const relaysPerZone = 2
+
 // recordMessage tells another VM a group's object.
 type recordMessage struct {
 	Group   ident.GroupName  `cbor:"1,keyasint"`
@@ -74,11 +79,7 @@
 	}
 	message := recordMessage{Group: ident.GroupName(object.Name), Version: object.Version, Record: record}
 	c.takeRecord(message)
-	for _, vm := range c.options.Mesh.Members() {
-		if vm.Zone == c.self.Zone {
-			c.send(vm, kindRecord, message)
-		}
-	}
+	c.tellZone(c.options.Mesh.Members(), message)
 }
 
 func (c *Controller) takeRecord(message recordMessage) {
@@ -121,8 +122,52 @@
 			if vm.Name == a.To {
 				c.send(vm, kindAnswer, a.Answer)
 			}
-		case promotion.Announce:
-			c.send(vm, kindRecord, recordMessage{Group: p.group.name, Version: a.Version, Record: a.Record})
+		}
+	}
+	if a, ok := action.(promotion.Announce); ok {
+		c.announce(recordMessage{Group: p.group.name, Version: a.Version, Record: a.Record})
+	}
+}
+
+// announce sends a record to the VMs: to each while every VM follows every group, or
+// else to the VMs of this zone and the watchers of the others, which pass it on. A
+// proposer would otherwise open a connection to every VM of the fleet.
+func (c *Controller) announce(message recordMessage) {
+	members := c.options.Mesh.Members()
+	all := !c.onDemand(c.options.Configuration.Current())
+	watchers := map[ident.AvailabilityZone][]peer.Member{}
+	for _, vm := range members {
+		if all || vm.Zone == c.self.Zone {
+			c.send(vm, kindRecord, message)
+		} else if _, known := watchers[vm.Zone]; !known {
+			watchers[vm.Zone] = detector.Watchers(members, vm.Zone, relaysPerZone)
+		}
+	}
+	for _, zone := range watchers {
+		for _, vm := range zone {
+			c.send(vm, kindRecord, message)
+		}
+	}
+}
+
+// receiveRecord takes a record and, as a watcher, passes it on in its zone.
+func (c *Controller) receiveRecord(from peer.Member, message recordMessage) {
+	c.takeRecord(message)
+	if from.Zone == c.self.Zone || !c.onDemand(c.options.Configuration.Current()) {
+		return
+	}
+	members := c.options.Mesh.Members()
+	isSelf := func(m peer.Member) bool { return m.Name == c.self.Name }
+	if slices.ContainsFunc(detector.Watchers(members, c.self.Zone, relaysPerZone), isSelf) {
+		c.spawn(func() { c.tellZone(members, message) })
+	}
+}
+
+// tellZone sends a record to the VMs of this zone.
+func (c *Controller) tellZone(members []peer.Member, message recordMessage) {
+	for _, vm := range members {
+		if vm.Zone == c.self.Zone {
+			c.send(vm, kindRecord, message)
 		}
 	}
 }
@@ -136,10 +181,10 @@
 
 // handleMessages registers the receivers with the mesh.
 func (c *Controller) handleMessages() {
-	c.options.Mesh.Handle(kindRecord, func(_ peer.Member, body cbor.RawMessage) {
+	c.options.Mesh.Handle(kindRecord, func(from peer.Member, body cbor.RawMessage) {
 		var message recordMessage
 		if cbor.Unmarshal(body, &message) == nil {
-			c.takeRecord(message)
+			c.receiveRecord(from, message)
 		}
 	})
 	c.options.Mesh.Handle(kindQuestion, func(from peer.Member, body cbor.RawMessage) {
