--- a/internal/filter/forward/answers.go
+++ b/internal/filter/forward/answers.go
@@ -1,43 +1,17 @@
 package forward
 
 import (
-	"context"
-	"errors"
-	"os"
 	"strconv"
 	"strings"
-	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/filter"
 	"github.com/rosemarywall/rosemarywall/internal/frontend/sqltext"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
-	"github.com/rosemarywall/rosemarywall/internal/resultcode"
-	"github.com/rosemarywall/rosemarywall/internal/upstream"
 	"github.com/rosemarywall/rosemarywall/internal/wire"
 )
 
-const (
-	// pollInterval is how long an answer may be outstanding before the proxy asks
-	// whether the group has a newer primary, because a paused or cut-off primary
-	// does not close its connections.
-	pollInterval = 500 * time.Millisecond
-	// pollTimeout bounds that question.
-	pollTimeout = 50 * time.Millisecond
-	// pollsPerProbe is the number of poll intervals between probes of an upstream
-	// that runs a long read.
-	pollsPerProbe = 10
-	// minFrame is the smallest message in bytes.
-	minFrame = 5
-)
-
-// errReplaced reports that the upstream is no longer the primary.
-var errReplaced = errors.New("the upstream was replaced as primary")
-
-// errSilent reports that the upstream does not respond.
-var errSilent = errors.New("the upstream does not respond")
-
-// errFatal reports that the upstream ended the connection.
-var errFatal = errors.New("the upstream ended the connection")
+// minFrame is the smallest message in bytes.
+const minFrame = 5
 
 // allowed lists the answers to each message type.
 var allowed = map[byte]string{
@@ -49,7 +23,7 @@
 	for x.next < len(x.expect) {
 		e := &x.expect[x.next]
 		if e.isLocal {
-			if err := x.pass(e.local); err != nil {
+			if err := x.passLocal(e); err != nil {
 				return err
 			}
 			x.next++
@@ -66,72 +40,21 @@
 	return nil
 }
 
-// peek waits for the next message. Before it blocks, the caller gets what was
-// passed on so far.
-func (x *exchange) peek() (byte, int, error) {
-	if x.conn.R.Buffered() < minFrame {
-		if err := x.flushCaller(); err != nil {
-			return 0, 0, err
-		}
-		x.polling = true
-		_ = x.conn.SetReadDeadline(time.Now().Add(pollInterval))
-	}
-	for {
-		kind, size, err := x.conn.R.Peek()
-		if err == nil || !isTimeout(err) {
-			return kind, size, err
-		}
-		if err := x.unanswered(); err != nil {
-			return 0, 0, err
-		}
-		_ = x.conn.SetReadDeadline(time.Now().Add(pollInterval))
-	}
-}
-
-// flushCaller sends what was written to the caller, which may be answers of
-// earlier requests only.
-func (x *exchange) flushCaller() error {
-	if x.w.Pending() == 0 {
+// passLocal writes an answer of the proxy. Before the first answer of the upstream
+// it stays in the buffer, so that the request can still be repeated.
+func (x *exchange) passLocal(e *expectation) error {
+	if e.drop {
 		return nil
 	}
-	earlier := !x.passed() && x.w.Pending() == x.pendingMark
-	if err := x.w.Flush(); err != nil {
-		return &filter.Lost{Cause: err}
-	}
-	if earlier {
-		x.mark, x.pendingMark = x.w.Sent(), 0
-	}
-	return nil
-}
-
-func isTimeout(err error) bool {
-	return errors.Is(err, os.ErrDeadlineExceeded)
-}
-
-// unanswered decides whether to wait longer for an answer. On the primary only a
-// newer primary ends the wait, because before that the outcome could not be
-// resolved. A replica must respond to a probe.
-func (x *exchange) unanswered() error {
-	x.polls++
-	switch {
-	case x.s.OnPrimary:
-		if x.replaced() {
-			return errReplaced
-		}
-	case x.polls%pollsPerProbe == 2:
-		if !x.h.cfg.Pools.Responds(x.lease.Target()) {
-			return errSilent
+	if !x.answered && x.w.Pending() == x.pendingMark {
+		if err := x.flushCaller(); err != nil {
+			return err
 		}
 	}
-	return nil
-}
-
-// replaced asks whether the group has a newer primary than the connection's.
-func (x *exchange) replaced() bool {
-	ctx, cancel := context.WithTimeout(context.Background(), pollTimeout)
-	defer cancel()
-	now, err := x.h.cfg.Router.Primary(ctx, x.s.Grant.Database)
-	return err == nil && now.Term > x.lease.Target().Term
+	answered := x.answered
+	err := x.pass(e.local)
+	x.answered = answered
+	return err
 }
 
 // message handles one message of the upstream.
@@ -139,6 +62,9 @@
 	if x.conn.R.Buffered() < minFrame+size {
 		x.stopPolling() // the message has begun to arrive and is read without a bound
 	}
+	if e.marker > 0 {
+		return x.markerAnswer(e, kind)
+	}
 	switch kind {
 	case 'S':
 		return x.parameter(e)
@@ -158,6 +84,9 @@
 	case 'C':
 		return x.commandComplete(e)
 	case 'G':
+		if x.prefixErr != nil {
+			return x.prefixErr // the connection is closed, which ends the COPY
+		}
 		return x.copyIn(e)
 	}
 	if kind == 'D' && !e.drop && len(x.held) == 0 {
@@ -203,6 +132,7 @@
 			return err
 		}
 	}
+	x.answered = true
 	if err := x.conn.R.Forward(x.w); err != nil {
 		if x.w.Err() != nil {
 			return &filter.Lost{Cause: err}
@@ -214,6 +144,7 @@
 
 // rows passes the rows on that are in the buffer.
 func (x *exchange) rows() error {
+	x.answered = true
 	if err := x.conn.R.ForwardRun(x.w, 'D'); err != nil {
 		if x.w.Err() != nil {
 			return &filter.Lost{Cause: err}
@@ -230,44 +161,54 @@
 			return err
 		}
 	}
+	x.answered = true
 	if _, err := x.w.Write(frame); err != nil {
 		return &filter.Lost{Cause: err}
 	}
 	return nil
 }
 
-// parameter handles ParameterStatus. The parameters of the group stay here.
+// parameter handles ParameterStatus.
 func (x *exchange) parameter(e *expectation) error {
 	_, frame, err := x.conn.R.NextFrame()
 	if err != nil {
 		return err
 	}
+	own, err := x.noteParameter(frame)
+	switch {
+	case err != nil:
+		return err
+	case own || e.drop:
+		return nil
+	case len(x.held) > 0:
+		x.held = append(x.held, frame...)
+		return nil
+	}
+	return x.pass(frame)
+}
+
+// noteParameter records a ParameterStatus. It reports whether the parameter is one
+// of the group, which is not passed on.
+func (x *exchange) noteParameter(frame []byte) (own bool, err error) {
 	name, value, err := wire.Parameter(frame[minFrame:])
 	if err != nil {
-		return err
+		return false, err
 	}
 	switch name {
 	case "group_transaction":
 		x.lease.Transaction = value
-		return nil
+		return true, nil
 	case "group_term":
 		n, err := strconv.ParseUint(value, 10, 64)
 		x.term = ident.Term(n)
-		return err
+		return true, err
 	case "group_position":
 		n, err := strconv.ParseUint(value, 10, 64)
 		x.point = ident.LogPoint{Term: x.term, Position: ident.Position(n)}
-		return err
+		return true, err
 	}
 	x.conn.Params[name] = value
-	if e.drop {
-		return nil
-	}
-	if len(x.held) > 0 {
-		x.held = append(x.held, frame...)
-		return nil
-	}
-	return x.pass(frame)
+	return false, nil
 }
 
 // commandComplete holds the message back when it may acknowledge a commit.
@@ -276,6 +217,9 @@
 	if err != nil {
 		return err
 	}
+	if e.tag != "" && string(frame[minFrame:len(frame)-1]) != e.tag {
+		return x.crossed('C') // the late answer of an earlier request
+	}
 	x.committed = string(frame[minFrame:]) == "COMMIT\x00"
 	if !e.drop {
 		x.track(e)
@@ -318,80 +262,6 @@
 	}
 }
 
-// errorResponse passes an error on, or keeps it when the request can be repeated.
-func (x *exchange) errorResponse(e *expectation) error {
-	_, frame, err := x.conn.R.NextFrame()
-	if err != nil {
-		return err
-	}
-	body := frame[minFrame:]
-	code := wire.ErrorField(body, 'C')
-	if severity := wire.ErrorField(body, 'V'); severity == "FATAL" || severity == "PANIC" {
-		return errFatal
-	}
-	if e.drop && e.kind == 'Q' && !x.commits { // BEGIN or ROLLBACK of the proxy
-		x.unsafe = true
-		return nil
-	}
-	x.errored = true
-	x.held = x.held[:0]
-	x.conn.Unnamed = upstream.StatementKey{}
-	if code == "0A000" || code == "26000" {
-		x.conn.ForgetStatements()
-	}
-	if !x.repeatable(code, frame) {
-		if code == "25006" && x.s.OnPrimary && !x.readOnlyByChoice() {
-			err := resultcode.New(resultcode.RolledBack, "the upstream is no longer the primary")
-			x.h.cfg.Counters.Refuse(err.Code)
-			frame = filter.ErrorFrame(filter.SeverityError, err)
-		}
-		if err := x.pass(frame); err != nil {
-			return err
-		}
-	}
-	for x.next < len(x.expect) && x.expect[x.next].kind != 'S' && x.expect[x.next].kind != 'Q' {
-		x.next++
-	}
-	return nil
-}
-
-// repeatable decides whether the request can be repeated after an error, which
-// holds when the upstream has rolled everything back and the caller has seen
-// nothing.
-func (x *exchange) repeatable(code string, frame []byte) bool {
-	if !x.fresh || x.r.OpenEnd || x.effect || x.passed() {
-		return false
-	}
-	var reason filter.Reason
-	switch {
-	case code == "25006" && !x.readOnlyByChoice():
-		reason = filter.Refused
-	case code == "40001" && x.wrapped:
-		reason = filter.Serialization
-	default:
-		return false
-	}
-	x.w.Truncate(x.pendingMark)
-	x.retry = &filter.Retry{Reason: reason, Answer: append([]byte(nil), frame...)}
-	return true
-}
-
-// readOnlyByChoice reports whether the caller itself asked for a read-only
-// transaction, so that 25006 is the proper answer.
-func (x *exchange) readOnlyByChoice() bool {
-	if x.s.ReadOnlyBlock || x.s.Settings.IsOn(filter.ReadOnlySetting) {
-		return true
-	}
-	for i := range x.r.Ops {
-		for _, s := range x.r.Ops[i].Statements {
-			if s.Kind == sqltext.Set && s.Name == filter.ReadOnlySetting {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // ready handles ReadyForQuery.
 func (x *exchange) ready(e *expectation) error {
 	_, body, err := x.conn.R.Next()
@@ -403,6 +273,9 @@
 	}
 	x.status = body[0]
 	x.next++
+	if e.settings && x.prefixErr == nil {
+		x.s.Settings.MarkApplied(x.conn.Settings, !x.r.Write)
+	}
 	if !x.wrapped {
 		x.s.InTransaction = x.status != 'I'
 	}
--- a/internal/filter/forward/exchange.go
+++ b/internal/filter/forward/exchange.go
@@ -34,6 +34,15 @@
 	key   upstream.StatementKey
 	name  string
 	local []byte
+	// settings marks the statements that apply the session's settings.
+	settings bool
+	// marker is the number of CloseComplete messages that the marker of the segment
+	// still has to get.
+	marker int
+	// tag is the CommandComplete that a query of the proxy must get.
+	tag string
+	// begin marks the BEGIN that the caller has sent before.
+	begin bool
 	// isLocal says that no message was sent and local is the answer.
 	isLocal bool
 }
@@ -47,11 +56,19 @@
 	conn  *upstream.Conn
 	w     *wire.Writer
 	fresh bool
+	// answered says that a message of the upstream was passed on.
+	answered bool
+	// onPrimary is the session's OnPrimary, also after the lease was returned.
+	onPrimary bool
+	finished  bool
 	// wrapped says that the proxy sent BEGIN and owes COMMIT.
 	wrapped bool
 	// unsafe says that a segment was sent whose effect may have been committed
 	// without an answer.
 	unsafe bool
+	// opaque says that the request holds a statement such as CALL, which may commit
+	// a part of its work.
+	opaque bool
 	// effect says that an earlier segment may have committed something.
 	effect bool
 	// commits says that the segment holds a COMMIT of the caller, and writes that
@@ -74,14 +91,21 @@
 	status      byte
 	errored     bool
 	// committed says that the last CommandComplete was that of COMMIT.
-	committed  bool
-	statement  int // index of the statement of a Q that answers next
-	statements []sqltext.Statement
-	retry      *filter.Retry
-	polling    bool
-	polls      int // poll intervals that passed without an answer
-	writeDone  chan error
-	broken     bool // the connection is out of step and must be closed
+	committed   bool
+	statement   int // index of the statement of a Q that answers next
+	statements  []sqltext.Statement
+	retry       *filter.Retry
+	polling     bool
+	polls       int // poll intervals that passed without an answer
+	cancelPolls int // poll intervals since the statement was cancelled
+	// prefixErr is the refusal of the session's settings or of BEGIN.
+	prefixErr error
+	// needSync says that the upstream has ignored the Sync of the batch, because it
+	// was in COPY mode; early holds messages that came meanwhile.
+	needSync  bool
+	early     []byte
+	writeDone chan error
+	broken    bool // the connection is out of step and must be closed
 }
 
 var exchanges = sync.Pool{New: func() any { return new(exchange) }}
@@ -91,7 +115,8 @@
 	w := r.Session.Caller.Writer()
 	*x = exchange{
 		h: h, r: r, s: r.Session, lease: lease, conn: lease.Conn(), w: w, fresh: fresh,
-		mark: w.Sent(), pendingMark: w.Pending(), unnamed: lease.Conn().Unnamed,
+		onPrimary: r.Session.OnPrimary,
+		mark:      w.Sent(), pendingMark: w.Pending(), unnamed: lease.Conn().Unnamed,
 		out: x.out[:0], scratch: x.scratch[:0], expect: x.expect[:0], held: x.held[:0],
 	}
 	return x
@@ -114,8 +139,20 @@
 // run carries out all segments.
 func (x *exchange) run() error {
 	x.wrapped = x.wrappable()
-	if x.wrapped {
+	if x.fresh {
+		if err := x.applySettings(); err != nil {
+			return err
+		}
+	}
+	switch {
+	case x.wrapped:
 		x.query(true, "BEGIN")
+		x.expect[len(x.expect)-1].tag = "BEGIN"
+	case x.fresh && x.r.Begin != "":
+		x.query(true, x.r.Begin)
+		last := &x.expect[len(x.expect)-1]
+		last.begin, last.tag = true, "BEGIN"
+		x.s.InTransaction, x.s.ReadOnlyBlock = true, x.r.BeginReadOnly
 	}
 	ops := x.r.Ops
 	for len(ops) > 0 {
@@ -126,10 +163,13 @@
 		if err := x.segment(); err != nil {
 			return err
 		}
-		if x.errored {
+		if x.errored || x.prefixErr != nil {
 			break
 		}
 	}
+	if x.prefixErr != nil {
+		return x.prefixErr // the connection is closed, which ends the transaction
+	}
 	if x.wrapped {
 		return x.commitWrapped()
 	}
@@ -138,7 +178,7 @@
 
 // wrappable reports whether the request runs between BEGIN and COMMIT of the proxy.
 func (x *exchange) wrappable() bool {
-	if !x.fresh || !x.r.Write || x.r.OpenEnd || x.h.cfg.Plain {
+	if !x.fresh || !x.r.Write || x.r.OpenEnd || x.r.Begin != "" || x.h.cfg.Plain {
 		return false
 	}
 	writes := false
@@ -163,7 +203,7 @@
 	if err := x.send(); err != nil {
 		// The upstream cannot have run an incomplete message. Without the final
 		// Sync nothing is committed except by a COMMIT inside the segment.
-		x.unsafe = x.commits && len(x.expect) > 1
+		x.unsafe = x.commits && len(x.expect) > 2 // the marker and a single Query
 		return err
 	}
 	err := x.answers()
@@ -249,12 +289,15 @@
 	if x.errored {
 		x.held = x.held[:0]
 	}
+	if x.status == 'I' && !x.r.OpenEnd && !x.point.IsZero() {
+		x.finish() // the connection and the slot serve others while the commit is confirmed
+	}
 	return x.releaseHeld()
 }
 
 // releaseHeld confirms a commit that is pending and passes on the held messages.
 func (x *exchange) releaseHeld() error {
-	if !x.point.IsZero() && x.s.OnPrimary {
+	if !x.point.IsZero() && x.onPrimary {
 		if err := x.confirm(); err != nil {
 			return err
 		}
@@ -275,6 +318,10 @@
 // finish ends the request: it returns the connection or keeps it for the open
 // transaction.
 func (x *exchange) finish() {
+	if x.finished {
+		return
+	}
+	x.finished = true
 	s := x.s
 	x.r.Failed = x.errored
 	x.r.Status = x.status
--- a/internal/frontend/local.go
+++ b/internal/frontend/local.go
@@ -38,9 +38,9 @@
 	case sqltext.Deallocate:
 		return true
 	case sqltext.Reset:
-		return isOwnSetting(statement) || !s.shared.InTransaction
+		return isOwnSetting(statement) || !s.inBlock()
 	}
-	return isOwnSetting(statement)
+	return isOwnSetting(statement) || s.deferrable(statement) || s.endsDeferred(statement)
 }
 
 // answerLocal carries a local statement out and returns the answer. The row
@@ -57,6 +57,8 @@
 		}
 		delete(s.statements, statement.Name)
 		return tagFrame("DEALLOCATE"), nil
+	case sqltext.Begin, sqltext.Commit, sqltext.Rollback:
+		return s.answerBlock(statement)
 	case sqltext.Reset:
 		return s.reset(statement)
 	case sqltext.Set:
@@ -239,7 +241,7 @@
 	if strings.HasPrefix(name, settingPrefix) {
 		return s.setOwn(name, value)
 	}
-	if !validName(name) || name == "role" || name == "session_authorization" ||
+	if s.shared.Settings.Full() || !validName(name) || name == "role" || name == "session_authorization" ||
 		name == "standard_conforming_strings" && value != "on" {
 		return resultcode.New(resultcode.InvalidSetting, "startup setting that is not supported")
 	}
