Check the key again after waiting, and forward single writes as they are

Cause: a request that waited for a slot or a connection ran although its key was withdrawn meanwhile, up to 5 s later. A transaction around each single write held the slot and the write lock for another round trip. Change: the forward filter asks the authoriser again once it has a connection; entry VMs forward single writes plainly; replicas that are equally near are chosen by their outstanding requests.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -142,6 +142,7 @@
 	})
 	v.groups = groupcontroller.New(groupcontroller.Options{
 		Mesh: v.mesh, Platform: v.platform, Configuration: v.configs, NewAgent: v.newAgent, Now: v.clock.Now, Log: v.log,
+		Outstanding: func(g ident.GroupName, u ident.UpstreamName) int { return v.callers.Outstanding(g, u) },
 	})
 	if err := v.newFrontend(); err != nil {
 		return err
@@ -245,3 +246,14 @@
 
 // Uptime returns the time since the VM started, on the clock of its decisions.
 func (v *VM) Uptime() time.Duration { return v.clock.Now() }
+
+// Waiting returns the number of requests that wait for an upstream of the database.
+func (v *VM) Waiting(database ident.GroupName) int {
+	waiting := 0
+	for _, q := range v.callers.Queues() {
+		if q.Group == database {
+			waiting += q.Waiting
+		}
+	}
+	return waiting
+}
--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -116,6 +116,9 @@
 		TLS: callerTLS, RequireTLS: s.Callers.TLSRequired, MaxCallers: s.Callers.MaxCallers,
 		MaxMessage: s.Callers.MaxMessageBytes, QueueTimeout: s.Callers.QueueDeadline,
 		ConfirmTimeout: s.Upstreams.ConfirmDeadline, Now: v.clock.Now, Logger: v.log,
+		// A transaction around each write would hold the upstream's slot and locks for
+		// another round trip; see docs/decisions/single-writes.md.
+		PlainWrites: true,
 	})
 	v.configs.OnChange(v.applyConfiguration)
 	return nil
--- a/internal/filter/forward/forward.go
+++ b/internal/filter/forward/forward.go
@@ -16,9 +16,12 @@
 
 // Config configures the filter.
 type Config struct {
-	Pools    *upstream.Pools
-	Router   request.Router
-	Counters *filter.Counters
+	Pools  *upstream.Pools
+	Router request.Router
+	// Authoriser is asked again once a connection is there, because the request may
+	// have waited for it while its key was withdrawn.
+	Authoriser request.Authoriser
+	Counters   *filter.Counters
 	// ConfirmTimeout bounds the wait for a confirmation and for the outcome of an
 	// unanswered commit; default 5 s.
 	ConfirmTimeout time.Duration
@@ -75,6 +78,11 @@
 		}
 		return nil, err
 	}
+	// A request that was admitted before its zone was taken out still runs.
+	if err := h.cfg.Authoriser.Check(r.Session.Grant); err != nil && !resultcode.Is(err, resultcode.ZoneOut) {
+		lease.Release(false)
+		return nil, err
+	}
 	s := r.Session
 	s.OnPrimary = r.Write
 	s.Lease.Store(lease)
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -38,7 +38,7 @@
 func NewServer(cfg Config) *Server {
 	cfg.setDefaults()
 	last := forward.New(forward.Config{
-		Pools: cfg.Pools, Router: cfg.Router, Counters: cfg.Counters, ConfirmTimeout: cfg.ConfirmTimeout, Plain: cfg.PlainWrites,
+		Pools: cfg.Pools, Router: cfg.Router, Authoriser: cfg.Authoriser, Counters: cfg.Counters, ConfirmTimeout: cfg.ConfirmTimeout, Plain: cfg.PlainWrites,
 	})
 	q := queue.New(last, queue.Config{Now: cfg.Now, FirstCome: cfg.FirstComeQueue})
 	var chain filter.Handler = route.New(q, route.Config{Router: cfg.Router, Counters: cfg.Counters})
@@ -155,6 +155,9 @@
 	return ctx.Err()
 }
 
+// Queues returns the state of the queue of each upstream.
+func (s *Server) Queues() []queue.State { return s.queue.Dump() }
+
 // Outstanding returns the number of requests that run or wait on an upstream. It
 // has the form of routing.Outstanding.
 func (s *Server) Outstanding(group ident.GroupName, upstream ident.UpstreamName) int {
--- a/internal/sessions/promises_test.go
+++ b/internal/sessions/promises_test.go
@@ -10,6 +10,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/fleet"
 	"github.com/rosemarywall/rosemarywall/internal/group"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/settings"
 	"github.com/rosemarywall/rosemarywall/internal/standin/upstream"
 )
 
@@ -177,6 +178,26 @@
 	s.done()
 }
 
+// P6: a request that waits for an upstream while its key is withdrawn does not run.
+func TestWithdrawnKeyWhileWaiting(t *testing.T) {
+	s := newSession(t, func(c *fleet.Config) {
+		c.Slots, c.Connections = 1, 6
+		c.Adjust = func(s *settings.Settings) { s.Callers.QueueDeadline = answerTimeout }
+	})
+	a := s.loginAs("holder", vm1, "sequencer", fleet.Key("sequencer"), string(database))
+	a.query("create table stack (id int)")
+	a.query("begin")
+	a.query("insert into stack values (1)")
+	b := s.login("waiting", vm1)
+	b.send(&pgproto3.Query{String: "insert into stack values (2)"})
+	s.until("the request waits", func() bool { return s.fleet.VM(vm1).Waiting(database) == 1 })
+	s.note(vm1, "withdraw", fmt.Sprintf("[withdraw key %s/main]\n", tenant))
+	a.query("commit")
+	b.receive("ReadyForQuery")
+	a.query("select id from stack")
+	s.done()
+}
+
 // P6 in a zone that is cut off from the platform and from the other zones: the VM
 // cannot prove that its configuration is current and refuses as not run.
 func TestCutOffZoneStopsKeyedRequests(t *testing.T) {
