--- /dev/null
+++ b/internal/core/shares/steps_test.go
@@ -0,0 +1,171 @@
+package shares
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func fullBucket(lease time.Duration) *Bucket {
+	b := NewBucket(0)
+	b.Set(0, Entitlement{Rate: 100, Burst: 100, Horizon: longHorizon, UsableUntil: lease})
+	b.Set(time.Second, Entitlement{Rate: 100, Burst: 100, Horizon: longHorizon, UsableUntil: lease})
+	return b
+}
+
+// Guards against tokens that survive the end of a lease: another VM may have used
+// the same parts meanwhile.
+func TestTokensEndWithTheLease(t *testing.T) {
+	b := fullBucket(10 * time.Second)
+	assert.Assert(t, b.Take(10*time.Second-1, 1))
+	assert.Assert(t, !b.Take(10*time.Second, 1))
+	b.Set(15*time.Second, Entitlement{Rate: 100, Burst: 100, UsableUntil: 20 * time.Second})
+	assert.Assert(t, !b.Take(15*time.Second, 1))
+	assert.Assert(t, b.Take(15*time.Second+10*time.Millisecond, 1))
+}
+
+// Guards against borrowed tokens that are credited late, twice, or from another VM
+// than the one asked, and against any that outlive their validity.
+func TestBorrowedTokensExpire(t *testing.T) {
+	b := NewBucket(0)
+	id := uint64(0)
+	ask := func(now time.Duration) Want {
+		for _, w := range b.Ask(now, 5, []candidate{{"vm-2", true}}, func() uint64 { id++; return id }) {
+			return w
+		}
+		t.Fatal("nothing was asked")
+		return Want{}
+	}
+	w := ask(time.Second)
+	assert.Assert(t, !b.Credit(time.Second, "vm-3", w))
+	assert.Assert(t, b.Credit(time.Second+Validity/2, "vm-2", w))
+	assert.Assert(t, !b.Credit(time.Second+Validity/2, "vm-2", w))
+	assert.Equal(t, b.Level(time.Second+Validity-1).Borrowed, w.Amount)
+	assert.Equal(t, b.Level(time.Second+Validity).Borrowed, 0.0)
+	assert.DeepEqual(t, b.Reports(time.Second+Validity, "vm-2"), []Spent{{ID: w.ID, Amount: w.Amount}})
+	late := ask(10 * time.Second)
+	assert.Assert(t, !b.Credit(10*time.Second+Validity, "vm-2", late))
+}
+
+// Guards against a lender whose bucket refills while its loan can still be spent,
+// and against one whose capacity stays lowered after the tokens were spent.
+func TestLoanLowersCapacity(t *testing.T) {
+	b := fullBucket(time.Hour)
+	at := 2 * time.Second
+	assert.Equal(t, b.Lend(at, "vm-2", 1, 7, 60), 60.0)
+	assert.Equal(t, b.Lend(at, "vm-2", 1, 7, 60), 60.0) // repeated
+	assert.Equal(t, b.Level(at+LoanHold-1).Tokens, 40.0)
+	assert.Equal(t, b.Level(at+LoanHold+time.Second).Tokens, 100.0)
+	at = 10 * time.Second
+	b.Lend(at, "vm-2", 1, 8, 60)
+	b.Release(at, "vm-2", 1, 8, 50)
+	b.Release(at, "vm-2", 1, 8, 20) // an older report
+	assert.Equal(t, b.Level(at+time.Second).Tokens, 90.0)
+}
+
+// zoneOf returns a ledger of vm-1 in a zone of two VMs with equal parts, and its
+// table.
+func zoneOf(t *testing.T) (*Ledger, Table) {
+	l := NewLedger(0, "vm-1", 1, rand.New(rand.NewPCG(1, 1)))
+	l.SetView(0, []Peer{{"vm-2", 1, true}})
+	table := Table{Rows: []Row{{VM: "vm-1", Incarnation: 1, Parts: TotalParts / 2, Lessor: "vm-2"}, {VM: "vm-2", Incarnation: 1, Parts: TotalParts / 2, Lessor: "vm-1"}}}
+	assert.Assert(t, table.Valid())
+	l.Observe(0, -1, table, 5)
+	return l, table
+}
+
+// lease gives the ledger a lease from vm-2.
+func lease(now time.Duration, l *Ledger) {
+	a := l.Tick(now)
+	l.ReceiveGrant(now, "vm-2", LeaseGrant{ID: a.Ask.ID})
+}
+
+// Guards against parts used without a lease, a lease counted from the answer
+// instead of the asking, and a lessor that confirms without a lease of its own.
+func TestLeaseIsNeededAndPassedOn(t *testing.T) {
+	l, table := zoneOf(t)
+	confirms := func(now time.Duration) bool {
+		_, ok := l.ReceiveRequest(now, "vm-2", 1, LeaseRequest{ID: 1})
+		return ok
+	}
+	parts, _ := l.Parts(0)
+	assert.Equal(t, parts, uint32(0))
+	assert.Assert(t, !confirms(0))
+	a := l.Tick(time.Second)
+	l.ReceiveGrant(4*time.Second, "vm-3", LeaseGrant{ID: a.Ask.ID})
+	parts, _ = l.Parts(4 * time.Second)
+	assert.Equal(t, parts, uint32(0), "confirmed by a VM that is not the lessor")
+	l.ReceiveGrant(4*time.Second, "vm-2", LeaseGrant{ID: a.Ask.ID})
+	parts, until := l.Parts(4 * time.Second)
+	assert.Equal(t, parts, uint32(TotalParts/2))
+	assert.Equal(t, until, time.Second+Lease)
+	assert.Assert(t, confirms(until-1))
+	assert.Assert(t, !confirms(until))
+	l.Observe(until, until, table, 5) // a read of the table is a proof for a short time
+	assert.Assert(t, confirms(until+readProof-1))
+	assert.Assert(t, !confirms(until+readProof))
+}
+
+// Guards against a reclaim before the dead VM's lease has ended, and against a
+// lease that is confirmed while the result of the reclaim is unknown.
+func TestReclaimWaitsForTheLease(t *testing.T) {
+	l, table := zoneOf(t)
+	lease(0, l)
+	now := time.Second
+	_, ok := l.ReceiveRequest(now, "vm-2", 1, LeaseRequest{ID: 1})
+	assert.Assert(t, ok)
+	l.SetView(now, nil)
+	var write *Write
+	for ; write == nil && now < time.Minute; now += 100 * time.Millisecond {
+		l.Observe(now, now, table, 5)
+		if w := l.Tick(now).Write; w != nil && !w.Table.Lists("vm-2") {
+			write = w
+		}
+		if l.doubt != nil && l.doubt.what == changeLessor {
+			l.Failed(now) // not what this test is about
+		}
+	}
+	assert.Assert(t, now > time.Second+Lease+Guard && now < time.Second+Lease+Guard+3*planEvery, "at %s", now)
+	l.SetView(now, []Peer{{"vm-2", 1, true}})
+	l.Observe(now, now, table, 5) // read back: not stored, but it may still arrive
+	_, ok = l.ReceiveRequest(now, "vm-2", 1, LeaseRequest{ID: 2})
+	assert.Assert(t, !ok)
+	l.Observe(now, now, table, 6) // another write came first
+	_, ok = l.ReceiveRequest(now, "vm-2", 1, LeaseRequest{ID: 3})
+	assert.Assert(t, ok)
+}
+
+// Guards against a gift that is written before the giver has lowered its own use
+// for as long as its loans last, and against one that is used again while the
+// result of the write is unknown.
+func TestGiftLowersOwnUseFirst(t *testing.T) {
+	l, table := zoneOf(t)
+	l.SetView(0, []Peer{{"vm-2", 1, true}, {"vm-3", 1, true}})
+	lowered := time.Duration(-1)
+	var write *Write
+	now := time.Duration(0)
+	inUse := func() uint32 {
+		l.leaseUntil = now + Lease // renewals are not what this test is about
+		parts, _ := l.Parts(now)
+		return parts
+	}
+	for ; write == nil && now < time.Minute; now += 100 * time.Millisecond {
+		l.Observe(now, now, table, 5)
+		write = l.Tick(now).Write
+		if lowered < 0 && inUse() == TotalParts/4 {
+			lowered = now
+		}
+	}
+	assert.Assert(t, lowered >= 0 && now-lowered >= LoanHold, "lowered at %s, written at %s", lowered, now)
+	given, _ := write.Table.Row("vm-3", 1)
+	assert.Equal(t, given.Parts, uint32(TotalParts/4))
+	l.Observe(now, now, table, 5)
+	assert.Equal(t, inUse(), uint32(TotalParts/4))
+	assert.DeepEqual(t, l.Tick(now+3*planEvery).Write, write)
+	l.SetView(now, []Peer{{"vm-2", 1, true}}) // the gift is no longer needed
+	l.Observe(now, now, table, 6)
+	l.Tick(now)
+	assert.Equal(t, inUse(), uint32(TotalParts/2))
+}
