--- a/internal/controller/groups/promote.go
+++ b/internal/controller/groups/promote.go
@@ -11,7 +11,6 @@
 	"github.com/rosemarywall/rosemarywall/internal/core/routing"
 	"github.com/rosemarywall/rosemarywall/internal/group"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
-	"github.com/rosemarywall/rosemarywall/internal/peer"
 )
 
 // Time bounds of the promotion's calls and ticks.
@@ -47,9 +46,6 @@
 	defer p.mu.Unlock()
 	event(p.machine, p.group.controller.options.Now())
 	p.publish()
-	for _, action := range p.machine.Take() {
-		p.carryOut(action)
-	}
 	for _, outcome := range p.machine.Outcomes() {
 		p.last = &outcome
 		p.group.controller.metrics.changed(outcome)
@@ -58,6 +54,9 @@
 			Str("reason", outcome.Reason).Dur("detection_ms", outcome.Detection).Dur("gap_ms", outcome.Total()).
 			Msg("primary changed")
 	}
+	for _, action := range p.machine.Take() {
+		p.carryOut(action)
+	}
 }
 
 // publish copies the record into the view of the data plane.
@@ -71,18 +70,13 @@
 	p.group.update(func(v *routing.View) *routing.View { return v.WithRecord(record).WithHeld(held) })
 }
 
-// configure passes the members and the live VMs to the machine.
-func (p *promoter) configure(members []routing.Member, mesh []peer.Member) {
+// configure passes the members and the VMs that follow the group to the machine.
+func (p *promoter) configure(members []routing.Member) {
 	list := make([]promotion.Member, 0, len(members))
 	for _, m := range members {
 		list = append(list, promotion.Member{Upstream: m.Upstream, Zone: m.Zone, Region: m.Region, Usable: m.Usable})
 	}
-	var vms []promotion.VM
-	for _, vm := range mesh {
-		if vm.State == peer.Alive || vm.State == peer.Suspect {
-			vms = append(vms, promotion.VM{Name: vm.Name, Zone: vm.Zone})
-		}
-	}
+	vms := p.group.controller.followers(p.group.name)
 	p.drive(func(m *promotion.Machine, now time.Duration) { m.Configure(now, list, vms) })
 }
 
--- a/internal/filter/forward/exchange.go
+++ b/internal/filter/forward/exchange.go
@@ -36,6 +36,13 @@
 	local []byte
 	// settings marks the statements that apply the session's settings.
 	settings bool
+	// marker is the number of CloseComplete messages that the marker of the segment
+	// still has to get.
+	marker int
+	// tag is the CommandComplete that a query of the proxy must get.
+	tag string
+	// begin marks the BEGIN that the caller has sent before.
+	begin bool
 	// isLocal says that no message was sent and local is the answer.
 	isLocal bool
 }
@@ -49,6 +56,8 @@
 	conn  *upstream.Conn
 	w     *wire.Writer
 	fresh bool
+	// answered says that a message of the upstream was passed on.
+	answered bool
 	// onPrimary is the session's OnPrimary, also after the lease was returned.
 	onPrimary bool
 	finished  bool
@@ -57,6 +66,9 @@
 	// unsafe says that a segment was sent whose effect may have been committed
 	// without an answer.
 	unsafe bool
+	// opaque says that the request holds a statement such as CALL, which may commit
+	// a part of its work.
+	opaque bool
 	// effect says that an earlier segment may have committed something.
 	effect bool
 	// commits says that the segment holds a COMMIT of the caller, and writes that
@@ -79,14 +91,15 @@
 	status      byte
 	errored     bool
 	// committed says that the last CommandComplete was that of COMMIT.
-	committed  bool
-	statement  int // index of the statement of a Q that answers next
-	statements []sqltext.Statement
-	retry      *filter.Retry
-	polling    bool
-	polls      int // poll intervals that passed without an answer
-	// settingsErr is the refusal of the session's settings.
-	settingsErr error
+	committed   bool
+	statement   int // index of the statement of a Q that answers next
+	statements  []sqltext.Statement
+	retry       *filter.Retry
+	polling     bool
+	polls       int // poll intervals that passed without an answer
+	cancelPolls int // poll intervals since the statement was cancelled
+	// prefixErr is the refusal of the session's settings or of BEGIN.
+	prefixErr error
 	// needSync says that the upstream has ignored the Sync of the batch, because it
 	// was in COPY mode; early holds messages that came meanwhile.
 	needSync  bool
@@ -131,8 +144,15 @@
 			return err
 		}
 	}
-	if x.wrapped {
+	switch {
+	case x.wrapped:
 		x.query(true, "BEGIN")
+		x.expect[len(x.expect)-1].tag = "BEGIN"
+	case x.fresh && x.r.Begin != "":
+		x.query(true, x.r.Begin)
+		last := &x.expect[len(x.expect)-1]
+		last.begin, last.tag = true, "BEGIN"
+		x.s.InTransaction, x.s.ReadOnlyBlock = true, x.r.BeginReadOnly
 	}
 	ops := x.r.Ops
 	for len(ops) > 0 {
@@ -143,12 +163,12 @@
 		if err := x.segment(); err != nil {
 			return err
 		}
-		if x.errored || x.settingsErr != nil {
+		if x.errored || x.prefixErr != nil {
 			break
 		}
 	}
-	if x.settingsErr != nil {
-		return x.settingsErr // the connection is closed, which ends BEGIN
+	if x.prefixErr != nil {
+		return x.prefixErr // the connection is closed, which ends the transaction
 	}
 	if x.wrapped {
 		return x.commitWrapped()
@@ -158,7 +178,7 @@
 
 // wrappable reports whether the request runs between BEGIN and COMMIT of the proxy.
 func (x *exchange) wrappable() bool {
-	if !x.fresh || !x.r.Write || x.r.OpenEnd || x.h.cfg.Plain {
+	if !x.fresh || !x.r.Write || x.r.OpenEnd || x.r.Begin != "" || x.h.cfg.Plain {
 		return false
 	}
 	writes := false
@@ -183,7 +203,7 @@
 	if err := x.send(); err != nil {
 		// The upstream cannot have run an incomplete message. Without the final
 		// Sync nothing is committed except by a COMMIT inside the segment.
-		x.unsafe = x.commits && len(x.expect) > 1
+		x.unsafe = x.commits && len(x.expect) > 2 // the marker and a single Query
 		return err
 	}
 	err := x.answers()
--- a/internal/frontend/outcome_test.go
+++ b/internal/frontend/outcome_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/rosemarywall/rosemarywall/internal/group"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/request"
@@ -130,6 +131,8 @@
 
 		tx, err = conn.Begin(ctx)
 		assert.NilError(t, err)
+		_, err = tx.Exec(ctx, "INSERT c")
+		assert.NilError(t, err)
 		r.primary.setHook(once("rollback"))
 		assert.NilError(t, tx.Rollback(ctx))
 
@@ -223,6 +226,30 @@
 	wantCode(t, err, "40001", "RW1013")
 }
 
+// Guards against callers that leave during a statement keeping their slot, and
+// against cancelling anything else.
+func TestCallerLeavesDuringStatement(t *testing.T) {
+	r := newRig(t, false, nil)
+	x := r.raw()
+	running, release := make(chan struct{}), make(chan struct{})
+	defer close(release)
+	r.primary.setHook(func(sql string) bool {
+		if sql == "SELECT slow" {
+			close(running)
+			<-release
+		}
+		return true
+	})
+	x.send(&pgproto3.Query{String: "SELECT slow"})
+	<-running
+	x.c.Close()
+	for r.server.Outstanding("orders", "one") > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	assert.Equal(t, r.primary.cancelled(), 1)
+	r.raw().query("SELECT 1", "RowDescription D:1 C:SELECT_1 Z:I")
+}
+
 // Guards against callers seeing an error because pooled connections died while
 // idle, and against writes running twice in that case.
 func TestDeadIdleConnectionsAreReplaced(t *testing.T) {
@@ -281,6 +308,17 @@
 	assert.Equal(t, r.primary.count("SELECT touch()"), 2) // the first was refused with 25006
 }
 
+// Guards against the 25006 of a former primary being passed on when no newer primary
+// is known before the deadline.
+func TestReadOnlyRefusalUntilTheDeadline(t *testing.T) {
+	r := newRig(t, true, func(cfg *Config) { cfg.QueueTimeout = 100 * time.Millisecond })
+	conn := r.connect("")
+	r.control.set(func() { r.control.primary = *r.control.replica })
+	_, err := conn.Exec(t.Context(), "INSERT a")
+	wantCode(t, err, "57P03", "RW1010")
+	assert.Equal(t, r.primary.count("INSERT"), 0)
+}
+
 // Guards against a lost read being answered with an error although another
 // upstream could serve it, and against half answers passed off as complete.
 func TestBrokenReads(t *testing.T) {
--- a/specs/run.sh
+++ b/specs/run.sh
@@ -7,7 +7,8 @@
 specs=${*:-*.pml}
 
 if ! command -v spin >/dev/null; then
-	apt-get install -y spin >/dev/null || { echo "specs: spin is missing and cannot be installed" >&2; exit 1; }
+	{ apt-get install -y spin || { apt-get update && apt-get install -y spin; }; } >/dev/null 2>&1 ||
+		{ echo "specs: spin is missing and cannot be installed" >&2; exit 1; }
 fi
 
 work=$(mktemp -d)
@@ -22,7 +23,7 @@
 		rm -f pan pan.* ./*.trail
 		spin -a "$@" "$file" >spin.log || { cat spin.log >&2; exit 1; }
 		# Generated code; the model has one process, so partial order reduction saves nothing.
-		gcc -w -O2 -DSAFETY -DNOREDUCE -DCOLLAPSE -DMEMLIM=2000 -o pan pan.c
+		gcc -w -O2 -DSAFETY -DNOREDUCE -DMEMLIM=2000 -o pan pan.c
 		./pan -m2000000 >report 2>&1
 	)
 }
