--- a/internal/core/shares/changes.go
+++ b/internal/core/shares/changes.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"slices"
 	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/ident"
 )
 
 const (
@@ -17,6 +19,10 @@
 	// lessorPatience is the time for which a lessor must be gone before a VM names
 	// another one.
 	lessorPatience = 3 * time.Second
+	// confirmPatience is the time without a confirmation after which a VM names
+	// another lessor although the view has the present one as alive. It leaves time
+	// for the write before the lease ends.
+	confirmPatience = 6 * time.Second
 )
 
 func (l *Ledger) delayPlan(now time.Duration) {
@@ -149,14 +155,17 @@
 	if !ok {
 		return Table{}, ""
 	}
-	next, found := l.table.Successor(l.self, l.alive)
+	next, found := l.table.Successor(l.self, func(vm ident.VMName) bool { return l.alive(vm) && vm != own.Lessor })
 	why := "another VM has joined"
-	if own.Lessor != "" {
-		if l.table.Lists(own.Lessor) && !l.gone(now, own.Lessor) {
-			return Table{}, ""
-		}
+	switch {
+	case own.Lessor == "" && !found:
+		return Table{}, ""
+	case own.Lessor == "":
+	case !l.table.Lists(own.Lessor) || l.gone(now, own.Lessor):
 		why = fmt.Sprintf("lessor %s is gone", own.Lessor)
-	} else if !found {
+	case now-l.confirmed >= confirmPatience:
+		why = fmt.Sprintf("lessor %s does not answer", own.Lessor)
+	default:
 		return Table{}, ""
 	}
 	t := l.table.clone()
--- a/internal/core/shares/lease.go
+++ b/internal/core/shares/lease.go
@@ -92,6 +92,7 @@
 	if l.doubt != nil && l.doubt.what == changeLessor && asked.at >= l.doubt.started {
 		return
 	}
+	l.confirmed = now
 	if until := asked.at + Lease; until > now {
 		l.leaseUntil = max(l.leaseUntil, until)
 	}
--- a/internal/core/shares/ledger.go
+++ b/internal/core/shares/ledger.go
@@ -93,6 +93,7 @@
 	goneSince map[ident.VMName]time.Duration // VMs of the table that are not alive
 
 	leaseUntil time.Duration
+	confirmed  time.Duration // last confirmation by the lessor, or its appointment
 	asks       map[uint64]leaseAsk
 	lastAsk    uint64
 	nextAsk    time.Duration
@@ -216,6 +217,9 @@
 	if had && !has {
 		l.leaseUntil = 0
 	}
+	if before.Lessor != after.Lessor || before.LessorTerm != after.LessorTerm {
+		l.confirmed = now
+	}
 	kept := map[lesseeKey]time.Duration{}
 	for _, r := range table.Rows {
 		if r.Lessor != l.self || r.is(l.self, l.incarnation) {
--- a/internal/core/shares/steps_test.go
+++ b/internal/core/shares/steps_test.go
@@ -169,3 +169,23 @@
 	l.Tick(now)
 	assert.Equal(t, inUse(), uint32(TotalParts/2))
 }
+
+// Guards against a VM that loses its parts because its lessor does not answer
+// although the view has it as alive. The VM leases by reading the table instead.
+func TestSilentLessorIsReplaced(t *testing.T) {
+	l, table := zoneOf(t)
+	lease(0, l)
+	version := uint64(5)
+	for now := time.Duration(0); now < 30*time.Second; now += 50 * time.Millisecond {
+		a := l.Tick(now)
+		if a.Write != nil && a.Write.Base == version {
+			table, version = a.Write.Table, version+1
+			assert.Assert(t, table.Valid())
+		}
+		if a.Read || a.Write != nil {
+			l.Observe(now, now, table, version)
+		}
+		parts, _ := l.Parts(now)
+		assert.Equal(t, parts, uint32(TotalParts/2), "at %s", now)
+	}
+}
