--- a/internal/controller/shares/controller.go
+++ b/internal/controller/shares/controller.go
@@ -109,9 +109,16 @@
 	c.sendAsks(ctx, asks)
 }
 
-// Leave hands this VM's parts to another one. It returns when that is done or
-// ctx ends; requests are refused meanwhile.
+// leaveTimeout bounds Leave. Loans must end first, then the table is written.
+const leaveTimeout = shares.LoanHold + 2*time.Second
+
+// Leave hands this VM's parts to another one, which takes about LoanHold. Call it
+// after the last request and before the mesh leaves: without it the parts lie idle
+// until the lease and the guard have passed. The error is that of the context when
+// no other VM or no platform could take the parts in time.
 func (c *Controller) Leave(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
+	defer cancel()
 	c.node.WithLedger(c.clock.Now(), func(l *shares.Ledger) { l.Leave(c.clock.Now()) })
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
