Ask for session tokens, and load sessions that accept an age

Cause: proxies send a token only to callers that asked for one with an empty session_token, so sessions that should roam with a token roamed without. Change: such sessions ask at startup; a write that is acknowledged without a new token counts as a faulty answer.

--- a/internal/load/direct.go
+++ b/internal/load/direct.go
@@ -78,7 +78,7 @@
 		return nil, errors.Wrap(err, "write for a token")
 	}
 	for _, mode := range []directMode{
-		{"read, no token", directRead, ""}, {"read with token", directRead, "set rosemarywall.session_token = '" + token + "'"}, {"write", directWrite, ""},
+		{"read, no token", directRead, ""}, {"read with token", directRead, "set " + tokenParameter + " = '" + token + "'"}, {"write", directWrite, ""},
 	} {
 		for _, callers := range directCallers {
 			row := DirectRow{Statement: mode.name, Callers: callers}
@@ -110,8 +110,14 @@
 		return "", err
 	}
 	defer func() { _ = conn.Close(ctx) }()
-	err = conn.Exec(ctx, directWrite).Close()
-	return conn.ParameterStatus("rosemarywall.session_token"), err
+	if err := conn.Exec(ctx, "set "+tokenParameter+" = ''; "+directWrite).Close(); err != nil {
+		return "", err
+	}
+	token := conn.ParameterStatus(tokenParameter)
+	if token == "" {
+		return "", errors.New("no session token after a write")
+	}
+	return token, nil
 }
 
 // closedLoop lets every caller send the next statement when the last one is answered.
--- a/internal/load/parse.go
+++ b/internal/load/parse.go
@@ -89,6 +89,7 @@
 		"transactions": number(&s.Transactions, 0, 1),
 		"token":        number(&s.Token, 0, 1),
 		"roam":         number(&s.Roam, 0, 1),
+		"aged":         number(&s.Aged, 0, 1),
 		"baselines":    p.baselines,
 	}
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -290,6 +290,7 @@
 				random: rand.New(rand.NewPCG(r.options.Seed, uint64(number))),
 			}
 			s.carriesToken = float64(i) < r.scenario.Token*float64(r.scenario.sessionsOf(o))
+			s.acceptsAge = s.carriesToken && s.random.Float64() < r.scenario.Aged
 			if withdrawn[o.Name] && i%2 == 1 {
 				s.key, s.secret = secondKey, secondSecret(o.Name)
 			}
--- a/internal/load/scenario.go
+++ b/internal/load/scenario.go
@@ -46,6 +46,9 @@
 	Roam float64
 	// Token is the part of the sessions that carry a session token.
 	Token float64
+	// Aged is the part of the token-carrying sessions that accept reads of acceptedAge.
+	// Their reads must still show their own writes.
+	Aged float64
 	// Slots and Connections replace the upstream limits of the installation when
 	// positive.
 	Slots, Connections int
--- a/internal/load/session.go
+++ b/internal/load/session.go
@@ -18,6 +18,9 @@
 	// proxy together.
 	requestTimeout = 15 * time.Second
 	connectTimeout = 3 * time.Second
+	tokenParameter = "rosemarywall.session_token"
+	// acceptedAge is the age that sessions accept where the scenario asks for it.
+	acceptedAge = "2s"
 	// maxConnections is the number of proxies to which a session is connected at once.
 	maxConnections = 2
 	// maxAttempts bounds the sendings of a request that was refused with the request
@@ -39,6 +42,7 @@
 	key          string // name of the key
 	secret       string
 	carriesToken bool
+	acceptsAge   bool
 	random       *rand.Rand
 
 	conns map[ident.VMName]*pgconn.PgConn
@@ -170,16 +174,27 @@
 		s.refused(r, err, false)
 	} else {
 		r.Outcome, r.Code, r.SQLState, r.Text = OK, 0, "", ""
-		if token := conn.ParameterStatus("rosemarywall.session_token"); r.Kind.writes() && token != "" {
-			s.token = token
-			s.tokenAt[vm] = token
-		}
+		s.takeToken(conn, r)
 	}
 	if conn.IsClosed() || conn.TxStatus() != 'I' {
 		s.drop(vm)
 	}
 }
 
+// takeToken keeps the token that follows an acknowledged write. Without a new one
+// the session could not prove its write to another proxy.
+func (s *session) takeToken(conn *pgconn.PgConn, r *Record) {
+	if !s.carriesToken || !r.Kind.writes() {
+		return
+	}
+	token := conn.ParameterStatus(tokenParameter)
+	if token == "" || token == s.token {
+		r.Fault = "acknowledged write without a new session token"
+		return
+	}
+	s.token, s.tokenAt[r.VM] = token, token
+}
+
 // connection returns the session's connection to a VM. It carries the newest token
 // when the session uses one.
 func (s *session) connection(ctx context.Context, vm ident.VMName) (*pgconn.PgConn, error) {
@@ -197,10 +212,10 @@
 				s.drop(other)
 			}
 		}
-		s.conns[vm] = conn
+		s.conns[vm], s.tokenAt[vm] = conn, s.token
 	}
 	if s.carriesToken && s.token != "" && s.tokenAt[vm] != s.token {
-		if err := conn.Exec(ctx, "set rosemarywall.session_token = '"+s.token+"'").Close(); err != nil {
+		if err := conn.Exec(ctx, "set "+tokenParameter+" = '"+s.token+"'").Close(); err != nil {
 			s.drop(vm)
 			return nil, err
 		}
@@ -218,6 +233,12 @@
 	host, port := splitAddress(running.CallerAddress())
 	config.Host, config.Port = host, port
 	config.User, config.Password, config.Database = string(s.organisation), s.secret, string(s.group)
+	if s.carriesToken { // an empty token asks for tokens
+		config.RuntimeParams[tokenParameter] = s.token
+	}
+	if s.acceptsAge {
+		config.RuntimeParams["rosemarywall.accepted_age"] = acceptedAge
+	}
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	return pgconn.ConnectConfig(ctx, config)
