Close connections to a replaced silent primary and wrap writes to a quiet one

Cause: with a paused primary, plain writes waited on its open connections and ended with an unknown outcome; a planned stop left the VM's rate parts idle. Change: the group controller tells the pools when a silent primary was replaced; single writes run between BEGIN and COMMIT while the primary's agent is quiet for 250 ms; entry.Stop hands the rate parts over.

--- a/internal/controller/groups/group.go
+++ b/internal/controller/groups/group.go
@@ -119,6 +119,7 @@
 		return
 	}
 	g.view.Store(next)
+	g.noteReplacement(old, next)
 	kept := g.waiters[:0]
 	for _, w := range g.waiters {
 		if w.ready(next) {
@@ -131,6 +132,24 @@
 	g.waiters = kept
 }
 
+// noteReplacement tells the data plane when a failed primary was replaced, so that
+// requests that wait for its answers are resolved at once. A primary that left by a
+// planned move still answers; its connections end by themselves.
+func (g *groupState) noteReplacement(old, next *routing.View) {
+	replaced := g.controller.options.OnReplaced
+	if replaced == nil || old.Primary < 0 || next.Primary < 0 || next.Term <= old.Term {
+		return
+	}
+	former, now := old.Members[old.Primary].Upstream, next.Members[next.Primary].Upstream
+	if former == now {
+		return
+	}
+	seen := old.Seen[old.Primary]
+	if seen.Down || g.controller.options.Now()-seen.At > StreamGap {
+		go replaced(g.name, former)
+	}
+}
+
 // updateMember changes the observation of one member, if it is still configured.
 func (g *groupState) updateMember(name ident.UpstreamName, change func(*routing.View, int) *routing.View) {
 	g.update(func(v *routing.View) *routing.View {
--- a/internal/controller/groups/options.go
+++ b/internal/controller/groups/options.go
@@ -30,6 +30,9 @@
 	// kept. Lines come at least every 100 ms; after a longer gap the lines may have
 	// waited in a buffer, so their age is not known and the stream is opened again.
 	StreamGap = 500 * time.Millisecond
+	// QuietAfter is the age of the last status line from which a member counts as quiet.
+	// Lines come every 100 ms, so two were lost or late.
+	QuietAfter = 250 * time.Millisecond
 	// ReconnectDelay is the pause before a broken stream is opened again. Two
 	// refused connections in a row prove a dead process within the 1 s target.
 	ReconnectDelay = 50 * time.Millisecond
@@ -47,6 +50,9 @@
 	// Outstanding gives the requests that this VM runs on an upstream; nil counts
 	// none, and equal replicas then take turns.
 	Outstanding routing.Outstanding
+	// OnReplaced is told about a primary that was replaced while it did not answer; nil
+	// is told nothing.
+	OnReplaced func(ident.GroupName, ident.UpstreamName)
 	// Now is the time since process start; nil uses a new clock.Clock.
 	Now func() time.Duration
 	// ReadWait is how long a read waits for a replica; zero means DefaultReadWait.
--- a/internal/controller/groups/router.go
+++ b/internal/controller/groups/router.go
@@ -20,6 +20,7 @@
 		Group: v.Group, Upstream: m.Upstream, Zone: m.Zone, Address: m.Address, Term: v.Term,
 		Slots: m.Slots, Connections: max(1, m.Connections/int(c.live.Load())),
 		Primary: i == v.Primary,
+		Quiet:   c.options.Now()-v.Seen[i].At > QuietAfter,
 	}
 }
 
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -142,6 +142,7 @@
 	})
 	v.groups = groupcontroller.New(groupcontroller.Options{
 		Mesh: v.mesh, Platform: v.platform, Configuration: v.configs, NewAgent: v.newAgent, Now: v.clock.Now, Log: v.log,
+		OnReplaced:  v.pools.Break,
 		Outstanding: func(g ident.GroupName, u ident.UpstreamName) int { return v.callers.Outstanding(g, u) },
 	})
 	if err := v.newFrontend(); err != nil {
@@ -202,6 +203,9 @@
 	v.draining.Store(true)
 	v.log.Info().Msg("draining")
 	err := v.callers.Drain(ctx)
+	if left := v.shares.Leave(ctx); left != nil {
+		v.log.Warn().Err(left).Msg("rate parts not handed over")
+	}
 	v.mesh.Leave()
 	v.shutdown()
 	v.log.Info().Msg("stopped")
--- a/internal/filter/forward/forward.go
+++ b/internal/filter/forward/forward.go
@@ -25,8 +25,8 @@
 	// ConfirmTimeout bounds the wait for a confirmation and for the outcome of an
 	// unanswered commit; default 5 s.
 	ConfirmTimeout time.Duration
-	// Plain sends single writes without BEGIN and COMMIT. It saves one exchange
-	// with the upstream and leaves more outcomes unknown.
+	// Plain sends single writes without BEGIN and COMMIT, except to a quiet primary. It
+	// saves one exchange with the upstream and leaves more outcomes unknown.
 	Plain bool
 }
 
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -50,6 +50,9 @@
 	Slots int
 	// Connections is this VM's connection limit for the upstream.
 	Connections int
+	// Quiet says that the upstream's agent has been silent for longer than usual, so
+	// that it may have failed.
+	Quiet bool
 	// Primary says that the upstream was the group's primary when it was chosen.
 	Primary bool
 }
