--- a/internal/load/direct.go
+++ b/internal/load/direct.go
@@ -110,8 +110,10 @@
 		return "", err
 	}
 	defer func() { _ = conn.Close(ctx) }()
-	if err := conn.Exec(ctx, "set "+tokenParameter+" = ''; "+directWrite).Close(); err != nil {
-		return "", err
+	for _, sql := range []string{"set " + tokenParameter + " = ''", directWrite} {
+		if err := conn.Exec(ctx, sql).Close(); err != nil {
+			return "", err
+		}
 	}
 	token := conn.ParameterStatus(tokenParameter)
 	if token == "" {
