--- a/internal/capacity/platform.go
+++ b/internal/capacity/platform.go
@@ -127,11 +127,11 @@
 	tableWatches         = 1.0 / 25   // per watcher and second: one watch of 25 s
 	rosterReads          = 1.0 / 5    // per watcher and second
 	watchersPerZone      = 2          // of each zone
-	noteReads            = 439.0      // per note at 24 zones, measured by the role configuration
-	noteWrites           = 20.8       // per note at 24 zones, measured by the role configuration
+	noteReads            = 526.0      // per note at 24 zones, measured by the role configuration
+	noteWrites           = 22.2       // per note at 24 zones, measured by the role configuration
 	restartCalls         = 13.0       // gets and lists per restart, measured by the role fleet
 	restartWrites        = 3.0        // per restart, measured by the role fleet
-	wakesPerWrite        = 25.53 / 18 // watch calls per watcher and write, measured by the role fleet
+	wakesPerWrite        = 20.51 / 18 // watch calls per watcher and write, measured by the role fleet
 	primaryWrites        = 2.0        // per change of a primary
 )
 
--- a/internal/capacity/shares.go
+++ b/internal/capacity/shares.go
@@ -25,8 +25,8 @@
 	perTick       float64 // statements of one organisation on one VM and tick
 	servers       int     // VMs that serve one organisation
 
-	run1 escrowRun
-	err  error
+	totals escrowRun
+	err    error
 }
 
 // escrowRun counts what a zone did.
@@ -92,7 +92,7 @@
 		}
 		return s.nodes
 	})
-	s.run1.Memory = held / float64(vms)
+	s.totals.Memory = held / float64(vms)
 	for i := range s.members {
 		s.at(time.Duration(s.rng.Int64N(int64(shareTick))), func() { s.tick(i) })
 	}
@@ -130,7 +130,7 @@
 				continue
 			}
 			b.Attempt(s.now, 1)
-			s.run1.Requests++
+			s.totals.Requests++
 			if !b.Take(s.now, 1) {
 				s.wait(i, organisation, s.now)
 			}
@@ -146,7 +146,7 @@
 		switch {
 		case b.Take(s.now, 1):
 		case s.now-since >= 50*time.Millisecond:
-			s.run1.Refused++
+			s.totals.Refused++
 		default:
 			s.wait(i, organisation, since)
 		}
@@ -162,8 +162,8 @@
 }
 
 func (s *escrow) lease(from, to int, q shares.LeaseRequest) {
-	s.run1.LeaseMessages++
-	s.run1.LeaseBytes += s.size(from, "share-lease", q)
+	s.totals.LeaseMessages++
+	s.totals.LeaseBytes += s.size(from, "share-lease", q)
 	m := s.members[from]
 	s.at(s.now+insideZone, func() {
 		s.nodes[to].WithLedger(s.now, func(l *shares.Ledger) {
@@ -171,8 +171,8 @@
 			if !ok {
 				return
 			}
-			s.run1.LeaseMessages++
-			s.run1.LeaseBytes += s.size(to, "share-confirm", grant)
+			s.totals.LeaseMessages++
+			s.totals.LeaseBytes += s.size(to, "share-confirm", grant)
 			s.at(s.now+insideZone, func() {
 				s.nodes[from].WithLedger(s.now, func(l *shares.Ledger) { l.ReceiveGrant(s.now, s.members[to].Name, grant) })
 			})
@@ -183,16 +183,16 @@
 func (s *escrow) transfer(from int, asks []shares.Outgoing) {
 	for _, a := range asks {
 		to := s.number[a.To]
-		s.run1.TransferMessages++
-		s.run1.TransferBytes += s.size(from, "share-ask", a.Message)
+		s.totals.TransferMessages++
+		s.totals.TransferBytes += s.size(from, "share-ask", a.Message)
 		m := s.members[from]
 		s.at(s.now+insideZone, func() {
 			grant := s.nodes[to].ReceiveAsk(s.now, m.Name, m.Incarnation, a.Message)
 			if len(grant.Grants) == 0 {
 				return
 			}
-			s.run1.TransferMessages++
-			s.run1.TransferBytes += s.size(to, "share-grant", grant)
+			s.totals.TransferMessages++
+			s.totals.TransferBytes += s.size(to, "share-grant", grant)
 			s.at(s.now+insideZone, func() { s.nodes[from].ReceiveGrant(s.now, s.members[to].Name, grant) })
 		})
 	}
@@ -203,12 +203,12 @@
 func runEscrow(vms, organisations, servers int, part float64) (escrowRun, error) {
 	s := newEscrow(vms, organisations, servers, part)
 	s.run(5 * time.Second)
-	memory := s.run1.Memory
-	s.run1 = escrowRun{Memory: memory}
+	memory := s.totals.Memory
+	s.totals = escrowRun{Memory: memory}
 	const seconds = 6
 	start := processorTime()
 	s.run(s.now + seconds*time.Second)
-	r := s.run1
+	r := s.totals
 	per := float64(vms * seconds)
 	r.Processor = time.Duration(float64(processorTime()-start) / per)
 	r.LeaseMessages, r.LeaseBytes = r.LeaseMessages/per, r.LeaseBytes/per
--- a/internal/controller/configuration/doc.go
+++ b/internal/controller/configuration/doc.go
@@ -11,8 +11,8 @@
 // lacks: the note of a proposal, the full configuration only for a VM that has
 // missed one, the age of the newest platform reading, and what is known of the
 // other zones. Every VM also asks one of its watchers in turn and one VM of 16 random
-// ones every 500 ms, so that lost messages only delay. Ages count from the time of the question on the
-// asker's clock.
+// ones every 500 ms, so that lost messages only delay. Ages count from the time of
+// the question on the asker's clock.
 //
 // The VM that takes a note writes the proposal and becomes its acceptor. A watcher
 // of each zone writes zone-ack/<zone> when a majority of its VMs have
