Say that a note refused with RW2009 may still be accepted

Cause: the table called RW2009 not run, but a pending note can be accepted later (seen by the load tool about 4 s after the answer).

--- a/internal/resultcode/table.go
+++ b/internal/resultcode/table.go
@@ -31,7 +31,7 @@
 	{NoteNotFound, "note_not_found", "", NotRun, "A changed or withdrawn item does not exist."},
 	{NoteReference, "note_reference", "", NotRun, "An item refers to another that does not exist, or is still referred to."},
 	{NoteConflict, "note_conflict", "", NotRun, "Another note was accepted first."},
-	{NoteNotAccepted, "note_not_accepted", "", NotRun, "Too few availability zones acknowledged the note before the deadline."},
+	{NoteNotAccepted, "note_not_accepted", "", Unknown, "Too few availability zones acknowledged the note before the deadline."},
 	{NoteEmpty, "note_empty", "", NotRun, "The release note changes nothing."},
 	{NoteTooLarge, "note_too_large", "", NotRun, "The resulting configuration exceeds the platform's value limit."},
 
