Keep the parts of a VM alone in its zone during a platform outage

Cause: a VM without a lessor held its lease by reading the table from the platform. An outage longer than the lease (10 s) took its parts, and with one VM per zone the whole fleet refused every request with RW1008. Parts of a zone whose VMs were all replaced under new names were never recovered.

Change: a VM without a lessor renews its lease itself while it runs. Nobody else names a lessor in its row without proof that the platform has removed the VM (seen in a complete list, absent from the newest one) or that a later incarnation runs. The same proof gives a lessor to a row whose VM and lessor were both removed. A gift no longer names lessors in existing rows of other VMs.

--- a/internal/controller/shares/controller.go
+++ b/internal/controller/shares/controller.go
@@ -87,6 +87,11 @@
 	wg.Wait()
 }
 
+// SetListed takes a complete list of the platform's VMs.
+func (c *Controller) SetListed(names []ident.VMName) {
+	c.node.WithLedger(c.clock.Now(), func(l *shares.Ledger) { l.SetListed(names) })
+}
+
 // tick runs the core and carries out its actions.
 func (c *Controller) tick(ctx context.Context) {
 	actions, asks := c.node.Tick(c.clock.Now())
--- a/internal/controller/shares/doc.go
+++ b/internal/controller/shares/doc.go
@@ -11,8 +11,9 @@
 // When the answer to an update is lost the object is read back and compared by its
 // writer; until the table has changed the core treats the update as unresolved.
 // The two watchers of each zone watch the tables of all zones; other VMs read the
-// platform only at start, before a change of their own, and while their lease has
-// lapsed.
+// platform only at start, before a change of their own, while their lease has
+// lapsed, and while they have no lessor. SetListed takes the platform's list of VMs,
+// which proves that a VM was removed.
 //
 // Invariants. Take admits only tokens that the core has given out. A request that
 // finds tokens in its bucket takes no lock but the bucket's. Take waits at most
--- a/internal/core/shares/changes.go
+++ b/internal/core/shares/changes.go
@@ -149,7 +149,7 @@
 }
 
 // lessorTable names another lessor when the present one is gone. A VM without
-// another live VM in the table leases its parts by reading the table.
+// another live VM in the table gets no lessor.
 func (l *Ledger) lessorTable(now time.Duration) (Table, string) {
 	own, ok := l.own()
 	if !ok {
@@ -173,20 +173,31 @@
 	return t, why
 }
 
-// registerTable makes this VM the lessor of a VM that has none and is gone, so
-// that its parts can be reclaimed.
+// registerTable makes this VM the lessor of a VM that has been removed and has no
+// lessor or one that has been removed as well, so that its parts can be reclaimed.
+// That it is not alive in the view proves nothing: it may keep its parts while it is
+// cut off from this VM and from the platform.
 func (l *Ledger) registerTable(now time.Duration) (Table, string) {
 	for _, r := range l.table.Rows {
-		if r.Lessor != "" || l.present(r) || r.VM != l.self && !l.gone(now, r.VM) {
+		if l.present(r) || !l.removed(r) || !l.without(r.Lessor) || r.VM != l.self && !l.gone(now, r.VM) {
 			continue
 		}
 		t := l.table.clone()
 		t.setLessor(r, l.self)
-		return t, fmt.Sprintf("%s/%d has no lessor and is gone", r.VM, r.Incarnation)
+		return t, fmt.Sprintf("%s/%d has no lessor and was removed", r.VM, r.Incarnation)
 	}
 	return Table{}, ""
 }
 
+// without reports whether there is no lessor: none is named, or all its rows are of
+// removed VMs.
+func (l *Ledger) without(lessor ident.VMName) bool {
+	if lessor == "" {
+		return true
+	}
+	return !l.alive(lessor) && !slices.ContainsFunc(l.table.Rows, func(r Row) bool { return r.VM == lessor && !l.removed(r) })
+}
+
 // gift returns the table after this VM, when it holds the most parts, has given
 // some to new VMs or to the VM with the fewest; zero parts when there is no need.
 func (l *Ledger) gift() (Table, uint32, string) {
@@ -245,8 +256,11 @@
 	given := each * uint32(len(joining))
 	own.Parts -= given
 	t.set(own)
+	// The rows of other VMs stay as they are: one without a lessor may be in use by a
+	// VM that does not see this write.
 	for _, r := range slices.Clone(t.Rows) {
-		if next, ok := t.Successor(r.VM, l.alive); ok && r.Lessor == "" && l.present(r) {
+		_, old := l.table.Row(r.VM, r.Incarnation)
+		if next, ok := t.Successor(r.VM, l.alive); ok && r.Lessor == "" && (!old || r.is(l.self, l.incarnation)) {
 			t.setLessor(r, next)
 		}
 	}
--- a/internal/core/shares/doc.go
+++ b/internal/core/shares/doc.go
@@ -9,9 +9,19 @@
 // Leases. A VM uses its parts only while its lessor, another VM of the zone that
 // the table names, has confirmed them within the last 10 s. The lessor removes a
 // VM from the table only after it has confirmed nothing for lease + guard, and
-// confirms only while its own lease lasts or after it has just read the table. A
-// VM that is alone in its zone has no lessor; it holds its lease by reading the
-// table. When a lease ends the VM's tokens are lost.
+// confirms only while its own lease lasts or after it has just read the table.
+// When a lease ends the VM's tokens are lost.
+//
+// A VM without a lessor, alone in its zone, obtains its lease by reading the table
+// and then keeps it while it runs, so that an outage of the platform stops no
+// service. After a pause longer than the lease it reads the table first. Only the VM
+// itself gives its row a lessor, or another VM with proof that it was removed: a
+// complete list of the platform has named the VM since this row is known to the
+// observer and the newest one does not, or a later incarnation of the name runs.
+// Lease + guard is waited after that as well. The platform must list a VM, once it
+// has listed it, until the VM has stopped. A row whose lessor was removed too is
+// treated in the same way. A VM that the observer has never seen listed counts as not
+// removed: its parts stay unused until a VM of the same name starts.
 //
 // Changes of the table are conditional updates. A VM gives parts away in two
 // steps: it lowers its own use, waits until every loan has ended, and writes the
--- a/internal/core/shares/lease.go
+++ b/internal/core/shares/lease.go
@@ -29,6 +29,7 @@
 		return
 	}
 	l.nextAsk = now + RenewEvery
+	l.keepAlone(now, r)
 	lapsed := l.leaseUntil <= now
 	if lapsed {
 		l.nextAsk = now + RenewEvery/4
@@ -51,6 +52,26 @@
 	a.Ask, a.To = &LeaseRequest{ID: l.lastAsk, Version: l.version}, r.Lessor
 }
 
+// keepAlone renews the lease of a VM without a lessor: no other VM takes its parts
+// before the platform has removed it. A lapsed lease, as after a pause, needs a read
+// of the table, because the parts may have been taken meanwhile.
+func (l *Ledger) keepAlone(now time.Duration, own Row) {
+	if own.Lessor == "" && l.leaseUntil > now && !l.lessorInDoubt() {
+		l.leaseUntil = now + Lease
+	}
+}
+
+// lessorInDoubt reports whether an unresolved write may have given this VM another
+// lessor, which counts from that write.
+func (l *Ledger) lessorInDoubt() bool {
+	if l.doubt == nil {
+		return false
+	}
+	before, _ := l.own()
+	after, ok := l.doubt.write.Table.Row(l.self, l.incarnation)
+	return !ok || after.Lessor != before.Lessor
+}
+
 // read asks for the table, at most once in half the time that a read is a proof.
 func (l *Ledger) read(now time.Duration, a *Actions) {
 	if now >= l.nextRead {
--- a/internal/core/shares/ledger.go
+++ b/internal/core/shares/ledger.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/ident"
@@ -74,6 +76,14 @@
 	term        uint32
 }
 
+// rowKey identifies a row.
+type rowKey struct {
+	vm          ident.VMName
+	incarnation ident.Incarnation
+}
+
+func (r Row) key() rowKey { return rowKey{r.VM, r.Incarnation} }
+
 // Ledger owns this VM's view of the zone's table, its lease, and the leases that
 // it confirms. It is not safe for concurrent use.
 type Ledger struct {
@@ -92,6 +102,10 @@
 	peers     map[ident.VMName]Peer
 	goneSince map[ident.VMName]time.Duration // VMs of the table that are not alive
 
+	// listed holds the rows whose VM a complete list of the platform has named since
+	// the row is known, and whether the newest list still does.
+	listed map[rowKey]bool
+
 	leaseUntil time.Duration
 	confirmed  time.Duration // last confirmation by the lessor, or its appointment
 	asks       map[uint64]leaseAsk
@@ -129,7 +143,8 @@
 	return &Ledger{
 		self: self, incarnation: incarnation, rng: rng, readAt: -time.Hour, nextRead: now,
 		peers: map[ident.VMName]Peer{}, goneSince: map[ident.VMName]time.Duration{},
-		asks: map[uint64]leaseAsk{}, granted: map[lesseeKey]time.Duration{}, lastAsk: rng.Uint64() >> 16,
+		listed: map[rowKey]bool{},
+		asks:   map[uint64]leaseAsk{}, granted: map[lesseeKey]time.Duration{}, lastAsk: rng.Uint64() >> 16,
 	}
 }
 
@@ -142,6 +157,28 @@
 	l.markGone(now)
 }
 
+// SetListed takes a complete list of the platform's VMs.
+func (l *Ledger) SetListed(names []ident.VMName) {
+	for _, r := range l.table.Rows {
+		if slices.Contains(names, r.VM) {
+			l.listed[r.key()] = true
+		} else if l.listed[r.key()] {
+			l.listed[r.key()] = false
+		}
+	}
+}
+
+// removed reports whether the VM incarnation of a row certainly runs no more:
+// the platform has removed the VM, or a later incarnation runs.
+func (l *Ledger) removed(r Row) bool {
+	later := l.peers[r.VM].Incarnation
+	if r.VM == l.self {
+		later = l.incarnation
+	}
+	listed, seen := l.listed[r.key()]
+	return later > r.Incarnation || seen && !listed && r.VM != l.self
+}
+
 // markGone notes since when VMs of the table have not been alive.
 func (l *Ledger) markGone(now time.Duration) {
 	gone := map[ident.VMName]time.Duration{}
@@ -195,7 +232,7 @@
 	if version > l.version {
 		l.adopt(now, table, version)
 	}
-	if r, ok := l.own(); ok && r.Lessor == "" && readStart >= 0 && l.doubt == nil {
+	if r, ok := l.own(); ok && r.Lessor == "" && readStart >= 0 && !l.lessorInDoubt() {
 		l.leaseUntil = max(l.leaseUntil, readStart+Lease)
 	}
 }
@@ -233,6 +270,10 @@
 		kept[key] = since
 	}
 	l.granted = kept
+	maps.DeleteFunc(l.listed, func(key rowKey, _ bool) bool {
+		_, ok := table.Row(key.vm, key.incarnation)
+		return !ok
+	})
 	l.markGone(now)
 }
 
--- a/internal/entry/roster.go
+++ b/internal/entry/roster.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/core/detector"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
 	"github.com/rosemarywall/rosemarywall/internal/platform"
 )
@@ -20,7 +21,7 @@
 )
 
 // followRoster gives the platform's lagging list of VMs to the failure detector as
-// a hint. A VM that knows no other VM reads it at once; later only the watchers of
+// a hint, and to the share controller as proof that a VM was removed. A VM that knows no other VM reads it at once; later only the watchers of
 // the zone do.
 func (v *VM) followRoster(ctx context.Context) error {
 	for {
@@ -65,13 +66,16 @@
 		return false
 	}
 	members := make([]peer.Member, 0, len(list))
+	names := make([]ident.VMName, 0, len(list))
 	for _, vm := range list {
 		m := peer.Member{Name: vm.Name, Zone: vm.Zone, Address: vm.Address}
 		if vm.State == platform.VMLeaving {
 			m.State = peer.Leaving
 		}
 		members = append(members, m)
+		names = append(names, vm.Name)
 	}
 	v.mesh.Hint(members, true)
+	v.shares.SetListed(names)
 	return true
 }
