Test a gift next to a VM without lessor and an unresolved lessor

Cause: two rules of VMs without a lessor had no test; with either one removed all tests of the package passed.

Change: one test for each. Each fails with its rule removed (trials on a scratch copy) and passes with it.

--- a/internal/core/shares/removal_test.go
+++ b/internal/core/shares/removal_test.go
@@ -164,3 +164,34 @@
 	second, _ := l.registerTable(now)
 	assert.Equal(t, second.Rows[1].Lessor, l.self)
 }
+
+// Guards against a gift that names a lessor for another VM without one, which may not
+// see the write and keep its parts while that lessor reclaims them.
+func TestGiftNamesNoLessorOfOthers(t *testing.T) {
+	l, table := zoneOf(t)
+	table.Rows[1].Lessor = ""
+	l.Observe(0, 0, table, 6)
+	l.SetView(0, []Peer{{"vm-2", 1, true}, {"vm-3", 1, true}})
+	after, given, _ := l.gift()
+	assert.Assert(t, given > 0)
+	assert.DeepEqual(t, after.Rows[1], table.Rows[1])
+	assert.Equal(t, after.Rows[2].Lessor, l.self)
+}
+
+// Guards against a VM that goes on without a lessor while its write that names one may
+// have been stored: the lessor counts from that write.
+func TestUnresolvedLessorEndsTheLease(t *testing.T) {
+	l, table := zoneOf(t)
+	table.Rows[0].Lessor = ""
+	l.Observe(0, 0, table, 6)
+	write := l.Tick(0).Write
+	assert.Equal(t, write.Table.Rows[0].Lessor, ident.VMName("vm-2"))
+	for now := time.Duration(0); now < Lease; now += 100 * time.Millisecond {
+		parts, _ := l.Parts(now)
+		assert.Equal(t, parts, uint32(TotalParts/2))
+		l.Tick(now)
+		l.Observe(now, now, table, 6) // read back: not yet stored
+	}
+	parts, _ := l.Parts(Lease)
+	assert.Equal(t, parts, uint32(0))
+}
