Repeat failed read-index rounds for up to a second

Change: the round is repeated every 20 ms for up to 1 s. Result: controller, frontend and session tests pass under the race detector. A trial that sent a single write again when the group reports it as aborted, instead of answering RW1013, was reverted: TestAcknowledgementWaitsForConfirmation requires the answer and hung.

--- a/internal/controller/groups/index.go
+++ b/internal/controller/groups/index.go
@@ -29,8 +29,34 @@
 	err   error
 }
 
-// ask returns a read index that was asked for after the call.
+const (
+	// indexPatience is the time for which failed rounds are repeated. It covers a
+	// primary that is being replaced and a stall of this process.
+	indexPatience = time.Second
+	// indexPause is the pause before a failed round is repeated.
+	indexPause = 20 * time.Millisecond
+)
+
+// ask returns a read index that was asked for after the call. It repeats rounds that
+// fail.
 func (x *indexer) ask(ctx context.Context) (ident.LogPoint, error) {
+	now := x.group.controller.options.Now
+	last := now() + indexPatience
+	for {
+		point, err := x.round(ctx)
+		if err == nil || ctx.Err() != nil || now() >= last {
+			return point, err
+		}
+		select {
+		case <-ctx.Done():
+			return ident.LogPoint{}, ctx.Err()
+		case <-time.After(indexPause):
+		}
+	}
+}
+
+// round returns the point of a round that starts after the call.
+func (x *indexer) round(ctx context.Context) (ident.LogPoint, error) {
 	now := x.group.controller.options.Now
 	x.mu.Lock()
 	number, start, wait := x.batch.Join(now())
