--- a/cmd/rosemarywall-demo/main.go
+++ b/cmd/rosemarywall-demo/main.go
@@ -9,39 +9,28 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/jessevdk/go-flags"
-
+	"github.com/rosemarywall/rosemarywall/internal/commandline"
 	"github.com/rosemarywall/rosemarywall/internal/demo"
 	"github.com/rosemarywall/rosemarywall/internal/logging"
-	"github.com/rosemarywall/rosemarywall/internal/version"
 )
 
 type options struct {
-	Hold    bool   `long:"hold" description:"keep serving at 127.0.0.1:6432, 6433 and 6434 after the checks"`
-	Log     string `long:"log" default:"error" description:"lowest level that is logged to standard error"`
-	Version bool   `long:"version" description:"print the version and exit"`
+	commandline.Common
+	Hold bool   `long:"hold" description:"keep serving at 127.0.0.1:6432, 6433 and 6434 after the checks"`
+	Log  string `long:"log" default:"error" description:"lowest level that is logged to standard error"`
 }
 
 func main() { os.Exit(run()) }
 
 func run() int {
 	var o options
-	if _, err := flags.NewParser(&o, flags.HelpFlag).Parse(); err != nil {
-		if flags.WroteHelp(err) {
-			fmt.Println(err)
-			return 0
-		}
-		fmt.Fprintln(os.Stderr, err)
-		return 2
-	}
-	if o.Version {
-		fmt.Println("rosemarywall-demo", version.Version)
-		return 0
+	if status, done := commandline.Parse(&o, os.Args[1:]); done {
+		return status
 	}
 	log, err := logging.New(os.Stderr, o.Log)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return 2
+		return commandline.StatusUsage
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
--- a/cmd/rosemarywall-load/main.go
+++ b/cmd/rosemarywall-load/main.go
@@ -10,39 +10,28 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/jessevdk/go-flags"
-
+	"github.com/rosemarywall/rosemarywall/internal/commandline"
 	"github.com/rosemarywall/rosemarywall/internal/load"
 	"github.com/rosemarywall/rosemarywall/internal/logging"
-	"github.com/rosemarywall/rosemarywall/internal/version"
 )
 
 type options struct {
+	commandline.Common
 	load.Command
-	Log     string `long:"log" default:"fatal" description:"lowest level that the VMs log to standard error"`
-	Version bool   `long:"version" description:"print the version and exit"`
+	Log string `long:"log" default:"fatal" description:"lowest level that the VMs log to standard error"`
 }
 
 func main() { os.Exit(run()) }
 
 func run() int {
 	var o options
-	if _, err := flags.NewParser(&o, flags.HelpFlag).Parse(); err != nil {
-		if flags.WroteHelp(err) {
-			fmt.Println(err)
-			return 0
-		}
-		fmt.Fprintln(os.Stderr, err)
-		return 2
-	}
-	if o.Version {
-		fmt.Println("rosemarywall-load", version.Version)
-		return 0
+	if status, done := commandline.Parse(&o, os.Args[1:]); done {
+		return status
 	}
 	log, err := logging.New(os.Stderr, o.Log)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return 2
+		return commandline.StatusUsage
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
@@ -50,7 +39,7 @@
 	switch {
 	case err != nil:
 		fmt.Fprintln(os.Stderr, "rosemarywall-load:", err)
-		return 2
+		return commandline.StatusUsage
 	case broken:
 		return 1
 	}
--- a/cmd/rosemarywall/main.go
+++ b/cmd/rosemarywall/main.go
@@ -9,53 +9,38 @@
 	"os/signal"
 	"syscall"
 
-	"github.com/jessevdk/go-flags"
-
+	"github.com/rosemarywall/rosemarywall/internal/commandline"
 	"github.com/rosemarywall/rosemarywall/internal/entry"
 	"github.com/rosemarywall/rosemarywall/internal/logging"
 	"github.com/rosemarywall/rosemarywall/internal/settings"
-	"github.com/rosemarywall/rosemarywall/internal/version"
 )
 
-// Exit statuses of the process.
-const (
-	exitFailed   = 1
-	exitSettings = 2
-)
+// exitFailed is the status of a process that could not start or that cut requests.
+const exitFailed = 1
 
 type options struct {
+	commandline.Common
 	Settings string `long:"settings" short:"s" value-name:"FILE" description:"INI settings of this process"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
-	Version  bool   `long:"version" description:"print the version and exit"`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(arguments []string) int {
 	var o options
-	parser := flags.NewParser(&o, flags.HelpFlag|flags.PassDoubleDash)
-	if _, err := parser.ParseArgs(arguments); err != nil {
-		if flags.WroteHelp(err) {
-			fmt.Println(err)
-			return 0
-		}
-		fmt.Fprintln(os.Stderr, err)
-		return exitSettings
-	}
-	if o.Version {
-		fmt.Println("rosemarywall", version.Version)
-		return 0
+	if status, done := commandline.Parse(&o, arguments); done {
+		return status
 	}
 	if o.Settings == "" {
 		fmt.Fprintln(os.Stderr, "rosemarywall: --settings is required")
-		return exitSettings
+		return commandline.StatusUsage
 	}
 	loaded, problems := settings.Load(o.Settings)
 	if len(problems) > 0 {
 		for _, problem := range problems {
 			fmt.Fprintln(os.Stderr, problem)
 		}
-		return exitSettings
+		return commandline.StatusUsage
 	}
 	if o.Check {
 		fmt.Println(o.Settings + ": settings are valid")
@@ -69,7 +54,7 @@
 	log, err := logging.New(os.Stderr, loaded.Log.Level)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		return exitSettings
+		return commandline.StatusUsage
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
