Reserve the ports of killed stand-in members; share certificate reloading

Cause: a restarted member sometimes found its port taken by another process (TestOutcomeUnknownWithoutReplicas, 1 of 3 race runs under load: bind: address already in use). Reloading of certificate files stood twice. Change: a killed member keeps its ports bound without listening and listens on the same sockets again; package certfiles serves both uses. The reload test now changes file times and removes the key file instead of private fields.

--- a/internal/peer/network_test.go
+++ b/internal/peer/network_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"gotest.tools/v3/assert"
 
+	"github.com/rosemarywall/rosemarywall/internal/certfiles"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
@@ -217,14 +219,15 @@
 		files.OnError = func(error) { faults++ }
 		first, _, err := files.Current()
 		assert.NilError(t, err)
-		files.stamps[0].size = 0 // file times do not follow virtual time
 		a.files(dir, a.issue("vm-1"))
-		time.Sleep(2 * reloadInterval)
+		later := time.Unix(1<<32, 0) // file times do not follow virtual time
+		assert.NilError(t, os.Chtimes(files.CertificateFile, later, later))
+		time.Sleep(2 * certfiles.CheckInterval)
 		second, _, err := files.Current()
 		assert.NilError(t, err)
 		assert.Assert(t, string(first.Certificate[0]) != string(second.Certificate[0]))
-		files.KeyFile = dir + "/missing"
-		time.Sleep(2 * reloadInterval)
+		assert.NilError(t, os.Remove(files.KeyFile))
+		time.Sleep(2 * certfiles.CheckInterval)
 		third, _, err := files.Current()
 		assert.NilError(t, err)
 		assert.Equal(t, string(third.Certificate[0]), string(second.Certificate[0]))
--- a/internal/peer/tls.go
+++ b/internal/peer/tls.go
@@ -6,8 +6,8 @@
 	"os"
 	"slices"
 	"sync"
-	"time"
 
+	"github.com/rosemarywall/rosemarywall/internal/certfiles"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
@@ -18,9 +18,6 @@
 	Current() (tls.Certificate, *x509.CertPool, error)
 }
 
-// reloadInterval limits how often certificate files are examined.
-const reloadInterval = time.Second
-
 // FileCredentials reads PEM files again when they change. A faulty change is
 // reported once through OnError and leaves the previous certificate in use.
 type FileCredentials struct {
@@ -28,66 +25,35 @@
 	// OnError, when set, is told about files that cannot be loaded.
 	OnError func(error)
 
-	mu          sync.Mutex
-	checked     time.Time
-	stamps      [3]stamp
-	certificate tls.Certificate
-	authority   *x509.CertPool
-}
-
-// stamp identifies the content of a file.
-type stamp struct {
-	modified time.Time
-	size     int64
+	once   sync.Once
+	loader certfiles.Loader[StaticCredentials]
 }
 
 // Current returns the newest usable certificate and authority. The error carries
 // SettingsTLS when none was ever loaded.
 func (f *FileCredentials) Current() (tls.Certificate, *x509.CertPool, error) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.authority != nil && time.Since(f.checked) < reloadInterval {
-		return f.certificate, f.authority, nil
-	}
-	f.checked = time.Now()
-	if stamps := f.examine(); f.authority == nil || stamps != f.stamps {
-		f.stamps = stamps
-		if err := f.load(); err != nil {
-			if f.authority == nil {
-				return tls.Certificate{}, nil, err
-			}
-			if f.OnError != nil {
-				f.OnError(err)
-			}
-		}
-	}
-	return f.certificate, f.authority, nil
-}
-
-func (f *FileCredentials) examine() (stamps [3]stamp) {
-	for i, name := range []string{f.CertificateFile, f.KeyFile, f.AuthorityFile} {
-		if info, err := os.Stat(name); err == nil {
-			stamps[i] = stamp{info.ModTime(), info.Size()}
-		}
-	}
-	return stamps
+	f.once.Do(func() {
+		f.loader.Files = []string{f.CertificateFile, f.KeyFile, f.AuthorityFile}
+		f.loader.Load, f.loader.OnError = f.load, f.OnError
+	})
+	c, err := f.loader.Current()
+	return c.Certificate, c.Authority, err
 }
 
-func (f *FileCredentials) load() error {
+func (f *FileCredentials) load() (StaticCredentials, error) {
 	certificate, err := tls.LoadX509KeyPair(f.CertificateFile, f.KeyFile)
 	if err != nil {
-		return resultcode.Wrap(err, resultcode.SettingsTLS, "cannot load certificate %s", f.CertificateFile)
+		return StaticCredentials{}, resultcode.Wrap(err, resultcode.SettingsTLS, "cannot load certificate %s", f.CertificateFile)
 	}
 	pem, err := os.ReadFile(f.AuthorityFile)
 	if err != nil {
-		return resultcode.Wrap(err, resultcode.SettingsTLS, "cannot read authority %s", f.AuthorityFile)
+		return StaticCredentials{}, resultcode.Wrap(err, resultcode.SettingsTLS, "cannot read authority %s", f.AuthorityFile)
 	}
 	authority := x509.NewCertPool()
 	if !authority.AppendCertsFromPEM(pem) {
-		return resultcode.New(resultcode.SettingsTLS, "no certificate in authority %s", f.AuthorityFile)
+		return StaticCredentials{}, resultcode.New(resultcode.SettingsTLS, "no certificate in authority %s", f.AuthorityFile)
 	}
-	f.certificate, f.authority = certificate, authority
-	return nil
+	return StaticCredentials{Certificate: certificate, Authority: authority}, nil
 }
 
 // StaticCredentials never change.
--- a/internal/standin/upstream/group.go
+++ b/internal/standin/upstream/group.go
@@ -184,6 +184,7 @@
 func (g *Group) Close() {
 	for _, m := range g.members {
 		m.Kill()
+		m.release()
 		m.store.closeConns()
 	}
 	if g.temporary {
--- a/internal/standin/upstream/lifecycle.go
+++ b/internal/standin/upstream/lifecycle.go
@@ -13,11 +13,11 @@
 
 // start listens and serves; it also restarts a killed member.
 func (m *Member) start() error {
-	sqlListener, err := listen(&m.address)
+	sqlListener, err := m.listen(&m.address)
 	if err != nil {
 		return err
 	}
-	agentListener, err := listen(&m.agentAddress)
+	agentListener, err := m.listen(&m.agentAddress)
 	if err != nil {
 		_ = sqlListener.Close()
 		return err
@@ -39,8 +39,12 @@
 }
 
 // listen opens a listener and keeps its address for restarts.
-func listen(address *string) (net.Listener, error) {
+func (m *Member) listen(address *string) (net.Listener, error) {
 	wanted := *address
+	if r := m.reserved[wanted]; r != nil {
+		delete(m.reserved, wanted)
+		return r.listen()
+	}
 	if wanted == "" {
 		wanted = "127.0.0.1:0"
 	}
@@ -98,6 +102,26 @@
 		open.abandon()
 	}
 	m.running.Wait()
+	m.reserve()
+}
+
+// reserve keeps the ports of a killed member for its restart. Without a reservation a
+// restart may find its port taken.
+func (m *Member) reserve() {
+	m.reserved = map[string]*reservedPort{}
+	for _, address := range []string{m.address, m.agentAddress} {
+		if r, err := reservePort(address); err == nil {
+			m.reserved[address] = r
+		}
+	}
+}
+
+// release gives the reserved ports up.
+func (m *Member) release() {
+	for _, r := range m.reserved {
+		r.release()
+	}
+	m.reserved = nil
 }
 
 // Restart starts a killed member with a new incarnation, in the role that it had.
--- a/internal/standin/upstream/member.go
+++ b/internal/standin/upstream/member.go
@@ -67,6 +67,8 @@
 	transactions uint64
 	sqlListener  net.Listener
 	agentServer  *http.Server
+	// reserved holds the ports of a killed member by address.
+	reserved map[string]*reservedPort
 
 	// running counts the goroutines that Kill waits for.
 	running     sync.WaitGroup
