Refuse connections to a replaced primary for targets of earlier terms

Cause: requests queued for a silent primary went on to open connections to it after its successor served, each up to the dial timeout of 2 s. Change: Pools.Break takes the successor's term, fails those who wait for a connection and refuses older targets, so that they are routed again.

--- a/internal/controller/groups/group.go
+++ b/internal/controller/groups/group.go
@@ -146,7 +146,7 @@
 	}
 	seen := old.Seen[old.Primary]
 	if seen.Down || g.controller.options.Now()-seen.At > StreamGap {
-		go replaced(g.name, former)
+		go replaced(g.name, former, next.Term)
 	}
 }
 
--- a/internal/controller/groups/options.go
+++ b/internal/controller/groups/options.go
@@ -50,9 +50,9 @@
 	// Outstanding gives the requests that this VM runs on an upstream; nil counts
 	// none, and equal replicas then take turns.
 	Outstanding routing.Outstanding
-	// OnReplaced is told about a primary that was replaced while it did not answer; nil
-	// is told nothing.
-	OnReplaced func(ident.GroupName, ident.UpstreamName)
+	// OnReplaced is told about a primary that was replaced while it did not answer, and
+	// the term of its successor; nil is told nothing.
+	OnReplaced func(ident.GroupName, ident.UpstreamName, ident.Term)
 	// Now is the time since process start; nil uses a new clock.Clock.
 	Now func() time.Duration
 	// ReadWait is how long a read waits for a replica; zero means DefaultReadWait.
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -25,6 +25,9 @@
 	opening    int
 	generation uint64
 	leaving    bool
+	// broken is the term below which targets are refused, because the upstream was
+	// replaced while it did not answer.
+	broken ident.Term
 }
 
 // waiter waits for a connection. Its channel receives one answer.
@@ -42,6 +45,10 @@
 // acquire leases a connection.
 func (p *pool) acquire(ctx context.Context, target request.Target, prefer func(*Conn) bool) (*Lease, error) {
 	p.mu.Lock()
+	if target.Term < p.broken {
+		p.mu.Unlock()
+		return nil, &OpenError{Upstream: target.Upstream, Cause: errReplaced}
+	}
 	closing := p.retarget(target)
 	for len(p.idle) > 0 {
 		c := p.takePreferred(prefer)
@@ -221,8 +228,15 @@
 	closeAll(dropped)
 }
 
-func (p *pool) breakAll() {
+// breakAll closes all connections, fails those who wait for one, and refuses targets
+// of terms below the given one. None of the failed requests was sent.
+func (p *pool) breakAll(below ident.Term) {
 	p.mu.Lock()
+	p.broken = max(p.broken, below)
+	for _, w := range p.waiters {
+		w.ready <- answer{err: &OpenError{Upstream: p.target.Upstream, Cause: errReplaced}}
+	}
+	p.waiters = nil
 	dropped := p.takeIdle(func(*Conn) bool { return true })
 	for c := range p.leases {
 		// The holder sees a read or write error and releases the lease.
--- a/internal/upstream/pools.go
+++ b/internal/upstream/pools.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/request"
@@ -139,10 +140,14 @@
 	p.pool(request.Target{Group: group, Upstream: upstream}).setLeaving(leaving)
 }
 
-// Break closes every connection to an upstream that is known to have failed, so
-// that requests that wait for its answers are resolved at once.
-func (p *Pools) Break(group ident.GroupName, upstream ident.UpstreamName) {
-	p.pool(request.Target{Group: group, Upstream: upstream}).breakAll()
+// errReplaced says that an upstream was replaced while it did not answer.
+var errReplaced = errors.New("upstream was replaced")
+
+// Break closes every connection to a primary that did not answer and was replaced in
+// the given term. Requests that wait for its answers are resolved at once, and those
+// that still have it as target of an earlier term are sent elsewhere.
+func (p *Pools) Break(group ident.GroupName, upstream ident.UpstreamName, term ident.Term) {
+	p.pool(request.Target{Group: group, Upstream: upstream}).breakAll(term)
 }
 
 // Sweep closes connections that were unused for the idle timeout.
@@ -155,7 +160,7 @@
 // Close closes every connection.
 func (p *Pools) Close() {
 	for _, pl := range p.all() {
-		pl.breakAll()
+		pl.breakAll(0)
 	}
 }
 
--- a/internal/upstream/upstream_test.go
+++ b/internal/upstream/upstream_test.go
@@ -10,6 +10,7 @@
 	"errors"
 	"math/big"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -193,3 +194,32 @@
 	_, known := again.Conn().Prepared(StatementKey{1})
 	assert.Assert(t, !known && len(again.Conn().Settings) == 0)
 }
+
+// Guards against requests that wait for connections to a silent former primary although
+// its successor serves.
+func TestBreakRefusesTargetsOfEarlierTerms(t *testing.T) {
+	blocked := make(chan struct{})
+	pools := New(Config{Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		select {
+		case <-blocked:
+		case <-ctx.Done():
+		}
+		return nil, errors.New("no answer")
+	}})
+	defer close(blocked)
+	target := request.Target{Group: "g", Upstream: "a", Address: "127.0.0.1:1", Term: 1, Connections: 2}
+	waiting := make(chan error, 1)
+	go func() {
+		_, err := pools.Acquire(t.Context(), target, nil)
+		waiting <- err
+	}()
+	for pools.pool(target).state().Waiting == 0 {
+		runtime.Gosched()
+	}
+	pools.Break("g", "a", 2)
+	var open *OpenError
+	assert.Assert(t, errors.As(<-waiting, &open))
+	_, err := pools.Acquire(t.Context(), target, nil)
+	assert.Assert(t, errors.As(err, &open))
+	assert.ErrorIs(t, err, errReplaced)
+}
