--- a/internal/controller/groups/group.go
+++ b/internal/controller/groups/group.go
@@ -27,7 +27,9 @@
 
 	mu      sync.Mutex
 	waiters []*waiter
-	streams map[ident.UpstreamName]*stream
+	// lastPrimary is the primary of the newest view that had one.
+	lastPrimary ident.UpstreamName
+	streams     map[ident.UpstreamName]*stream
 }
 
 // waiter is a request that waits until the view satisfies it.
@@ -119,7 +121,7 @@
 		return
 	}
 	g.view.Store(next)
-	g.noteReplacement(old, next)
+	g.noteReplacement(next)
 	kept := g.waiters[:0]
 	for _, w := range g.waiters {
 		if w.ready(next) {
@@ -134,20 +136,22 @@
 
 // noteReplacement tells the data plane when a failed primary was replaced, so that
 // requests that wait for its answers are resolved at once. A primary that left by a
-// planned move still answers; its connections end by themselves.
-func (g *groupState) noteReplacement(old, next *routing.View) {
-	replaced := g.controller.options.OnReplaced
-	if replaced == nil || old.Primary < 0 || next.Primary < 0 || next.Term <= old.Term {
+// planned move still answers; its connections end by themselves. Between two primaries
+// the view has none. It is called with mu held.
+func (g *groupState) noteReplacement(v *routing.View) {
+	if v.Primary < 0 {
 		return
 	}
-	former, now := old.Members[old.Primary].Upstream, next.Members[next.Primary].Upstream
-	if former == now {
+	former, now := g.lastPrimary, v.Members[v.Primary].Upstream
+	g.lastPrimary = now
+	replaced := g.controller.options.OnReplaced
+	if replaced == nil || former == "" || former == now {
 		return
 	}
-	seen := old.Seen[old.Primary]
-	if seen.Down || g.controller.options.Now()-seen.At > StreamGap {
-		go replaced(g.name, former, next.Term)
+	if i := v.Index(former); i >= 0 && !v.Seen[i].Down && g.controller.options.Now()-v.Seen[i].At <= StreamGap {
+		return
 	}
+	go replaced(g.name, former, v.Term)
 }
 
 // updateMember changes the observation of one member, if it is still configured.
