Guard the fake configuration source of the group controller tests

Cause: messages between fake VMs read the configuration while a test replaces it (data race in TestFailoverWithStandins, 1 of 2 uncached race runs of everything). Change: a mutex in the fake.

--- a/internal/controller/groups/fake_test.go
+++ b/internal/controller/groups/fake_test.go
@@ -204,18 +204,29 @@
 
 // fakeSource is a configuration that the test replaces.
 type fakeSource struct {
+	mu      sync.Mutex // messages of other VMs read while the test replaces
 	current *configuration.Configuration
 	changed []func(*configuration.Configuration)
 }
 
-func (s *fakeSource) Current() *configuration.Configuration { return s.current }
+func (s *fakeSource) Current() *configuration.Configuration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.current
+}
+
 func (s *fakeSource) OnChange(f func(*configuration.Configuration)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.changed = append(s.changed, f)
 }
 
 func (s *fakeSource) set(conf *configuration.Configuration) {
+	s.mu.Lock()
 	s.current = conf
-	for _, f := range s.changed {
+	changed := slices.Clone(s.changed)
+	s.mu.Unlock()
+	for _, f := range changed {
 		f(conf)
 	}
 }
