Record sessions for a leaving upstream and for restarts in an outage

Cause: two required properties, P12 and P14, had no recorded session. Change: a primary that leaves by a note while its caller writes, and two of three VMs that restart during a platform outage.

--- a/internal/sessions/promises_test.go
+++ b/internal/sessions/promises_test.go
@@ -279,3 +279,52 @@
 	c.query("select id from stack")
 	s.done()
 }
+
+// P12: a primary that leaves by a note is moved without an error for its callers.
+func TestLeavingUpstream(t *testing.T) {
+	s := newSession(t, nil)
+	a := s.login("caller", vm1)
+	a.query("create table stack (id int)")
+	old := s.primary()
+	s.note(vm1, "leave", fmt.Sprintf("[change upstream %s/%s]\nstate = leaving\n", database, old.Name()))
+	a.query("insert into stack values (1)")
+	s.replaced(old.Name(), old.Status().Term-1)
+	s.event("another primary serves")
+	a.query("insert into stack values (2)")
+	a.query("select id from stack")
+	s.done()
+}
+
+// P14: during a platform outage every VM but one restarts; the configuration does not
+// revert.
+func TestConfigurationSurvivesRestarts(t *testing.T) {
+	s := newSession(t, nil)
+	s.note(vm1, "second version", "[change zone ruse-a]\nweight = 7\n")
+	for _, vm := range s.fleet.Names() {
+		s.until("version 2 is in force", func() bool { return s.fleet.VM(vm).Configuration().Version == 2 })
+	}
+	s.fleet.Standin.Platform.SetOutage(true)
+	for _, vm := range []ident.VMName{vm1, vm2} {
+		s.fleet.KillVM(vm)
+		assert.NilError(t, s.fleet.StartVM(vm))
+		s.event("%s restarted during the outage", vm)
+	}
+	for _, vm := range []ident.VMName{vm1, vm2} {
+		s.until("the survivor's version is in force", func() bool { return s.fleet.VM(vm).Configuration().Version == 2 })
+		s.event("version 2 in force on %s", vm)
+	}
+	s.fleet.Standin.Platform.SetOutage(false)
+	s.until("the VM is ready", func() bool { ready, _ := s.fleet.VM(vm1).Ready(); return ready })
+	kept := s.text.String() // probes are not a part of the session
+	s.until("the rate parts are back", func() bool {
+		a := s.login("probe", vm1)
+		code := a.outcome("select 1")
+		_ = a.conn.Close()
+		return code == ""
+	})
+	s.text.Reset()
+	s.text.WriteString(kept)
+	a := s.login("caller", vm1)
+	a.query("select 1")
+	s.done()
+}
