Use json.RawMessage for the platform calls in the state dump

Cause: entry had a type of its own for text that is JSON already, which the standard library has. Change: the type and its method are gone.

--- a/internal/entry/parts.go
+++ b/internal/entry/parts.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
+	"encoding/json"
 	"expvar"
 	"net"
 	"net/http"
@@ -152,7 +153,7 @@
 	v.admin.AddVars("shares", v.shares.Vars())
 	v.admin.AddVars("groups", v.groups.Vars())
 	v.admin.AddVars("platform_calls", v.platform.Calls())
-	v.admin.AddDump("platform_calls", func() any { return rawJSON(v.platform.Calls().String()) })
+	v.admin.AddDump("platform_calls", func() any { return json.RawMessage(v.platform.Calls().String()) })
 }
 
 // Ready reports whether new callers are welcome, and the reason when not.
--- a/internal/entry/tls.go
+++ b/internal/entry/tls.go
@@ -2,7 +2,6 @@
 
 import (
 	"crypto/tls"
-	"encoding/json"
 
 	"github.com/rosemarywall/rosemarywall/internal/certfiles"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
@@ -32,9 +31,3 @@
 	get := func(*tls.ClientHelloInfo) (*tls.Certificate, error) { return loader.Current() }
 	return &tls.Config{GetCertificate: get, MinVersion: tls.VersionTLS12}, nil
 }
-
-// rawJSON is a value that is JSON text already.
-type rawJSON string
-
-// MarshalJSON returns the text.
-func (r rawJSON) MarshalJSON() ([]byte, error) { return json.RawMessage(r), nil }
