--- a/internal/capacity/configuration.go
+++ b/internal/capacity/configuration.go
@@ -20,8 +20,8 @@
 	"github.com/rosemarywall/rosemarywall/internal/core/detector"
 	"github.com/rosemarywall/rosemarywall/internal/core/shares"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
 	standin "github.com/rosemarywall/rosemarywall/internal/standin/platform"
 )
 
@@ -248,7 +248,7 @@
 		if err != nil {
 			return err
 		}
-		server.Seed(platform.KindShareTable, string(zoneName(z)), raw)
+		server.Seed(objectapi.KindShareTable, string(zoneName(z)), raw)
 	}
 	return nil
 }
@@ -269,8 +269,8 @@
 	for i, m := range network.members {
 		mesh := network.meshes[m.Name]
 		c := configcontroller.New(configcontroller.Options{
-			Mesh: mesh, Platform: platform.NewHTTP(server.Address(), platform.WithTimeout(5*time.Second)), Clock: clock.New(),
-			Writer: platform.NewWriter(string(m.Name), uint64(i)), Seed: uint64(i), ShareTable: tableVMs, Log: zerolog.Nop(),
+			Mesh: mesh, Platform: objectapi.NewHTTP(server.Address(), objectapi.WithTimeout(5*time.Second)), Clock: clock.New(),
+			Writer: objectapi.NewWriter(string(m.Name), uint64(i)), Seed: uint64(i), ShareTable: tableVMs, Log: zerolog.Nop(),
 		})
 		f.vms = append(f.vms, c)
 	}
@@ -346,8 +346,8 @@
 		return 0, 0
 	}
 	for kind, n := range calls {
-		switch platform.CallKind(kind) {
-		case platform.CallPut, platform.CallDelete, platform.CallAnnounce:
+		switch objectapi.CallKind(kind) {
+		case objectapi.CallPut, objectapi.CallDelete, objectapi.CallAnnounce:
 			writes += n
 		default:
 			reads += n
--- a/internal/capacity/following.go
+++ b/internal/capacity/following.go
@@ -15,8 +15,8 @@
 	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
 	"github.com/rosemarywall/rosemarywall/internal/group"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
@@ -36,14 +36,14 @@
 }
 
 // emptyPlatform holds no object.
-type emptyPlatform struct{ platform.Client }
+type emptyPlatform struct{ objectapi.Client }
 
-func (emptyPlatform) Get(context.Context, platform.Kind, string) (platform.Object, error) {
-	return platform.Object{}, resultcode.New(resultcode.PlatformNotFound, "no object")
+func (emptyPlatform) Get(context.Context, objectapi.Kind, string) (objectapi.Object, error) {
+	return objectapi.Object{}, resultcode.New(resultcode.PlatformNotFound, "no object")
 }
 
-func (emptyPlatform) List(context.Context, platform.Kind) (platform.Changes, error) {
-	return platform.Changes{}, nil
+func (emptyPlatform) List(context.Context, objectapi.Kind) (objectapi.Changes, error) {
+	return objectapi.Changes{}, nil
 }
 
 // silentAgent sends no status.
--- a/internal/controller/configuration/acknowledge.go
+++ b/internal/controller/configuration/acknowledge.go
@@ -9,8 +9,8 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
 )
 
 const (
@@ -74,7 +74,7 @@
 		return
 	}
 	zone := c.mesh.Self().Zone
-	_, err := platform.Update(ctx, c.platform, c.writer, platform.KindZoneAck, string(zone), func(v *zoneAck, exists bool) error {
+	_, err := objectapi.Update(ctx, c.platform, c.writer, objectapi.KindZoneAck, string(zone), func(v *zoneAck, exists bool) error {
 		if exists && !ack.after(v.ballot) {
 			return errAcknowledged
 		}
--- a/internal/controller/configuration/apply.go
+++ b/internal/controller/configuration/apply.go
@@ -7,8 +7,8 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
@@ -56,7 +56,7 @@
 
 // HistoryEntry is an accepted note, stored as note-<version>.
 type HistoryEntry struct {
-	platform.Signature
+	objectapi.Signature
 	Version ident.ConfigurationVersion `json:"version"`
 	Title   string                     `json:"title"`
 	Changes []configuration.Change     `json:"changes"`
@@ -162,7 +162,7 @@
 		entry.Title = note.Title
 	}
 	entry.SetWriter(c.writer.Next())
-	_, err := c.platform.Put(ctx, platform.KindConfiguration, historyName(next.Version), entry, 0)
+	_, err := c.platform.Put(ctx, objectapi.KindConfiguration, historyName(next.Version), entry, 0)
 	if err != nil && !resultcode.Is(err, resultcode.PlatformConflict) {
 		c.vars.Add("history_failures", 1)
 	}
@@ -178,7 +178,7 @@
 	var entries []HistoryEntry
 	for version := from; version > base && from-version < maxHistory; version-- {
 		var entry HistoryEntry
-		var stored platform.Version
+		var stored objectapi.Version
 		if err := c.get(ctx, historyName(version), &entry, &stored); err != nil {
 			return entries, err
 		}
--- a/internal/controller/configuration/controller.go
+++ b/internal/controller/configuration/controller.go
@@ -14,8 +14,8 @@
 	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
 	"github.com/rosemarywall/rosemarywall/internal/core/freshness"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
 	"github.com/rosemarywall/rosemarywall/internal/request"
 )
 
@@ -27,16 +27,16 @@
 // Options are the parts that a Controller uses. All but OnGroup and Log are needed.
 type Options struct {
 	Mesh     peer.Mesh
-	Platform platform.Client
+	Platform objectapi.Client
 	Clock    Clock
-	Writer   *platform.Writer
+	Writer   *objectapi.Writer
 	// Seed drives the ramp and the choice of peers.
 	Seed uint64
 	// ShareTable returns the VMs that a share-table object lists.
 	ShareTable func(value json.RawMessage) ([]ident.VMName, error)
 	// OnGroup is given the group objects that the platform's watch shows while this
 	// VM is a watcher; nil ignores them.
-	OnGroup func(platform.Object)
+	OnGroup func(objectapi.Object)
 	Log     zerolog.Logger
 }
 
@@ -44,11 +44,11 @@
 // It implements request.ConfigurationSource and request.Authoriser.
 type Controller struct {
 	mesh       peer.Mesh
-	platform   platform.Client
+	platform   objectapi.Client
 	clock      Clock
-	writer     *platform.Writer
+	writer     *objectapi.Writer
 	shareTable func(json.RawMessage) ([]ident.VMName, error)
-	onGroup    func(platform.Object)
+	onGroup    func(objectapi.Object)
 	log        zerolog.Logger
 	ramp       ramp
 	snapshot   atomic.Pointer[snapshot]
--- a/internal/controller/configuration/controller_test.go
+++ b/internal/controller/configuration/controller_test.go
@@ -12,7 +12,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
 	"github.com/rosemarywall/rosemarywall/internal/core/freshness"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
@@ -81,7 +81,7 @@
 		t.Run(name, func(t *testing.T) {
 			runFleet(t, func(f *testFleet) {
 				f.setUp()
-				f.store.afterPut = func(_ platform.Kind, object string, _ ident.VMName) error {
+				f.store.afterPut = func(_ objectapi.Kind, object string, _ ident.VMName) error {
 					if object != stopAt {
 						return nil
 					}
@@ -126,7 +126,7 @@
 			runFleet(t, func(f *testFleet) {
 				f.setUp()
 				count := 0
-				f.store.afterPut = func(_ platform.Kind, object string, _ ident.VMName) error {
+				f.store.afterPut = func(_ objectapi.Kind, object string, _ ident.VMName) error {
 					if object != lost {
 						return nil
 					}
--- a/internal/controller/configuration/fake_test.go
+++ b/internal/controller/configuration/fake_test.go
@@ -17,8 +17,8 @@
 	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
@@ -28,14 +28,14 @@
 // fakeStore is the platform in memory.
 type fakeStore struct {
 	mu      sync.Mutex
-	version platform.Version
-	objects map[string]platform.Object
+	version objectapi.Version
+	objects map[string]objectapi.Object
 	changed chan struct{}
 	calls   int
 	outage  bool
 	slow    map[ident.AvailabilityZone]time.Duration // added to answers of watches
 	// afterPut, if set, may turn the answer of a put that took effect into an error.
-	afterPut func(kind platform.Kind, name string, from ident.VMName) error
+	afterPut func(kind objectapi.Kind, name string, from ident.VMName) error
 }
 
 // fakeClient is the platform as one VM reaches it.
@@ -58,30 +58,30 @@
 	return nil
 }
 
-func (c fakeClient) Get(ctx context.Context, kind platform.Kind, name string) (platform.Object, error) {
+func (c fakeClient) Get(ctx context.Context, kind objectapi.Kind, name string) (objectapi.Object, error) {
 	if err := c.begin(ctx); err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
 	object, ok := c.store.objects[string(kind)+"/"+name]
 	if !ok {
-		return platform.Object{}, resultcode.New(resultcode.PlatformNotFound, "%s/%s", kind, name)
+		return objectapi.Object{}, resultcode.New(resultcode.PlatformNotFound, "%s/%s", kind, name)
 	}
 	return object, nil
 }
 
-func (c fakeClient) List(ctx context.Context, kind platform.Kind) (platform.Changes, error) {
+func (c fakeClient) List(ctx context.Context, kind objectapi.Kind) (objectapi.Changes, error) {
 	if err := c.begin(ctx); err != nil {
-		return platform.Changes{}, err
+		return objectapi.Changes{}, err
 	}
-	return c.store.since([]platform.Kind{kind}, 0), nil
+	return c.store.since([]objectapi.Kind{kind}, 0), nil
 }
 
-func (s *fakeStore) since(kinds []platform.Kind, after platform.Version) platform.Changes {
+func (s *fakeStore) since(kinds []objectapi.Kind, after objectapi.Version) objectapi.Changes {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changes := platform.Changes{Version: s.version}
+	changes := objectapi.Changes{Version: s.version}
 	for _, object := range s.objects {
 		if slices.Contains(kinds, object.Kind) && object.Version > after {
 			changes.Objects = append(changes.Objects, object)
@@ -90,9 +90,9 @@
 	return changes
 }
 
-func (c fakeClient) Put(ctx context.Context, kind platform.Kind, name string, value any, ifVersion platform.Version) (platform.Object, error) {
+func (c fakeClient) Put(ctx context.Context, kind objectapi.Kind, name string, value any, ifVersion objectapi.Version) (objectapi.Object, error) {
 	if err := c.begin(ctx); err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	c.store.mu.Lock()
 	defer c.store.mu.Unlock()
@@ -102,30 +102,30 @@
 	}
 	encoded, err := json.Marshal(value)
 	if err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	c.store.version++
-	object := platform.Object{Kind: kind, Name: name, Version: c.store.version, Value: encoded}
+	object := objectapi.Object{Kind: kind, Name: name, Version: c.store.version, Value: encoded}
 	c.store.objects[key] = object
 	close(c.store.changed)
 	c.store.changed = make(chan struct{})
 	if c.store.afterPut != nil {
 		if err := c.store.afterPut(kind, name, c.vm.member.Name); err != nil {
-			return platform.Object{}, err
+			return objectapi.Object{}, err
 		}
 	}
 	return object, nil
 }
 
-func (c fakeClient) Delete(context.Context, platform.Kind, string, platform.Version) error {
+func (c fakeClient) Delete(context.Context, objectapi.Kind, string, objectapi.Version) error {
 	return errDown
 }
 
-func (c fakeClient) VMs(context.Context) ([]platform.VM, error) { return nil, errDown }
+func (c fakeClient) VMs(context.Context) ([]objectapi.VM, error) { return nil, errDown }
 
-func (c fakeClient) Watch(ctx context.Context, kinds []platform.Kind, after platform.Version, timeout time.Duration) (platform.Changes, error) {
+func (c fakeClient) Watch(ctx context.Context, kinds []objectapi.Kind, after objectapi.Version, timeout time.Duration) (objectapi.Changes, error) {
 	if err := c.begin(ctx); err != nil {
-		return platform.Changes{}, err
+		return objectapi.Changes{}, err
 	}
 	deadline := make(chan struct{})
 	defer time.AfterFunc(timeout, func() { close(deadline) }).Stop()
@@ -142,7 +142,7 @@
 		case <-deadline:
 			expired = true
 		case <-ctx.Done():
-			return platform.Changes{}, errDown
+			return objectapi.Changes{}, errDown
 		}
 	}
 }
@@ -259,7 +259,7 @@
 func runFleet(t *testing.T, test func(*testFleet)) {
 	synctest.Test(t, func(t *testing.T) {
 		f := &testFleet{t: t,
-			store: &fakeStore{objects: map[string]platform.Object{}, changed: make(chan struct{})},
+			store: &fakeStore{objects: map[string]objectapi.Object{}, changed: make(chan struct{})},
 			network: &fakeNetwork{vms: map[ident.VMName]*testVM{}, cut: map[ident.AvailabilityZone]bool{},
 				dead: map[ident.VMName]bool{}, apart: map[ident.AvailabilityZone]bool{}}}
 		defer func() {
@@ -289,7 +289,7 @@
 		encoded, err := json.Marshal(vms[zone])
 		assert.NilError(f.t, err)
 		f.store.version++
-		f.store.objects["share-table/"+string(zone)] = platform.Object{Kind: platform.KindShareTable,
+		f.store.objects["share-table/"+string(zone)] = objectapi.Object{Kind: objectapi.KindShareTable,
 			Name: string(zone), Version: f.store.version, Value: encoded}
 	}
 	return vms
@@ -300,7 +300,7 @@
 	vm := &testVM{network: f.network, inbox: make(chan inFlight, 1024), handlers: map[peer.Kind]func(peer.Member, cbor.RawMessage){},
 		member: peer.Member{Name: name, Zone: zone, Incarnation: incarnation}}
 	vm.Controller = New(Options{Mesh: vm, Platform: fakeClient{f.store, vm}, Clock: clock.New(),
-		Writer: platform.NewWriter(fmt.Sprintf("%s-%d", name, incarnation), uint64(incarnation)), Seed: uint64(len(name)),
+		Writer: objectapi.NewWriter(fmt.Sprintf("%s-%d", name, incarnation), uint64(incarnation)), Seed: uint64(len(name)),
 		ShareTable: func(value json.RawMessage) (vms []ident.VMName, err error) {
 			return vms, json.Unmarshal(value, &vms)
 		}, Log: zerolog.Nop()})
--- a/internal/controller/configuration/late_test.go
+++ b/internal/controller/configuration/late_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/core/freshness"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
@@ -69,7 +69,7 @@
 		assert.NilError(t, err)
 		other, err := vm.Authorise("web", "deck", "next")
 		assert.NilError(t, err)
-		f.store.afterPut = func(_ platform.Kind, object string, _ ident.VMName) error {
+		f.store.afterPut = func(_ objectapi.Kind, object string, _ ident.VMName) error {
 			if object == "current" {
 				f.store.outage = true
 				return errDown
@@ -99,7 +99,7 @@
 			return vm.core.Answer().Unsettled
 		}
 		seen := false
-		f.store.afterPut = func(_ platform.Kind, object string, _ ident.VMName) error {
+		f.store.afterPut = func(_ objectapi.Kind, object string, _ ident.VMName) error {
 			seen = seen || object == nameProposal && unsettled()
 			return nil
 		}
@@ -120,7 +120,7 @@
 		count := func(b ballot, table uint64) int {
 			value, err := json.Marshal(zoneAck{ballot: b, Table: table})
 			assert.NilError(t, err)
-			return c.count([]platform.Object{{Name: "ruse-a", Value: value}}, ballot{2, 2}, testZones)
+			return c.count([]objectapi.Object{{Name: "ruse-a", Value: value}}, ballot{2, 2}, testZones)
 		}
 		assert.Equal(t, count(ballot{2, 2}, table), 1)
 		assert.Equal(t, count(ballot{2, 1}, table), 0)
--- a/internal/controller/configuration/propose.go
+++ b/internal/controller/configuration/propose.go
@@ -7,7 +7,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
 	"github.com/rosemarywall/rosemarywall/internal/core/freshness"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
@@ -20,9 +20,9 @@
 // stored is the platform's state that a proposal starts from.
 type stored struct {
 	current         *configuration.Configuration
-	currentVersion  platform.Version
+	currentVersion  objectapi.Version
 	proposal        proposalValue
-	proposalVersion platform.Version
+	proposalVersion objectapi.Version
 }
 
 func (c *Controller) readStored(ctx context.Context) (stored, error) {
@@ -46,8 +46,8 @@
 }
 
 // get reads an object of kind configuration; version stays zero when it does not exist.
-func (c *Controller) get(ctx context.Context, name string, into any, version *platform.Version) error {
-	object, err := c.platform.Get(ctx, platform.KindConfiguration, name)
+func (c *Controller) get(ctx context.Context, name string, into any, version *objectapi.Version) error {
+	object, err := c.platform.Get(ctx, objectapi.KindConfiguration, name)
 	if resultcode.Is(err, resultcode.PlatformNotFound) {
 		return nil
 	}
@@ -101,12 +101,12 @@
 // put writes a proposal. A lost answer is resolved by reading back. A proposal
 // found that way has been visible for an unknown time, so this VM raises the
 // attempt before it counts acknowledgements.
-func (c *Controller) put(ctx context.Context, value proposalValue, ifVersion platform.Version) error {
-	_, err := c.platform.Put(ctx, platform.KindConfiguration, nameProposal, value, ifVersion)
+func (c *Controller) put(ctx context.Context, value proposalValue, ifVersion objectapi.Version) error {
+	_, err := c.platform.Put(ctx, objectapi.KindConfiguration, nameProposal, value, ifVersion)
 	for try := 1; resultcode.Is(err, resultcode.PlatformDown) && try < proposeTries && ctx.Err() == nil; try++ {
 		pause(ctx, gatherInterval)
 		var found proposalValue
-		var version platform.Version
+		var version objectapi.Version
 		switch read := c.get(ctx, nameProposal, &found, &version); {
 		case read != nil:
 			continue
@@ -115,13 +115,13 @@
 		case version != ifVersion:
 			return conflict(found)
 		}
-		_, err = c.platform.Put(ctx, platform.KindConfiguration, nameProposal, value, ifVersion)
+		_, err = c.platform.Put(ctx, objectapi.KindConfiguration, nameProposal, value, ifVersion)
 	}
 	if !resultcode.Is(err, resultcode.PlatformConflict) {
 		return err
 	}
 	var found proposalValue
-	var version platform.Version
+	var version objectapi.Version
 	if read := c.get(ctx, nameProposal, &found, &version); read != nil {
 		return read
 	}
@@ -132,7 +132,7 @@
 }
 
 // raiseOwn raises the attempt of this VM's own proposal. A failure leaves it pending.
-func (c *Controller) raiseOwn(ctx context.Context, v proposalValue, ifVersion platform.Version) error {
+func (c *Controller) raiseOwn(ctx context.Context, v proposalValue, ifVersion objectapi.Version) error {
 	err := c.raise(ctx, v, ifVersion)
 	if err != nil && !resultcode.Is(err, resultcode.NoteNotAccepted) {
 		return resultcode.Wrap(err, resultcode.NoteNotAccepted, "version %d is proposed and this VM cannot complete it", v.Version)
@@ -146,14 +146,14 @@
 
 // raise makes this VM the acceptor of an existing proposal, with a new attempt. It
 // knows the proposal before the platform does, as an acceptor must.
-func (c *Controller) raise(ctx context.Context, v proposalValue, ifVersion platform.Version) error {
+func (c *Controller) raise(ctx context.Context, v proposalValue, ifVersion objectapi.Version) error {
 	c.locked(func() { c.know(v) })
 	v.Attempt, v.Acceptor = v.Attempt+1, c.mesh.Self().Name
 	v.SetWriter(c.writer.Next())
-	_, err := c.platform.Put(ctx, platform.KindConfiguration, nameProposal, v, ifVersion)
+	_, err := c.platform.Put(ctx, objectapi.KindConfiguration, nameProposal, v, ifVersion)
 	for try := 1; err != nil && try < proposeTries && ctx.Err() == nil; try++ {
 		var found proposalValue
-		var version platform.Version
+		var version objectapi.Version
 		switch read := c.get(ctx, nameProposal, &found, &version); {
 		case read != nil:
 		case found.Writer == v.Writer:
@@ -163,7 +163,7 @@
 			return resultcode.New(resultcode.NoteNotAccepted, "%s completes version %d", found.Acceptor, found.Version)
 		}
 		pause(ctx, gatherInterval)
-		_, err = c.platform.Put(ctx, platform.KindConfiguration, nameProposal, v, ifVersion)
+		_, err = c.platform.Put(ctx, objectapi.KindConfiguration, nameProposal, v, ifVersion)
 	}
 	if err == nil {
 		c.locked(func() { c.know(v) })
@@ -217,14 +217,14 @@
 
 // putCurrent accepts the version. Whatever the answer, a current version that has
 // reached it means that it was accepted, because a proposal is never replaced.
-func (c *Controller) putCurrent(ctx context.Context, value currentValue, ifVersion platform.Version) error {
+func (c *Controller) putCurrent(ctx context.Context, value currentValue, ifVersion objectapi.Version) error {
 	for {
-		_, err := c.platform.Put(ctx, platform.KindConfiguration, nameCurrent, value, ifVersion)
+		_, err := c.platform.Put(ctx, objectapi.KindConfiguration, nameCurrent, value, ifVersion)
 		if err == nil {
 			return nil
 		}
 		var found currentValue
-		var version platform.Version
+		var version objectapi.Version
 		if c.get(ctx, nameCurrent, &found, &version) == nil && found.Version >= value.Version {
 			return nil
 		}
@@ -244,8 +244,8 @@
 		if len(zones) == 0 || c.Current().Version >= b.Version {
 			return nil
 		}
-		var listed platform.Changes
-		if listed, last = c.platform.List(ctx, platform.KindZoneAck); last == nil {
+		var listed objectapi.Changes
+		if listed, last = c.platform.List(ctx, objectapi.KindZoneAck); last == nil {
 			if count = c.count(listed.Objects, b, zones); count >= freshness.Majority(len(zones)) {
 				return nil
 			}
@@ -258,7 +258,7 @@
 	}
 }
 
-func (c *Controller) count(objects []platform.Object, b ballot, zones []ident.AvailabilityZone) int {
+func (c *Controller) count(objects []objectapi.Object, b ballot, zones []ident.AvailabilityZone) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	count := 0
--- a/internal/controller/configuration/watch.go
+++ b/internal/controller/configuration/watch.go
@@ -10,7 +10,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/core/freshness"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
@@ -27,7 +27,7 @@
 
 // watchedKinds are the kinds of one watch. Group objects share it, because every
 // waiting watch counts as a call.
-var watchedKinds = []platform.Kind{platform.KindConfiguration, platform.KindZoneAck, platform.KindShareTable, platform.KindGroup}
+var watchedKinds = []objectapi.Kind{objectapi.KindConfiguration, objectapi.KindZoneAck, objectapi.KindShareTable, objectapi.KindGroup}
 
 // Names of the objects of kind configuration.
 const (
@@ -38,14 +38,14 @@
 
 // currentValue is the accepted configuration.
 type currentValue struct {
-	platform.Signature
+	objectapi.Signature
 	Version ident.ConfigurationVersion `json:"version"`
 	Data    []byte                     `json:"data"` // configuration.Encode
 }
 
 // proposalValue is the newest proposal; it stays after its acceptance.
 type proposalValue struct {
-	platform.Signature
+	objectapi.Signature
 	Version  ident.ConfigurationVersion `json:"version"`
 	Attempt  uint64                     `json:"attempt"`
 	Acceptor ident.VMName               `json:"acceptor"`
@@ -55,7 +55,7 @@
 
 // zoneAck is the acknowledgement of a zone.
 type zoneAck struct {
-	platform.Signature
+	objectapi.Signature
 	ballot
 	Table uint64 `json:"table"` // version of the share table that gave the majority
 }
@@ -63,7 +63,7 @@
 // watch follows the platform while this VM is a watcher. Every VM reads it once at its start.
 func (c *Controller) watch(ctx context.Context) {
 	retry := c.writer.BackOff()
-	var after platform.Version
+	var after objectapi.Version
 	var lastDirect time.Duration
 	complete := false // the state holds everything up to after
 	for first := true; ctx.Err() == nil; first = false {
@@ -108,12 +108,12 @@
 
 // readPlatform reads everything once. It returns the store version after which
 // a watch misses nothing.
-func (c *Controller) readPlatform(ctx context.Context) (platform.Version, error) {
+func (c *Controller) readPlatform(ctx context.Context) (objectapi.Version, error) {
 	at := c.clock.Now()
-	var objects []platform.Object
-	versions := make([]platform.Version, 0, 2)
+	var objects []objectapi.Object
+	versions := make([]objectapi.Version, 0, 2)
 	for _, name := range []string{nameProposal, nameCurrent} {
-		object, err := c.platform.Get(ctx, platform.KindConfiguration, name)
+		object, err := c.platform.Get(ctx, objectapi.KindConfiguration, name)
 		if err != nil && !resultcode.Is(err, resultcode.PlatformNotFound) {
 			return 0, err
 		}
@@ -122,7 +122,7 @@
 		}
 		versions = append(versions, object.Version) // zero when the object does not exist
 	}
-	for _, kind := range []platform.Kind{platform.KindShareTable, platform.KindZoneAck} {
+	for _, kind := range []objectapi.Kind{objectapi.KindShareTable, objectapi.KindZoneAck} {
 		listed, err := c.platform.List(ctx, kind)
 		if err != nil {
 			return 0, err
@@ -133,14 +133,14 @@
 }
 
 // watchOnce waits for changes after a store version and returns the next one.
-func (c *Controller) watchOnce(ctx context.Context, after platform.Version) (platform.Version, error) {
+func (c *Controller) watchOnce(ctx context.Context, after objectapi.Version) (objectapi.Version, error) {
 	at := c.clock.Now()
 	changes, err := c.platform.Watch(ctx, watchedKinds, after, watchTime)
 	if err != nil {
 		return 0, err
 	}
 	for _, object := range changes.Objects {
-		if object.Kind == platform.KindGroup && c.onGroup != nil {
+		if object.Kind == objectapi.KindGroup && c.onGroup != nil {
 			c.onGroup(object)
 		}
 	}
@@ -148,7 +148,7 @@
 }
 
 // takeObjects applies what the platform showed to a call that began at the given time.
-func (c *Controller) takeObjects(objects []platform.Object, at time.Duration) error {
+func (c *Controller) takeObjects(objects []objectapi.Object, at time.Duration) error {
 	var failed error
 	var news news
 	c.locked(func() {
@@ -165,9 +165,9 @@
 	return failed
 }
 
-func (c *Controller) takeObject(object platform.Object) error {
+func (c *Controller) takeObject(object objectapi.Object) error {
 	switch {
-	case object.Kind == platform.KindConfiguration && object.Name == nameCurrent:
+	case object.Kind == objectapi.KindConfiguration && object.Name == nameCurrent:
 		var v currentValue
 		if err := decode(object, &v); err != nil {
 			return err
@@ -176,19 +176,19 @@
 		if c.core.Version() < v.Version {
 			return resultcode.New(resultcode.PlatformBadRequest, "configuration %d cannot be decoded", v.Version)
 		}
-	case object.Kind == platform.KindConfiguration && object.Name == nameProposal:
+	case object.Kind == objectapi.KindConfiguration && object.Name == nameProposal:
 		var v proposalValue
 		if err := decode(object, &v); err != nil {
 			return err
 		}
 		c.learn(proposal{ballot{v.Version, v.Attempt}, v.Note, v.Digest, v.Acceptor})
-	case object.Kind == platform.KindZoneAck:
+	case object.Kind == objectapi.KindZoneAck:
 		var v zoneAck
 		if err := decode(object, &v); err != nil {
 			return err
 		}
 		c.zoneAcks[ident.AvailabilityZone(object.Name)] = v
-	case object.Kind == platform.KindShareTable:
+	case object.Kind == objectapi.KindShareTable:
 		vms, err := c.shareTable(object.Value)
 		if err != nil {
 			return resultcode.Wrap(err, resultcode.PlatformBadRequest, "share table of %s", object.Name)
@@ -198,7 +198,7 @@
 	return nil
 }
 
-func decode(object platform.Object, into any) error {
+func decode(object objectapi.Object, into any) error {
 	if err := json.Unmarshal(object.Value, into); err != nil {
 		return resultcode.Wrap(err, resultcode.PlatformBadRequest, "%s/%s", object.Kind, object.Name)
 	}
--- a/internal/controller/groups/fake_test.go
+++ b/internal/controller/groups/fake_test.go
@@ -16,8 +16,8 @@
 	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
 	"github.com/rosemarywall/rosemarywall/internal/group"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
@@ -305,28 +305,28 @@
 
 // fakePlatform holds the group objects.
 type fakePlatform struct {
-	platform.Client // calls that the controller does not make panic
-	mu              sync.Mutex
-	objects         map[string]platform.Object
-	version         platform.Version
+	objectapi.Client // calls that the controller does not make panic
+	mu               sync.Mutex
+	objects          map[string]objectapi.Object
+	version          objectapi.Version
 }
 
-func (p *fakePlatform) Get(_ context.Context, _ platform.Kind, name string) (platform.Object, error) {
+func (p *fakePlatform) Get(_ context.Context, _ objectapi.Kind, name string) (objectapi.Object, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if o, ok := p.objects[name]; ok {
 		return o, nil
 	}
-	return platform.Object{}, resultcode.New(resultcode.PlatformNotFound, "no object")
+	return objectapi.Object{}, resultcode.New(resultcode.PlatformNotFound, "no object")
 }
 
-func (p *fakePlatform) List(context.Context, platform.Kind) (platform.Changes, error) {
+func (p *fakePlatform) List(context.Context, objectapi.Kind) (objectapi.Changes, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return platform.Changes{Objects: slices.Collect(maps.Values(p.objects)), Version: p.version}, nil
+	return objectapi.Changes{Objects: slices.Collect(maps.Values(p.objects)), Version: p.version}, nil
 }
 
-func (p *fakePlatform) Put(_ context.Context, kind platform.Kind, name string, value any, ifVersion platform.Version) (platform.Object, error) {
+func (p *fakePlatform) Put(_ context.Context, kind objectapi.Kind, name string, value any, ifVersion objectapi.Version) (objectapi.Object, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if current := p.objects[name]; current.Version != ifVersion {
@@ -334,7 +334,7 @@
 	}
 	data, err := json.Marshal(value)
 	p.version++
-	p.objects[name] = platform.Object{Kind: kind, Name: name, Version: p.version, Value: data}
+	p.objects[name] = objectapi.Object{Kind: kind, Name: name, Version: p.version, Value: data}
 	return p.objects[name], err
 }
 
@@ -345,7 +345,7 @@
 
 // startControllers starts one controller per VM, connected by a mesh.
 func startControllers(f *fakeGroup, source *fakeSource, vms map[ident.VMName]ident.AvailabilityZone) []*Controller {
-	network, store := &fakeNetwork{}, &fakePlatform{objects: map[string]platform.Object{}}
+	network, store := &fakeNetwork{}, &fakePlatform{objects: map[string]objectapi.Object{}}
 	var started []*Controller
 	for _, name := range slices.Sorted(maps.Keys(vms)) {
 		started = append(started, New(Options{
--- a/internal/controller/groups/follow_test.go
+++ b/internal/controller/groups/follow_test.go
@@ -14,15 +14,15 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
 )
 
 // followFleet starts six VMs in three zones that follow groups on demand. The
 // configuration has the group of f and one that is withdrawn before the end.
 func followFleet(t *testing.T, f *fakeGroup, test func(fleet []*Controller)) {
 	conf := testConfiguration(nil)
-	network, store := &fakeNetwork{}, &fakePlatform{objects: map[string]platform.Object{}}
+	network, store := &fakeNetwork{}, &fakePlatform{objects: map[string]objectapi.Object{}}
 	source := &fakeSource{current: conf}
 	conf.Databases["other"] = configuration.Database{}
 	var fleet []*Controller
@@ -167,7 +167,7 @@
 		var fleet []*Controller
 		for _, mesh := range network.meshes {
 			fleet = append(fleet, New(Options{
-				Mesh: mesh, Platform: &fakePlatform{objects: map[string]platform.Object{}},
+				Mesh: mesh, Platform: &fakePlatform{objects: map[string]objectapi.Object{}},
 				Configuration: &fakeSource{current: conf}, Log: zerolog.Nop(), FollowAll: 1,
 			}))
 			receive := mesh.handle[kindRecord]
--- a/internal/controller/groups/object.go
+++ b/internal/controller/groups/object.go
@@ -11,8 +11,8 @@
 	"github.com/rosemarywall/rosemarywall/internal/core/detector"
 	"github.com/rosemarywall/rosemarywall/internal/core/promotion"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
@@ -31,16 +31,16 @@
 
 // recordMessage tells another VM a group's object.
 type recordMessage struct {
-	Group   ident.GroupName  `cbor:"1,keyasint"`
-	Version platform.Version `cbor:"2,keyasint"`
-	Record  promotion.Record `cbor:"3,keyasint"`
+	Group   ident.GroupName   `cbor:"1,keyasint"`
+	Version objectapi.Version `cbor:"2,keyasint"`
+	Record  promotion.Record  `cbor:"3,keyasint"`
 }
 
 func (p *promoter) get(ctx context.Context) {
-	object, err := p.group.controller.options.Platform.Get(ctx, platform.KindGroup, string(p.group.name))
+	object, err := p.group.controller.options.Platform.Get(ctx, objectapi.KindGroup, string(p.group.name))
 	ok := err == nil
 	if resultcode.Is(err, resultcode.PlatformNotFound) {
-		object, ok = platform.Object{}, true
+		object, ok = objectapi.Object{}, true
 	}
 	record, decoded := decodeRecord(object)
 	p.drive(func(m *promotion.Machine, now time.Duration) {
@@ -49,7 +49,7 @@
 }
 
 func (p *promoter) put(ctx context.Context, a promotion.Put) {
-	object, err := p.group.controller.options.Platform.Put(ctx, platform.KindGroup, string(p.group.name), a.Record, a.IfVersion)
+	object, err := p.group.controller.options.Platform.Put(ctx, objectapi.KindGroup, string(p.group.name), a.Record, a.IfVersion)
 	outcome, record := promotion.PutLost, promotion.Record{}
 	switch {
 	case err == nil:
@@ -64,7 +64,7 @@
 	})
 }
 
-func decodeRecord(object platform.Object) (promotion.Record, bool) {
+func decodeRecord(object objectapi.Object) (promotion.Record, bool) {
 	var record promotion.Record
 	err := json.Unmarshal(object.Value, &record)
 	return record, err == nil && record.Term > 0
@@ -72,9 +72,9 @@
 
 // Observe takes a group object from the platform's watch and passes it on to the
 // VMs of this zone. Only the zone's watchers call it.
-func (c *Controller) Observe(object platform.Object) {
+func (c *Controller) Observe(object objectapi.Object) {
 	record, ok := decodeRecord(object)
-	if object.Kind != platform.KindGroup || !ok {
+	if object.Kind != objectapi.KindGroup || !ok {
 		return
 	}
 	message := recordMessage{Group: ident.GroupName(object.Name), Version: object.Version, Record: record}
@@ -93,7 +93,7 @@
 // list reads all group objects once, because a watch shows only later changes.
 func (c *Controller) list(ctx context.Context) {
 	for ctx.Err() == nil {
-		changes, err := c.options.Platform.List(ctx, platform.KindGroup)
+		changes, err := c.options.Platform.List(ctx, objectapi.KindGroup)
 		if err == nil {
 			for _, object := range changes.Objects {
 				if record, ok := decodeRecord(object); ok {
--- a/internal/controller/groups/options.go
+++ b/internal/controller/groups/options.go
@@ -13,8 +13,8 @@
 	"github.com/rosemarywall/rosemarywall/internal/core/routing"
 	"github.com/rosemarywall/rosemarywall/internal/group"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
 	"github.com/rosemarywall/rosemarywall/internal/request"
 )
 
@@ -44,7 +44,7 @@
 // Options are the parts that the controller works with.
 type Options struct {
 	Mesh          peer.Mesh
-	Platform      platform.Client
+	Platform      objectapi.Client
 	Configuration request.ConfigurationSource
 	NewAgent      AgentFactory
 	// Outstanding gives the requests that this VM runs on an upstream; nil counts
--- a/internal/controller/groups/standin_test.go
+++ b/internal/controller/groups/standin_test.go
@@ -12,7 +12,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/core/routing"
 	"github.com/rosemarywall/rosemarywall/internal/group"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/request"
 	"github.com/rosemarywall/rosemarywall/internal/standin"
 	"github.com/rosemarywall/rosemarywall/internal/standin/upstream"
@@ -35,7 +35,7 @@
 		zone ident.AvailabilityZone
 	}{{"vm1", "za"}, {"vm2", "zb"}, {"vm3", "zc"}} {
 		fleet = append(fleet, New(Options{
-			Mesh: network.join(vm.name, vm.zone), Platform: platform.NewHTTP(s.Platform.Address()), Configuration: source,
+			Mesh: network.join(vm.name, vm.zone), Platform: objectapi.NewHTTP(s.Platform.Address()), Configuration: source,
 			NewAgent: func(_ ident.GroupName, _ ident.UpstreamName, address string) group.Agent {
 				return group.NewHTTP(address)
 			},
--- a/internal/controller/shares/controller.go
+++ b/internal/controller/shares/controller.go
@@ -12,8 +12,8 @@
 	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
 	"github.com/rosemarywall/rosemarywall/internal/core/shares"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
 	"github.com/rosemarywall/rosemarywall/internal/request"
 )
 
@@ -24,7 +24,7 @@
 // Config connects a Controller.
 type Config struct {
 	Mesh     peer.Mesh
-	Platform platform.Client
+	Platform objectapi.Client
 	Source   request.ConfigurationSource
 	Log      zerolog.Logger
 	// Seed starts the random choices.
--- a/internal/controller/shares/fake_test.go
+++ b/internal/controller/shares/fake_test.go
@@ -12,26 +12,26 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
 // fakePlatform stores objects in memory.
 type fakePlatform struct {
 	mu      sync.Mutex
-	version platform.Version
-	objects map[string]platform.Object
+	version objectapi.Version
+	objects map[string]objectapi.Object
 	down    bool
 	// loseAnswers is the number of updates that are stored without an answer.
 	loseAnswers int
 }
 
-func (f *fakePlatform) Get(_ context.Context, _ platform.Kind, name string) (platform.Object, error) {
+func (f *fakePlatform) Get(_ context.Context, _ objectapi.Kind, name string) (objectapi.Object, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return platform.Object{}, resultcode.New(resultcode.PlatformDown, "down")
+		return objectapi.Object{}, resultcode.New(resultcode.PlatformDown, "down")
 	}
 	o, ok := f.objects[name]
 	if !ok {
@@ -40,56 +40,56 @@
 	return o, nil
 }
 
-func (f *fakePlatform) List(context.Context, platform.Kind) (platform.Changes, error) {
+func (f *fakePlatform) List(context.Context, objectapi.Kind) (objectapi.Changes, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return platform.Changes{}, resultcode.New(resultcode.PlatformDown, "down")
+		return objectapi.Changes{}, resultcode.New(resultcode.PlatformDown, "down")
 	}
-	c := platform.Changes{Version: f.version}
+	c := objectapi.Changes{Version: f.version}
 	for _, o := range f.objects {
 		c.Objects = append(c.Objects, o)
 	}
 	return c, nil
 }
 
-func (f *fakePlatform) Put(_ context.Context, kind platform.Kind, name string, value any, ifVersion platform.Version) (platform.Object, error) {
+func (f *fakePlatform) Put(_ context.Context, kind objectapi.Kind, name string, value any, ifVersion objectapi.Version) (objectapi.Object, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.down {
-		return platform.Object{}, resultcode.New(resultcode.PlatformDown, "down")
+		return objectapi.Object{}, resultcode.New(resultcode.PlatformDown, "down")
 	}
 	if o := f.objects[name]; o.Version != ifVersion {
 		return o, resultcode.New(resultcode.PlatformConflict, "version %d", o.Version)
 	}
 	raw, err := json.Marshal(value)
 	if err != nil {
-		return platform.Object{}, err
+		return objectapi.Object{}, err
 	}
 	f.version++
-	f.objects[name] = platform.Object{Kind: kind, Name: name, Version: f.version, Value: raw}
+	f.objects[name] = objectapi.Object{Kind: kind, Name: name, Version: f.version, Value: raw}
 	if f.loseAnswers > 0 {
 		f.loseAnswers--
-		return platform.Object{}, resultcode.New(resultcode.PlatformDown, "answer lost")
+		return objectapi.Object{}, resultcode.New(resultcode.PlatformDown, "answer lost")
 	}
 	return f.objects[name], nil
 }
 
-func (f *fakePlatform) Delete(context.Context, platform.Kind, string, platform.Version) error {
+func (f *fakePlatform) Delete(context.Context, objectapi.Kind, string, objectapi.Version) error {
 	return resultcode.New(resultcode.PlatformBadRequest, "not used")
 }
 
-func (f *fakePlatform) Watch(ctx context.Context, _ []platform.Kind, after platform.Version, _ time.Duration) (platform.Changes, error) {
+func (f *fakePlatform) Watch(ctx context.Context, _ []objectapi.Kind, after objectapi.Version, _ time.Duration) (objectapi.Changes, error) {
 	for ctx.Err() == nil {
-		if c, err := f.List(ctx, platform.KindShareTable); err != nil || c.Version > after {
+		if c, err := f.List(ctx, objectapi.KindShareTable); err != nil || c.Version > after {
 			return c, err
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	return platform.Changes{}, ctx.Err()
+	return objectapi.Changes{}, ctx.Err()
 }
 
-func (f *fakePlatform) VMs(context.Context) ([]platform.VM, error) { return nil, nil }
+func (f *fakePlatform) VMs(context.Context) ([]objectapi.VM, error) { return nil, nil }
 
 // fakeNetwork connects fake meshes with a fixed delay.
 type fakeNetwork struct {
@@ -216,7 +216,7 @@
 
 func newWorld(t *testing.T) *world {
 	return &world{
-		t: t, platform: &fakePlatform{objects: map[string]platform.Object{}},
+		t: t, platform: &fakePlatform{objects: map[string]objectapi.Object{}},
 		network:     &fakeNetwork{meshes: map[ident.VMName]*fakeMesh{}, delay: time.Millisecond},
 		source:      &fakeSource{current: testConfiguration(1, configuration.ZoneIn)},
 		controllers: map[ident.VMName]*Controller{}, stops: map[ident.VMName]func(){},
@@ -249,7 +249,7 @@
 
 // parts returns the parts by VM that the platform holds for a zone.
 func (w *world) parts(zone string) map[ident.VMName]uint32 {
-	o, err := w.platform.Get(context.Background(), platform.KindShareTable, zone)
+	o, err := w.platform.Get(context.Background(), objectapi.KindShareTable, zone)
 	assert.NilError(w.t, err)
 	var table struct {
 		Rows []struct {
--- a/internal/controller/shares/tables.go
+++ b/internal/controller/shares/tables.go
@@ -8,7 +8,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/core/detector"
 	"github.com/rosemarywall/rosemarywall/internal/core/shares"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
@@ -34,7 +34,7 @@
 // ZoneTable lists the VM incarnations that share a zone's rates. A VM that has
 // left or whose parts were reclaimed is not in it.
 type ZoneTable struct {
-	Version platform.Version
+	Version objectapi.Version
 	Rows    []shares.Row
 }
 
@@ -45,7 +45,7 @@
 	defer c.mu.Unlock()
 	out := make(map[ident.AvailabilityZone]ZoneTable, len(c.tables))
 	for zone, t := range c.tables {
-		out[zone] = ZoneTable{Version: platform.Version(t.version), Rows: t.table.Rows}
+		out[zone] = ZoneTable{Version: objectapi.Version(t.version), Rows: t.table.Rows}
 	}
 	return out
 }
@@ -81,7 +81,7 @@
 	}
 }
 
-func (c *Controller) learnObject(readStart time.Duration, o platform.Object) {
+func (c *Controller) learnObject(readStart time.Duration, o objectapi.Object) {
 	var table shares.Table
 	if err := json.Unmarshal(o.Value, &table); err != nil {
 		c.counters.invalidTables.Add(1)
@@ -107,7 +107,7 @@
 	defer cancel()
 	start := c.clock.Now()
 	c.counters.tableReads.Add(1)
-	o, err := c.cfg.Platform.Get(ctx, platform.KindShareTable, string(c.self.Zone))
+	o, err := c.cfg.Platform.Get(ctx, objectapi.KindShareTable, string(c.self.Zone))
 	switch {
 	case err == nil:
 		c.learnObject(start, o)
@@ -133,7 +133,7 @@
 	defer cancel()
 	start := c.clock.Now()
 	c.counters.tableWrites.Add(1)
-	o, err := c.cfg.Platform.Put(call, platform.KindShareTable, string(c.self.Zone), w.Table, platform.Version(w.Base))
+	o, err := c.cfg.Platform.Put(call, objectapi.KindShareTable, string(c.self.Zone), w.Table, objectapi.Version(w.Base))
 	switch code := resultcode.Of(err); {
 	case err == nil:
 		c.stored(ctx, w, start, o)
@@ -156,14 +156,14 @@
 	call, cancel := context.WithTimeout(ctx, platformTimeout)
 	defer cancel()
 	start := c.clock.Now()
-	o, err := c.cfg.Platform.Get(call, platform.KindShareTable, string(c.self.Zone))
+	o, err := c.cfg.Platform.Get(call, objectapi.KindShareTable, string(c.self.Zone))
 	if err == nil {
 		c.afterUnclear(ctx, w, start, o)
 	}
 }
 
 // afterUnclear takes the current object after a conflict or a lost answer.
-func (c *Controller) afterUnclear(ctx context.Context, w shares.Write, start time.Duration, o platform.Object) {
+func (c *Controller) afterUnclear(ctx context.Context, w shares.Write, start time.Duration, o objectapi.Object) {
 	var current shares.Table
 	if json.Unmarshal(o.Value, &current) == nil && current.Writer == w.Table.Writer {
 		c.stored(ctx, w, start, o)
@@ -173,7 +173,7 @@
 }
 
 // stored tells the VMs whose rows have changed, and their lessors.
-func (c *Controller) stored(ctx context.Context, w shares.Write, start time.Duration, o platform.Object) {
+func (c *Controller) stored(ctx context.Context, w shares.Write, start time.Duration, o objectapi.Object) {
 	c.mu.Lock()
 	before := c.tables[c.self.Zone].table
 	c.mu.Unlock()
@@ -203,16 +203,16 @@
 // their changes.
 func (c *Controller) watch(ctx context.Context) {
 	loaded := false
-	after := platform.Version(0)
+	after := objectapi.Version(0)
 	for ctx.Err() == nil {
-		var changes platform.Changes
+		var changes objectapi.Changes
 		var err error
 		switch {
 		case !loaded:
-			changes, err = c.cfg.Platform.List(ctx, platform.KindShareTable)
+			changes, err = c.cfg.Platform.List(ctx, objectapi.KindShareTable)
 			loaded = err == nil
 		case c.watcher():
-			changes, err = c.cfg.Platform.Watch(ctx, []platform.Kind{platform.KindShareTable}, after, watchTimeout)
+			changes, err = c.cfg.Platform.Watch(ctx, []objectapi.Kind{objectapi.KindShareTable}, after, watchTimeout)
 		}
 		for _, o := range changes.Objects {
 			c.learnObject(-1, o)
--- a/internal/core/promotion/attempt.go
+++ b/internal/core/promotion/attempt.go
@@ -6,7 +6,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/group"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 )
 
 type phase string
@@ -36,7 +36,7 @@
 	detected time.Duration
 
 	put       *Record
-	ifVersion platform.Version
+	ifVersion objectapi.Version
 
 	final    ident.LogPoint // end of the old primary's log after a handover
 	fenced   map[ident.UpstreamName]group.Status
@@ -100,7 +100,7 @@
 
 // PutDone reports the outcome of an update; for PutConflict version and record are
 // the current object.
-func (m *Machine) PutDone(now time.Duration, writer string, outcome PutOutcome, version platform.Version, record Record) {
+func (m *Machine) PutDone(now time.Duration, writer string, outcome PutOutcome, version objectapi.Version, record Record) {
 	m.now = now
 	a := m.attempt
 	if outcome != PutLost {
@@ -119,7 +119,7 @@
 }
 
 // GetDone reports the object as read; version 0 means that it does not exist.
-func (m *Machine) GetDone(now time.Duration, ok bool, version platform.Version, record Record) {
+func (m *Machine) GetDone(now time.Duration, ok bool, version objectapi.Version, record Record) {
 	m.now = now
 	if !ok {
 		return
--- a/internal/core/promotion/machine.go
+++ b/internal/core/promotion/machine.go
@@ -7,7 +7,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/group"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 )
 
 type memberState struct {
@@ -41,7 +41,7 @@
 	now      time.Duration
 
 	record        Record
-	version       platform.Version
+	version       objectapi.Version
 	objectKnown   bool // false asks for a read before the next update
 	recordAt      time.Duration
 	unplanned     time.Duration // last unplanned change that was seen to happen
@@ -142,7 +142,7 @@
 }
 
 // Object records the group's object as read, watched or announced by a peer.
-func (m *Machine) Object(now time.Duration, version platform.Version, record Record) {
+func (m *Machine) Object(now time.Duration, version objectapi.Version, record Record) {
 	m.now = now
 	if version <= m.version {
 		return
--- a/internal/core/promotion/scenario_test.go
+++ b/internal/core/promotion/scenario_test.go
@@ -7,7 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/rosemarywall/rosemarywall/internal/ident"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 )
 
 // settled returns a simulation without message loss.
@@ -71,7 +71,7 @@
 			cause(s)
 			s.advance(10 * time.Second)
 			assert.NilError(t, s.failure)
-			assert.Equal(t, s.version, platform.Version(0))
+			assert.Equal(t, s.version, objectapi.Version(0))
 		})
 	}
 }
--- a/internal/core/promotion/sim_test.go
+++ b/internal/core/promotion/sim_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/core/routing"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 )
 
 const simGroup = ident.GroupName("g")
@@ -25,7 +25,7 @@
 	members []*simMember
 	vms     []*simVM
 	object  Record
-	version platform.Version
+	version objectapi.Version
 	outage  bool
 	cut     map[[2]string]bool
 	paused  map[string][]func() // deliveries that wait until the node resumes
--- a/internal/core/promotion/simnode_test.go
+++ b/internal/core/promotion/simnode_test.go
@@ -8,7 +8,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/core/routing"
 	"github.com/rosemarywall/rosemarywall/internal/group"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 )
 
 // simMember is a member of the group with its agent.
@@ -262,7 +262,7 @@
 
 func (vm *simVM) get() {
 	s := vm.sim
-	var version platform.Version
+	var version objectapi.Version
 	var record Record
 	failed := false
 	s.call(vm.name, "platform", func() { version, record, failed = s.version, s.object, s.outage }, func(answered bool) {
@@ -272,7 +272,7 @@
 
 func (vm *simVM) put(a Put) {
 	s := vm.sim
-	outcome, version, record := PutLost, platform.Version(0), Record{}
+	outcome, version, record := PutLost, objectapi.Version(0), Record{}
 	serve := func() {
 		if s.outage {
 			outcome = PutLost
--- a/internal/core/promotion/types.go
+++ b/internal/core/promotion/types.go
@@ -5,7 +5,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/group"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 )
 
 // Detection and retry delays. The targets are a total gap below 1 s for a dead
@@ -121,7 +121,7 @@
 	// Put updates the group's object; answered by PutDone.
 	Put struct {
 		Record    Record
-		IfVersion platform.Version
+		IfVersion objectapi.Version
 	}
 	// Fence is answered by Fenced.
 	Fence struct {
@@ -158,7 +158,7 @@
 	}
 	// Announce tells all VMs the object; it is a hint, the platform decides.
 	Announce struct {
-		Version platform.Version
+		Version objectapi.Version
 		Record  Record
 	}
 )
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -22,8 +22,8 @@
 	"github.com/rosemarywall/rosemarywall/internal/filter"
 	"github.com/rosemarywall/rosemarywall/internal/frontend"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
 	"github.com/rosemarywall/rosemarywall/internal/settings"
 	"github.com/rosemarywall/rosemarywall/internal/upstream"
 )
@@ -55,7 +55,7 @@
 	cfg      Config
 	log      zerolog.Logger
 	clock    *clock.Clock
-	platform *platform.HTTP
+	platform *objectapi.HTTP
 	mesh     *peer.Network
 	configs  *configcontroller.Controller
 	shares   *sharecontroller.Controller
@@ -117,16 +117,16 @@
 	if v.adminListener, err = listen("admin", s.Admin.Listen); err != nil {
 		return err
 	}
-	v.platform = platform.NewHTTP(s.Platform.Address.String(), platform.WithTimeout(s.Platform.Timeout), platform.WithZone(s.VM.Zone))
+	v.platform = objectapi.NewHTTP(s.Platform.Address.String(), objectapi.WithTimeout(s.Platform.Timeout), objectapi.WithZone(s.VM.Zone))
 	if v.mesh, err = v.newMesh(); err != nil {
 		return err
 	}
 	seed := uint64(v.cfg.Incarnation)
 	v.configs = configcontroller.New(configcontroller.Options{
 		Mesh: v.mesh, Platform: v.platform, Clock: v.clock,
-		Writer: platform.NewWriter(fmt.Sprintf("%s-%d", s.VM.Name, v.cfg.Incarnation), seed),
+		Writer: objectapi.NewWriter(fmt.Sprintf("%s-%d", s.VM.Name, v.cfg.Incarnation), seed),
 		Seed:   seed, ShareTable: shareTableVMs, Log: v.log,
-		OnGroup: func(o platform.Object) { v.groups.Observe(o) },
+		OnGroup: func(o objectapi.Object) { v.groups.Observe(o) },
 	})
 	v.shares = sharecontroller.New(sharecontroller.Config{
 		Mesh: v.mesh, Platform: v.platform, Source: v.configs, Log: v.log, Seed: seed,
--- a/internal/entry/roster.go
+++ b/internal/entry/roster.go
@@ -6,8 +6,8 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/core/detector"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
 )
 
 const (
@@ -69,7 +69,7 @@
 	names := make([]ident.VMName, 0, len(list))
 	for _, vm := range list {
 		m := peer.Member{Name: vm.Name, Zone: vm.Zone, Address: vm.Address}
-		if vm.State == platform.VMLeaving {
+		if vm.State == objectapi.VMLeaving {
 			m.State = peer.Leaving
 		}
 		members = append(members, m)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,8 +16,8 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/entry"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/settings"
 	"github.com/rosemarywall/rosemarywall/internal/standin"
@@ -211,7 +211,7 @@
 	f.mu.Lock()
 	m.vm = vm
 	f.mu.Unlock()
-	f.Standin.Platform.SetVM(platform.VM{Name: name, Zone: s.VM.Zone, Address: vm.PeerAddress(), State: platform.VMLive})
+	f.Standin.Platform.SetVM(objectapi.VM{Name: name, Zone: s.VM.Zone, Address: vm.PeerAddress(), State: objectapi.VMLive})
 	return nil
 }
 
--- a/internal/frontend/standin_test.go
+++ b/internal/frontend/standin_test.go
@@ -21,8 +21,8 @@
 	"github.com/rosemarywall/rosemarywall/internal/frontend"
 	"github.com/rosemarywall/rosemarywall/internal/group"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
 	"github.com/rosemarywall/rosemarywall/internal/request"
 	"github.com/rosemarywall/rosemarywall/internal/standin"
 	member "github.com/rosemarywall/rosemarywall/internal/standin/upstream"
@@ -74,7 +74,7 @@
 		assert.NilError(t, err)
 		seeds = append(seeds, address)
 		router := groupcontroller.New(groupcontroller.Options{
-			Mesh: mesh, Platform: platform.NewHTTP(s.Platform.Address()), Configuration: all,
+			Mesh: mesh, Platform: objectapi.NewHTTP(s.Platform.Address()), Configuration: all,
 			NewAgent: func(_ ident.GroupName, _ ident.UpstreamName, a string) group.Agent { return group.NewHTTP(a) },
 		})
 		mesh.Start()
--- a/internal/platform/platform.go
+++ b/internal/objectapi/platform.go
@@ -1,4 +1,4 @@
-package platform
+package objectapi
 
 import (
 	"context"
--- a/internal/platform/update_test.go
+++ b/internal/objectapi/update_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package objectapi_test
 
 import (
 	"context"
@@ -8,7 +8,7 @@
 
 	"gotest.tools/v3/assert"
 
-	api "github.com/rosemarywall/rosemarywall/internal/platform"
+	api "github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/standin/platform"
 )
--- a/internal/sessions/codes_test.go
+++ b/internal/sessions/codes_test.go
@@ -21,8 +21,8 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/fleet"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/settings"
 )
@@ -74,23 +74,23 @@
 func TestCodesOfOtherInterfaces(t *testing.T) {
 	s := newSession(t, nil)
 	server := s.fleet.Standin.Platform
-	client := platform.NewHTTP(server.Address(), platform.WithTimeout(time.Second))
+	client := objectapi.NewHTTP(server.Address(), objectapi.WithTimeout(time.Second))
 	ctx := t.Context()
-	_, err := client.Get(ctx, platform.KindGroup, "nowhere")
+	_, err := client.Get(ctx, objectapi.KindGroup, "nowhere")
 	s.event("get a missing object: %s", codeLine(err))
-	_, err = client.Put(ctx, platform.KindGroup, string(database), map[string]int{"term": 9}, 0)
+	_, err = client.Put(ctx, objectapi.KindGroup, string(database), map[string]int{"term": 9}, 0)
 	s.event("create an object that exists: %s", codeLine(err))
-	_, err = client.Put(ctx, platform.KindGroup, "large", strings.Repeat("x", 1<<20), 0)
+	_, err = client.Put(ctx, objectapi.KindGroup, "large", strings.Repeat("x", 1<<20), 0)
 	s.event("store a value above 1 MB: %s", codeLine(err))
-	_, err = client.Put(ctx, platform.KindGroup, "unencodable", make(chan int), 0)
+	_, err = client.Put(ctx, objectapi.KindGroup, "unencodable", make(chan int), 0)
 	s.event("store a value that is not JSON: %s", codeLine(err))
 	server.SetQuota(0, 1)
 	for err = nil; resultcode.Of(err) != resultcode.PlatformQuota; {
-		_, err = client.Put(ctx, platform.KindConfiguration, "quota", 1, 0)
+		_, err = client.Put(ctx, objectapi.KindConfiguration, "quota", 1, 0)
 	}
 	s.event("write above the quota: %s", codeLine(err))
 	server.SetOutage(true)
-	_, err = client.Get(ctx, platform.KindGroup, string(database))
+	_, err = client.Get(ctx, objectapi.KindGroup, string(database))
 	s.event("get during an outage: %s", codeLine(err))
 	_, err = peer.New(peer.Config{Self: peer.Member{Name: "vm", Zone: "zone", Address: "192.0.2.1:7000"}})
 	s.event("mesh without a certificate beyond loopback: %s", codeLine(err))
--- a/internal/standin/platform/calls.go
+++ b/internal/standin/platform/calls.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/ident"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 )
 
 func (s *Server) get(r *http.Request) reply {
@@ -20,24 +20,24 @@
 }
 
 func (s *Server) list(r *http.Request) reply {
-	changes, _, _ := s.store.changes([]platform.Kind{platform.Kind(r.PathValue("kind"))}, 0)
+	changes, _, _ := s.store.changes([]objectapi.Kind{objectapi.Kind(r.PathValue("kind"))}, 0)
 	changes.Deleted = nil
 	return reply{http.StatusOK, changes}
 }
 
 func (s *Server) put(r *http.Request) reply {
-	body, err := io.ReadAll(io.LimitReader(r.Body, platform.MaxValueBytes+envelopeBytes))
+	body, err := io.ReadAll(io.LimitReader(r.Body, objectapi.MaxValueBytes+envelopeBytes))
 	if err != nil {
 		return reply{http.StatusBadRequest, nil}
 	}
-	if len(body) >= platform.MaxValueBytes+envelopeBytes {
+	if len(body) >= objectapi.MaxValueBytes+envelopeBytes {
 		return reply{http.StatusRequestEntityTooLarge, nil}
 	}
-	var request platform.PutRequest
+	var request objectapi.PutRequest
 	if json.Unmarshal(body, &request) != nil || len(request.Value) == 0 {
 		return reply{http.StatusBadRequest, nil}
 	}
-	if len(request.Value) > platform.MaxValueBytes {
+	if len(request.Value) > objectapi.MaxValueBytes {
 		return reply{http.StatusRequestEntityTooLarge, nil}
 	}
 	object, stored := s.store.put(keyOf(r), request.Value, request.IfVersion)
@@ -77,7 +77,7 @@
 	defer timer.Stop()
 	expired := false
 	for {
-		changes, found, changed := s.store.changes(kindsOf(r), platform.Version(after))
+		changes, found, changed := s.store.changes(kindsOf(r), objectapi.Version(after))
 		if s.inOutage() {
 			return reply{http.StatusServiceUnavailable, nil}
 		}
@@ -105,7 +105,7 @@
 func (s *Server) listVMs(*http.Request) reply { return reply{http.StatusOK, s.vms.list()} }
 
 func (s *Server) announce(r *http.Request) reply {
-	var vm platform.VM
+	var vm objectapi.VM
 	if json.NewDecoder(r.Body).Decode(&vm) != nil || string(vm.Name) != r.PathValue("name") {
 		return reply{http.StatusBadRequest, nil}
 	}
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -9,7 +9,7 @@
 
 	"gotest.tools/v3/assert"
 
-	api "github.com/rosemarywall/rosemarywall/internal/platform"
+	api "github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
--- a/internal/standin/platform/server.go
+++ b/internal/standin/platform/server.go
@@ -15,7 +15,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/rosemarywall/rosemarywall/internal/ident"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 )
 
 // Limits of the platform.
@@ -117,13 +117,13 @@
 func (s *Server) SetVMList(lag, expiry time.Duration) { s.vms.setLag(lag, expiry) }
 
 // SetVM lists a VM, as an announcement does.
-func (s *Server) SetVM(vm platform.VM) { s.vms.record(vm.Name, &vm) }
+func (s *Server) SetVM(vm objectapi.VM) { s.vms.record(vm.Name, &vm) }
 
 // RemoveVM drops a VM from the list.
 func (s *Server) RemoveVM(name ident.VMName) { s.vms.record(name, nil) }
 
 // Seed stores an object unconditionally.
-func (s *Server) Seed(kind platform.Kind, name string, value json.RawMessage) {
+func (s *Server) Seed(kind objectapi.Kind, name string, value json.RawMessage) {
 	s.store.put(objectKey{kind, name}, value, nil)
 }
 
@@ -139,14 +139,14 @@
 // Handler serves the object API.
 func (s *Server) Handler() http.Handler {
 	mux := http.NewServeMux()
-	mux.HandleFunc("GET /v1/objects/{kind}/{name}", s.admit(platform.CallGet, s.get))
-	mux.HandleFunc("GET /v1/objects/{kind}", s.admit(platform.CallList, s.list))
-	mux.HandleFunc("PUT /v1/objects/{kind}/{name}", s.admit(platform.CallPut, s.put))
-	mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", s.admit(platform.CallDelete, s.remove))
-	mux.HandleFunc("GET /v1/watch", s.admit(platform.CallWatch, s.watch))
-	mux.HandleFunc("GET /v1/vms", s.admit(platform.CallVMs, s.listVMs))
-	mux.HandleFunc("PUT /v1/vms/{name}", s.admit(platform.CallAnnounce, s.announce))
-	mux.HandleFunc("DELETE /v1/vms/{name}", s.admit(platform.CallAnnounce, s.removeVM))
+	mux.HandleFunc("GET /v1/objects/{kind}/{name}", s.admit(objectapi.CallGet, s.get))
+	mux.HandleFunc("GET /v1/objects/{kind}", s.admit(objectapi.CallList, s.list))
+	mux.HandleFunc("PUT /v1/objects/{kind}/{name}", s.admit(objectapi.CallPut, s.put))
+	mux.HandleFunc("DELETE /v1/objects/{kind}/{name}", s.admit(objectapi.CallDelete, s.remove))
+	mux.HandleFunc("GET /v1/watch", s.admit(objectapi.CallWatch, s.watch))
+	mux.HandleFunc("GET /v1/vms", s.admit(objectapi.CallVMs, s.listVMs))
+	mux.HandleFunc("PUT /v1/vms/{name}", s.admit(objectapi.CallAnnounce, s.announce))
+	mux.HandleFunc("DELETE /v1/vms/{name}", s.admit(objectapi.CallAnnounce, s.removeVM))
 	return mux
 }
 
@@ -157,11 +157,11 @@
 }
 
 // admit counts a call and applies the faults around it.
-func (s *Server) admit(kind platform.CallKind, serve func(*http.Request) reply) http.HandlerFunc {
-	changes := kind == platform.CallPut || kind == platform.CallDelete
+func (s *Server) admit(kind objectapi.CallKind, serve func(*http.Request) reply) http.HandlerFunc {
+	changes := kind == objectapi.CallPut || kind == objectapi.CallDelete
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.calls.Add(string(kind), 1)
-		zone := ident.AvailabilityZone(r.Header.Get(platform.ZoneHeader))
+		zone := ident.AvailabilityZone(r.Header.Get(objectapi.ZoneHeader))
 		if !s.pass(r.Context(), zone) {
 			panic(http.ErrAbortHandler)
 		}
@@ -258,24 +258,24 @@
 }
 
 func keyOf(r *http.Request) objectKey {
-	return objectKey{platform.Kind(r.PathValue("kind")), r.PathValue("name")}
+	return objectKey{objectapi.Kind(r.PathValue("kind")), r.PathValue("name")}
 }
 
 // ifVersion reads the condition of DELETE; nil means none.
-func ifVersion(r *http.Request) (*platform.Version, error) {
+func ifVersion(r *http.Request) (*objectapi.Version, error) {
 	text := r.URL.Query().Get("if_version")
 	if text == "" {
 		return nil, nil
 	}
 	number, err := strconv.ParseUint(text, 10, 64)
-	version := platform.Version(number)
+	version := objectapi.Version(number)
 	return &version, err
 }
 
-func kindsOf(r *http.Request) []platform.Kind {
-	var kinds []platform.Kind
+func kindsOf(r *http.Request) []objectapi.Kind {
+	var kinds []objectapi.Kind
 	for name := range strings.SplitSeq(r.URL.Query().Get("kinds"), ",") {
-		kinds = append(kinds, platform.Kind(name))
+		kinds = append(kinds, objectapi.Kind(name))
 	}
 	return kinds
 }
--- a/internal/standin/platform/store.go
+++ b/internal/standin/platform/store.go
@@ -5,34 +5,34 @@
 	"sort"
 	"sync"
 
-	"github.com/rosemarywall/rosemarywall/internal/platform"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 )
 
 type objectKey struct {
-	kind platform.Kind
+	kind objectapi.Kind
 	name string
 }
 
 // store holds the objects. One version counter covers all changes.
 type store struct {
 	mu      sync.Mutex
-	version platform.Version
-	objects map[objectKey]platform.Object
+	version objectapi.Version
+	objects map[objectKey]objectapi.Object
 	// deleted holds the version of the deletion of each deleted object.
-	deleted map[objectKey]platform.Object
+	deleted map[objectKey]objectapi.Object
 	// latest is the version of the last change of each kind.
-	latest  map[platform.Kind]platform.Version
+	latest  map[objectapi.Kind]objectapi.Version
 	changed chan struct{} // closed at the next change
 }
 
 func newStore() *store {
 	return &store{
-		objects: map[objectKey]platform.Object{}, deleted: map[objectKey]platform.Object{},
-		latest: map[platform.Kind]platform.Version{}, changed: make(chan struct{}),
+		objects: map[objectKey]objectapi.Object{}, deleted: map[objectKey]objectapi.Object{},
+		latest: map[objectapi.Kind]objectapi.Version{}, changed: make(chan struct{}),
 	}
 }
 
-func (s *store) get(key objectKey) (platform.Object, bool) {
+func (s *store) get(key objectKey) (objectapi.Object, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	object, ok := s.objects[key]
@@ -41,7 +41,7 @@
 
 // put stores a value; false means that the version differs, with the current
 // object as the result.
-func (s *store) put(key objectKey, value json.RawMessage, ifVersion *platform.Version) (platform.Object, bool) {
+func (s *store) put(key objectKey, value json.RawMessage, ifVersion *objectapi.Version) (objectapi.Object, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current := s.objects[key]
@@ -52,7 +52,7 @@
 		return current, false
 	}
 	s.advanceLocked(key.kind)
-	object := platform.Object{Kind: key.kind, Name: key.name, Version: s.version, Value: value}
+	object := objectapi.Object{Kind: key.kind, Name: key.name, Version: s.version, Value: value}
 	s.objects[key] = object
 	delete(s.deleted, key)
 	return object, true
@@ -60,7 +60,7 @@
 
 // remove deletes an object; present is false when there is none, and done is
 // false when the version differs.
-func (s *store) remove(key objectKey, ifVersion *platform.Version) (current platform.Object, present, done bool) {
+func (s *store) remove(key objectKey, ifVersion *objectapi.Version) (current objectapi.Object, present, done bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	current, present = s.objects[key]
@@ -69,11 +69,11 @@
 	}
 	s.advanceLocked(key.kind)
 	delete(s.objects, key)
-	s.deleted[key] = platform.Object{Kind: key.kind, Name: key.name, Version: s.version}
+	s.deleted[key] = objectapi.Object{Kind: key.kind, Name: key.name, Version: s.version}
 	return current, true, true
 }
 
-func (s *store) advanceLocked(kind platform.Kind) {
+func (s *store) advanceLocked(kind objectapi.Kind) {
 	s.version++
 	s.latest[kind] = s.version
 	s.notifyLocked()
@@ -93,11 +93,11 @@
 
 // changes returns what changed in the kinds after a version, whether anything
 // did, and a channel that is closed at the next change.
-func (s *store) changes(kinds []platform.Kind, after platform.Version) (platform.Changes, bool, <-chan struct{}) {
+func (s *store) changes(kinds []objectapi.Kind, after objectapi.Version) (objectapi.Changes, bool, <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	changes := platform.Changes{Objects: []platform.Object{}, Deleted: []platform.Object{}, Version: s.version}
-	wanted := map[platform.Kind]bool{}
+	changes := objectapi.Changes{Objects: []objectapi.Object{}, Deleted: []objectapi.Object{}, Version: s.version}
+	wanted := map[objectapi.Kind]bool{}
 	for _, kind := range kinds {
 		wanted[kind] = s.latest[kind] > after
 	}
@@ -106,8 +106,8 @@
 	return changes, len(changes.Objects)+len(changes.Deleted) > 0, s.changed
 }
 
-func collect(from map[objectKey]platform.Object, wanted map[platform.Kind]bool, after platform.Version) []platform.Object {
-	found := []platform.Object{}
+func collect(from map[objectKey]objectapi.Object, wanted map[objectapi.Kind]bool, after objectapi.Version) []objectapi.Object {
+	found := []objectapi.Object{}
 	any := false
 	for _, changed := range wanted {
 		any = any || changed
--- a/internal/standin/platform/vms.go
+++ b/internal/standin/platform/vms.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/ident"
-	"github.com/rosemarywall/rosemarywall/internal/platform"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 )
 
 // Defaults of the list of VMs.
@@ -29,14 +29,14 @@
 // vmChange is an announcement, or a removal when vm is nil.
 type vmChange struct {
 	at time.Time
-	vm *platform.VM
+	vm *objectapi.VM
 }
 
 func newVMList(now func() time.Time) *vmList {
 	return &vmList{now: now, lag: DefaultVMLag, expiry: DefaultVMExpiry, history: map[ident.VMName][]vmChange{}}
 }
 
-func (l *vmList) record(name ident.VMName, vm *platform.VM) {
+func (l *vmList) record(name ident.VMName, vm *objectapi.VM) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.history[name] = append(l.pruned(name), vmChange{l.now(), vm})
@@ -59,11 +59,11 @@
 }
 
 // list returns the VMs that were listed a lag ago, ordered by name.
-func (l *vmList) list() []platform.VM {
+func (l *vmList) list() []objectapi.VM {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	visible := l.now().Add(-l.lag)
-	vms := []platform.VM{}
+	vms := []objectapi.VM{}
 	for name := range l.history {
 		history := l.pruned(name)
 		l.history[name] = history
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -8,7 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rosemarywall/rosemarywall/internal/ident"
-	api "github.com/rosemarywall/rosemarywall/internal/platform"
+	api "github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/standin/platform"
 	"github.com/rosemarywall/rosemarywall/internal/standin/upstream"
 )
--- a/internal/standin/standin_test.go
+++ b/internal/standin/standin_test.go
@@ -10,7 +10,7 @@
 	"github.com/jackc/pgx/v5"
 	"gotest.tools/v3/assert"
 
-	api "github.com/rosemarywall/rosemarywall/internal/platform"
+	api "github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
