--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // tolerance is the disagreement of the two clocks that is taken for slewing
@@ -20,23 +22,44 @@
 // readings take no lock unless the clocks have diverged.
 type Clock struct {
 	start  time.Time
-	skew   atomic.Int64 // last accepted difference of wall and monotonic time
-	offset atomic.Int64 // time added for suspensions
+	second func() time.Duration // the clock that counts suspensions, since the start
+	skew   atomic.Int64         // last accepted difference of the second clock and monotonic time
+	offset atomic.Int64         // time added for suspensions
 	mu     sync.Mutex
 }
 
-// New returns a clock that starts at zero now.
-func New() *Clock { return &Clock{start: time.Now()} }
+// New returns a clock that starts at zero now and recognises suspensions by the
+// time of day.
+func New() *Clock {
+	start := time.Now()
+	return &Clock{start: start, second: func() time.Duration { return time.Now().Round(0).Sub(start.Round(0)) }}
+}
+
+// NewBoot returns a clock that starts at zero now and recognises suspensions by
+// CLOCK_BOOTTIME, which a step of the time of day does not move.
+func NewBoot() *Clock {
+	boot := bootTime()
+	return &Clock{start: time.Now(), second: func() time.Duration { return bootTime() - boot }}
+}
+
+// bootTime reads CLOCK_BOOTTIME. Linux has it since 2.6.39, so an error means that
+// the process runs where no suspension is visible, and zero recognises none.
+func bootTime() time.Duration {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return 0
+	}
+	return time.Duration(t.Nano())
+}
 
-// Now returns the time elapsed since New.
+// Now returns the time elapsed since the clock was created.
 func (c *Clock) Now() time.Duration {
-	now := time.Now()
-	return c.advance(now.Sub(c.start), now.Round(0).Sub(c.start.Round(0)))
+	return c.advance(time.Since(c.start), c.second())
 }
 
-func (c *Clock) advance(monotonic, wall time.Duration) time.Duration {
-	if d := wall - monotonic - time.Duration(c.skew.Load()); d > tolerance || d < -tolerance {
-		c.adjust(wall - monotonic)
+func (c *Clock) advance(monotonic, second time.Duration) time.Duration {
+	if d := second - monotonic - time.Duration(c.skew.Load()); d > tolerance || d < -tolerance {
+		c.adjust(second - monotonic)
 	}
 	return monotonic + time.Duration(c.offset.Load())
 }
--- /dev/null
+++ b/internal/controller/following/follower.go
@@ -0,0 +1,309 @@
+package following
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+// Store reads the platform's objects.
+type Store interface {
+	Get(ctx context.Context, kind objectapi.Kind, name string) (objectapi.Object, error)
+	List(ctx context.Context, kind objectapi.Kind) (objectapi.Changes, error)
+	Watch(ctx context.Context, kinds []objectapi.Kind, after objectapi.Version, timeout time.Duration) (objectapi.Changes, error)
+}
+
+// Source names the objects to follow and decodes them.
+type Source struct {
+	Store           Store
+	ConfigKind      objectapi.Kind
+	ConfigName      string
+	UpstreamsKind   objectapi.Kind
+	EvacuationsKind objectapi.Kind
+	DecodeCatalog   func(objectapi.Object) (*catalog.Catalog, error)
+	DecodeUpstream  func(objectapi.Object) (catalog.Upstream, error)
+}
+
+// Times are the bounds that the follower works to.
+type Times struct {
+	// Apply is the time within which an accepted configuration must be in force.
+	Apply time.Duration
+	// Revoke is the time after which a withdrawn key must not work.
+	Revoke time.Duration
+	// Return is the time after an outage of the store within which upstreams that live
+	// have registered again.
+	Return time.Duration
+}
+
+const (
+	// pollShare is the part of Times.Apply after which the first VM reads the
+	// configuration again. The others learn of a change with their next probe and read
+	// it themselves, so that three such parts stay within the bound.
+	pollShare = 3
+	// freshShare (of 100) is the part of Times.Revoke for which a proof of the
+	// configuration counts. The rest covers the time between check and send.
+	freshShare = 90
+	// callTimeout bounds a call of the store, which answers within milliseconds; a
+	// slow store takes some hundred.
+	callTimeout = 800 * time.Millisecond
+	// watchTime is the time that a watch waits at the store.
+	watchTime = 20 * time.Second
+	// relistEvery is the time between full lists beside the watch, because a watch may
+	// have been lost without notice.
+	relistEvery = 10 * time.Second
+	// firstRetry and lastRetry bound the pause after a failed call.
+	firstRetry = 150 * time.Millisecond
+	lastRetry  = time.Second
+	// tick is the resolution of the polling decisions.
+	tick = 50 * time.Millisecond
+)
+
+// State is one immutable view.
+type State struct {
+	Catalog   *catalog.Catalog
+	Upstreams catalog.Upstreams
+	// Leaving holds the time (process clock) at which this VM learned that an upstream
+	// drains, has gone, or is in a zone to leave.
+	Leaving map[ident.UpstreamName]time.Duration
+	// Evacuated holds the zones to leave with the time at which this VM learned it.
+	Evacuated map[ident.AvailabilityZone]time.Duration
+}
+
+// Follower follows the store.
+type Follower struct {
+	source Source
+	times  Times
+	now    func() time.Duration
+	log    zerolog.Logger
+	// Rank returns this VM's place among the live VMs that may read the configuration.
+	rank    func() int
+	changed func(*State)
+
+	state atomic.Pointer[State]
+	hurry chan struct{}
+
+	mu        sync.Mutex
+	catalog   *catalog.Catalog
+	verified  time.Duration
+	proved    bool
+	upstreams map[string]catalog.Upstream
+	gone      map[string]time.Duration // registrations that went away, and when
+	leaving   map[ident.UpstreamName]time.Duration
+	evacuated map[ident.AvailabilityZone]time.Duration
+	loaded    map[objectapi.Kind]bool
+	lostSince time.Duration // last failed call of the store
+	available bool
+}
+
+// Options connect a Follower.
+type Options struct {
+	Source  Source
+	Times   Times
+	Now     func() time.Duration
+	Log     zerolog.Logger
+	Rank    func() int
+	Changed func(*State)
+}
+
+// New returns a follower that knows nothing yet.
+func New(o Options) *Follower {
+	f := &Follower{
+		source: o.Source, times: o.Times, now: o.Now, log: o.Log, rank: o.Rank, changed: o.Changed,
+		hurry: make(chan struct{}, 1), upstreams: map[string]catalog.Upstream{}, gone: map[string]time.Duration{},
+		leaving: map[ident.UpstreamName]time.Duration{}, evacuated: map[ident.AvailabilityZone]time.Duration{},
+		loaded: map[objectapi.Kind]bool{}, available: true,
+	}
+	f.state.Store(&State{Catalog: &catalog.Catalog{}, Upstreams: catalog.Upstreams{}})
+	return f
+}
+
+// State returns the present view; it is never changed.
+func (f *Follower) State() *State { return f.state.Load() }
+
+// Run follows the store until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { f.followConfiguration(ctx) })
+	wg.Go(func() { f.followKind(ctx, f.source.UpstreamsKind, f.replaceUpstreams, f.changeUpstreams) })
+	wg.Go(func() { f.followKind(ctx, f.source.EvacuationsKind, f.replaceEvacuations, f.changeEvacuations) })
+	wg.Wait()
+}
+
+// Proof returns the version in force and the age of its proof; false without one.
+func (f *Follower) Proof() (ident.ConfigurationVersion, time.Duration, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.proved {
+		return 0, 0, false
+	}
+	return f.catalog.Version, f.now() - f.verified, true
+}
+
+// Fresh reports whether the configuration is proved recently enough to honour keys.
+func (f *Follower) Fresh() bool {
+	_, age, ok := f.Proof()
+	return ok && age < f.times.Revoke*freshShare/100
+}
+
+// Ready reports whether the VM can serve, and why not.
+func (f *Follower) Ready() (bool, string) {
+	f.mu.Lock()
+	loaded := f.loaded[f.source.UpstreamsKind] && f.loaded[f.source.EvacuationsKind]
+	f.mu.Unlock()
+	switch {
+	case !loaded:
+		return false, "upstreams are not known"
+	case !f.Fresh():
+		return false, "configuration is not proved current"
+	}
+	return true, ""
+}
+
+// Relayed takes the proof of another VM, which was asked at askedAt and answered
+// with the age of its proof.
+func (f *Follower) Relayed(askedAt time.Duration, version ident.ConfigurationVersion, age time.Duration) {
+	f.mu.Lock()
+	newer := f.catalog == nil || version > f.catalog.Version
+	if !newer && f.proved && version == f.catalog.Version && askedAt-age > f.verified {
+		f.verified = askedAt - age
+	}
+	f.mu.Unlock()
+	if newer {
+		select {
+		case f.hurry <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// followConfiguration reads the configuration when its proof grows old or another VM
+// knows a newer one.
+func (f *Follower) followConfiguration(ctx context.Context) {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	retry := firstRetry
+	for {
+		if f.due() {
+			if f.readConfiguration(ctx) {
+				retry = firstRetry
+			} else {
+				if !sleep(ctx, retry) {
+					return
+				}
+				retry = min(2*retry, lastRetry)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-f.hurry:
+			f.readConfiguration(ctx)
+		}
+	}
+}
+
+func (f *Follower) due() bool {
+	_, age, ok := f.Proof()
+	interval := f.times.Apply / pollShare
+	if rank := f.rank(); rank > 0 {
+		interval += interval/2 + interval/4*time.Duration(min(rank, 4)-1)
+	}
+	return !ok || age >= interval
+}
+
+func (f *Follower) readConfiguration(ctx context.Context) bool {
+	sentAt := f.now()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	o, err := f.source.Store.Get(ctx, f.source.ConfigKind, f.source.ConfigName)
+	f.noteCall(err)
+	if err != nil {
+		return false
+	}
+	decoded, err := f.source.DecodeCatalog(o)
+	if err != nil {
+		f.log.Error().Err(err).Uint64("revision", uint64(o.Version)).Msg("configuration rejected")
+		return false
+	}
+	f.install(decoded, sentAt)
+	return true
+}
+
+// install puts a configuration in force unless a newer one is known.
+func (f *Follower) install(c *catalog.Catalog, sentAt time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.catalog != nil && c.Version < f.catalog.Version {
+		f.log.Warn().Uint64("version", uint64(c.Version)).Uint64("in_force", uint64(f.catalog.Version)).Msg("older configuration ignored")
+		return
+	}
+	changed := f.catalog == nil || c.Version > f.catalog.Version
+	f.proved, f.verified = true, max(f.verified, sentAt)
+	if !changed {
+		return
+	}
+	f.catalog = c
+	f.log.Info().Uint64("version", uint64(c.Version)).Int("routes", len(c.Routes)).Int("organisations", len(c.Organisations)).Msg("configuration in force")
+	f.publish()
+}
+
+// publish builds the view; f.mu is held.
+func (f *Follower) publish() {
+	s := &State{Catalog: f.catalog, Upstreams: catalog.Upstreams{}, Leaving: map[ident.UpstreamName]time.Duration{},
+		Evacuated: map[ident.AvailabilityZone]time.Duration{}}
+	if s.Catalog == nil {
+		s.Catalog = &catalog.Catalog{}
+	}
+	for _, u := range f.upstreams {
+		s.Upstreams[u.Group] = append(s.Upstreams[u.Group], u)
+	}
+	s.Upstreams.Sort()
+	for name, at := range f.leaving {
+		s.Leaving[name] = at
+	}
+	for zone, at := range f.evacuated {
+		s.Evacuated[zone] = at
+	}
+	f.state.Store(s)
+	if f.changed != nil {
+		f.changed(s)
+	}
+}
+
+// noteCall records whether the store answers, and logs when that changes.
+func (f *Follower) noteCall(err error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	lost := err != nil && !resultcode.Is(err, resultcode.PlatformNotFound) && !resultcode.Is(err, resultcode.PlatformHistoryGone)
+	if lost {
+		f.lostSince = f.now()
+	}
+	if lost == f.available {
+		f.available = !lost
+		if lost {
+			f.log.Warn().Err(err).Str("dependency", "store").Msg("dependency lost")
+		} else {
+			f.log.Info().Str("dependency", "store").Msg("dependency regained")
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/controller/following/lists.go
@@ -0,0 +1,196 @@
+package following
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+// followKind lists the objects of a kind and watches their changes.
+func (f *Follower) followKind(ctx context.Context, kind objectapi.Kind, replace func([]objectapi.Object), change func(objectapi.Changes)) {
+	retry := firstRetry
+	for ctx.Err() == nil {
+		version, err := f.list(ctx, kind, replace)
+		if err != nil {
+			sleep(ctx, retry)
+			retry = min(2*retry, lastRetry)
+			continue
+		}
+		retry = firstRetry
+		f.watch(ctx, kind, version, change)
+	}
+}
+
+func (f *Follower) list(ctx context.Context, kind objectapi.Kind, replace func([]objectapi.Object)) (objectapi.Version, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	all, err := f.source.Store.List(ctx, kind)
+	f.noteCall(err)
+	if err != nil {
+		return 0, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.loaded[kind] = true
+	replace(all.Objects)
+	f.publish()
+	return all.Version, nil
+}
+
+// watch follows changes until the next full list is due or the watch fails.
+func (f *Follower) watch(ctx context.Context, kind objectapi.Kind, version objectapi.Version, change func(objectapi.Changes)) {
+	until := f.now() + relistEvery
+	for ctx.Err() == nil && f.now() < until {
+		wait := min(watchTime, until-f.now())
+		call, cancel := context.WithTimeout(ctx, wait+callTimeout)
+		changes, err := f.source.Store.Watch(call, []objectapi.Kind{kind}, version, wait)
+		cancel()
+		if ctx.Err() != nil {
+			return
+		}
+		f.noteCall(err)
+		if err != nil {
+			f.log.Debug().Err(err).Str("kind", string(kind)).Msg("watch ended")
+			if !resultcode.Is(err, resultcode.PlatformHistoryGone) {
+				sleep(ctx, firstRetry)
+			}
+			return
+		}
+		version = max(version, changes.Version)
+		if len(changes.Objects)+len(changes.Deleted) > 0 {
+			f.mu.Lock()
+			change(changes)
+			f.publish()
+			f.mu.Unlock()
+		}
+	}
+}
+
+// replaceUpstreams takes a full list; f.mu is held.
+func (f *Follower) replaceUpstreams(objects []objectapi.Object) {
+	listed := map[string]bool{}
+	for _, o := range objects {
+		listed[o.Name] = true
+		f.setUpstream(o)
+	}
+	for name := range f.upstreams {
+		if !listed[name] {
+			f.lapse(name)
+		}
+	}
+	f.forget()
+}
+
+// changeUpstreams takes the events of a watch; f.mu is held.
+func (f *Follower) changeUpstreams(changes objectapi.Changes) {
+	for _, o := range changes.Deleted {
+		f.lapse(o.Name)
+	}
+	for _, o := range changes.Objects {
+		f.setUpstream(o)
+	}
+	f.forget()
+}
+
+func (f *Follower) setUpstream(o objectapi.Object) {
+	known, exists := f.upstreams[o.Name]
+	_, gone := f.gone[o.Name]
+	if exists && known.Revision >= uint64(o.Version) && !gone {
+		return
+	}
+	delete(f.gone, o.Name)
+	u, err := f.source.DecodeUpstream(o)
+	if err != nil {
+		f.log.Warn().Err(err).Str("object", o.Name).Uint64("revision", uint64(o.Version)).Msg("registration ignored")
+		if exists {
+			f.lapse(o.Name)
+		}
+		return
+	}
+	if !exists || known.State != u.State || known.Primary != u.Primary || known.Born != u.Born || known.Address != u.Address {
+		f.log.Info().Str("upstream", o.Name).Str("group", string(u.Group)).Bool("primary", u.Primary).
+			Bool("draining", u.State == catalog.Draining).Uint64("revision", u.Revision).Msg("upstream registered")
+	}
+	f.upstreams[o.Name] = u
+	if u.State == catalog.Draining {
+		if _, already := f.leaving[u.Name]; !already {
+			f.leaving[u.Name] = f.now()
+		}
+	} else {
+		delete(f.leaving, u.Name)
+	}
+}
+
+// lapse marks an upstream whose registration has gone; f.mu is held. While the store
+// was away registrations may have expired although their upstreams live, so they
+// count until Times.Return after its last failure.
+func (f *Follower) lapse(name string) {
+	u, ok := f.upstreams[name]
+	if _, already := f.gone[name]; !ok || already {
+		return
+	}
+	f.gone[name] = f.now()
+	if _, already := f.leaving[u.Name]; already {
+		return
+	}
+	at := f.now()
+	if f.lostSince > 0 {
+		at = max(at, f.lostSince+f.times.Return)
+	}
+	f.leaving[u.Name] = at
+	f.log.Info().Str("upstream", name).Str("group", string(u.Group)).Dur("counts_for", at-f.now()).Msg("upstream registration gone")
+}
+
+// forgetAfter is the time for which an upstream whose registration has gone is kept
+// in the view, marked as leaving.
+const forgetAfter = 15 * time.Second
+
+// forget drops upstreams that have been gone for long; f.mu is held.
+func (f *Follower) forget() {
+	for name, at := range f.gone {
+		if f.now() > at+forgetAfter {
+			delete(f.leaving, ident.UpstreamName(name))
+			delete(f.upstreams, name)
+			delete(f.gone, name)
+		}
+	}
+}
+
+func (f *Follower) replaceEvacuations(objects []objectapi.Object) {
+	listed := map[ident.AvailabilityZone]bool{}
+	for _, o := range objects {
+		listed[ident.AvailabilityZone(o.Name)] = true
+		f.evacuate(o.Name)
+	}
+	for zone := range f.evacuated {
+		if !listed[zone] {
+			f.returned(zone)
+		}
+	}
+}
+
+func (f *Follower) changeEvacuations(changes objectapi.Changes) {
+	for _, o := range changes.Objects {
+		f.evacuate(o.Name)
+	}
+	for _, o := range changes.Deleted {
+		f.returned(ident.AvailabilityZone(o.Name))
+	}
+}
+
+func (f *Follower) evacuate(name string) {
+	zone := ident.AvailabilityZone(name)
+	if _, already := f.evacuated[zone]; !already {
+		f.evacuated[zone] = f.now()
+		f.log.Info().Str("zone", name).Msg("zone to be left")
+	}
+}
+
+func (f *Follower) returned(zone ident.AvailabilityZone) {
+	delete(f.evacuated, zone)
+	f.log.Info().Str("zone", string(zone)).Msg("zone returned")
+}
--- /dev/null
+++ b/internal/controller/limits/limits.go
@@ -0,0 +1,124 @@
+// Package limits holds organisations to their rates over all VMs.
+package limits
+
+import (
+	"context"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarywall/rosemarywall/internal/controller/following"
+	"github.com/rosemarywall/rosemarywall/internal/controller/peers"
+	"github.com/rosemarywall/rosemarywall/internal/core/placement"
+	"github.com/rosemarywall/rosemarywall/internal/core/shares"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/ratewait"
+	"github.com/rosemarywall/rosemarywall/internal/relay"
+)
+
+// tickEvery is the time between looks at the buckets.
+const tickEvery = 50 * time.Millisecond
+
+// Asker sends questions to other VMs.
+type Asker interface {
+	Ask(ctx context.Context, to ident.VMName, kind relay.Kind, question, answer any) error
+}
+
+// Config connects a Controller.
+type Config struct {
+	Self  relay.Identity
+	Peers Asker
+	State func() *following.State
+	Live  func() []placement.VM
+	Now   func() time.Duration
+	Log   zerolog.Logger
+	// FirstID numbers the transfers of this life of the VM.
+	FirstID uint64
+}
+
+// Controller implements proxy.Limiter.
+type Controller struct {
+	cfg    Config
+	escrow *shares.Escrow
+	taker  *ratewait.Taker
+}
+
+// New returns a controller.
+func New(cfg Config) *Controller {
+	c := &Controller{cfg: cfg, escrow: shares.NewEscrow(cfg.FirstID)}
+	c.taker = ratewait.New(c.escrow, cfg.Now, c.send)
+	return c
+}
+
+// Take implements proxy.Limiter.
+func (c *Controller) Take(ctx context.Context, organisation ident.OrganisationName) error {
+	return c.taker.Take(ctx, organisation, 1)
+}
+
+// Run keeps the buckets until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		c.refresh()
+		c.send(ctx, c.escrow.Asks(c.cfg.Now()))
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
+
+// refresh passes the configuration and the live VMs to the escrow.
+func (c *Controller) refresh() {
+	state := c.cfg.State()
+	names := make([]ident.OrganisationName, 0, len(state.Catalog.Organisations))
+	for name := range state.Catalog.Organisations {
+		names = append(names, name)
+	}
+	var near, far []ident.VMName
+	live := c.cfg.Live()
+	for _, vm := range live {
+		switch {
+		case vm.Name == c.cfg.Self.VM:
+		case vm.Zone == c.cfg.Self.Zone:
+			near = append(near, vm.Name)
+		default:
+			far = append(far, vm.Name)
+		}
+	}
+	c.escrow.SetPeers(near, far)
+	c.escrow.SetOrganisations(0, names)
+	part := 1 / float64(len(live))
+	now := c.cfg.Now()
+	c.escrow.Entitle(now, func(name ident.OrganisationName) shares.Entitlement {
+		o := state.Catalog.Organisations[name]
+		return shares.Entitlement{
+			Rate: o.Rate * part, Burst: o.Burst * part, Horizon: shares.Horizon(o.Rate, o.Burst), UsableUntil: now + time.Minute,
+		}
+	})
+}
+
+// borrowTimeout bounds a transfer; later answers are not credited.
+const borrowTimeout = shares.Validity
+
+// send carries questions to their VMs in the background.
+func (c *Controller) send(ctx context.Context, asks []shares.Outgoing) {
+	for _, ask := range asks {
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+			defer cancel()
+			var grant shares.GrantMessage
+			if err := c.cfg.Peers.Ask(ctx, ask.To, peers.KindBorrow, ask.Message, &grant); err != nil {
+				return // a lost transfer only lowers what may be spent
+			}
+			c.taker.Wake(c.escrow.ReceiveGrant(c.cfg.Now(), ask.To, grant))
+		}()
+	}
+}
+
+// Lend answers the question of another VM.
+func (c *Controller) Lend(from relay.Identity, ask shares.AskMessage) shares.GrantMessage {
+	return c.escrow.ReceiveAsk(c.cfg.Now(), from.VM, from.Incarnation, ask)
+}
--- a/internal/controller/shares/controller.go
+++ b/internal/controller/shares/controller.go
@@ -14,6 +14,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
+	"github.com/rosemarywall/rosemarywall/internal/ratewait"
 	"github.com/rosemarywall/rosemarywall/internal/request"
 )
 
@@ -38,7 +39,7 @@
 	clock    *clock.Clock
 	node     *shares.Node
 	counters counters
-	waiters  sync.Map // ident.OrganisationName to *waiters
+	taker    *ratewait.Taker
 	reads    chan struct{}
 	writes   chan shares.Write
 
@@ -60,6 +61,7 @@
 		asked:  map[ident.AvailabilityZone]time.Duration{},
 	}
 	c.node = shares.NewNode(c.clock.Now(), self, rand.New(rand.NewPCG(cfg.Seed, uint64(self.Incarnation))))
+	c.taker = ratewait.New(c.node.Escrow, c.clock.Now, c.sendAsks)
 	c.register()
 	return c
 }
@@ -137,3 +139,8 @@
 	}
 	return nil
 }
+
+// Take implements request.Limiter.
+func (c *Controller) Take(ctx context.Context, organisation ident.OrganisationName, n int) error {
+	return c.taker.Take(ctx, organisation, n)
+}
--- a/internal/controller/shares/counters.go
+++ b/internal/controller/shares/counters.go
@@ -9,7 +9,6 @@
 
 // counters are the expvar counters of the controller.
 type counters struct {
-	refused, waited, waitedAdmitted         expvar.Int
 	asks, unsent                            expvar.Int
 	lent, borrowed                          expvar.Float
 	leaseRequests, confirmed                expvar.Int
@@ -34,7 +33,7 @@
 	all := new(expvar.Map)
 	k := &c.counters
 	for name, v := range map[string]expvar.Var{
-		"refused": &k.refused, "waited": &k.waited, "waited_admitted": &k.waitedAdmitted,
+		"refused": &c.taker.Refused, "waited": &c.taker.Waited, "waited_admitted": &c.taker.WaitedAdmitted,
 		"asks": &k.asks, "unsent": &k.unsent, "tokens_lent": &k.lent, "tokens_borrowed": &k.borrowed,
 		"lease_requests": &k.leaseRequests, "leases_confirmed": &k.confirmed,
 		"table_reads": &k.tableReads, "table_writes": &k.tableWrites, "table_conflicts": &k.tableConflicts,
--- a/internal/controller/shares/messages.go
+++ b/internal/controller/shares/messages.go
@@ -91,11 +91,7 @@
 	for _, g := range m.Grants {
 		c.counters.borrowed.Add(g.Amount)
 	}
-	for _, organisation := range c.node.ReceiveGrant(c.clock.Now(), from.Name, m) {
-		if w, ok := c.waiters.Load(organisation); ok {
-			w.(*waiters).wake()
-		}
-	}
+	c.taker.Wake(c.node.ReceiveGrant(c.clock.Now(), from.Name, m))
 }
 
 func (c *Controller) receiveLease(from peer.Member, q shares.LeaseRequest) {
--- /dev/null
+++ b/internal/controller/steering/router.go
@@ -0,0 +1,289 @@
+// Package steering chooses where each statement runs: the upstream, the position
+// that it must hold, and the VM that executes. It learns positions, lag and failures
+// from the answers.
+package steering
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/controller/following"
+	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
+	"github.com/rosemarywall/rosemarywall/internal/core/placement"
+	"github.com/rosemarywall/rosemarywall/internal/core/staleness"
+	"github.com/rosemarywall/rosemarywall/internal/execution"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/proxy"
+	"github.com/rosemarywall/rosemarywall/internal/statement"
+)
+
+const (
+	// failureTime is the time for which an upstream that could not be reached is used
+	// only when no other fits.
+	failureTime = 300 * time.Millisecond
+	// saturatedTime is the time for which a VM whose connections were all in use is
+	// passed over; statements take some milliseconds.
+	saturatedTime = 30 * time.Millisecond
+	// lagMemory is the time for which the last known position of a replica predicts
+	// that it lacks a newer one.
+	lagMemory = 100 * time.Millisecond
+	// drainShare and evacuateShare are the parts of the bounds for which an upstream
+	// that leaves is still used when no other fits. The rest covers the time until this
+	// VM learned of it.
+	drainShare    = 3
+	evacuateShare = 4
+)
+
+// Config connects a Router.
+type Config struct {
+	Self    placement.VM
+	Regions map[ident.AvailabilityZone]ident.Region
+	State   func() *following.State
+	Live    func() []placement.VM
+	Local   execution.Executor
+	Remote  func(ident.VMName) execution.Executor
+	Now     func() time.Duration
+	// Drain and Evacuate are the times after which nothing may reach an upstream that
+	// leaves or whose zone is to be left.
+	Drain, Evacuate time.Duration
+}
+
+// seen is what is known about an upstream from its answers.
+type seen struct {
+	applied     ident.LogPoint
+	appliedAt   time.Duration
+	failedUntil time.Duration
+	// refusedAs is the revision of the registration under which it refused to act as
+	// primary.
+	refusedAs uint64
+}
+
+type seat struct {
+	vm       ident.VMName
+	upstream ident.UpstreamName
+}
+
+// Router implements proxy.Router. It is safe for concurrent use.
+type Router struct {
+	cfg Config
+
+	mu        sync.Mutex
+	upstreams map[ident.UpstreamName]*seen
+	samples   map[ident.GroupName]*staleness.Samples
+	saturated map[seat]time.Duration
+}
+
+// New returns a router.
+func New(cfg Config) *Router {
+	return &Router{
+		cfg: cfg, upstreams: map[ident.UpstreamName]*seen{}, samples: map[ident.GroupName]*staleness.Samples{},
+		saturated: map[seat]time.Duration{},
+	}
+}
+
+// Choose implements proxy.Router.
+func (r *Router) Choose(need proxy.Need) (proxy.Choice, bool) {
+	state, now := r.cfg.State(), r.cfg.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if need.Primary {
+		u, ok := r.primary(state, need, now)
+		if !ok || slices.Contains(need.Avoid, u.Name) {
+			return proxy.Choice{}, false
+		}
+		c, ok := r.seat(need, u, now)
+		c.Leader = true
+		return c, ok
+	}
+	return r.read(state, need, now)
+}
+
+// primary returns the group's primary: of the upstreams that call themselves so, the
+// one whose registration changed last.
+func (r *Router) primary(state *following.State, need proxy.Need, now time.Duration) (catalog.Upstream, bool) {
+	var best catalog.Upstream
+	found := false
+	for _, u := range state.Upstreams[need.Grant.Route.Group] {
+		if !u.Primary || r.unfit(state, need, u, now) == unusable {
+			continue
+		}
+		if s := r.upstreams[u.Name]; s != nil && s.refusedAs == u.Revision && u.Revision > 0 {
+			continue
+		}
+		if !found || u.Revision > best.Revision {
+			best, found = u, true
+		}
+	}
+	return best, found
+}
+
+// Penalties of upstreams that leave.
+const (
+	fit      = 0
+	leaving  = 1
+	unusable = 2
+)
+
+// unfit says whether an upstream may be used at all, and whether it leaves.
+func (r *Router) unfit(state *following.State, need proxy.Need, u catalog.Upstream, now time.Duration) int {
+	if !catalog.Allowed(r.cfg.Regions[u.Zone], need.Grant.Route.Homes, need.Grant.Organisation.Homes) {
+		return unusable
+	}
+	level := fit
+	if at, ok := state.Leaving[u.Name]; ok {
+		level = leaving
+		if now > at+r.cfg.Drain/drainShare {
+			return unusable
+		}
+	}
+	if at, ok := state.Evacuated[u.Zone]; ok {
+		level = leaving
+		if now > at+r.cfg.Evacuate/evacuateShare {
+			return unusable
+		}
+	}
+	return level
+}
+
+// read chooses the upstream of a read by the smallest penalty.
+func (r *Router) read(state *following.State, need proxy.Need, now time.Duration) (proxy.Choice, bool) {
+	point, known := r.point(need, now)
+	primary, hasPrimary := r.primary(state, need, now)
+	var best catalog.Upstream
+	bestPenalty := -1
+	for _, u := range state.Upstreams[need.Grant.Route.Group] {
+		isPrimary := hasPrimary && u.Name == primary.Name
+		if slices.Contains(need.Avoid, u.Name) || !known && !isPrimary {
+			continue
+		}
+		level := r.unfit(state, need, u, now)
+		if level == unusable {
+			continue
+		}
+		if p := r.penalty(u, isPrimary, level, point, now); bestPenalty < 0 || p < bestPenalty {
+			best, bestPenalty = u, p
+		}
+	}
+	if bestPenalty < 0 {
+		return proxy.Choice{}, false
+	}
+	c, ok := r.seat(need, best, now)
+	c.MinPosition, c.Leader = point, !known
+	return c, ok
+}
+
+// Penalties order upstreams for reads; each outweighs the sum of the smaller ones.
+const (
+	penaltyLeaving = 1000
+	penaltyFailed  = 400
+	penaltyLagging = 200
+	penaltyPrimary = 50
+	penaltyRegion  = 20
+	penaltyZone    = 10
+)
+
+func (r *Router) penalty(u catalog.Upstream, isPrimary bool, level int, point ident.LogPoint, now time.Duration) int {
+	p := level * penaltyLeaving
+	switch {
+	case r.cfg.Regions[u.Zone] != r.cfg.Self.Region:
+		p += penaltyRegion
+	case u.Zone != r.cfg.Self.Zone:
+		p += penaltyZone
+	}
+	if isPrimary {
+		p += penaltyPrimary
+	}
+	if s := r.upstreams[u.Name]; s != nil {
+		if now < s.failedUntil {
+			p += penaltyFailed
+		}
+		if !isPrimary && now < s.appliedAt+lagMemory && !s.applied.AtLeast(point) {
+			p += penaltyLagging
+		}
+	}
+	return p
+}
+
+// point returns the position that a read must see; false when none is known.
+func (r *Router) point(need proxy.Need, now time.Duration) (ident.LogPoint, bool) {
+	route := need.Grant.Route
+	samples := r.samples[route.Group]
+	if samples == nil {
+		return ident.LogPoint{}, false
+	}
+	point, ok := samples.Oldest(now, route.MaxStaleness)
+	if ok && route.Consistency == catalog.ReadYourWrites && need.Session.Compare(point) > 0 {
+		point = need.Session
+	}
+	return point, ok
+}
+
+// seat chooses the VM that executes at an upstream.
+func (r *Router) seat(need proxy.Need, u catalog.Upstream, now time.Duration) (proxy.Choice, bool) {
+	region := r.cfg.Regions[u.Zone]
+	near := placement.Near(r.cfg.Live(), u.Zone, region)
+	homes := len(need.Grant.Route.Homes)+len(need.Grant.Organisation.Homes) > 0
+	if homes && (len(near) == 0 || near[0].Region != region) {
+		near = []placement.VM{r.cfg.Self} // no other region may see the statement
+	}
+	ranked := placement.Rank(near, string(need.Grant.Organisation.Name))
+	chosen := ranked[0]
+	for _, vm := range ranked {
+		if now >= r.saturated[seat{vm.Name, u.Name}] {
+			chosen = vm
+			break
+		}
+	}
+	executor := r.cfg.Local
+	if chosen.Name != r.cfg.Self.Name {
+		executor = r.cfg.Remote(chosen.Name)
+	}
+	return proxy.Choice{
+		Target:   execution.Target{Group: u.Group, Upstream: u.Name, Address: u.Address},
+		Executor: executor, Via: chosen.Name,
+		Connections: placement.Connections(need.Grant.Group.MaxConnections, len(near)),
+	}, true
+}
+
+// Observe implements proxy.Router.
+func (r *Router) Observe(choice proxy.Choice, sentAt time.Duration, result execution.Result) {
+	now := r.cfg.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.upstreams[choice.Target.Upstream]
+	if s == nil {
+		s = &seen{}
+		r.upstreams[choice.Target.Upstream] = s
+	}
+	if !result.Position.IsZero() {
+		s.applied, s.appliedAt = result.Position, now
+	}
+	if result.Led {
+		samples := r.samples[choice.Target.Group]
+		if samples == nil {
+			samples = &staleness.Samples{}
+			r.samples[choice.Target.Group] = samples
+		}
+		samples.Add(sentAt, result.Position)
+	}
+	switch {
+	case result.Outcome == execution.Done:
+		s.failedUntil = 0
+	case result.Reason == execution.NoConnection:
+		r.saturated[seat{choice.Via, choice.Target.Upstream}] = now + saturatedTime
+	case result.Reason == execution.Unreachable, result.Outcome == execution.Unknown && result.Reason != execution.PeerLost:
+		s.failedUntil = now + failureTime
+	case result.Code == statement.ReadOnly && choice.Leader:
+		s.refusedAs = r.revision(choice.Target)
+	}
+}
+
+func (r *Router) revision(target execution.Target) uint64 {
+	for _, u := range r.cfg.State().Upstreams[target.Group] {
+		if u.Name == target.Upstream {
+			return u.Revision
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/core/placement/placement.go
@@ -0,0 +1,79 @@
+// Package placement decides which VM executes for an organisation at an upstream.
+//
+// The VMs in an upstream's availability zone share its connections. Each
+// organisation has a home among them by rendezvous hash, so that its connections are
+// used again instead of being closed for another organisation's. Without a live VM
+// in the zone, the VMs of the same region and then all VMs take the zone's place.
+package placement
+
+import (
+	"cmp"
+	"hash/fnv"
+	"slices"
+
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+)
+
+// VM is a live VM.
+type VM struct {
+	Name   ident.VMName
+	Zone   ident.AvailabilityZone
+	Region ident.Region
+}
+
+// Near returns the VMs that share the connections of an upstream.
+func Near(vms []VM, zone ident.AvailabilityZone, region ident.Region) []VM {
+	for _, match := range []func(VM) bool{
+		func(v VM) bool { return v.Zone == zone },
+		func(v VM) bool { return v.Region == region },
+	} {
+		if near := filter(vms, match); len(near) > 0 {
+			return near
+		}
+	}
+	return vms
+}
+
+func filter(vms []VM, match func(VM) bool) []VM {
+	var out []VM
+	for _, v := range vms {
+		if match(v) {
+			out = append(out, v)
+		}
+	}
+	return out
+}
+
+// Rank orders VMs by preference for a key; the order of the others does not change
+// when one leaves.
+func Rank(vms []VM, key string) []VM {
+	out := slices.Clone(vms)
+	slices.SortStableFunc(out, func(a, b VM) int {
+		return cmp.Or(cmp.Compare(weight(b.Name, key), weight(a.Name, key)), cmp.Compare(a.Name, b.Name))
+	})
+	return out
+}
+
+// weight is the rendezvous weight of a VM for a key.
+func weight(name ident.VMName, key string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(key))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(name))
+	// FNV changes the high bits little for names that differ in the last byte.
+	mixed := h.Sum64()
+	mixed ^= mixed >> 33
+	mixed *= 0xff51afd7ed558ccd
+	mixed ^= mixed >> 33
+	mixed *= 0xc4ceb9fe1a85ec53
+	return mixed ^ mixed>>33
+}
+
+// Connections returns the number of an upstream's connections that each of the
+// sharing VMs may hold. One is left for questions about the upstream's status.
+func Connections(limit, sharing int) int {
+	return max(1, (limit-reservedConnections)/max(1, sharing))
+}
+
+// reservedConnections are kept free for the VM that replaces a primary.
+const reservedConnections = 1
--- a/internal/core/shares/entitlement.go
+++ b/internal/core/shares/entitlement.go
@@ -91,14 +91,19 @@
 	return organisation.Rate * part, organisation.Burst * part, true
 }
 
-// horizon returns the time of demand that buckets of the organisation try to hold.
-// It is shorter for a small burst, because loans count against it.
+// horizon returns the horizon of an organisation.
 func (e *entitlements) horizon(name ident.OrganisationName) time.Duration {
 	o := e.current.Organisations[name]
-	if o.Rate <= 0 {
+	return Horizon(o.Rate, o.Burst)
+}
+
+// Horizon returns the time of demand that buckets of an organisation try to hold.
+// It is shorter for a small burst, because loans count against it.
+func Horizon(rate, burst float64) time.Duration {
+	if rate <= 0 {
 		return longHorizon
 	}
-	half := time.Duration(o.Burst / o.Rate / 2 * float64(time.Second))
+	half := time.Duration(burst / rate / 2 * float64(time.Second))
 	return min(longHorizon, max(shortHorizon, half))
 }
 
--- /dev/null
+++ b/internal/core/shares/escrow.go
@@ -0,0 +1,215 @@
+package shares
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+)
+
+// Outgoing is an action: send an ask to a VM.
+type Outgoing struct {
+	To      ident.VMName
+	Message AskMessage
+}
+
+// Escrow holds this VM's buckets of all organisations and moves tokens between VMs.
+// What the VM may admit is told to it by Entitle. It is safe for concurrent use; a
+// request that finds tokens in its bucket takes only the bucket's own lock.
+type Escrow struct {
+	buckets sync.Map // ident.OrganisationName to *Bucket
+	lastID  atomic.Uint64
+
+	view    sync.Mutex // guards the fields below
+	peers   []candidate
+	order   []ident.OrganisationName // of the configuration in force, sorted
+	version ident.ConfigurationVersion
+}
+
+// NewEscrow returns an escrow without organisations. Transfers are numbered from
+// firstID, which must differ from those of earlier lives of the VM.
+func NewEscrow(firstID uint64) *Escrow {
+	e := &Escrow{}
+	e.lastID.Store(firstID)
+	return e
+}
+
+func (e *Escrow) setPeers(peers []candidate) {
+	e.view.Lock()
+	defer e.view.Unlock()
+	e.peers = peers
+}
+
+// SetPeers names the VMs that may be asked for tokens.
+func (e *Escrow) SetPeers(sameZone, otherZones []ident.VMName) {
+	var peers []candidate
+	for _, name := range sameZone {
+		peers = append(peers, candidate{name, true})
+	}
+	for _, name := range otherZones {
+		peers = append(peers, candidate{name, false})
+	}
+	e.setPeers(peers)
+}
+
+// SetOrganisations takes the organisations of a configuration, in any order.
+func (e *Escrow) SetOrganisations(version ident.ConfigurationVersion, names []ident.OrganisationName) {
+	e.setOrganisations(version, slices.Sorted(slices.Values(names)))
+}
+
+func (e *Escrow) setOrganisations(version ident.ConfigurationVersion, order []ident.OrganisationName) {
+	e.view.Lock()
+	defer e.view.Unlock()
+	e.version, e.order = version, order
+}
+
+func (e *Escrow) known() ([]candidate, []ident.OrganisationName, ident.ConfigurationVersion) {
+	e.view.Lock()
+	defer e.view.Unlock()
+	return e.peers, e.order, e.version
+}
+
+// Entitle gives every organisation of the configuration a bucket, which accrues
+// tokens from now on, and sets what this VM may admit.
+func (e *Escrow) Entitle(now time.Duration, entitlement func(ident.OrganisationName) Entitlement) {
+	_, order, _ := e.known()
+	for _, organisation := range order {
+		if _, ok := e.buckets.Load(organisation); !ok {
+			e.buckets.Store(organisation, NewBucket(now))
+		}
+	}
+	e.buckets.Range(func(key, value any) bool {
+		organisation, b := key.(ident.OrganisationName), value.(*Bucket)
+		if _, ok := slices.BinarySearch(order, organisation); ok {
+			b.Set(now, entitlement(organisation))
+			return true
+		}
+		// Loans still count if the organisation returns, so the bucket stays until they
+		// have ended.
+		b.Set(now, Entitlement{})
+		if b.Level(now).Lent == 0 {
+			e.buckets.Delete(organisation)
+		}
+		return true
+	})
+}
+
+// Asks returns the transfers to ask for at now.
+func (e *Escrow) Asks(now time.Duration) []Outgoing {
+	peers, order, _ := e.known()
+	asks := outbox{}
+	for _, organisation := range order {
+		if b, ok := e.Bucket(organisation); ok {
+			e.ask(now, organisation, b, 0, peers, asks)
+		}
+	}
+	return asks.list()
+}
+
+// Levels returns the state of all buckets.
+func (e *Escrow) Levels(now time.Duration) map[ident.OrganisationName]Level {
+	levels := map[ident.OrganisationName]Level{}
+	e.buckets.Range(func(key, value any) bool {
+		levels[key.(ident.OrganisationName)] = value.(*Bucket).Level(now)
+		return true
+	})
+	return levels
+}
+
+// Bucket returns the bucket of an organisation of the configuration in force.
+func (e *Escrow) Bucket(organisation ident.OrganisationName) (*Bucket, bool) {
+	b, ok := e.buckets.Load(organisation)
+	if !ok {
+		return nil, false
+	}
+	return b.(*Bucket), true
+}
+
+// Short asks for the tokens that a waiting request needs.
+func (e *Escrow) Short(now time.Duration, organisation ident.OrganisationName, tokens float64) []Outgoing {
+	b, ok := e.Bucket(organisation)
+	if !ok {
+		return nil
+	}
+	peers, _, _ := e.known()
+	asks := outbox{}
+	e.ask(now, organisation, b, tokens, peers, asks)
+	return asks.list()
+}
+
+// outbox collects the asks of all organisations by lender.
+type outbox map[ident.VMName]*AskMessage
+
+func (o outbox) to(name ident.VMName) *AskMessage {
+	m, ok := o[name]
+	if !ok {
+		m = &AskMessage{}
+		o[name] = m
+	}
+	return m
+}
+
+func (o outbox) list() []Outgoing {
+	var out []Outgoing
+	for to, m := range o {
+		out = append(out, Outgoing{to, *m})
+	}
+	slices.SortFunc(out, func(a, b Outgoing) int { return cmp.Compare(a.To, b.To) })
+	return out
+}
+
+func (e *Escrow) ask(now time.Duration, organisation ident.OrganisationName, b *Bucket, short float64, peers []candidate, asks outbox) {
+	wants := b.Ask(now, short, peers, func() uint64 { return e.lastID.Add(1) })
+	report := func(to ident.VMName) {
+		for _, s := range b.Reports(now, to) {
+			s.Organisation = organisation
+			m := asks.to(to)
+			m.Spent = append(m.Spent, s)
+		}
+	}
+	for to, w := range wants {
+		w.Organisation = organisation
+		m := asks.to(to)
+		m.Wants = append(m.Wants, w)
+		report(to)
+	}
+	for _, to := range b.Unreported(now) {
+		report(to)
+	}
+}
+
+// ReceiveAsk lends to another VM. The answer is empty for a mere report.
+func (e *Escrow) ReceiveAsk(now time.Duration, from ident.VMName, incarnation ident.Incarnation, m AskMessage) GrantMessage {
+	for _, s := range m.Spent {
+		if b, ok := e.Bucket(s.Organisation); ok {
+			b.Release(now, from, incarnation, s.ID, s.Amount)
+		}
+	}
+	_, _, version := e.known()
+	answer := GrantMessage{Configuration: version}
+	for _, w := range m.Wants {
+		amount := 0.0
+		if b, ok := e.Bucket(w.Organisation); ok {
+			amount = b.Lend(now, from, incarnation, w.ID, w.Amount)
+		}
+		answer.Grants = append(answer.Grants, Want{ID: w.ID, Organisation: w.Organisation, Amount: amount})
+	}
+	return answer
+}
+
+// ReceiveGrant credits an answer and returns the organisations that got tokens.
+func (e *Escrow) ReceiveGrant(now time.Duration, from ident.VMName, m GrantMessage) []ident.OrganisationName {
+	if _, _, version := e.known(); m.Configuration < version {
+		return nil
+	}
+	var credited []ident.OrganisationName
+	for _, g := range m.Grants {
+		if b, ok := e.buckets.Load(g.Organisation); ok && b.(*Bucket).Credit(now, from, g) {
+			credited = append(credited, g.Organisation)
+		}
+	}
+	return credited
+}
--- /dev/null
+++ b/internal/execution/pool.go
@@ -0,0 +1,158 @@
+package execution
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosemarywall/rosemarywall/internal/fairqueue"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/statement"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection. Opening takes some tens of
+	// milliseconds of an upstream's time; a busy upstream makes it wait.
+	dialTimeout = time.Second
+	// refusalPause is the time for which a pool opens no connection after the
+	// upstream refused one for its limit.
+	refusalPause = 100 * time.Millisecond
+)
+
+// pooled is a connection with the caller state that it holds.
+type pooled struct {
+	conn         Conn
+	organisation ident.OrganisationName
+	values       map[string]string
+	prepared     map[string]string // name to text
+}
+
+// pool holds the connections to one upstream.
+type pool struct {
+	target Target
+	dial   Dial
+	now    func() time.Duration
+	queue  *fairqueue.Queue
+
+	mu     sync.Mutex
+	limit  int
+	idle   []*pooled // last used at the end
+	open   int       // idle, in use and being opened
+	paused time.Duration
+	closed bool
+}
+
+func newPool(target Target, limit int, dial Dial, now func() time.Duration) *pool {
+	return &pool{target: target, dial: dial, now: now, limit: limit, queue: fairqueue.New(now, limit)}
+}
+
+// errNoConnection means that the wait for a connection ended.
+var errNoConnection = errors.New("no connection became free in time")
+
+// acquire returns a connection of the organisation for exclusive use. Each
+// connection given out holds a slot of the queue until release.
+func (p *pool) acquire(ctx context.Context, r Request) (*pooled, error) {
+	limit := max(1, r.Connections)
+	if !p.queue.Enter(ctx, limit, r.Organisation, r.Weight, p.now()+r.Wait) {
+		return nil, errNoConnection
+	}
+	c, room := p.take(limit, r.Organisation)
+	if c != nil {
+		return c, nil
+	}
+	if !room {
+		p.queue.Release()
+		return nil, errNoConnection
+	}
+	return p.connect(ctx, r.Organisation)
+}
+
+// take returns an idle connection of the organisation, or makes room for a new one.
+func (p *pool) take(limit int, organisation ident.OrganisationName) (c *pooled, room bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = limit
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; c.organisation == organisation {
+			p.idle = append(p.idle[:i], p.idle[i+1:]...)
+			if c.conn.Alive() {
+				return c, false
+			}
+			p.drop(c)
+		}
+	}
+	if p.closed || p.now() < p.paused {
+		return nil, false
+	}
+	for p.open >= limit && len(p.idle) > 0 {
+		oldest := p.idle[0]
+		p.idle = p.idle[1:]
+		p.drop(oldest)
+	}
+	if p.open >= limit {
+		return nil, false
+	}
+	p.open++
+	return nil, true
+}
+
+// drop closes a connection; p.mu is held.
+func (p *pool) drop(c *pooled) {
+	c.conn.Close()
+	p.open--
+}
+
+func (p *pool) connect(ctx context.Context, organisation ident.OrganisationName) (*pooled, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := p.dial(ctx, p.target, organisation)
+	if err == nil {
+		return &pooled{conn: conn, organisation: organisation, prepared: map[string]string{}}, nil
+	}
+	p.mu.Lock()
+	p.open--
+	var refused *RefusedError
+	if errors.As(err, &refused) && refused.Code == statement.TooManyConnections {
+		p.paused = p.now() + refusalPause
+	}
+	p.mu.Unlock()
+	p.queue.Release()
+	return nil, err
+}
+
+// release gives a connection back; a connection that is not reusable is closed.
+func (p *pool) release(c *pooled, reusable bool) {
+	p.mu.Lock()
+	if reusable && !p.closed && p.open <= p.limit && c.conn.Alive() {
+		p.idle = append(p.idle, c)
+	} else {
+		p.drop(c)
+	}
+	p.mu.Unlock()
+	p.queue.Release()
+}
+
+// closeIdle closes the idle connections; with final set no other is opened.
+func (p *pool) closeIdle(final bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closed = p.closed || final
+	for _, c := range p.idle {
+		p.drop(c)
+	}
+	p.idle = nil
+}
+
+// shrink closes idle connections above a lowered limit.
+func (p *pool) shrink(limit int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.limit = limit
+	for p.open > limit && len(p.idle) > 0 {
+		oldest := p.idle[0]
+		p.idle = p.idle[1:]
+		p.drop(oldest)
+	}
+}
--- a/internal/objectapi/platform.go
+++ b/internal/objectapi/platform.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
 // Kind names a class of objects.
@@ -73,3 +74,11 @@
 	// VMs returns the platform's lagging list of VMs.
 	VMs(ctx context.Context) ([]VM, error)
 }
+
+// Decode decodes the value of the object. The error carries PlatformBadRequest.
+func (o Object) Decode(into any) error {
+	if err := json.Unmarshal(o.Value, into); err != nil {
+		return resultcode.Wrap(err, resultcode.PlatformBadRequest, "value of %s/%s cannot be decoded", o.Kind, o.Name)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/proxy/attempt.go
@@ -0,0 +1,157 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/execution"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	"github.com/rosemarywall/rosemarywall/internal/statement"
+)
+
+const (
+	// retryPause is the time between attempts when every fitting upstream was tried
+	// or none is known, as during a change of primary.
+	retryPause = 25 * time.Millisecond
+	// waitShare is the part of the latency target that a request waits for a
+	// connection of one upstream. A later refusal is of less use to the caller than
+	// an early one.
+	waitShare = 4
+	// maxAttempts bounds the attempts of one statement.
+	maxAttempts = 40
+)
+
+// attempt tries a statement on one upstream after the other.
+type attempt struct {
+	session *Session
+	need    Need
+	request execution.Request
+	// writes says that only the primary can run the statement.
+	writes bool
+	// effect says that the statement itself may have a lasting effect, so that it is
+	// not repeated when its outcome is unknown.
+	effect bool
+	// leader allows execution.Leader for reads without a known position.
+	leader bool
+	trace  Trace
+}
+
+// run returns the result of the statement, or the error that the caller is told.
+func (a *attempt) run(ctx context.Context) (execution.Result, Choice, error) {
+	now := a.session.services.Now
+	start := now()
+	deadline := start + a.request.Timeout
+	wait := a.need.Grant.Route.LatencyTarget / waitShare
+	var last execution.Result
+	for n := 0; n < maxAttempts && now() < deadline; n++ {
+		choice, ok := a.session.services.Router.Choose(a.need)
+		if ok {
+			last = a.execute(ctx, choice, wait, deadline-now())
+			if last.Outcome == execution.Done {
+				return last, choice, nil
+			}
+			if err := a.final(last); err != nil {
+				return last, choice, err
+			}
+			a.need.Avoid = append(a.need.Avoid, choice.Target.Upstream)
+			if last.Reason == execution.NoConnection && now()-start >= wait {
+				break
+			}
+			if !a.exhausted() {
+				continue
+			}
+		}
+		a.need.Avoid = nil
+		if now()+retryPause >= deadline || !pause(ctx, retryPause) {
+			break
+		}
+	}
+	return last, Choice{}, a.refusal(last)
+}
+
+// exhausted reports whether no upstream is left that was not tried.
+func (a *attempt) exhausted() bool {
+	_, ok := a.session.services.Router.Choose(a.need)
+	return !ok
+}
+
+func (a *attempt) execute(ctx context.Context, choice Choice, wait, left time.Duration) execution.Result {
+	r := a.request
+	r.Target, r.Connections, r.MinPosition = choice.Target, choice.Connections, choice.MinPosition
+	r.Wait, r.Timeout = min(wait, left), left
+	if r.Mode == execution.Single && a.leader && choice.Leader {
+		r.Mode = execution.Leader
+	}
+	if r.Mode == execution.Open {
+		r.ReadOnly = !a.writes && !choice.Leader
+	}
+	sentAt := a.session.services.Now()
+	result := choice.Executor.Execute(ctx, r)
+	a.session.services.Router.Observe(choice, sentAt, result)
+	attempts := a.trace.Attempts + 1
+	a.trace = traceOf(a.need.Grant, choice, result)
+	a.trace.Attempts = attempts
+	return result
+}
+
+// final returns the error that ends the attempts, or nil when the statement may be
+// tried again.
+func (a *attempt) final(result execution.Result) error {
+	switch {
+	case result.Outcome == execution.NotRun:
+		return nil
+	case result.Outcome == execution.Failed:
+		return upstreamError(result)
+	case a.effect:
+		return resultcode.New(resultcode.OutcomeUnknown, "the statement was sent and not answered")
+	}
+	return nil
+}
+
+// refusal returns the error after the last attempt, none of which had an effect.
+func (a *attempt) refusal(last execution.Result) error {
+	switch {
+	case last.Outcome == 0 && a.need.Primary:
+		return resultcode.New(resultcode.NoPrimary, "no primary is known")
+	case last.Outcome == 0:
+		return resultcode.New(resultcode.NoUpstream, "no upstream is known")
+	case last.Outcome == execution.Unknown:
+		return resultcode.New(resultcode.StatementTimeout, "no answer in time")
+	case last.Reason == execution.NoConnection:
+		return resultcode.New(resultcode.QueueDeadline, "no upstream connection became free")
+	case a.need.Primary:
+		return resultcode.New(resultcode.NoPrimary, "%s", describe(last))
+	}
+	return resultcode.New(resultcode.NoUpstream, "%s", describe(last))
+}
+
+// upstreamError returns the error of a statement that an upstream ran and failed.
+func upstreamError(result execution.Result) error {
+	if result.Code == statement.Timeout {
+		return resultcode.New(resultcode.StatementTimeout, "reported by the upstream")
+	}
+	return resultcode.New(resultcode.StatementFailed, "%s", describe(result))
+}
+
+// describe names the reason of a result for callers; it holds no data of the caller.
+func describe(result execution.Result) string {
+	if result.Reason == execution.Refused || result.Outcome == execution.Failed {
+		return "upstream answered " + result.Code.String()
+	}
+	if result.Outcome == execution.Unknown {
+		return "no answer"
+	}
+	return result.Reason.String()
+}
+
+// pause waits; false when ctx ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- /dev/null
+++ b/internal/proxy/session.go
@@ -0,0 +1,317 @@
+package proxy
+
+import (
+	"context"
+	"maps"
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
+	"github.com/rosemarywall/rosemarywall/internal/execution"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	"github.com/rosemarywall/rosemarywall/internal/statement"
+)
+
+// Grant is the permission to run an operation, made from one configuration.
+type Grant struct {
+	Version      ident.ConfigurationVersion
+	Route        catalog.Route
+	Organisation catalog.Organisation // zero on public routes without a known key
+	Group        catalog.Group
+	// IdleTransaction is the time after which an idle transaction is ended.
+	IdleTransaction time.Duration
+}
+
+// Authoriser decides whether a caller may run statements now.
+type Authoriser interface {
+	// Authorise returns the permission of a key for a database. The error carries
+	// UnknownDatabase, KeyRejected or ConfigurationNotFresh.
+	Authorise(database string, key catalog.KeyHash) (Grant, error)
+}
+
+// Limiter spends the operations of organisations.
+type Limiter interface {
+	// Take spends one operation. The error carries RateExceeded.
+	Take(ctx context.Context, organisation ident.OrganisationName) error
+}
+
+// Need states where a statement may run.
+type Need struct {
+	Grant *Grant
+	// Primary asks for the group's primary.
+	Primary bool
+	// Session is the newest point that the session has committed.
+	Session ident.LogPoint
+	// Avoid are upstreams that have failed this statement.
+	Avoid []ident.UpstreamName
+}
+
+// Choice is where a statement runs.
+type Choice struct {
+	Target      execution.Target
+	Executor    execution.Executor
+	Connections int
+	MinPosition ident.LogPoint
+	// Leader says that freshness must be proved by the upstream's leadership.
+	Leader bool
+	// Via names the VM that executes, for logs.
+	Via ident.VMName
+}
+
+// Router chooses upstreams and learns from their answers.
+type Router interface {
+	// Choose returns where to run; false when no upstream is known to fit.
+	Choose(need Need) (Choice, bool)
+	// Observe takes the result of a statement that was sent after sentAt on the
+	// process clock.
+	Observe(choice Choice, sentAt time.Duration, result execution.Result)
+}
+
+// Services are what sessions use.
+type Services struct {
+	Authoriser Authoriser
+	Limiter    Limiter
+	Router     Router
+	// Now is the time since process start.
+	Now func() time.Duration
+	// NewTransaction returns a name that no other transaction of any VM has.
+	NewTransaction func() string
+}
+
+// Answer is the complete answer to one statement.
+type Answer struct {
+	Rows []string
+	// Tag is the upstream's completion proof; empty for statements answered here.
+	Tag   string
+	Err   error
+	State statement.TransactionState
+	Trace Trace
+}
+
+// Trace says how an answer came about.
+type Trace struct {
+	// Version is the configuration that the decision was based on.
+	Version ident.ConfigurationVersion
+	Group   ident.GroupName
+	// Upstream and Via are the last upstream asked and the VM that executed.
+	Upstream ident.UpstreamName
+	Via      ident.VMName
+	Attempts int
+	// MinPosition is the point that a replica had to hold.
+	MinPosition ident.LogPoint
+	// Last is the result of the last attempt.
+	Last execution.Result
+}
+
+// Session is the session of one caller. Its methods are called by one goroutine.
+type Session struct {
+	services *Services
+	database string
+	key      catalog.KeyHash
+	values   map[string]string // replaced as a whole, because executors share it
+	prepared map[string]statement.Statement
+	state    statement.TransactionState
+	tx       *transaction
+	last     ident.LogPoint // newest commit of this session
+	group    ident.GroupName
+}
+
+// transaction is a caller's open transaction.
+type transaction struct {
+	grant    Grant
+	readOnly bool
+	name     string
+	choice   Choice
+	started  bool // open at an upstream
+	ended    bool // ended by the proxy while the caller was idle
+}
+
+// Open starts a session after checking the caller. Errors are those of Authorise.
+func Open(services *Services, database, key string) (*Session, error) {
+	s := &Session{services: services, database: database, key: catalog.HashKey(key), prepared: map[string]statement.Statement{}}
+	if _, err := s.authorise(); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// State returns the transaction state.
+func (s *Session) State() statement.TransactionState { return s.state }
+
+// IdleLimit returns how long the caller may stay idle in its transaction; zero
+// means no limit.
+func (s *Session) IdleLimit() time.Duration {
+	if s.tx == nil || !s.tx.started || s.tx.ended {
+		return 0
+	}
+	return s.tx.grant.IdleTransaction
+}
+
+// EndIdle rolls the open transaction back. The caller learns of it with its next
+// statement.
+func (s *Session) EndIdle() {
+	if s.tx != nil && s.tx.started {
+		s.abandon()
+		s.tx.ended = true
+	}
+}
+
+// Close ends the session and rolls an open transaction back.
+func (s *Session) Close() { s.abandon() }
+
+// abandon rolls the transaction back at its upstream.
+func (s *Session) abandon() {
+	if s.tx != nil && s.tx.started {
+		s.tx.choice.Executor.Abandon(s.tx.choice.Target, s.tx.name)
+		s.tx.started = false
+	}
+}
+
+// authorise checks the caller and forgets the session's position when its route has
+// moved to another group.
+func (s *Session) authorise() (Grant, error) {
+	grant, err := s.services.Authoriser.Authorise(s.database, s.key)
+	if err == nil && grant.Route.Group != s.group {
+		s.group, s.last = grant.Route.Group, ident.LogPoint{}
+	}
+	return grant, err
+}
+
+// Handle runs one statement.
+func (s *Session) Handle(ctx context.Context, st statement.Statement) Answer {
+	var a Answer
+	switch {
+	case s.state == statement.FailedTransaction:
+		a = s.handleFailed(st)
+	case st.Kind == statement.SetValue, st.Kind == statement.Prepare, st.Kind == statement.Deallocate:
+		a = s.handleSession(st)
+	case s.state == statement.InTransaction:
+		a = s.handleInTransaction(ctx, st)
+	case st.Kind == statement.Begin:
+		a = s.begin(ctx, st)
+	case st.Kind == statement.Commit, st.Kind == statement.Rollback:
+		a.Err = resultcode.New(resultcode.MalformedMessage, "no transaction is open")
+	default:
+		a = s.single(ctx, st)
+	}
+	a.State = s.state
+	return a
+}
+
+// handleFailed accepts only the end of a failed transaction.
+func (s *Session) handleFailed(st statement.Statement) Answer {
+	switch st.Kind {
+	case statement.Rollback:
+		s.end()
+		return Answer{}
+	case statement.Commit:
+		s.end()
+		return Answer{Err: resultcode.New(resultcode.RolledBack, "the transaction had failed and is rolled back")}
+	}
+	return Answer{Err: resultcode.New(resultcode.TransactionFailed, "the transaction has failed")}
+}
+
+// handleSession changes the session; no upstream is involved.
+func (s *Session) handleSession(st statement.Statement) Answer {
+	switch st.Kind {
+	case statement.SetValue:
+		values := maps.Clone(s.values)
+		if values == nil {
+			values = map[string]string{}
+		}
+		values[st.Name] = st.Value
+		s.values = values
+	case statement.Prepare:
+		s.prepared[st.Name] = st
+	case statement.Deallocate:
+		delete(s.prepared, st.Name)
+	}
+	return Answer{}
+}
+
+func (s *Session) begin(ctx context.Context, st statement.Statement) Answer {
+	grant, err := s.admit(ctx)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	s.tx = &transaction{grant: grant, readOnly: st.ReadOnly, name: s.services.NewTransaction()}
+	s.state = statement.InTransaction
+	return Answer{}
+}
+
+// admit checks the caller and spends one operation of its organisation.
+func (s *Session) admit(ctx context.Context) (Grant, error) {
+	grant, err := s.authorise()
+	if err != nil {
+		return grant, err
+	}
+	if grant.Organisation.Name != "" {
+		err = s.services.Limiter.Take(ctx, grant.Organisation.Name)
+	}
+	return grant, err
+}
+
+// end closes the transaction of the session.
+func (s *Session) end() {
+	s.abandon()
+	s.tx, s.state = nil, statement.Idle
+}
+
+// fail rolls the transaction back and leaves the session in the failed state.
+func (s *Session) fail(err error) Answer {
+	s.abandon()
+	s.state = statement.FailedTransaction
+	return Answer{Err: err}
+}
+
+// resolve returns the kind of data access of a statement, and the prepared
+// statement that it executes.
+func (s *Session) resolve(st statement.Statement) (writes bool, prepared *execution.Prepared, err error) {
+	if st.Kind != statement.Execute {
+		return st.Kind == statement.Write, nil, nil
+	}
+	p, ok := s.prepared[st.Name]
+	if !ok {
+		return false, nil, resultcode.New(resultcode.UnknownStatement, "no prepared statement of this name")
+	}
+	return !p.ReadOnly, &execution.Prepared{Name: p.Name, Text: p.Text}, nil
+}
+
+// request forms the request of a statement.
+func (s *Session) request(grant *Grant, st statement.Statement, prepared *execution.Prepared) execution.Request {
+	return execution.Request{
+		Organisation: grant.Organisation.Name, Weight: 1, ID: st.ID, Text: st.Text, Values: s.values, Prepared: prepared,
+		Timeout: grant.Route.StatementTimeout,
+	}
+}
+
+// single runs one statement outside a transaction.
+func (s *Session) single(ctx context.Context, st statement.Statement) Answer {
+	writes, prepared, err := s.resolve(st)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	grant, err := s.admit(ctx)
+	if err != nil {
+		return Answer{Err: err}
+	}
+	r := s.request(&grant, st, prepared)
+	r.Mode, r.Writes = execution.Single, writes
+	need := Need{Grant: &grant, Primary: writes || grant.Route.Consistency == catalog.Primary, Session: s.last}
+	a := attempt{session: s, need: need, request: r, writes: writes, effect: writes, leader: !writes}
+	result, _, err := a.run(ctx)
+	if err != nil {
+		return Answer{Err: err, Trace: a.trace}
+	}
+	if writes {
+		s.committed(result.Position)
+	}
+	return Answer{Rows: result.Rows, Tag: result.Tag, Trace: a.trace}
+}
+
+// committed records the position of an acknowledged commit.
+func (s *Session) committed(p ident.LogPoint) {
+	if p.Compare(s.last) > 0 {
+		s.last = p
+	}
+}
--- a/internal/controller/shares/take.go
+++ b/internal/ratewait/ratewait.go
@@ -1,7 +1,10 @@
-package sharecontroller
+// Package ratewait spends the operations of organisations: a request that finds no
+// token in this VM's bucket asks other VMs and waits briefly for their answers.
+package ratewait
 
 import (
 	"context"
+	"expvar"
 	"sync"
 	"time"
 
@@ -57,50 +60,80 @@
 	w.notify = make(chan struct{})
 }
 
+// Counters count what Take did. They are safe for concurrent use.
+type Counters struct {
+	// Refused counts requests refused with RateExceeded, Waited those that waited for
+	// tokens, and WaitedAdmitted those of them that got some.
+	Refused, Waited, WaitedAdmitted expvar.Int
+}
+
+// Taker spends the tokens of an escrow.
+type Taker struct {
+	Counters
+	escrow  *shares.Escrow
+	now     func() time.Duration
+	send    func(context.Context, []shares.Outgoing)
+	waiters sync.Map // ident.OrganisationName to *waiters
+}
+
+// New returns a taker. send carries questions to other VMs without blocking.
+func New(escrow *shares.Escrow, now func() time.Duration, send func(context.Context, []shares.Outgoing)) *Taker {
+	return &Taker{escrow: escrow, now: now, send: send}
+}
+
+// Wake lets waiting requests of the organisations look for tokens again.
+func (t *Taker) Wake(organisations []ident.OrganisationName) {
+	for _, organisation := range organisations {
+		if w, ok := t.waiters.Load(organisation); ok {
+			w.(*waiters).wake()
+		}
+	}
+}
+
 // Take spends n tokens of the organisation, waiting up to MaxWait for tokens of
 // other VMs. The error carries RateExceeded.
-func (c *Controller) Take(ctx context.Context, organisation ident.OrganisationName, n int) error {
-	now := c.clock.Now()
-	bucket, ok := c.node.Bucket(organisation)
+func (t *Taker) Take(ctx context.Context, organisation ident.OrganisationName, n int) error {
+	now := t.now()
+	bucket, ok := t.escrow.Bucket(organisation)
 	if !ok {
 		return resultcode.New(resultcode.RateExceeded, "organisation %q has no rate", organisation)
 	}
 	tokens := float64(n)
 	bucket.Attempt(now, tokens)
-	if bucket.Take(now, tokens) || c.wait(ctx, organisation, bucket, tokens) {
+	if bucket.Take(now, tokens) || t.wait(ctx, organisation, bucket, tokens) {
 		return nil
 	}
-	c.counters.refused.Add(1)
+	t.Refused.Add(1)
 	return resultcode.New(resultcode.RateExceeded, "organisation %q has used its rate and burst", organisation)
 }
 
 // wait asks other VMs and waits for their tokens or the own bucket's.
-func (c *Controller) wait(ctx context.Context, organisation ident.OrganisationName, bucket *shares.Bucket, tokens float64) bool {
-	stored, _ := c.waiters.LoadOrStore(organisation, &waiters{notify: make(chan struct{})})
+func (t *Taker) wait(ctx context.Context, organisation ident.OrganisationName, bucket *shares.Bucket, tokens float64) bool {
+	stored, _ := t.waiters.LoadOrStore(organisation, &waiters{notify: make(chan struct{})})
 	w := stored.(*waiters)
 	arrived, ok := w.join()
 	if !ok {
 		return false
 	}
 	defer w.leave()
-	c.counters.waited.Add(1)
+	t.Waited.Add(1)
 	deadline := time.NewTimer(MaxWait)
 	defer deadline.Stop()
 	poll := time.NewTicker(pollEvery)
 	defer poll.Stop()
 	for {
-		c.sendAsks(ctx, c.node.Short(c.clock.Now(), organisation, tokens))
+		t.send(ctx, t.escrow.Short(t.now(), organisation, tokens))
 		select {
 		case <-arrived:
 			arrived = w.again()
 		case <-poll.C:
 		case <-deadline.C:
-			return bucket.Take(c.clock.Now(), tokens)
+			return bucket.Take(t.now(), tokens)
 		case <-ctx.Done():
 			return false
 		}
-		if bucket.Take(c.clock.Now(), tokens) {
-			c.counters.waitedAdmitted.Add(1)
+		if bucket.Take(t.now(), tokens) {
+			t.WaitedAdmitted.Add(1)
 			return true
 		}
 	}
--- /dev/null
+++ b/internal/relay/server.go
@@ -0,0 +1,121 @@
+package relay
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/coder/websocket"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// helloTimeout bounds the time to the first message of a connection.
+const helloTimeout = 2 * time.Second
+
+// Caller is the VM at the other end of a connection.
+type Caller struct {
+	Identity
+	// Connection is unique to the connection within this process.
+	Connection uint64
+}
+
+// Handler answers questions.
+type Handler interface {
+	// Answer returns the answer to a question; nil gives none. It runs on a goroutine
+	// of its own and may block.
+	Answer(ctx context.Context, from Caller, kind Kind, body cbor.RawMessage) any
+	// Closed is called when a connection has ended.
+	Closed(from Caller)
+}
+
+// Server answers the questions of other VMs.
+type Server struct {
+	handler Handler
+	http    *http.Server
+	ctx     context.Context
+	cancel  context.CancelFunc
+	opened  chan uint64
+}
+
+// NewServer returns a server.
+func NewServer(handler Handler) *Server {
+	s := &Server{handler: handler, opened: make(chan uint64, 1)}
+	s.opened <- 0
+	s.ctx, s.cancel = context.WithCancel(context.Background())
+	mux := http.NewServeMux()
+	mux.HandleFunc(path, s.serve)
+	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: helloTimeout, ErrorLog: log.New(io.Discard, "", 0)}
+	return s
+}
+
+// Serve answers connections of the listener until Close.
+func (s *Server) Serve(l net.Listener) error { return s.http.Serve(l) }
+
+// Close ends all connections.
+func (s *Server) Close() {
+	s.cancel()
+	_ = s.http.Close()
+}
+
+func (s *Server) serve(w http.ResponseWriter, request *http.Request) {
+	socket, err := websocket.Accept(w, request, &websocket.AcceptOptions{InsecureSkipVerify: true})
+	if err != nil {
+		return // Accept has answered with the reason
+	}
+	defer socket.CloseNow()
+	socket.SetReadLimit(maxFrame)
+	from, ok := s.hello(socket)
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithCancel(s.ctx)
+	defer cancel()
+	defer s.handler.Closed(from)
+	for {
+		_, message, err := socket.Read(ctx)
+		if err != nil {
+			return
+		}
+		var f frame
+		if Decode(message, &f) != nil || f.Answer {
+			return
+		}
+		go s.answer(ctx, socket, from, f)
+	}
+}
+
+func (s *Server) hello(socket *websocket.Conn) (Caller, bool) {
+	ctx, cancel := context.WithTimeout(s.ctx, helloTimeout)
+	defer cancel()
+	var from Caller
+	_, message, err := socket.Read(ctx)
+	if err != nil || Decode(message, &from.Identity) != nil {
+		return from, false
+	}
+	if from.Version != ProtocolVersion {
+		_ = socket.Close(websocket.StatusPolicyViolation, "unknown protocol version")
+		return from, false
+	}
+	from.Connection = <-s.opened + 1
+	s.opened <- from.Connection
+	return from, true
+}
+
+func (s *Server) answer(ctx context.Context, socket *websocket.Conn, from Caller, f frame) {
+	body := s.handler.Answer(ctx, from, f.Kind, f.Body)
+	if body == nil {
+		return
+	}
+	message, err := encode(f.ID, 0, true, body)
+	if err != nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	if err := socket.Write(ctx, websocket.MessageBinary, message); err != nil {
+		_ = socket.CloseNow()
+	}
+}
--- a/internal/resultcode/resultcode.go
+++ b/internal/resultcode/resultcode.go
@@ -33,6 +33,11 @@
 	Cancelled             Code = 1019
 	TooManyCallers        Code = 1020
 	AnswerIncomplete      Code = 1021
+	StatementTimeout      Code = 1022
+	StatementFailed       Code = 1023
+	UnknownStatement      Code = 1024
+	ReadOnlyTransaction   Code = 1025
+	TransactionFailed     Code = 1026
 
 	NoteSyntax         Code = 2001
 	NoteUnknownSection Code = 2002
@@ -52,15 +57,17 @@
 	SettingsMissing Code = 3004
 	SettingsTLS     Code = 3005
 
-	MessageVersion     Code = 4001
-	MessageStranger    Code = 4002
-	MessageMalformed   Code = 4003
-	PlatformDown       Code = 4101
-	PlatformQuota      Code = 4102
-	PlatformConflict   Code = 4103
-	PlatformNotFound   Code = 4104
-	PlatformTooLarge   Code = 4105
-	PlatformBadRequest Code = 4106
+	MessageVersion      Code = 4001
+	MessageStranger     Code = 4002
+	MessageMalformed    Code = 4003
+	PlatformDown        Code = 4101
+	PlatformQuota       Code = 4102
+	PlatformConflict    Code = 4103
+	PlatformNotFound    Code = 4104
+	PlatformTooLarge    Code = 4105
+	PlatformBadRequest  Code = 4106
+	PlatformHistoryGone Code = 4107
+	PlatformUnavailable Code = 4108
 )
 
 // Effect says what is known about the execution of a refused request.
--- a/internal/resultcode/table.go
+++ b/internal/resultcode/table.go
@@ -22,6 +22,11 @@
 	{Cancelled, "cancelled", "57014", NotRun, "The caller cancelled the request before it ran."},
 	{TooManyCallers, "too_many_callers", "53300", NotRun, "The VM holds its maximum number of caller connections."},
 	{AnswerIncomplete, "answer_incomplete", "08006", Unknown, "The upstream connection failed while rows were being passed on."},
+	{StatementTimeout, "statement_timeout", "57014", Unknown, "The statement ran for longer than the route allows; whether it had an effect is not known."},
+	{StatementFailed, "statement_failed", "XX000", Unknown, "The upstream ran the statement and reported a failure."},
+	{UnknownStatement, "unknown_statement", "26000", NotRun, "The session has no prepared statement of this name."},
+	{ReadOnlyTransaction, "read_only_transaction", "25006", NotRun, "A write was sent in a read-only transaction."},
+	{TransactionFailed, "transaction_failed", "25P02", NotRun, "The transaction has failed; only its end is accepted."},
 
 	{NoteSyntax, "note_syntax", "", NotRun, "A line of the release note could not be parsed."},
 	{NoteUnknownSection, "note_unknown_section", "", NotRun, "A section name is not an action and kind."},
@@ -50,6 +55,8 @@
 	{PlatformNotFound, "platform_not_found", "", NotRun, "The platform has no such object."},
 	{PlatformTooLarge, "platform_too_large", "", NotRun, "A value exceeds the platform's limit."},
 	{PlatformBadRequest, "platform_bad_request", "", NotRun, "The platform rejected the form of a call."},
+	{PlatformHistoryGone, "platform_history_gone", "", NotRun, "The platform has dropped the history that a watch asked for."},
+	{PlatformUnavailable, "platform_unavailable", "", NotRun, "The platform answered that it is unavailable; the call had no effect."},
 }
 
 var byCode = func() map[Code]Info {
--- /dev/null
+++ b/internal/service/settings.go
@@ -0,0 +1,48 @@
+package service
+
+import (
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+)
+
+// Settings are the settings of a VM on a platform that holds its configuration.
+type Settings struct {
+	VM     ident.VMName
+	IP     string
+	Zone   ident.AvailabilityZone
+	Region ident.Region
+	// Regions holds the region of each availability zone.
+	Regions map[ident.AvailabilityZone]ident.Region
+	// Callers, Ready, Store and Duties are addresses, IP:port: where callers connect,
+	// where the platform asks for readiness, the metadata store and the duty calls.
+	Callers, Ready, Store, Duties string
+	// FirstPort and LastPort bound the ports between VMs.
+	FirstPort, LastPort uint16
+	// MemoryBytes and Descriptors limit the process; zero means unknown.
+	MemoryBytes int64
+	Descriptors int
+	// RegistrationInterval is the time between the reports of upstreams.
+	RegistrationInterval time.Duration
+	Bounds               Bounds
+}
+
+// Bounds are the times that the platform's rules set.
+type Bounds struct {
+	// Contact is the time after which a VM counts as in touch again.
+	Contact time.Duration
+	// Drain is the time after which nothing may reach an upstream that drains.
+	Drain time.Duration
+	// Grace is the time from SIGTERM to SIGKILL.
+	Grace time.Duration
+	// Apply is the time within which a configuration must be in force.
+	Apply time.Duration
+	// Revoke is the time after which a withdrawn key must not work.
+	Revoke time.Duration
+	// Evacuate is the time after which nothing may reach a zone to be left.
+	Evacuate time.Duration
+	// Lease is the shortest time between two holders of a duty; zero sets none.
+	Lease time.Duration
+	// WarmFactor is the allowed excess over an upstream's cold rate.
+	WarmFactor float64
+}
