Replace primaries that fail or leave

Change: a coordinator per group claims a generation in the store, pauses the replicas but the candidate, verifies that the candidate holds every acknowledged commit, and calls the platform with the generation as fencing token. VMs that cannot reach an upstream are passed over for it.

--- a/cmd/rosemarywall-platform/main.go
+++ b/cmd/rosemarywall-platform/main.go
@@ -90,6 +90,7 @@
 			UpstreamsKind: platform.UpstreamsKind, EvacuationsKind: platform.EvacuationsKind,
 			DecodeCatalog: platform.DecodeCatalog, DecodeUpstream: platform.DecodeUpstream,
 		},
+		Promoter: platform.NewDuties(settings.Duties, nil),
 		Dial:     platform.Dialer{Unacknowledged: unacknowledged}.Dial,
 		NewCodec: platform.NewCodec, NewReady: platform.NewReadyServer,
 	}
--- a/internal/controller/peers/peers.go
+++ b/internal/controller/peers/peers.go
@@ -22,6 +22,8 @@
 	KindExecute
 	KindAbandon
 	KindBorrow
+	// KindReach asks whether a VM reaches an upstream.
+	KindReach
 )
 
 // KindVM is the kind of the store's objects in which VMs register; the name is that
--- a/internal/controller/steering/router.go
+++ b/internal/controller/steering/router.go
@@ -22,6 +22,9 @@
 	// failureTime is the time for which an upstream that could not be reached is used
 	// only when no other fits.
 	failureTime = 300 * time.Millisecond
+	// unreachableTime is the time for which a VM that could not reach an upstream is
+	// passed over for it.
+	unreachableTime = time.Second
 	// saturatedTime is the time for which a VM whose connections were all in use is
 	// passed over; statements take some milliseconds.
 	saturatedTime = 30 * time.Millisecond
@@ -47,6 +50,8 @@
 	// Drain and Evacuate are the times after which nothing may reach an upstream that
 	// leaves or whose zone is to be left.
 	Drain, Evacuate time.Duration
+	// OnPrimary is told the results of statements that were meant for a primary.
+	OnPrimary func(target execution.Target, writes bool, result execution.Result)
 }
 
 // seen is what is known about an upstream from its answers.
@@ -71,14 +76,16 @@
 	mu        sync.Mutex
 	upstreams map[ident.UpstreamName]*seen
 	samples   map[ident.GroupName]*staleness.Samples
-	saturated map[seat]time.Duration
+	// saturated and unreachable hold the times until which a VM is passed over for an
+	// upstream, because its connections were in use or could not be opened.
+	saturated, unreachable map[seat]time.Duration
 }
 
 // New returns a router.
 func New(cfg Config) *Router {
 	return &Router{
 		cfg: cfg, upstreams: map[ident.UpstreamName]*seen{}, samples: map[ident.GroupName]*staleness.Samples{},
-		saturated: map[seat]time.Duration{},
+		saturated: map[seat]time.Duration{}, unreachable: map[seat]time.Duration{},
 	}
 }
 
@@ -222,17 +229,18 @@
 // seat chooses the VM that executes at an upstream.
 func (r *Router) seat(need proxy.Need, u catalog.Upstream, now time.Duration) (proxy.Choice, bool) {
 	region := r.cfg.Regions[u.Zone]
-	near := placement.Near(r.cfg.Live(), u.Zone, region)
+	live := r.cfg.Live()
+	near := placement.Near(live, u.Zone, region)
 	homes := len(need.Grant.Route.Homes)+len(need.Grant.Organisation.Homes) > 0
 	if homes && (len(near) == 0 || near[0].Region != region) {
 		near = []placement.VM{r.cfg.Self} // no other region may see the statement
 	}
-	ranked := placement.Rank(near, string(need.Grant.Organisation.Name))
-	chosen := ranked[0]
-	for _, vm := range ranked {
-		if now >= r.saturated[seat{vm.Name, u.Name}] {
-			chosen = vm
-			break
+	key := string(need.Grant.Organisation.Name)
+	chosen, ok := r.open(placement.Rank(near, key), u.Name, now)
+	if !ok && !homes {
+		// The near VMs may be cut off from the upstream while others reach it.
+		if far, found := r.open(placement.Rank(live, key), u.Name, now); found && r.unreached(near, u.Name, now) {
+			chosen = far
 		}
 	}
 	executor := r.cfg.Local
@@ -246,8 +254,28 @@
 	}, true
 }
 
+// open returns the first VM that is not known to fail at the upstream; false with
+// the first one when there is none.
+func (r *Router) open(ranked []placement.VM, u ident.UpstreamName, now time.Duration) (placement.VM, bool) {
+	for _, vm := range ranked {
+		s := seat{vm.Name, u}
+		if now >= r.saturated[s] && now >= r.unreachable[s] {
+			return vm, true
+		}
+	}
+	return ranked[0], false
+}
+
+// unreached reports whether every given VM has failed to reach the upstream.
+func (r *Router) unreached(vms []placement.VM, u ident.UpstreamName, now time.Duration) bool {
+	return !slices.ContainsFunc(vms, func(vm placement.VM) bool { return now >= r.unreachable[seat{vm.Name, u}] })
+}
+
 // Observe implements proxy.Router.
-func (r *Router) Observe(choice proxy.Choice, sentAt time.Duration, result execution.Result) {
+func (r *Router) Observe(choice proxy.Choice, writes bool, sentAt time.Duration, result execution.Result) {
+	if choice.Leader {
+		r.cfg.OnPrimary(choice.Target, writes, result)
+	}
 	now := r.cfg.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -274,6 +302,7 @@
 		r.saturated[seat{choice.Via, choice.Target.Upstream}] = now + saturatedTime
 	case result.Reason == execution.Unreachable, result.Outcome == execution.Unknown && result.Reason != execution.PeerLost:
 		s.failedUntil = now + failureTime
+		r.unreachable[seat{choice.Via, choice.Target.Upstream}] = now + unreachableTime
 	case result.Code == statement.ReadOnly && choice.Leader:
 		s.refusedAs = r.revision(choice.Target)
 	}
--- /dev/null
+++ b/internal/controller/takeover/attempt.go
@@ -0,0 +1,281 @@
+package takeover
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarywall/rosemarywall/internal/controller/following"
+	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
+	core "github.com/rosemarywall/rosemarywall/internal/core/takeover"
+	"github.com/rosemarywall/rosemarywall/internal/execution"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	"github.com/rosemarywall/rosemarywall/internal/statement"
+)
+
+// attempt is one try to replace a primary.
+type attempt struct {
+	controller *Controller
+	group      *group
+	spec       catalog.Group
+	state      *following.State
+	reason     string
+	primary    *catalog.Upstream
+	term       ident.Term // newest term that any member has reported
+}
+
+func (t *attempt) log(e *zerolog.Event) *zerolog.Event {
+	e = e.Str("group", string(t.group.name)).Str("reason", t.reason)
+	if t.primary != nil {
+		e = e.Str("primary", string(t.primary.Name))
+	}
+	return e
+}
+
+func (t *attempt) run(ctx context.Context) {
+	c := t.controller
+	if t.doubtful() && !t.confirmed(ctx) {
+		c.done(t.group, attemptPause, true)
+		return
+	}
+	generation, err := t.claim(ctx)
+	if err != nil {
+		t.log(c.cfg.Log.Info()).Err(err).Msg("takeover not claimed")
+		c.done(t.group, attemptPause, false)
+		return
+	}
+	t.log(c.cfg.Log.Info()).Uint64("generation", generation).Msg("takeover claimed")
+	candidate, ok := t.prepare(ctx)
+	if !ok {
+		t.resume(ctx)
+		c.done(t.group, attemptPause, false)
+		return
+	}
+	t.promote(ctx, generation, candidate)
+}
+
+// doubtful reports whether the reason is an observation of this VM alone.
+func (t *attempt) doubtful() bool { return t.reason == reasonSilent }
+
+// confirmed asks the primary once more, and lets another VM ask it.
+func (t *attempt) confirmed(ctx context.Context) bool {
+	c := t.controller
+	target := targetOf(*t.primary)
+	if _, err := c.status(ctx, target, statement.Command{Kind: statement.StatusCommand}); err == nil {
+		t.log(c.cfg.Log.Info()).Msg("primary answers; suspicion dropped")
+		return false
+	}
+	if !c.cfg.Confirm(ctx, target) {
+		t.log(c.cfg.Log.Info()).Msg("primary answers another VM; suspicion dropped")
+		return false
+	}
+	return true
+}
+
+func targetOf(u catalog.Upstream) execution.Target {
+	return execution.Target{Group: u.Group, Upstream: u.Name, Address: u.Address}
+}
+
+// Reachable reports whether an upstream answers this VM.
+func (c *Controller) Reachable(ctx context.Context, target execution.Target) bool {
+	_, err := c.status(ctx, target, statement.Command{Kind: statement.StatusCommand})
+	return err == nil
+}
+
+// status runs one status command over a connection of its own.
+func (c *Controller) status(ctx context.Context, target execution.Target, command statement.Command) (statement.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
+	defer cancel()
+	conn, err := c.cfg.Dial(ctx, target, "")
+	if err != nil {
+		return statement.Status{}, err
+	}
+	defer conn.Close()
+	for {
+		status, reply, err := conn.Status(ctx, command)
+		if err != nil {
+			return status, err
+		}
+		if reply.Code == statement.OK {
+			return status, nil
+		}
+		if reply.Code != statement.Busy || !pause(ctx, catchUpPoll) {
+			return status, &execution.RefusedError{Code: reply.Code}
+		}
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
+
+// others returns the members besides the primary.
+func (t *attempt) others() []catalog.Upstream {
+	var out []catalog.Upstream
+	for _, u := range t.state.Upstreams[t.group.name] {
+		if t.primary == nil || u.Name != t.primary.Name {
+			out = append(out, u)
+		}
+	}
+	return out
+}
+
+// ask runs a command at all given members at once.
+func (t *attempt) ask(ctx context.Context, members []catalog.Upstream, command func(catalog.Upstream) statement.Command) []core.Report {
+	reports := make([]core.Report, len(members))
+	var wg sync.WaitGroup
+	var mu sync.Mutex
+	for i, u := range members {
+		wg.Go(func() {
+			cmd := command(u)
+			status, err := t.controller.status(ctx, targetOf(u), cmd)
+			mu.Lock()
+			defer mu.Unlock()
+			reports[i] = core.Report{Name: u.Name, Fit: fit(t.state, u), Near: u.Zone == t.controller.cfg.Zone}
+			if err != nil {
+				t.log(t.controller.cfg.Log.Info()).Err(err).Str("upstream", string(u.Name)).Msg("member does not answer")
+				return
+			}
+			reports[i].Reached, reports[i].Received = true, status.Received
+			reports[i].Paused = cmd.Kind == statement.PauseCommand
+			t.term = max(t.term, status.Term, status.Received.Term)
+		})
+	}
+	wg.Wait()
+	return reports
+}
+
+func statusCommand(catalog.Upstream) statement.Command {
+	return statement.Command{Kind: statement.StatusCommand}
+}
+
+// prepare chooses the candidate, pauses the others and verifies that the candidate
+// holds every acknowledged commit.
+func (t *attempt) prepare(ctx context.Context) (ident.UpstreamName, bool) {
+	members := t.others()
+	if t.primary != nil {
+		if status, err := t.controller.status(ctx, targetOf(*t.primary), statement.Command{Kind: statement.StatusCommand}); err == nil {
+			t.term = max(t.term, status.Term, status.Received.Term)
+		}
+	}
+	candidate, ok := core.Candidate(t.ask(ctx, members, statusCommand))
+	if !ok {
+		t.log(t.controller.cfg.Log.Warn()).Msg("no member can become primary")
+		return "", false
+	}
+	if t.spec.SyncReplicas <= 0 {
+		return candidate, true
+	}
+	return t.verify(ctx, members, candidate)
+}
+
+func (t *attempt) verify(ctx context.Context, members []catalog.Upstream, candidate ident.UpstreamName) (ident.UpstreamName, bool) {
+	var rest, chosen []catalog.Upstream
+	for _, u := range members {
+		if u.Name == candidate {
+			chosen = append(chosen, u)
+			continue
+		}
+		rest = append(rest, u)
+		t.markPaused(u)
+	}
+	term := t.term + 1
+	reports := t.ask(ctx, rest, func(catalog.Upstream) statement.Command {
+		return statement.Command{Kind: statement.PauseCommand, Term: term}
+	})
+	// Members whose registration has gone stay in the view for a while. After that the
+	// others have received what the missing one may have confirmed.
+	replicas := len(members)
+	deadline := t.controller.cfg.Now() + catchUpTime
+	for {
+		all := append(t.ask(ctx, chosen, statusCommand), reports...)
+		verdict := core.Check(all, candidate, replicas, t.spec.SyncReplicas)
+		t.log(t.controller.cfg.Log.Info()).Str("candidate", string(candidate)).Uint8("verdict", uint8(verdict)).
+			Int("replicas", replicas).Uint64("term", uint64(term)).Interface("reports", all).Msg("takeover verified")
+		switch {
+		case verdict == core.Safe:
+			return candidate, true
+		case verdict == core.Uncovered, t.controller.cfg.Now() >= deadline:
+			return "", false
+		}
+		if !pause(ctx, catchUpPoll) {
+			return "", false
+		}
+	}
+}
+
+func (t *attempt) markPaused(u catalog.Upstream) {
+	t.controller.mu.Lock()
+	defer t.controller.mu.Unlock()
+	t.group.paused[u.Name] = targetOf(u)
+}
+
+// resume lets the paused replicas receive again.
+func (t *attempt) resume(ctx context.Context) {
+	c := t.controller
+	c.mu.Lock()
+	paused := make(map[ident.UpstreamName]execution.Target, len(t.group.paused))
+	for name, target := range t.group.paused {
+		paused[name] = target
+	}
+	c.mu.Unlock()
+	for name, target := range paused {
+		if _, err := c.status(ctx, target, statement.Command{Kind: statement.ResumeCommand}); err != nil {
+			t.log(c.cfg.Log.Warn()).Err(err).Str("upstream", string(name)).Msg("replica not resumed")
+			continue
+		}
+		c.mu.Lock()
+		delete(t.group.paused, name)
+		c.mu.Unlock()
+	}
+}
+
+// promote calls the platform. While the outcome of a call is unknown the replicas
+// stay paused and the next attempt claims a higher generation.
+func (t *attempt) promote(ctx context.Context, generation uint64, candidate ident.UpstreamName) {
+	c := t.controller
+	call, cancel := context.WithTimeout(ctx, promoteTimeout)
+	defer cancel()
+	err := c.cfg.Promoter.Promote(call, c.cfg.Self, generation, t.group.name, candidate)
+	t.log(c.cfg.Log.Info()).Err(err).Str("candidate", string(candidate)).Uint64("generation", generation).Msg("promotion called")
+	switch {
+	case err == nil:
+		t.settle(ctx, candidate)
+		t.finish(ctx, generation)
+		c.mu.Lock()
+		clear(t.group.paused)
+		c.mu.Unlock()
+		c.done(t.group, attemptPause, true)
+	case resultcode.Is(err, resultcode.PlatformConflict), resultcode.Is(err, resultcode.PlatformQuota),
+		resultcode.Is(err, resultcode.PlatformUnavailable):
+		t.resume(ctx)
+		c.done(t.group, attemptPause, false)
+	default:
+		c.done(t.group, attemptPause/2, false)
+	}
+}
+
+// settle waits until the candidate is registered as the primary.
+func (t *attempt) settle(ctx context.Context, candidate ident.UpstreamName) {
+	deadline := t.controller.cfg.Now() + settleTime
+	for t.controller.cfg.Now() < deadline {
+		for _, u := range t.controller.cfg.State().Upstreams[t.group.name] {
+			if u.Name == candidate && u.Primary {
+				return
+			}
+		}
+		if !pause(ctx, catchUpPoll) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/controller/takeover/controller.go
@@ -0,0 +1,241 @@
+package takeover
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarywall/rosemarywall/internal/controller/following"
+	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
+	"github.com/rosemarywall/rosemarywall/internal/core/placement"
+	core "github.com/rosemarywall/rosemarywall/internal/core/takeover"
+	"github.com/rosemarywall/rosemarywall/internal/execution"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
+	"github.com/rosemarywall/rosemarywall/internal/statement"
+)
+
+const (
+	// tickEvery is the time between looks at the groups.
+	tickEvery = 100 * time.Millisecond
+	// rankDelay separates the attempts of the VMs. It exceeds the time in which the
+	// first one claims the group.
+	rankDelay = 400 * time.Millisecond
+	// attemptPause is the time between two attempts of one VM at one group.
+	attemptPause = 700 * time.Millisecond
+	// claimTime is the time for which another VM's unfinished claim is respected,
+	// counted from when it was first seen.
+	claimTime = 2500 * time.Millisecond
+	// settleTime bounds the wait for a promotion to be registered. It stays below
+	// claimTime, for which the other VMs leave the group alone.
+	settleTime = 2 * time.Second
+	// memberTimeout bounds a question to a member.
+	memberTimeout = 500 * time.Millisecond
+	storeTimeout  = 800 * time.Millisecond
+	// promoteTimeout bounds the call that promotes.
+	promoteTimeout = 2 * time.Second
+	// catchUpTime bounds the wait for a candidate that lacks what a paused replica has.
+	catchUpTime = time.Second
+	catchUpPoll = 30 * time.Millisecond
+)
+
+// KindGroup is the kind of the store's objects that hold the generations.
+const KindGroup objectapi.Kind = "rosemarywall-groups"
+
+// Store holds the generations.
+type Store interface {
+	Get(ctx context.Context, kind objectapi.Kind, name string) (objectapi.Object, error)
+	Put(ctx context.Context, kind objectapi.Kind, name string, value any, ifVersion objectapi.Version) (objectapi.Object, error)
+}
+
+// Promoter calls the platform's promotion.
+type Promoter interface {
+	Promote(ctx context.Context, holder ident.VMName, token uint64, group ident.GroupName, upstream ident.UpstreamName) error
+}
+
+// Config connects a Controller.
+type Config struct {
+	Self     ident.VMName
+	Zone     ident.AvailabilityZone
+	Store    Store
+	Promoter Promoter
+	Dial     execution.Dial
+	State    func() *following.State
+	Live     func() []placement.VM
+	// Confirm asks another VM whether it, too, fails to reach a primary. Without a VM
+	// to ask it returns true.
+	Confirm func(ctx context.Context, target execution.Target) bool
+	Now     func() time.Duration
+	Log     zerolog.Logger
+	// Unique returns a text that no other write of any VM has.
+	Unique func() string
+}
+
+// Controller watches all groups.
+type Controller struct {
+	cfg Config
+
+	mu     sync.Mutex
+	groups map[ident.GroupName]*group
+}
+
+// group is what this VM knows about one group.
+type group struct {
+	name     ident.GroupName
+	evidence map[ident.UpstreamName]*core.Evidence
+	// since is the time at which the present reason for a change was first seen.
+	since  time.Duration
+	reason string
+	next   time.Duration // earliest time of the next attempt
+	busy   bool
+	record seenRecord
+	// paused are the replicas that this VM has paused and not resumed.
+	paused map[ident.UpstreamName]execution.Target
+}
+
+// New returns a controller.
+func New(cfg Config) *Controller {
+	return &Controller{cfg: cfg, groups: map[ident.GroupName]*group{}}
+}
+
+// Run watches the groups until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.look(ctx)
+		}
+	}
+}
+
+func (c *Controller) group(name ident.GroupName) *group {
+	g, ok := c.groups[name]
+	if !ok {
+		g = &group{name: name, evidence: map[ident.UpstreamName]*core.Evidence{}, paused: map[ident.UpstreamName]execution.Target{}}
+		c.groups[name] = g
+	}
+	return g
+}
+
+// Observe takes the result of a statement that was meant for the primary.
+func (c *Controller) Observe(target execution.Target, writes bool, result execution.Result) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g := c.group(target.Group)
+	e, ok := g.evidence[target.Upstream]
+	if !ok {
+		e = &core.Evidence{}
+		g.evidence[target.Upstream] = e
+	}
+	switch {
+	case result.Reason == execution.Unreachable,
+		result.Outcome == execution.Unknown && result.Reason != execution.PeerLost,
+		result.Outcome == execution.Failed && result.Code == statement.Timeout:
+		e.Failure(c.cfg.Now(), writes)
+	case result.Outcome == execution.Done:
+		e.Success(writes)
+	}
+}
+
+// look starts the changes that are due.
+func (c *Controller) look(ctx context.Context) {
+	state, now := c.cfg.State(), c.cfg.Now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for name, spec := range state.Catalog.Groups {
+		g := c.group(name)
+		members := state.Upstreams[name]
+		reason, primary := c.reason(state, g, members, now)
+		if reason == "" {
+			g.since, g.reason = 0, ""
+			continue
+		}
+		if g.reason != reason {
+			g.since, g.reason = now, reason
+		}
+		if g.busy || now < g.next || now < g.since+time.Duration(c.rank(name))*rankDelay {
+			continue
+		}
+		g.busy = true
+		t := &attempt{controller: c, group: g, spec: spec, state: state, reason: reason, primary: primary}
+		go t.run(ctx)
+	}
+}
+
+// rank returns this VM's place among the live ones for a group.
+func (c *Controller) rank(name ident.GroupName) int {
+	ranked := placement.Rank(c.cfg.Live(), "group/"+string(name))
+	return max(0, slices.IndexFunc(ranked, func(v placement.VM) bool { return v.Name == c.cfg.Self }))
+}
+
+// Reasons for a change.
+const (
+	reasonLeaving  = "primary leaves"
+	reasonMissing  = "no primary is registered"
+	reasonSilent   = "primary does not answer"
+	reasonStuck    = "primary completes no write"
+	missingPatient = 1500 * time.Millisecond
+)
+
+// reason returns why the primary is to be replaced, and the primary if there is one.
+// c.mu is held.
+func (c *Controller) reason(state *following.State, g *group, members []catalog.Upstream, now time.Duration) (string, *catalog.Upstream) {
+	var primary *catalog.Upstream
+	for i, u := range members {
+		if u.Primary && (primary == nil || u.Revision > primary.Revision) {
+			primary = &members[i]
+		}
+	}
+	if primary == nil {
+		if len(members) == 0 {
+			return "", nil
+		}
+		return reasonMissing, nil
+	}
+	if at, leaves := state.Leaving[primary.Name]; leaves && now >= at {
+		return reasonLeaving, primary
+	}
+	if _, leaves := state.Evacuated[primary.Zone]; leaves && c.elsewhere(state, members) {
+		return reasonLeaving, primary
+	}
+	if e := g.evidence[primary.Name]; e != nil {
+		switch e.Suspected(now) {
+		case core.Silent:
+			return reasonSilent, primary
+		case core.Stuck:
+			return reasonStuck, primary
+		}
+	}
+	return "", primary
+}
+
+// elsewhere reports whether a fit replica stands outside the zones to be left.
+func (c *Controller) elsewhere(state *following.State, members []catalog.Upstream) bool {
+	return slices.ContainsFunc(members, func(u catalog.Upstream) bool { return !u.Primary && fit(state, u) })
+}
+
+// fit reports whether an upstream may become the primary.
+func fit(state *following.State, u catalog.Upstream) bool {
+	_, leaves := state.Leaving[u.Name]
+	_, evacuated := state.Evacuated[u.Zone]
+	return !leaves && !evacuated
+}
+
+// done ends an attempt.
+func (c *Controller) done(g *group, pause time.Duration, cleared bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g.busy = false
+	g.next = c.cfg.Now() + pause
+	if cleared {
+		clear(g.evidence)
+		g.since, g.reason = 0, ""
+	}
+}
--- /dev/null
+++ b/internal/controller/takeover/record.go
@@ -0,0 +1,102 @@
+package takeover
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+// record is the value of a KindGroup object.
+type record struct {
+	// Generation is the fencing token of the holder; it only increases.
+	Generation uint64       `json:"generation"`
+	Holder     ident.VMName `json:"holder"`
+	// Done says that the holder's change has ended.
+	Done bool `json:"done"`
+	// Writer is unique to each write, so that a write whose answer was lost is
+	// recognised.
+	Writer string `json:"writer"`
+}
+
+// seenRecord is the newest record that this VM has read, and when it first did.
+type seenRecord struct {
+	record
+	version objectapi.Version
+	at      time.Duration
+}
+
+var errClaimed = errors.New("another VM replaces the primary")
+
+// claim raises the generation and returns it.
+func (t *attempt) claim(ctx context.Context) (uint64, error) {
+	c := t.controller
+	seen, err := t.read(ctx)
+	if err != nil {
+		return 0, err
+	}
+	if !seen.Done && seen.Generation > 0 && seen.Holder != c.cfg.Self && c.cfg.Now() < seen.at+claimTime {
+		return 0, errClaimed
+	}
+	next := record{Generation: seen.Generation + 1, Holder: c.cfg.Self, Writer: c.cfg.Unique()}
+	return next.Generation, t.write(ctx, next, seen.version)
+}
+
+// read reads the group's record.
+func (t *attempt) read(ctx context.Context) (seenRecord, error) {
+	c := t.controller
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	o, err := c.cfg.Store.Get(ctx, KindGroup, string(t.group.name))
+	var r record
+	switch {
+	case resultcode.Is(err, resultcode.PlatformNotFound):
+		o = objectapi.Object{}
+	case err != nil:
+		return seenRecord{}, err
+	default:
+		if err := o.Decode(&r); err != nil {
+			return seenRecord{}, err
+		}
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if t.group.record.version != o.Version || t.group.record.at == 0 {
+		t.group.record = seenRecord{record: r, version: o.Version, at: c.cfg.Now()}
+	}
+	return t.group.record, nil
+}
+
+// write stores a record by conditional update. A write without an answer is read
+// back; it may also take effect later, but then only in place of this version.
+func (t *attempt) write(ctx context.Context, r record, base objectapi.Version) error {
+	c := t.controller
+	call, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	_, err := c.cfg.Store.Put(call, KindGroup, string(t.group.name), r, base)
+	if err == nil || !resultcode.Is(err, resultcode.PlatformDown) {
+		return err
+	}
+	seen, readErr := t.read(ctx)
+	if readErr == nil && seen.Writer == r.Writer {
+		return nil
+	}
+	return errors.CombineErrors(err, readErr)
+}
+
+// finish marks the change as done, so that the next one need not wait.
+func (t *attempt) finish(ctx context.Context, generation uint64) {
+	seen, err := t.read(ctx)
+	if err == nil && seen.Generation == generation && seen.Holder == t.controller.cfg.Self {
+		r := seen.record
+		r.Done, r.Writer = true, t.controller.cfg.Unique()
+		err = t.write(ctx, r, seen.version)
+	}
+	if err != nil {
+		t.log(t.controller.cfg.Log.Warn()).Err(err).Msg("takeover not marked as done")
+	}
+}
--- /dev/null
+++ b/internal/core/takeover/takeover.go
@@ -0,0 +1,164 @@
+// Package takeover decides when the primary of a group is to be replaced and which
+// replica may follow it without losing an acknowledged commit.
+//
+// A commit is acknowledged once SyncReplicas replicas have received it. A replica
+// that is paused receives nothing. Let a candidate and the paused replicas together
+// be so many that every acknowledged commit was received by one of them. If the
+// candidate holds at least what each paused replica holds, it holds every commit
+// acknowledged before the pauses; commits acknowledged later were received by it,
+// because no other replica receives. This needs no certainty that the old primary
+// has stopped, and the old primary can go on serving until the promotion.
+package takeover
+
+import (
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+)
+
+// Report is what is known about a replica during a takeover.
+type Report struct {
+	Name ident.UpstreamName
+	// Reached says that the replica has answered; the other fields are valid only then.
+	Reached bool
+	// Paused says that it receives nothing until it is promoted or resumed.
+	Paused   bool
+	Received ident.LogPoint
+	// Fit says that it may become the primary.
+	Fit bool
+	// Near prefers a replica among equals.
+	Near bool
+}
+
+// Candidate returns the replica to promote: the fit one that has received most.
+// Among equals a near one is preferred, then the order of the list counts.
+func Candidate(reports []Report) (ident.UpstreamName, bool) {
+	best := -1
+	for i, r := range reports {
+		if !r.Reached || !r.Fit {
+			continue
+		}
+		if best < 0 {
+			best = i
+			continue
+		}
+		c := r.Received.Compare(reports[best].Received)
+		if c > 0 || c == 0 && r.Near && !reports[best].Near {
+			best = i
+		}
+	}
+	if best < 0 {
+		return "", false
+	}
+	return reports[best].Name, true
+}
+
+// Verdict says whether a promotion is safe.
+type Verdict uint8
+
+// Verdicts.
+const (
+	// Safe means that the candidate holds every acknowledged commit, now and later.
+	Safe Verdict = iota + 1
+	// Behind means that a paused replica holds more than the candidate.
+	Behind
+	// Uncovered means that too few replicas have answered.
+	Uncovered
+)
+
+// Check judges the promotion of a candidate. replicas is the number of replicas that
+// the group has, those included that do not answer; syncReplicas of them receive a
+// commit before it is acknowledged.
+func Check(reports []Report, candidate ident.UpstreamName, replicas, syncReplicas int) Verdict {
+	var received ident.LogPoint
+	covered := 0
+	for _, r := range reports {
+		if r.Name == candidate && r.Reached {
+			received = r.Received
+			covered++
+		}
+	}
+	if covered == 0 {
+		return Uncovered
+	}
+	if syncReplicas <= 0 {
+		return Safe
+	}
+	for _, r := range reports {
+		if r.Name == candidate || !r.Reached || !r.Paused {
+			continue
+		}
+		covered++
+		if r.Received.Compare(received) > 0 {
+			return Behind
+		}
+	}
+	// Fewer than syncReplicas others may be missing, else they alone could have
+	// received a commit.
+	if covered < replicas-syncReplicas+1 {
+		return Uncovered
+	}
+	return Safe
+}
+
+// Times of suspicion.
+const (
+	// SuspectAfter is the time without an answer after which a primary is suspected;
+	// it exceeds the pauses of a loaded upstream.
+	SuspectAfter = 500 * time.Millisecond
+	// StuckAfter is the time without a successful write, while writes are tried, after
+	// which a primary that answers reads is suspected to be cut off from its replicas.
+	StuckAfter = 1200 * time.Millisecond
+	// minFailures is the number of failures that a suspicion needs.
+	minFailures = 2
+)
+
+// Evidence collects the results of statements at one primary.
+type Evidence struct {
+	failures, writeFailures        int
+	firstFailure, firstWriteFailed time.Duration
+}
+
+// Success records an answer; write says that a write or commit succeeded.
+func (e *Evidence) Success(write bool) {
+	e.failures = 0
+	if write {
+		e.writeFailures = 0
+	}
+}
+
+// Failure records a statement that was not answered, or a connection that could not
+// be opened.
+func (e *Evidence) Failure(now time.Duration, write bool) {
+	if e.failures++; e.failures == 1 {
+		e.firstFailure = now
+	}
+	if write {
+		if e.writeFailures++; e.writeFailures == 1 {
+			e.firstWriteFailed = now
+		}
+	}
+}
+
+// Suspicion is a reason to look at a primary.
+type Suspicion uint8
+
+// Suspicions.
+const (
+	None Suspicion = iota
+	// Silent means that the primary does not answer.
+	Silent
+	// Stuck means that it answers, but no write succeeds.
+	Stuck
+)
+
+// Suspected returns the suspicion at now.
+func (e *Evidence) Suspected(now time.Duration) Suspicion {
+	switch {
+	case e.failures >= minFailures && now-e.firstFailure >= SuspectAfter:
+		return Silent
+	case e.writeFailures >= minFailures+1 && now-e.firstWriteFailed >= StuckAfter:
+		return Stuck
+	}
+	return None
+}
--- a/internal/execution/pool.go
+++ b/internal/execution/pool.go
@@ -15,7 +15,7 @@
 const (
 	// dialTimeout bounds the opening of a connection. Opening takes some tens of
 	// milliseconds of an upstream's time; a busy upstream makes it wait.
-	dialTimeout = time.Second
+	dialTimeout = 500 * time.Millisecond
 	// refusalPause is the time for which a pool opens no connection after the
 	// upstream refused one for its limit.
 	refusalPause = 100 * time.Millisecond
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -87,7 +87,7 @@
 	}
 	sentAt := a.session.services.Now()
 	result := choice.Executor.Execute(ctx, r)
-	a.session.services.Router.Observe(choice, sentAt, result)
+	a.session.services.Router.Observe(choice, r.Writes || r.Ends && a.writes, sentAt, result)
 	attempts := a.trace.Attempts + 1
 	a.trace = traceOf(a.need.Grant, choice, result)
 	a.trace.Attempts = attempts
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -63,8 +63,9 @@
 	// Choose returns where to run; false when no upstream is known to fit.
 	Choose(need Need) (Choice, bool)
 	// Observe takes the result of a statement that was sent after sentAt on the
-	// process clock.
-	Observe(choice Choice, sentAt time.Duration, result execution.Result)
+	// process clock. writes says that it needed a working primary: a write, or the
+	// commit of a transaction that may write.
+	Observe(choice Choice, writes bool, sentAt time.Duration, result execution.Result)
 }
 
 // Services are what sessions use.
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -61,7 +61,7 @@
 	for {
 		sentAt := s.services.Now()
 		result := tx.choice.Executor.Execute(ctx, r)
-		s.services.Router.Observe(tx.choice, sentAt, result)
+		s.services.Router.Observe(tx.choice, r.Writes || r.Ends && !tx.readOnly, sentAt, result)
 		tx.started = result.Open
 		trace := traceOf(&tx.grant, tx.choice, result)
 		if result.Outcome == execution.Done {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -21,6 +21,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/controller/limits"
 	"github.com/rosemarywall/rosemarywall/internal/controller/peers"
 	"github.com/rosemarywall/rosemarywall/internal/controller/steering"
+	"github.com/rosemarywall/rosemarywall/internal/controller/takeover"
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/core/placement"
 	"github.com/rosemarywall/rosemarywall/internal/core/shares"
@@ -43,6 +44,7 @@
 type Adapter struct {
 	Source   following.Source
 	Store    Store
+	Promoter takeover.Promoter
 	Dial     execution.Dial
 	NewCodec proxy.NewCodec
 	// NewReady returns the server of the platform's ready probe.
@@ -65,6 +67,7 @@
 	peers    *peers.Peers
 	router   *steering.Router
 	limits   *limits.Controller
+	takeover *takeover.Controller
 	local    *execution.Local
 	server   *proxy.Server
 	relay    *relay.Server
@@ -96,6 +99,7 @@
 	v.run(ctx, "peers", v.peers.Run)
 	v.run(ctx, "limits", v.limits.Run)
 	v.run(ctx, "pools", v.keepPools)
+	v.run(ctx, "takeover", v.takeover.Run)
 	log.Info().Str("callers", settings.Callers).Str("relay", v.self.Address).Msg("started")
 	return v, nil
 }
@@ -125,13 +129,18 @@
 		Self: place, Regions: s.Regions, State: v.follower.State, Live: v.peers.Live, Local: v.local,
 		Remote: func(name ident.VMName) execution.Executor { return v.peers.Remote(name) },
 		Now:    now, Drain: s.Bounds.Drain, Evacuate: s.Bounds.Evacuate,
+		OnPrimary: func(t execution.Target, writes bool, result execution.Result) { v.takeover.Observe(t, writes, result) },
+	})
+	v.takeover = takeover.New(takeover.Config{
+		Self: s.VM, Zone: s.Zone, Store: v.adapter.Store, Promoter: v.adapter.Promoter, Dial: v.adapter.Dial,
+		State: v.follower.State, Live: v.peers.Live, Confirm: v.confirmSilent, Now: now, Log: v.log, Unique: v.unique,
 	})
 	v.limits = limits.New(limits.Config{
 		Self: v.self, Peers: v.peers, State: v.follower.State, Live: v.peers.Live, Now: now, Log: v.log,
 		FirstID: uint64(v.self.Incarnation) >> 8,
 	})
 	v.server = proxy.NewServer(&proxy.Services{
-		Authoriser: v, Limiter: v.limits, Router: v.router, Now: now, NewTransaction: v.newTransaction,
+		Authoriser: v, Limiter: v.limits, Router: v.router, Now: now, NewTransaction: v.unique,
 	}, v.adapter.NewCodec, v.log, v.observe)
 	v.relay = relay.NewServer(v)
 	v.ready = v.adapter.NewReady(v.Ready)
@@ -151,7 +160,8 @@
 	return 0
 }
 
-func (v *VM) newTransaction() string {
+// unique returns a text that no other life of any VM has used.
+func (v *VM) unique() string {
 	return fmt.Sprintf("%s-%d-%d", v.self.VM, v.self.Incarnation, v.transactions.Add(1))
 }
 
@@ -264,6 +274,11 @@
 			v.local.Abandon(a.Target, a.Transaction)
 			return true
 		}
+	case peers.KindReach:
+		var target execution.Target
+		if v.decode(from, body, &target) {
+			return v.takeover.Reachable(ctx, target)
+		}
 	case peers.KindBorrow:
 		var ask shares.AskMessage
 		if v.decode(from, body, &ask) {
@@ -301,6 +316,43 @@
 	return result
 }
 
+const (
+	// confirmers is the number of VMs that are asked whether they reach a primary.
+	confirmers = 3
+	// confirmTimeout bounds their answers; a VM that does not answer confirms nothing
+	// and denies nothing.
+	confirmTimeout = 800 * time.Millisecond
+)
+
+// confirmSilent asks other VMs, those of other zones first, and reports whether none
+// of them reaches the upstream.
+func (v *VM) confirmSilent(ctx context.Context, target execution.Target) bool {
+	var others []placement.VM
+	for _, vm := range placement.Rank(v.peers.Live(), string(target.Upstream)) {
+		if vm.Zone != v.settings.Zone {
+			others = append(others, vm)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	answers := make(chan bool, confirmers)
+	asked := others[:min(confirmers, len(others))]
+	for _, vm := range asked {
+		go func() {
+			var reached bool
+			err := v.peers.Ask(ctx, vm.Name, peers.KindReach, target, &reached)
+			answers <- err == nil && reached
+		}()
+	}
+	silent := true
+	for range asked {
+		if <-answers {
+			silent = false
+		}
+	}
+	return silent
+}
+
 // Closed implements relay.Handler: the transactions that a VM has opened here are
 // rolled back when its connection ends.
 func (v *VM) Closed(from relay.Caller) {
