--- a/internal/controller/limits/limits.go
+++ b/internal/controller/limits/limits.go
@@ -3,12 +3,14 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarywall/rosemarywall/internal/controller/following"
 	"github.com/rosemarywall/rosemarywall/internal/controller/peers"
+	"github.com/rosemarywall/rosemarywall/internal/core/parts"
 	"github.com/rosemarywall/rosemarywall/internal/core/placement"
 	"github.com/rosemarywall/rosemarywall/internal/core/shares"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
@@ -28,10 +30,15 @@
 type Config struct {
 	Self  relay.Identity
 	Peers Asker
+	Store Store
 	State func() *following.State
 	Live  func() []placement.VM
-	Now   func() time.Duration
-	Log   zerolog.Logger
+	// Address returns the address of a VM that answers.
+	Address func(ident.VMName) (string, bool)
+	// Unique returns a text that no other write of any VM has.
+	Unique func() string
+	Now    func() time.Duration
+	Log    zerolog.Logger
 	// FirstID numbers the transfers of this life of the VM.
 	FirstID uint64
 }
@@ -41,11 +48,17 @@
 	cfg    Config
 	escrow *shares.Escrow
 	taker  *ratewait.Taker
+
+	mu     sync.Mutex
+	holder *parts.Holder
 }
 
 // New returns a controller.
 func New(cfg Config) *Controller {
-	c := &Controller{cfg: cfg, escrow: shares.NewEscrow(cfg.FirstID)}
+	c := &Controller{
+		cfg: cfg, escrow: shares.NewEscrow(cfg.FirstID),
+		holder: parts.NewHolder(parts.Key{VM: cfg.Self.VM, Address: cfg.Self.Address}),
+	}
 	c.taker = ratewait.New(c.escrow, cfg.Now, c.send)
 	return c
 }
@@ -57,6 +70,9 @@
 
 // Run keeps the buckets until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
+	var table sync.WaitGroup
+	table.Go(func() { c.keepTable(ctx) })
+	defer table.Wait()
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
 	for {
@@ -90,12 +106,15 @@
 	}
 	c.escrow.SetPeers(near, far)
 	c.escrow.SetOrganisations(0, names)
-	part := 1 / float64(len(live))
+	c.mu.Lock()
+	own, until := c.holder.Parts()
+	c.mu.Unlock()
+	part := float64(own) / parts.Total
 	now := c.cfg.Now()
 	c.escrow.Entitle(now, func(name ident.OrganisationName) shares.Entitlement {
 		o := state.Catalog.Organisations[name]
 		return shares.Entitlement{
-			Rate: o.Rate * part, Burst: o.Burst * part, Horizon: shares.Horizon(o.Rate, o.Burst), UsableUntil: now + time.Minute,
+			Rate: o.Rate * part, Burst: o.Burst * part, Horizon: shares.Horizon(o.Rate, o.Burst), UsableUntil: until,
 		}
 	})
 }
--- /dev/null
+++ b/internal/controller/limits/table.go
@@ -0,0 +1,139 @@
+package limits
+
+import (
+	"context"
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/parts"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+// KindParts and nameParts identify the table of parts in the store.
+const (
+	KindParts objectapi.Kind = "rosemarywall-parts"
+	nameParts                = "fleet"
+)
+
+const (
+	// tableTick is the time between looks at the table.
+	tableTick = 200 * time.Millisecond
+	// tableTimeout bounds a call of the store.
+	tableTimeout = 800 * time.Millisecond
+	// tableRetry is the pause after a call that failed.
+	tableRetry = 500 * time.Millisecond
+)
+
+// Store holds the table.
+type Store interface {
+	Get(ctx context.Context, kind objectapi.Kind, name string) (objectapi.Object, error)
+	Put(ctx context.Context, kind objectapi.Kind, name string, value any, ifVersion objectapi.Version) (objectapi.Object, error)
+}
+
+// keepTable reads and writes the table of parts until ctx ends.
+func (c *Controller) keepTable(ctx context.Context) {
+	ticker := time.NewTicker(tableTick)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		if err := c.stepTable(ctx); err != nil {
+			c.cfg.Log.Debug().Err(err).Msg("table of parts not reached")
+			select {
+			case <-ctx.Done():
+			case <-time.After(tableRetry):
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+func (c *Controller) stepTable(ctx context.Context) error {
+	c.mu.Lock()
+	due := c.holder.Due(c.cfg.Now())
+	c.mu.Unlock()
+	if due {
+		if err := c.readTable(ctx); err != nil {
+			return err
+		}
+	}
+	c.mu.Lock()
+	next, base, ok := c.holder.Next(c.cfg.Now(), c.alive, c.first())
+	c.mu.Unlock()
+	if !ok {
+		return nil
+	}
+	return c.writeTable(ctx, next, objectapi.Version(base))
+}
+
+func (c *Controller) readTable(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	sentAt := c.cfg.Now()
+	o, err := c.cfg.Store.Get(ctx, KindParts, nameParts)
+	if resultcode.Is(err, resultcode.PlatformNotFound) {
+		c.take(sentAt, parts.Table{}, 0)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	return c.takeObject(sentAt, o)
+}
+
+func (c *Controller) takeObject(sentAt time.Duration, o objectapi.Object) error {
+	var t parts.Table
+	if err := o.Decode(&t); err != nil {
+		c.cfg.Log.Error().Err(err).Uint64("revision", uint64(o.Version)).Msg("table of parts ignored")
+		return err
+	}
+	c.take(sentAt, t, uint64(o.Version))
+	return nil
+}
+
+func (c *Controller) take(sentAt time.Duration, t parts.Table, version uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	before, _ := c.holder.Parts()
+	if !c.holder.Read(c.cfg.Now(), sentAt, t, version) {
+		c.cfg.Log.Warn().Uint64("revision", version).Msg("table of parts ignored")
+		return
+	}
+	if after, _ := c.holder.Parts(); after != before {
+		c.cfg.Log.Info().Uint32("parts", after).Uint32("before", before).Int("rows", len(t.Rows)).Uint64("revision", version).Msg("rate parts changed")
+	}
+}
+
+// writeTable stores a table by conditional update. After a conflict the present
+// table is taken; after a lost answer it is read again before the next write.
+func (c *Controller) writeTable(ctx context.Context, t parts.Table, base objectapi.Version) error {
+	ctx, cancel := context.WithTimeout(ctx, tableTimeout)
+	defer cancel()
+	t.Writer = c.cfg.Unique()
+	sentAt := c.cfg.Now()
+	o, err := c.cfg.Store.Put(ctx, KindParts, nameParts, t, base)
+	switch {
+	case err == nil:
+		c.take(sentAt, t, uint64(o.Version))
+		return nil
+	case resultcode.Is(err, resultcode.PlatformConflict) && o.Version > 0:
+		return c.takeObject(sentAt, o)
+	}
+	c.mu.Lock()
+	c.holder.Doubt()
+	c.mu.Unlock()
+	return err
+}
+
+// alive reports whether a VM answers at the address of its row; c.mu is held.
+func (c *Controller) alive(k parts.Key) bool {
+	address, ok := c.cfg.Address(k.VM)
+	return ok && address == k.Address
+}
+
+// first reports whether this VM cleans up the table.
+func (c *Controller) first() bool {
+	live := c.cfg.Live()
+	return len(live) > 0 && live[0].Name == c.cfg.Self.VM
+}
--- a/internal/controller/peers/peers.go
+++ b/internal/controller/peers/peers.go
@@ -298,6 +298,16 @@
 	return p.live
 }
 
+// Address returns the address of a VM that answers; a VM that leaves is included.
+func (p *Peers) Address(name ident.VMName) (string, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if q, ok := p.peers[name]; ok && q.alive {
+		return q.identity.Address, true
+	}
+	return "", false
+}
+
 // get returns a VM.
 func (p *Peers) get(name ident.VMName) (*peer, bool) {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/core/parts/parts.go
@@ -0,0 +1,276 @@
+// Package parts divides every rate among the VMs of the fleet by a table in the
+// platform's store. It is deterministic: the caller passes in readings and the time
+// and carries out the writes.
+//
+// Rules.
+//
+//   - A VM uses the parts of its row only within Lease of a reading of the table,
+//     counted from the sending of the question, and not while the row is revoked.
+//   - Parts change hands through the free remainder of the table. A VM that gives
+//     parts away stops using them first, waits until its loans have ended, and then
+//     writes the table.
+//   - A row whose VM is gone is first marked as revoked. Its parts become free when
+//     the mark has been known for Lease + Guard. The VM itself may take the mark away
+//     as long as the row is there, because nobody else uses the parts.
+//   - All writes are conditional updates. A write whose result is unknown counts as
+//     stored wherever that is the careful choice, until the table has been read again.
+//
+// A VM that restarts at the same address takes over its row at once. Its buckets
+// start empty, so what its former life spent is not spent again.
+package parts
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/shares"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+)
+
+// Total is the number of parts of a table.
+const Total = 1 << 20
+
+const (
+	// Lease is the time for which a reading of the table lets a VM use its parts. It
+	// outlasts the outages of the store that are usual.
+	Lease = 15 * time.Second
+	// Guard is added to Lease for differences between clocks and for late writes.
+	Guard = 3 * time.Second
+	// ReadEvery is the time between readings of a table that does not change.
+	ReadEvery = Lease / 3
+	// settleEvery is the time between readings while parts change hands.
+	settleEvery = time.Second
+	// goneAfter is the time after which the row of a VM that does not answer is revoked.
+	goneAfter = 10 * time.Second
+	// tolerance is the difference from the equal part that is not worth a write.
+	tolerance = Total / 256
+)
+
+// Key identifies a VM at its address. A VM of the same name at another address may
+// run beside the former one for a while.
+type Key struct {
+	VM      ident.VMName `json:"vm"`
+	Address string       `json:"address"`
+}
+
+// Row gives parts to a VM.
+type Row struct {
+	Key
+	Parts   uint32 `json:"parts"`
+	Revoked bool   `json:"revoked,omitempty"`
+}
+
+// Table divides the parts.
+type Table struct {
+	// Writer is unique to each write.
+	Writer string `json:"writer"`
+	// Rows are ordered by key.
+	Rows []Row `json:"rows"`
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.VM, b.VM), cmp.Compare(a.Address, b.Address))
+}
+
+func (t Table) find(k Key) (int, bool) {
+	return slices.BinarySearchFunc(t.Rows, k, func(r Row, k Key) int { return compareKeys(r.Key, k) })
+}
+
+// Free returns the parts that no row holds; negative when the table is invalid.
+func (t Table) Free() int64 {
+	free := int64(Total)
+	for _, r := range t.Rows {
+		free -= int64(r.Parts)
+	}
+	return free
+}
+
+// valid reports whether the rows are ordered and hold no more than all parts.
+func (t Table) valid() bool {
+	return t.Free() >= 0 && slices.IsSortedFunc(t.Rows, func(a, b Row) int { return compareKeys(a.Key, b.Key) })
+}
+
+// with returns a copy with a row set.
+func (t Table) with(r Row) Table {
+	rows := slices.Clone(t.Rows)
+	if i, ok := t.find(r.Key); ok {
+		rows[i] = r
+	} else {
+		rows = slices.Insert(rows, i, r)
+	}
+	return Table{Rows: rows}
+}
+
+// Holder is one VM's view of the table. It is not safe for concurrent use.
+type Holder struct {
+	self    Key
+	table   Table
+	version uint64
+	loaded  bool
+	doubt   bool // a write may have been stored since the last reading
+	readAt  time.Duration
+	// held are parts that this VM has stopped using in order to give them away.
+	held      uint32
+	heldSince time.Duration
+	goneSince map[Key]time.Duration
+	revoked   map[Key]time.Duration // since when the mark is known
+}
+
+// NewHolder returns the holder of a VM that has just started.
+func NewHolder(self Key) *Holder {
+	return &Holder{self: self, goneSince: map[Key]time.Duration{}, revoked: map[Key]time.Duration{}}
+}
+
+// Read takes a reading of the table, or the table that a write has stored, with the
+// time at which the question was sent. Version zero means that there is no table. It
+// returns false for a table that cannot be used.
+func (h *Holder) Read(now, sentAt time.Duration, t Table, version uint64) bool {
+	if version < h.version || !t.valid() {
+		return false
+	}
+	if version != h.version {
+		h.held = 0
+	}
+	h.table, h.version, h.loaded, h.readAt = t, version, true, max(h.readAt, sentAt)
+	h.doubt = false
+	marked := map[Key]time.Duration{}
+	for _, r := range t.Rows {
+		if r.Revoked {
+			marked[r.Key] = now
+			if since, ok := h.revoked[r.Key]; ok {
+				marked[r.Key] = since
+			}
+		}
+	}
+	h.revoked = marked
+	return true
+}
+
+// Doubt records that a write was not answered, or that another VM has written: the
+// table is read before the next write.
+func (h *Holder) Doubt() { h.doubt = true }
+
+// Parts returns the parts that this VM may use, and until when.
+func (h *Holder) Parts() (uint32, time.Duration) {
+	i, ok := h.table.find(h.self)
+	if !ok || h.table.Rows[i].Revoked {
+		return 0, 0
+	}
+	return h.table.Rows[i].Parts - min(h.held, h.table.Rows[i].Parts), h.readAt + Lease
+}
+
+// Due reports whether the table is to be read again.
+func (h *Holder) Due(now time.Duration) bool {
+	if !h.loaded || h.doubt {
+		return true
+	}
+	interval := ReadEvery
+	if h.unsettled() {
+		interval = settleEvery
+	}
+	return now >= h.readAt+interval
+}
+
+func (h *Holder) unsettled() bool {
+	i, ok := h.table.find(h.self)
+	if !ok || h.held > 0 {
+		return true
+	}
+	fair := h.fair()
+	return h.table.Rows[i].Parts+tolerance < fair
+}
+
+// fair is the equal part of each row that is not revoked.
+func (h *Holder) fair() uint32 {
+	n := 0
+	for _, r := range h.table.Rows {
+		if !r.Revoked {
+			n++
+		}
+	}
+	return Total / uint32(max(1, n))
+}
+
+// Next returns the table to write in place of the version that was read last; false
+// when there is nothing to write. alive says which VMs answer, and first whether
+// this VM cleans up after others.
+func (h *Holder) Next(now time.Duration, alive func(Key) bool, first bool) (Table, uint64, bool) {
+	if !h.loaded || h.doubt {
+		return Table{}, 0, false
+	}
+	if t, ok := h.ownRow(now); ok {
+		return t, h.version, true
+	}
+	if first {
+		if t, ok := h.cleanUp(now, alive); ok {
+			return t, h.version, true
+		}
+	}
+	return Table{}, 0, false
+}
+
+// ownRow changes this VM's row.
+func (h *Holder) ownRow(now time.Duration) (Table, bool) {
+	i, ok := h.table.find(h.self)
+	if !ok {
+		// A new row counts in the equal part at once, so that the others give.
+		t := h.table.with(Row{Key: h.self})
+		fair := int64(Total / max(1, len(t.Rows)))
+		return h.table.with(Row{Key: h.self, Parts: uint32(min(h.table.Free(), fair))}), true
+	}
+	own := h.table.Rows[i]
+	if own.Revoked {
+		own.Revoked = false
+		return h.table.with(own), true
+	}
+	fair := h.fair()
+	switch free := h.table.Free(); {
+	case own.Parts+tolerance < fair && free > 0:
+		own.Parts += uint32(min(free, int64(fair-own.Parts)))
+		return h.table.with(own), true
+	case own.Parts > fair+tolerance:
+		return h.give(now, own, own.Parts-fair)
+	}
+	h.held = 0
+	return Table{}, false
+}
+
+// give stops the use of some parts, and writes the table once all loans have ended.
+func (h *Holder) give(now time.Duration, own Row, surplus uint32) (Table, bool) {
+	if h.held < surplus {
+		h.held, h.heldSince = surplus, now
+	}
+	if now < h.heldSince+shares.LoanHold {
+		return Table{}, false
+	}
+	own.Parts -= surplus
+	return h.table.with(own), true
+}
+
+// cleanUp revokes rows of VMs that are gone, and frees revoked rows after their time.
+func (h *Holder) cleanUp(now time.Duration, alive func(Key) bool) (Table, bool) {
+	for _, r := range h.table.Rows {
+		if r.Key == h.self || alive(r.Key) {
+			delete(h.goneSince, r.Key)
+			continue
+		}
+		since, ok := h.goneSince[r.Key]
+		if !ok {
+			h.goneSince[r.Key] = now
+			continue
+		}
+		if !r.Revoked && now >= since+goneAfter {
+			r.Revoked = true
+			return h.table.with(r), true
+		}
+		if marked, ok := h.revoked[r.Key]; r.Revoked && ok && now >= marked+Lease+Guard {
+			i, _ := h.table.find(r.Key)
+			return Table{Rows: slices.Delete(slices.Clone(h.table.Rows), i, i+1)}, true
+		}
+	}
+	return Table{}, false
+}
+
+// Table returns the table as it was read last, with its version.
+func (h *Holder) Table() (Table, uint64) { return h.table, h.version }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -136,7 +136,8 @@
 		State: v.follower.State, Live: v.peers.Live, Confirm: v.confirmSilent, Now: now, Log: v.log, Unique: v.unique,
 	})
 	v.limits = limits.New(limits.Config{
-		Self: v.self, Peers: v.peers, State: v.follower.State, Live: v.peers.Live, Now: now, Log: v.log,
+		Self: v.self, Peers: v.peers, Store: v.adapter.Store, State: v.follower.State, Live: v.peers.Live,
+		Address: v.peers.Address, Unique: v.unique, Now: now, Log: v.log,
 		FirstID: uint64(v.self.Incarnation) >> 8,
 	})
 	v.server = proxy.NewServer(&proxy.Services{
