--- a/internal/controller/limits/limits.go
+++ b/internal/controller/limits/limits.go
@@ -18,6 +18,10 @@
 	"github.com/rosemarywall/rosemarywall/internal/relay"
 )
 
+// startShare is the part of the tolerated excess with which the buckets of a VM
+// start, so that three starts within one window stay within it.
+const startShare = 3
+
 // tickEvery is the time between looks at the buckets.
 const tickEvery = 50 * time.Millisecond
 
@@ -39,6 +43,9 @@
 	Unique func() string
 	Now    func() time.Duration
 	Log    zerolog.Logger
+	// Excess returns the number of operations above its rate and burst that an
+	// organisation may get over all VMs for a short time.
+	Excess func(rate, burst float64) float64
 	// FirstID numbers the transfers of this life of the VM.
 	FirstID uint64
 }
@@ -115,6 +122,7 @@
 		o := state.Catalog.Organisations[name]
 		return shares.Entitlement{
 			Rate: o.Rate * part, Burst: o.Burst * part, Horizon: shares.Horizon(o.Rate, o.Burst), UsableUntil: until,
+			Start: c.cfg.Excess(o.Rate, o.Burst) * part / startShare,
 		}
 	})
 }
--- a/internal/controller/peers/peers.go
+++ b/internal/controller/peers/peers.go
@@ -102,6 +102,8 @@
 	mu    sync.Mutex
 	peers map[ident.VMName]*peer
 	live  []placement.VM
+	// leaving says that this VM stops and executes for itself only without another VM.
+	leaving bool
 }
 
 // New returns Peers that knows only this VM.
@@ -276,12 +278,15 @@
 }
 
 func (p *Peers) rebuild() {
-	live := []placement.VM{p.self()}
+	var live []placement.VM
 	for _, q := range p.peers {
 		if q.alive && !q.leaving {
 			live = append(live, placement.VM{Name: q.identity.VM, Zone: q.identity.Zone, Region: q.identity.Region})
 		}
 	}
+	if !p.leaving || len(live) == 0 {
+		live = append(live, p.self())
+	}
 	slices.SortFunc(live, func(a, b placement.VM) int {
 		if a.Name < b.Name {
 			return -1
@@ -291,7 +296,15 @@
 	p.live = live
 }
 
-// Live returns the live VMs, this one included, ordered by name.
+// Leave takes this VM out of the live ones that it knows.
+func (p *Peers) Leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leaving = true
+	p.rebuild()
+}
+
+// Live returns the live VMs, this one included unless it leaves, ordered by name.
 func (p *Peers) Live() []placement.VM {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/controller/steering/router.go
+++ b/internal/controller/steering/router.go
@@ -298,6 +298,8 @@
 	switch {
 	case result.Outcome == execution.Done:
 		s.failedUntil = 0
+	case result.Reason == execution.Stopping:
+		r.unreachable[seat{choice.Via, choice.Target.Upstream}] = now + unreachableTime
 	case result.Reason == execution.NoConnection:
 		r.saturated[seat{choice.Via, choice.Target.Upstream}] = now + saturatedTime
 	case result.Reason == execution.Unreachable, result.Outcome == execution.Unknown && result.Reason != execution.PeerLost:
--- a/internal/core/shares/bucket.go
+++ b/internal/core/shares/bucket.go
@@ -51,6 +51,7 @@
 	usableUntil time.Duration // end of the lease
 	horizon     time.Duration
 	lendAll     bool
+	entitled    bool // has had a rate
 
 	tokens  float64
 	at      time.Duration // tokens are accrued up to here
@@ -76,6 +77,10 @@
 	UsableUntil time.Duration
 	// LendAll is set while the VM's zone is out of service.
 	LendAll bool
+	// Start is the number of tokens of a bucket that is entitled for the first time.
+	// It must be covered by the excess that the rate's owner tolerates, because a
+	// former life of the VM may have spent its whole burst just before.
+	Start float64
 }
 
 // Set changes the entitlement. Tokens above a lower capacity are lost.
@@ -83,6 +88,10 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.advance(now)
+	if !b.entitled && e.Rate > 0 {
+		b.entitled = true
+		b.tokens += e.Start
+	}
 	b.rate, b.burst, b.horizon, b.usableUntil, b.lendAll = e.Rate, e.Burst, e.Horizon, e.UsableUntil, e.LendAll
 	b.advance(now)
 }
--- a/internal/execution/local.go
+++ b/internal/execution/local.go
@@ -19,10 +19,9 @@
 	dial Dial
 	now  func() time.Duration
 
-	mu       sync.Mutex
-	pools    map[Target]*pool
-	open     map[string]*transaction
-	stopping bool
+	mu    sync.Mutex
+	pools map[Target]*pool
+	open  map[string]*transaction
 }
 
 // transaction is an open transaction of a caller.
@@ -46,9 +45,6 @@
 	p, ok := l.pools[r.Target]
 	if !ok {
 		p = newPool(r.Target, r.Connections, l.dial, l.now)
-		if l.stopping {
-			p.closed = true
-		}
 		l.pools[r.Target] = p
 	}
 	return p
@@ -300,17 +296,13 @@
 	}
 }
 
-// Stop closes idle connections and opens no others. Open transactions go on.
-func (l *Local) Stop() {
+// Retire gives the connections up to the other VMs: idle ones are closed now, the
+// others when their statement or transaction ends.
+func (l *Local) Retire() {
 	l.mu.Lock()
-	l.stopping = true
-	pools := make([]*pool, 0, len(l.pools))
+	defer l.mu.Unlock()
 	for _, p := range l.pools {
-		pools = append(pools, p)
-	}
-	l.mu.Unlock()
-	for _, p := range pools {
-		p.closeIdle(true)
+		p.retire()
 	}
 }
 
@@ -323,7 +315,7 @@
 		if n, keep := limit(target); keep {
 			p.shrink(n)
 		} else {
-			p.closeIdle(true)
+			p.retire()
 			delete(l.pools, target)
 		}
 	}
--- a/internal/execution/pool.go
+++ b/internal/execution/pool.go
@@ -41,7 +41,8 @@
 	idle   []*pooled // last used at the end
 	open   int       // idle, in use and being opened
 	paused time.Duration
-	closed bool
+	// retired says that connections are not kept.
+	retired bool
 }
 
 func newPool(target Target, limit int, dial Dial, now func() time.Duration) *pool {
@@ -83,7 +84,7 @@
 			p.drop(c)
 		}
 	}
-	if p.closed || p.now() < p.paused {
+	if p.now() < p.paused {
 		return nil, false
 	}
 	for p.open >= limit && len(p.idle) > 0 {
@@ -125,7 +126,7 @@
 // release gives a connection back; a connection that is not reusable is closed.
 func (p *pool) release(c *pooled, reusable bool) {
 	p.mu.Lock()
-	if reusable && !p.closed && p.open <= p.limit && c.conn.Alive() {
+	if reusable && !p.retired && p.open <= p.limit && c.conn.Alive() {
 		p.idle = append(p.idle, c)
 	} else {
 		p.drop(c)
@@ -134,11 +135,11 @@
 	p.queue.Release()
 }
 
-// closeIdle closes the idle connections; with final set no other is opened.
-func (p *pool) closeIdle(final bool) {
+// retire closes the idle connections, and the others when they are released.
+func (p *pool) retire() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.closed = p.closed || final
+	p.retired = true
 	for _, c := range p.idle {
 		p.drop(c)
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -137,7 +137,7 @@
 	})
 	v.limits = limits.New(limits.Config{
 		Self: v.self, Peers: v.peers, Store: v.adapter.Store, State: v.follower.State, Live: v.peers.Live,
-		Address: v.peers.Address, Unique: v.unique, Now: now, Log: v.log,
+		Address: v.peers.Address, Unique: v.unique, Excess: s.Bounds.Excess, Now: now, Log: v.log,
 		FirstID: uint64(v.self.Incarnation) >> 8,
 	})
 	v.server = proxy.NewServer(&proxy.Services{
@@ -366,6 +366,8 @@
 func (v *VM) Stop() {
 	v.leaving.Store(true)
 	v.log.Info().Msg("stopping")
+	v.peers.Leave()
+	v.local.Retire()
 	grace := v.settings.Bounds.Grace
 	time.Sleep(min(rotationTime, grace/3))
 	v.server.Stop()
@@ -391,7 +393,7 @@
 // Close ends the VM at once.
 func (v *VM) Close() {
 	v.cancel()
-	v.local.Stop()
+	v.local.Retire()
 	v.relay.Close()
 	_ = v.ready.Close()
 	for _, l := range v.listeners {
--- a/internal/service/settings.go
+++ b/internal/service/settings.go
@@ -43,6 +43,17 @@
 	Evacuate time.Duration
 	// Lease is the shortest time between two holders of a duty; zero sets none.
 	Lease time.Duration
+	// RateWindow is the time over which rates are judged; RateOver is the tolerated
+	// excess as a share of what the window allows, and RateSlack a number of operations
+	// on top.
+	RateWindow          time.Duration
+	RateOver, RateSlack float64
 	// WarmFactor is the allowed excess over an upstream's cold rate.
 	WarmFactor float64
 }
+
+// Excess returns the number of operations that an organisation may get above its
+// rate and burst within one window.
+func (b Bounds) Excess(rate, burst float64) float64 {
+	return (rate*b.RateWindow.Seconds()+burst)*b.RateOver + b.RateSlack
+}
