--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -72,7 +72,7 @@
 // Connections returns the number of an upstream's connections that each of the
 // sharing VMs may hold. One is left for questions about the upstream's status.
 func Connections(limit, sharing int) int {
-	return max(1, (limit-reservedConnections)/max(1, sharing))
+	return max(1, limit*6/10/max(1, sharing))
 }
 
 // reservedConnections are kept free for the VM that replaces a primary.
