--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -69,11 +69,14 @@
 	return mixed ^ mixed>>33
 }
 
+// usableShare (of 100) is the part of an upstream's connections that the VMs use. An
+// upstream keeps the connections of VMs that lost power for some seconds, so the
+// rest is what they start with when they return; some also serve questions about
+// the upstream's status.
+const usableShare = 60
+
 // Connections returns the number of an upstream's connections that each of the
-// sharing VMs may hold. One is left for questions about the upstream's status.
+// sharing VMs may hold.
 func Connections(limit, sharing int) int {
-	return max(1, limit*6/10/max(1, sharing))
+	return max(1, limit*usableShare/100/max(1, sharing))
 }
-
-// reservedConnections are kept free for the VM that replaces a primary.
-const reservedConnections = 1
