--- a/cmd/rosemarywall-platform/main.go
+++ b/cmd/rosemarywall-platform/main.go
@@ -3,17 +3,25 @@
 package main
 
 import (
+	"context"
 	"fmt"
+	"net"
 	"os"
 	"os/signal"
 	"runtime/debug"
+	"strconv"
 	"syscall"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/rosemarywall/rosemarywall/internal/commandline"
 	"github.com/rosemarywall/rosemarywall/internal/controller/following"
+	"github.com/rosemarywall/rosemarywall/internal/execution"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/logging"
 	"github.com/rosemarywall/rosemarywall/internal/service"
+	"github.com/rosemarywall/rosemarywall/internal/servicemetrics"
 	"github.com/rosemarywall/rosemarywall/platform"
 )
 
@@ -34,6 +42,7 @@
 	commandline.Common
 	Settings string `long:"settings" short:"s" value-name:"FILE" description:"settings file; by default the one that the platform names in its variable"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
+	Metrics  uint16 `long:"metrics-port" value-name:"PORT" description:"port of the metrics and the state dump; none by default"`
 	LogLevel string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"lowest level that is logged"`
 }
 
@@ -60,38 +69,66 @@
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(settings.MemoryBytes * memoryShare / 100)
 	}
-	return serve(settings, o.LogLevel)
+	return serve(settings, o)
 }
 
-func serve(settings service.Settings, level string) int {
-	log, err := logging.New(os.Stdout, level)
+func serve(settings service.Settings, o options) int {
+	log, sink, err := logging.NewBounded(os.Stdout, o.LogLevel)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return commandline.StatusUsage
 	}
+	defer sink.Close()
+	log = log.With().Str("vm", string(settings.VM)).Logger()
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
-	vm, err := service.Start(settings, newAdapter(settings), log)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	adapter := newAdapter(settings)
+	adapter.LogOverflow = sink.Overflow
+	if o.Metrics > 0 {
+		adapter.MetricsAddress = net.JoinHostPort(settings.IP, strconv.Itoa(int(o.Metrics)))
+	}
+	vm, err := service.Start(settings, adapter, log)
 	if err != nil {
 		log.Error().Err(err).Msg("start failed")
 		return exitFailed
 	}
-	<-signals
+	for s := range signals {
+		if s != syscall.SIGHUP {
+			break
+		}
+		reload(vm, o.Settings, log)
+	}
 	vm.Stop()
 	return 0
 }
 
+// reload reads the settings file again.
+func reload(vm *service.VM, file string, log zerolog.Logger) {
+	settings, err := platform.LoadSettings(file)
+	if err != nil {
+		log.Error().Err(err).Msg("settings not reloaded")
+		return
+	}
+	log.Info().Strs("restart_needed_for", vm.Reload(settings)).Msg("settings reloaded")
+}
+
 func newAdapter(settings service.Settings) service.Adapter {
-	store := platform.NewStore(settings.Store, nil)
+	metrics := servicemetrics.New()
+	store := platform.NewStore(settings.Store, metrics.PlatformCall)
+	dialer := platform.Dialer{Unacknowledged: unacknowledged}
 	return service.Adapter{
-		Store: store,
+		Store: store, Metrics: metrics,
 		Source: following.Source{
 			Store: store, ConfigKind: platform.ConfigKind, ConfigName: platform.ConfigName,
 			UpstreamsKind: platform.UpstreamsKind, EvacuationsKind: platform.EvacuationsKind,
 			DecodeCatalog: platform.DecodeCatalog, DecodeUpstream: platform.DecodeUpstream,
 		},
-		Promoter: platform.NewDuties(settings.Duties, nil),
-		Dial:     platform.Dialer{Unacknowledged: unacknowledged}.Dial,
+		Promoter: platform.NewDuties(settings.Duties, metrics.PlatformCall),
+		Dial: func(ctx context.Context, t execution.Target, organisation ident.OrganisationName) (execution.Conn, error) {
+			conn, err := dialer.Dial(ctx, t, organisation)
+			metrics.Dialled(err)
+			return conn, err
+		},
 		NewCodec: platform.NewCodec, NewReady: platform.NewReadyServer,
 	}
 }
--- a/internal/controller/limits/limits.go
+++ b/internal/controller/limits/limits.go
@@ -113,9 +113,7 @@
 	}
 	c.escrow.SetPeers(near, far)
 	c.escrow.SetOrganisations(0, names)
-	c.mu.Lock()
-	own, until := c.holder.Parts()
-	c.mu.Unlock()
+	own, until := c.Parts()
 	part := float64(own) / parts.Total
 	now := c.cfg.Now()
 	c.escrow.Entitle(now, func(name ident.OrganisationName) shares.Entitlement {
@@ -149,3 +147,23 @@
 func (c *Controller) Lend(from relay.Identity, ask shares.AskMessage) shares.GrantMessage {
 	return c.escrow.ReceiveAsk(c.cfg.Now(), from.VM, from.Incarnation, ask)
 }
+
+// Parts returns the parts of every rate that this VM may use, and until when.
+func (c *Controller) Parts() (uint32, time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.holder.Parts()
+}
+
+// Table returns the table of parts as it was read last.
+func (c *Controller) Table() parts.Table {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	t, _ := c.holder.Table()
+	return t
+}
+
+// Levels returns the state of the buckets.
+func (c *Controller) Levels() map[ident.OrganisationName]shares.Level {
+	return c.escrow.Levels(c.cfg.Now())
+}
--- a/internal/execution/execution.go
+++ b/internal/execution/execution.go
@@ -119,6 +119,11 @@
 	Unknown
 )
 
+var outcomeNames = [...]string{"", "done", "not_run", "failed", "unknown"}
+
+// String returns the name used in logs.
+func (o Outcome) String() string { return outcomeNames[o] }
+
 // Reason says why a statement was not run.
 type Reason uint8
 
--- a/internal/execution/local.go
+++ b/internal/execution/local.go
@@ -320,3 +320,21 @@
 		}
 	}
 }
+
+// Connections returns the number of open connections to upstreams.
+func (l *Local) Connections() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, p := range l.pools {
+		n += p.connections()
+	}
+	return n
+}
+
+// Transactions returns the number of open transactions of callers.
+func (l *Local) Transactions() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.open)
+}
--- a/internal/execution/pool.go
+++ b/internal/execution/pool.go
@@ -157,3 +157,9 @@
 		p.drop(oldest)
 	}
 }
+
+func (p *pool) connections() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
--- /dev/null
+++ b/internal/logging/bounded_test.go
@@ -0,0 +1,75 @@
+package logging
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// blockedWriter is an output that takes nothing until it is opened.
+type blockedWriter struct {
+	open chan struct{}
+	mu   sync.Mutex
+	out  bytes.Buffer
+}
+
+func (w *blockedWriter) Write(p []byte) (int, error) {
+	<-w.open
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.out.Write(p)
+}
+
+// Guards against a full standard output that holds up requests, and against lines
+// that vanish without a count.
+func TestBlockedOutputDoesNotBlockLogging(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := &blockedWriter{open: make(chan struct{})}
+		log, sink, err := NewBounded(w, "info")
+		assert.NilError(t, err)
+		started := time.Now()
+		for range 5 * queueLines {
+			log.Info().Msg("statement answered")
+		}
+		assert.Equal(t, time.Since(started), time.Duration(0))
+		assert.Assert(t, sink.Overflow() >= 3*queueLines, sink.Overflow())
+		close(w.open)
+		sink.Close()
+		assert.Assert(t, strings.Contains(w.out.String(), `event="log queue full"`), w.out.String())
+	})
+}
+
+// Guards against an unbounded volume, and against refusals that are lost among
+// successes.
+func TestVolumeIsBoundedAndFailuresGoFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var out bytes.Buffer
+		log, sink, err := NewBounded(&out, "info")
+		assert.NilError(t, err)
+		for range 200 {
+			log.Info().Msg("statement answered")
+		}
+		log.Warn().Str("request", "r1").Msg("statement refused")
+		time.Sleep(1500 * time.Millisecond)
+		synctest.Wait()
+		sink.Close()
+		text := out.String()
+		assert.Equal(t, strings.Count(text, ` event="statement answered"`), ordinaryPerSecond)
+		assert.Equal(t, strings.Count(text, `event="statement refused"`), 1)
+		assert.Assert(t, strings.Contains(text, `count=160 suppressed_event="statement answered"`), text)
+	})
+}
+
+// Guards against values of other types that are printed as lists of bytes.
+func TestValuesKeepTheirForm(t *testing.T) {
+	var out bytes.Buffer
+	log, err := New(&out, "info")
+	assert.NilError(t, err)
+	log.Info().Bool("alive", true).Dur("age", 1500*time.Microsecond).Msg("peer changed")
+	assert.Assert(t, strings.Contains(out.String(), `event="peer changed" age=1.5 alive=true`), out.String())
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -66,6 +66,9 @@
 			break
 		}
 	}
+	if a.trace.Attempts == 0 {
+		a.trace = grantTrace(a.need.Grant)
+	}
 	return last, Choice{}, a.refusal(last)
 }
 
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -59,6 +59,9 @@
 // Record describes one answered statement.
 type Record struct {
 	Database string
+	// Opening says that the caller's first message was refused.
+	Opening bool
+	// ID is the caller's identifier of the request.
 	ID       string
 	Kind     statement.Kind
 	Answer   Answer
@@ -115,8 +118,11 @@
 		session, err = Open(s.services, database, key)
 	}
 	_ = conn.SetWriteDeadline(time.Now().Add(answerTimeout))
-	if failed := codec.Opened(err); failed != nil || err != nil {
-		s.refused(database, err)
+	if failed := codec.Opened(err); failed != nil {
+		return
+	}
+	if err != nil {
+		s.observe(Record{Database: database, Opening: true, Answer: Answer{Err: err}})
 		return
 	}
 	defer session.Close()
@@ -124,12 +130,6 @@
 	}
 }
 
-func (s *Server) refused(database string, err error) {
-	if err != nil {
-		s.observe(Record{Database: database, Answer: Answer{Err: err}})
-	}
-}
-
 // one serves one statement; false ends the session.
 func (s *Server) one(conn net.Conn, codec Codec, session *Session) bool {
 	st, err := s.next(conn, codec, session)
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -14,7 +14,9 @@
 
 // Grant is the permission to run an operation, made from one configuration.
 type Grant struct {
-	Version      ident.ConfigurationVersion
+	Version ident.ConfigurationVersion
+	// ProofAge is the age of the proof that the version was current.
+	ProofAge     time.Duration
 	Route        catalog.Route
 	Organisation catalog.Organisation // zero on public routes without a known key
 	Group        catalog.Group
@@ -92,8 +94,12 @@
 // Trace says how an answer came about.
 type Trace struct {
 	// Version is the configuration that the decision was based on.
-	Version ident.ConfigurationVersion
-	Group   ident.GroupName
+	Version      ident.ConfigurationVersion
+	ProofAge     time.Duration
+	Organisation ident.OrganisationName
+	Group        ident.GroupName
+	// Primary says that the statement was meant for the group's primary.
+	Primary bool
 	// Upstream and Via are the last upstream asked and the VM that executed.
 	Upstream ident.UpstreamName
 	Via      ident.VMName
@@ -180,23 +186,25 @@
 
 // Handle runs one statement.
 func (s *Session) Handle(ctx context.Context, st statement.Statement) Answer {
-	var a Answer
+	a := s.dispatch(ctx, st)
+	a.State = s.state
+	return a
+}
+
+func (s *Session) dispatch(ctx context.Context, st statement.Statement) Answer {
 	switch {
 	case s.state == statement.FailedTransaction:
-		a = s.handleFailed(st)
+		return s.handleFailed(st)
 	case st.Kind == statement.SetValue, st.Kind == statement.Prepare, st.Kind == statement.Deallocate:
-		a = s.handleSession(st)
+		return s.handleSession(st)
 	case s.state == statement.InTransaction:
-		a = s.handleInTransaction(ctx, st)
+		return s.handleInTransaction(ctx, st)
 	case st.Kind == statement.Begin:
-		a = s.begin(ctx, st)
+		return s.begin(ctx, st)
 	case st.Kind == statement.Commit, st.Kind == statement.Rollback:
-		a.Err = resultcode.New(resultcode.MalformedMessage, "no transaction is open")
-	default:
-		a = s.single(ctx, st)
+		return Answer{Err: resultcode.New(resultcode.MalformedMessage, "no transaction is open")}
 	}
-	a.State = s.state
-	return a
+	return s.single(ctx, st)
 }
 
 // handleFailed accepts only the end of a failed transaction.
@@ -233,7 +241,7 @@
 func (s *Session) begin(ctx context.Context, st statement.Statement) Answer {
 	grant, err := s.admit(ctx)
 	if err != nil {
-		return Answer{Err: err}
+		return Answer{Err: err}.with(grantTrace(&grant))
 	}
 	s.tx = &transaction{grant: grant, readOnly: st.ReadOnly, name: s.services.NewTransaction()}
 	s.state = statement.InTransaction
@@ -294,7 +302,7 @@
 	}
 	grant, err := s.admit(ctx)
 	if err != nil {
-		return Answer{Err: err}
+		return Answer{Err: err}.with(grantTrace(&grant))
 	}
 	r := s.request(&grant, st, prepared)
 	r.Mode, r.Writes = execution.Single, writes
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -21,8 +21,8 @@
 		s.end()
 		return Answer{}
 	}
-	if _, err := s.authorise(); err != nil {
-		return s.failOrEnd(st, err)
+	if grant, err := s.authorise(); err != nil {
+		return s.failOrEnd(st, err).with(grantTrace(&grant))
 	}
 	writes, prepared, err := s.resolve(st)
 	if err == nil && writes && s.tx.readOnly {
@@ -114,9 +114,14 @@
 	return a
 }
 
+// grantTrace describes a decision for which no upstream was asked.
+func grantTrace(grant *Grant) Trace {
+	return Trace{Version: grant.Version, ProofAge: grant.ProofAge, Organisation: grant.Organisation.Name, Group: grant.Route.Group}
+}
+
 func traceOf(grant *Grant, choice Choice, result execution.Result) Trace {
-	return Trace{
-		Version: grant.Version, Group: choice.Target.Group, Upstream: choice.Target.Upstream, Via: choice.Via, Attempts: 1,
-		MinPosition: choice.MinPosition, Last: result,
-	}
+	t := grantTrace(grant)
+	t.Primary, t.Upstream, t.Via, t.Attempts = choice.Leader, choice.Target.Upstream, choice.Via, 1
+	t.MinPosition, t.Last = choice.MinPosition, result
+	return t
 }
--- /dev/null
+++ b/internal/service/observe.go
@@ -0,0 +1,128 @@
+package service
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/parts"
+	"github.com/rosemarywall/rosemarywall/internal/execution"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/proxy"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	"github.com/rosemarywall/rosemarywall/internal/servicemetrics"
+)
+
+// codeOK is the label and log value of a successful statement.
+const codeOK = "ok"
+
+// observe logs and counts an answered statement. Lines name no key and no data.
+func (v *VM) observe(r proxy.Record) {
+	a, t := r.Answer, r.Answer.Trace
+	code := codeOK
+	if a.Err != nil {
+		code = resultcode.Of(a.Err).String()
+	}
+	v.adapter.Metrics.Statement(code, t.Attempts, r.Duration)
+	if t.Attempts > 0 && a.Err == nil {
+		v.adapter.Metrics.Answered(t.Primary)
+	}
+	line, message := v.log.Info(), "statement answered"
+	switch {
+	case r.Opening:
+		line, message = v.log.Warn().Err(a.Err), "caller refused"
+	case a.Err != nil:
+		line, message = v.log.Warn().Err(a.Err), "statement refused"
+	case t.Attempts == 0:
+		return // answered from the session without a decision
+	}
+	describe(line, r).Str("code", code).Msg(message)
+}
+
+// describe adds the inputs of the decision.
+func describe(line *zerolog.Event, r proxy.Record) *zerolog.Event {
+	t := r.Answer.Trace
+	line = line.Str("request", r.ID).Str("database", r.Database).Str("organisation", string(t.Organisation)).
+		Str("kind", r.Kind.String()).Uint64("version", uint64(t.Version)).Dur("proof_age_ms", t.ProofAge).
+		Dur("took_ms", r.Duration).Int("attempts", t.Attempts)
+	if t.Attempts == 0 {
+		return line
+	}
+	return line.Str("group", string(t.Group)).Str("upstream", string(t.Upstream)).Bool("primary", t.Primary).
+		Str("via", string(t.Via)).Stringer("min_position", t.MinPosition).Stringer("position", t.Last.Position).
+		Str("reason", t.Last.Reason.String()).Str("upstream_code", t.Last.Code.String())
+}
+
+// executed logs a statement that this VM executed for another one and that did not
+// succeed. Successes are logged by the VM that asked.
+func (v *VM) executed(from ident.VMName, r execution.Request, result execution.Result) {
+	if result.Outcome == execution.Done {
+		return
+	}
+	v.log.Warn().Str("request", r.ID).Str("peer", string(from)).Str("upstream", string(r.Target.Upstream)).
+		Str("outcome", result.Outcome.String()).Str("reason", result.Reason.String()).
+		Str("upstream_code", result.Code.String()).Str("detail", result.Detail).Msg("statement not executed")
+}
+
+// newMetricsServer returns the server of the metrics and of the state dump.
+func (v *VM) newMetricsServer() *http.Server {
+	v.adapter.Metrics.Gauges(servicemetrics.State{
+		Callers: v.server.Callers, Peers: func() int { return max(0, len(v.peers.Live())-1) }, Connections: v.local.Connections,
+		ProofAge: func() (time.Duration, bool) { _, age, ok := v.follower.Proof(); return age, ok },
+		Version:  func() uint64 { return uint64(v.follower.State().Catalog.Version) },
+		RateParts: func() float64 {
+			own, _ := v.limits.Parts()
+			return float64(own) / parts.Total
+		},
+		LogLinesOverflow: v.adapter.LogOverflow,
+	})
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", v.adapter.Metrics.Handler())
+	mux.HandleFunc("GET /debug/state", v.serveState)
+	return &http.Server{Handler: mux, ReadHeaderTimeout: metricsTimeout}
+}
+
+// metricsTimeout bounds the reading of a question for metrics.
+const metricsTimeout = 2 * time.Second
+
+// Dump is the state of a VM for operators. It holds no key.
+type Dump struct {
+	VM           string         `json:"vm"`
+	Ready        bool           `json:"ready"`
+	Reason       string         `json:"reason,omitempty"`
+	Version      uint64         `json:"version"`
+	ProofAge     time.Duration  `json:"proof_age_ns"`
+	LiveVMs      []string       `json:"live_vms"`
+	Upstreams    map[string]any `json:"upstreams"`
+	Parts        parts.Table    `json:"rate_parts"`
+	RatesOfVM    any            `json:"rates"`
+	Callers      int            `json:"callers"`
+	Transactions int            `json:"open_transactions"`
+}
+
+// State returns the state dump.
+func (v *VM) State() Dump {
+	ready, reason := v.Ready()
+	version, age, _ := v.follower.Proof()
+	d := Dump{
+		VM: string(v.settings.VM), Ready: ready, Reason: reason, Version: uint64(version), ProofAge: age,
+		Upstreams: map[string]any{}, Callers: v.server.Callers(), Transactions: v.local.Transactions(),
+	}
+	for _, vm := range v.peers.Live() {
+		d.LiveVMs = append(d.LiveVMs, string(vm.Name))
+	}
+	for group, members := range v.follower.State().Upstreams {
+		d.Upstreams[string(group)] = members
+	}
+	d.Parts, d.RatesOfVM = v.limits.Table(), v.limits.Levels()
+	return d
+}
+
+func (v *VM) serveState(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(v.State()); err != nil {
+		v.log.Warn().Err(err).Msg("state dump not written")
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"reflect"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -31,6 +32,8 @@
 	"github.com/rosemarywall/rosemarywall/internal/proxy"
 	"github.com/rosemarywall/rosemarywall/internal/relay"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	"github.com/rosemarywall/rosemarywall/internal/servicemetrics"
+	"github.com/rosemarywall/rosemarywall/internal/version"
 )
 
 // Store is the platform's metadata store.
@@ -49,6 +52,11 @@
 	NewCodec proxy.NewCodec
 	// NewReady returns the server of the platform's ready probe.
 	NewReady func(ready func() (bool, string)) *http.Server
+	Metrics  *servicemetrics.Metrics
+	// MetricsAddress serves the metrics and the state dump; empty serves none.
+	MetricsAddress string
+	// LogOverflow returns the number of log lines that were dropped.
+	LogOverflow func() int64
 }
 
 // returnTime is the time after an outage of the store within which upstreams that
@@ -72,8 +80,10 @@
 	server   *proxy.Server
 	relay    *relay.Server
 	ready    *http.Server
+	metrics  *http.Server
 	remote   remoteTransactions
 
+	grace        atomic.Int64 // time from SIGTERM to SIGKILL, in ns
 	leaving      atomic.Bool
 	transactions atomic.Uint64
 	listeners    []net.Listener
@@ -88,6 +98,7 @@
 		Version: relay.ProtocolVersion, VM: settings.VM, Incarnation: ident.Incarnation(time.Now().UnixNano()),
 		Zone: settings.Zone, Region: settings.Region, Address: net.JoinHostPort(settings.IP, strconv.Itoa(int(settings.FirstPort))),
 	}
+	v.grace.Store(int64(settings.Bounds.Grace))
 	ctx, cancel := context.WithCancel(context.Background())
 	v.cancel = cancel
 	v.assemble()
@@ -100,7 +111,8 @@
 	v.run(ctx, "limits", v.limits.Run)
 	v.run(ctx, "pools", v.keepPools)
 	v.run(ctx, "takeover", v.takeover.Run)
-	log.Info().Str("callers", settings.Callers).Str("relay", v.self.Address).Msg("started")
+	log.Info().Str("callers", settings.Callers).Str("relay", v.self.Address).Str("metrics", adapter.MetricsAddress).
+		Str("zone", string(settings.Zone)).Uint64("incarnation", uint64(v.self.Incarnation)).Str("build", version.Version).Msg("started")
 	return v, nil
 }
 
@@ -145,6 +157,7 @@
 	}, v.adapter.NewCodec, v.log, v.observe)
 	v.relay = relay.NewServer(v)
 	v.ready = v.adapter.NewReady(v.Ready)
+	v.metrics = v.newMetricsServer()
 }
 
 // probeShare is the part of the time to apply a configuration between two probes of
@@ -172,14 +185,19 @@
 		serve   func(net.Listener) error
 	}{
 		{v.settings.Callers, v.server.Serve}, {v.settings.Ready, v.ready.Serve}, {v.self.Address, v.relay.Serve},
+		{v.adapter.MetricsAddress, v.metrics.Serve},
 	} {
+		if l.address == "" {
+			continue
+		}
 		listener, err := net.Listen("tcp4", l.address)
 		if err != nil {
 			return resultcode.Wrap(err, resultcode.SettingsInvalid, "cannot listen on %s", l.address)
 		}
 		v.listeners = append(v.listeners, listener)
 		v.running.Go(func() {
-			if err := l.serve(listener); err != nil && ctx.Err() == nil && !errors.Is(err, net.ErrClosed) {
+			err := l.serve(listener)
+			if err != nil && ctx.Err() == nil && !errors.Is(err, net.ErrClosed) && !errors.Is(err, http.ErrServerClosed) {
 				v.log.Error().Err(err).Str("address", l.address).Msg("listener failed")
 			}
 		})
@@ -200,34 +218,24 @@
 	state := v.follower.State()
 	c := state.Catalog
 	route, ok := c.Routes[database]
+	_, age, _ := v.follower.Proof()
+	refused := proxy.Grant{Version: c.Version, ProofAge: age}
 	if c.Version == 0 || (!v.follower.Fresh() && !(ok && route.Public)) {
-		return proxy.Grant{}, resultcode.New(resultcode.ConfigurationNotFresh, "the configuration is not proved current")
+		return refused, resultcode.New(resultcode.ConfigurationNotFresh, "the configuration is not proved current")
 	}
 	if !ok {
-		return proxy.Grant{}, resultcode.New(resultcode.UnknownDatabase, "no such database")
+		return refused, resultcode.New(resultcode.UnknownDatabase, "no such database")
 	}
 	organisation, known := c.Organisation(key)
 	if !known && !route.Public {
-		return proxy.Grant{}, resultcode.New(resultcode.KeyRejected, "key is not accepted")
+		return refused, resultcode.New(resultcode.KeyRejected, "key is not accepted")
 	}
 	return proxy.Grant{
-		Version: c.Version, Route: route, Organisation: organisation, Group: c.Groups[route.Group],
+		Version: c.Version, ProofAge: age, Route: route, Organisation: organisation, Group: c.Groups[route.Group],
 		IdleTransaction: c.IdleTransaction,
 	}, nil
 }
 
-// observe logs an answered statement.
-func (v *VM) observe(r proxy.Record) {
-	if r.Answer.Err == nil {
-		return
-	}
-	t := r.Answer.Trace
-	v.log.Info().Str("request", r.ID).Str("database", r.Database).Uint64("version", uint64(t.Version)).
-		Str("upstream", string(t.Upstream)).Str("via", string(t.Via)).Int("attempts", t.Attempts).
-		Str("reason", t.Last.Reason.String()).Str("upstream_code", t.Last.Code.String()).Stringer("min_position", t.MinPosition).
-		Dur("took", r.Duration).Err(r.Answer.Err).Msg("statement refused")
-}
-
 // poolInterval is the time between looks at connections of upstreams that have gone.
 const poolInterval = 2 * time.Second
 
@@ -311,6 +319,7 @@
 		v.remote.opened(from.Connection, r.Transaction, r.Target)
 	}
 	result := v.local.Execute(ctx, r)
+	v.executed(from.VM, r, result)
 	if r.Transaction != "" && !result.Open {
 		v.remote.ended(from.Connection, r.Transaction)
 	}
@@ -362,13 +371,29 @@
 	}
 }
 
+// Reload compares new settings with those in use. The bounds of planned stops apply
+// at once; it returns the names of the other settings that differ, which apply at
+// the next start.
+func (v *VM) Reload(s Settings) (restartNeeded []string) {
+	v.grace.Store(int64(s.Bounds.Grace))
+	applied := s
+	applied.Bounds.Grace = v.settings.Bounds.Grace
+	old, changed := reflect.ValueOf(v.settings), reflect.ValueOf(applied)
+	for i := range old.NumField() {
+		if !reflect.DeepEqual(old.Field(i).Interface(), changed.Field(i).Interface()) {
+			restartNeeded = append(restartNeeded, old.Type().Field(i).Name)
+		}
+	}
+	return restartNeeded
+}
+
 // Stop drains the VM within its grace time.
 func (v *VM) Stop() {
 	v.leaving.Store(true)
 	v.log.Info().Msg("stopping")
 	v.peers.Leave()
 	v.local.Retire()
-	grace := v.settings.Bounds.Grace
+	grace := time.Duration(v.grace.Load())
 	time.Sleep(min(rotationTime, grace/3))
 	v.server.Stop()
 	time.Sleep(max(0, grace/2-min(rotationTime, grace/3)))
@@ -377,8 +402,9 @@
 	for v.server.Callers() > 0 && time.Now().Before(deadline) {
 		time.Sleep(stopPoll)
 	}
+	cut := v.server.Callers()
 	v.Close()
-	v.log.Info().Int("callers_cut", v.server.Callers()).Msg("stopped")
+	v.log.Info().Int("callers_cut", cut).Msg("stopped")
 }
 
 const (
@@ -396,6 +422,7 @@
 	v.local.Retire()
 	v.relay.Close()
 	_ = v.ready.Close()
+	_ = v.metrics.Close()
 	for _, l := range v.listeners {
 		_ = l.Close()
 	}
--- /dev/null
+++ b/internal/servicemetrics/metrics.go
@@ -0,0 +1,115 @@
+// Package servicemetrics holds the counters and histograms of internal/service,
+// served as text. docs/metrics.md lists them.
+package servicemetrics
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+// latencyBuckets are upper bounds in seconds: from a round trip within a zone to
+// the longest time limit of a caller.
+var latencyBuckets = []float64{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1, 2.5, 5}
+
+// Metrics are the metrics of one VM.
+type Metrics struct {
+	registry   *prometheus.Registry
+	statements *prometheus.CounterVec
+	latency    *prometheus.HistogramVec
+	attempts   prometheus.Counter
+	reads      *prometheus.CounterVec
+	calls      *prometheus.CounterVec
+	dials      *prometheus.CounterVec
+}
+
+// State gives the gauges their values when they are asked for.
+type State struct {
+	Callers, Peers   func() int
+	Connections      func() int
+	ProofAge         func() (time.Duration, bool)
+	Version          func() uint64
+	RateParts        func() float64
+	LogLinesOverflow func() int64
+}
+
+// New returns metrics without gauges.
+func New() *Metrics {
+	m := &Metrics{
+		registry: prometheus.NewRegistry(),
+		statements: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "rosemarywall_statements_total",
+			Help: "Answered statements by result code; ok is success."}, []string{"code"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "rosemarywall_statement_seconds",
+			Help: "Time from reading a statement to writing its answer, by outcome.", Buckets: latencyBuckets}, []string{"outcome"}),
+		attempts: prometheus.NewCounter(prometheus.CounterOpts{Name: "rosemarywall_statement_attempts_total",
+			Help: "Attempts at upstreams, retries included."}),
+		reads: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "rosemarywall_upstream_statements_total",
+			Help: "Statements answered by an upstream, by its role."}, []string{"role"}),
+		calls: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "rosemarywall_platform_calls_total",
+			Help: "Calls of the platform by operation."}, []string{"operation"}),
+		dials: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "rosemarywall_upstream_connects_total",
+			Help: "Connections opened to upstreams, by result."}, []string{"result"}),
+	}
+	m.registry.MustRegister(m.statements, m.latency, m.attempts, m.reads, m.calls, m.dials)
+	return m
+}
+
+// Gauges registers the gauges, which read the state whenever they are asked for.
+func (m *Metrics) Gauges(s State) {
+	gauge := func(name, help string, value func() float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	gauge("rosemarywall_callers", "Connected callers.", func() float64 { return float64(s.Callers()) })
+	gauge("rosemarywall_peers_alive", "Other VMs that answer probes.", func() float64 { return float64(s.Peers()) })
+	gauge("rosemarywall_upstream_connections", "Open connections to upstreams.", func() float64 { return float64(s.Connections()) })
+	gauge("rosemarywall_configuration_version", "Version of the configuration in force.", func() float64 { return float64(s.Version()) })
+	gauge("rosemarywall_configuration_proof_age_seconds", "Age of the newest proof that the configuration is current; -1 without one.", func() float64 {
+		age, ok := s.ProofAge()
+		if !ok {
+			return -1
+		}
+		return age.Seconds()
+	})
+	gauge("rosemarywall_rate_share", "Share of every organisation's rate that this VM holds, 0 to 1.", s.RateParts)
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "rosemarywall_log_lines_dropped_total",
+		Help: "Log lines that found the queue full."}, func() float64 { return float64(s.LogLinesOverflow()) }))
+}
+
+// Handler serves the metrics as text.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Statement counts an answered statement. code is "ok" or a result code.
+func (m *Metrics) Statement(code string, attempts int, took time.Duration) {
+	m.statements.WithLabelValues(code).Inc()
+	outcome := "refused"
+	if code == "ok" {
+		outcome = "ok"
+	}
+	m.latency.WithLabelValues(outcome).Observe(took.Seconds())
+	m.attempts.Add(float64(attempts))
+}
+
+// Answered counts a statement that an upstream answered.
+func (m *Metrics) Answered(primary bool) {
+	role := "replica"
+	if primary {
+		role = "primary"
+	}
+	m.reads.WithLabelValues(role).Inc()
+}
+
+// PlatformCall counts a call of the platform.
+func (m *Metrics) PlatformCall(operation string) { m.calls.WithLabelValues(operation).Inc() }
+
+// Dialled counts the opening of a connection to an upstream.
+func (m *Metrics) Dialled(err error) {
+	result := "opened"
+	if err != nil {
+		result = "failed"
+	}
+	m.dials.WithLabelValues(result).Inc()
+}
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -30,6 +30,11 @@
 	Deallocate
 )
 
+var kindNames = [...]string{"", "begin", "commit", "rollback", "read", "write", "set", "prepare", "execute", "deallocate"}
+
+// String returns the name used in logs.
+func (k Kind) String() string { return kindNames[k] }
+
 // Statement is one statement of a caller.
 type Statement struct {
 	// ID is the caller's identifier of the request. Upstreams receive it unchanged.
