Wait for complete registrations before replacing a primary

They saw two replicas, took the primary for gone and promoted a replica that lacked two acknowledged commits (LOST at 32.801 and 33.3 s). Ruled out: the choice among the replicas seen, both held position 336.

Change: no takeover before the platform's two seconds have passed since the first list of a VM and since the last failed call.

--- a/internal/controller/following/follower.go
+++ b/internal/controller/following/follower.go
@@ -99,6 +99,7 @@
 	leaving   map[ident.UpstreamName]time.Duration
 	evacuated map[ident.AvailabilityZone]time.Duration
 	loaded    map[objectapi.Kind]bool
+	listedAt  time.Duration // first list of the upstreams
 	lostSince time.Duration // last failed call of the store
 	available bool
 }
@@ -153,6 +154,15 @@
 	return ok && age < f.times.Revoke*freshShare/100
 }
 
+// Settled reports whether the registrations can be trusted to be complete: while the
+// store was away those of living upstreams may have expired, and a VM that has just
+// started does not know whether it was.
+func (f *Follower) Settled() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.loaded[f.source.UpstreamsKind] && f.now() >= max(f.listedAt, f.lostSince)+f.times.Return
+}
+
 // Ready reports whether the VM can serve, and why not.
 func (f *Follower) Ready() (bool, string) {
 	f.mu.Lock()
--- a/internal/controller/following/lists.go
+++ b/internal/controller/following/lists.go
@@ -35,6 +35,9 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if kind == f.source.UpstreamsKind && !f.loaded[kind] {
+		f.listedAt = f.now()
+	}
 	f.loaded[kind] = true
 	replace(all.Objects)
 	f.publish()
--- a/internal/controller/takeover/controller.go
+++ b/internal/controller/takeover/controller.go
@@ -64,7 +64,10 @@
 	Promoter Promoter
 	Dial     execution.Dial
 	State    func() *following.State
-	Live     func() []placement.VM
+	// Settled reports whether the registrations can be trusted to be complete. Before
+	// that a missing primary may live, and a missing replica may hold a commit.
+	Settled func() bool
+	Live    func() []placement.VM
 	// Confirm asks another VM whether it, too, fails to reach a primary. Without a VM
 	// to ask it returns true.
 	Confirm func(ctx context.Context, target execution.Target) bool
@@ -146,6 +149,9 @@
 
 // look starts the changes that are due.
 func (c *Controller) look(ctx context.Context) {
+	if !c.cfg.Settled() {
+		return
+	}
 	state, now := c.cfg.State(), c.cfg.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -177,11 +183,10 @@
 
 // Reasons for a change.
 const (
-	reasonLeaving  = "primary leaves"
-	reasonMissing  = "no primary is registered"
-	reasonSilent   = "primary does not answer"
-	reasonStuck    = "primary completes no write"
-	missingPatient = 1500 * time.Millisecond
+	reasonLeaving = "primary leaves"
+	reasonMissing = "no primary is registered"
+	reasonSilent  = "primary does not answer"
+	reasonStuck   = "primary completes no write"
 )
 
 // reason returns why the primary is to be replaced, and the primary if there is one.
--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -1,6 +1,7 @@
 package logging
 
 import (
+	"bufio"
 	"bytes"
 	"io"
 	"sync"
@@ -17,6 +18,8 @@
 	// warn and above are urgent. 100 lines take about 1 ms of processor time.
 	ordinaryPerSecond = 40
 	urgentPerSecond   = 60
+	// bufferBytes joins the lines of a burst into few writes.
+	bufferBytes = 8 << 10
 	// summaryEvery is the time between lines that count what was suppressed.
 	summaryEvery = time.Second
 )
@@ -26,6 +29,7 @@
 // zerolog.LevelWriter.
 type Bounded struct {
 	out              pairsWriter
+	buffer           *bufio.Writer // flushed when no line waits
 	ordinary, urgent chan []byte
 	overflow         atomic.Int64
 	suppressed       map[string]int // by event; owned by run
@@ -37,8 +41,9 @@
 // NewBounded returns a logger over a Bounded output that writes to out. Close
 // writes what waits.
 func NewBounded(out io.Writer, level string) (zerolog.Logger, *Bounded, error) {
+	buffer := bufio.NewWriterSize(out, bufferBytes)
 	b := &Bounded{
-		out: pairsWriter{out}, ordinary: make(chan []byte, queueLines), urgent: make(chan []byte, queueLines),
+		out: pairsWriter{buffer}, buffer: buffer, ordinary: make(chan []byte, queueLines), urgent: make(chan []byte, queueLines),
 		suppressed: map[string]int{}, stop: make(chan struct{}),
 	}
 	log, err := newLogger(b, level)
@@ -86,6 +91,9 @@
 			continue
 		default:
 		}
+		if len(b.ordinary) == 0 {
+			_ = b.buffer.Flush() // see write
+		}
 		select {
 		case line := <-b.urgent:
 			b.write(line, &urgent)
@@ -111,6 +119,7 @@
 			b.write(line, &budget)
 		default:
 			b.summarise()
+			_ = b.buffer.Flush()
 			return
 		}
 	}
--- a/internal/service/observe.go
+++ b/internal/service/observe.go
@@ -29,7 +29,7 @@
 	if t.Attempts > 0 && a.Err == nil {
 		v.adapter.Metrics.Answered(t.Primary)
 	}
-	line, message := v.log.Info(), "statement answered"
+	line, message := v.successLog.Info(), "statement answered"
 	switch {
 	case r.Opening:
 		line, message = v.log.Warn().Err(a.Err), "caller refused"
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -59,6 +59,10 @@
 	LogOverflow func() int64
 }
 
+// successesPerSecond bounds the log lines of successful statements; the metrics
+// count all of them.
+const successesPerSecond = 5
+
 // returnTime is the time after an outage of the store within which upstreams that
 // live have registered again; the platform states about two seconds.
 const returnTime = 2500 * time.Millisecond
@@ -68,8 +72,11 @@
 	settings Settings
 	adapter  Adapter
 	log      zerolog.Logger
-	clock    *clock.Clock
-	self     relay.Identity
+	// successLog samples, because the lines of all successes cost more than a
+	// twentieth of the processor time.
+	successLog zerolog.Logger
+	clock      *clock.Clock
+	self       relay.Identity
 
 	follower *following.Follower
 	peers    *peers.Peers
@@ -93,7 +100,10 @@
 
 // Start starts a VM. It is ready once the configuration and the upstreams are known.
 func Start(settings Settings, adapter Adapter, log zerolog.Logger) (*VM, error) {
-	v := &VM{settings: settings, adapter: adapter, log: log, clock: clock.NewBoot(), remote: newRemoteTransactions()}
+	v := &VM{
+		settings: settings, adapter: adapter, log: log, clock: clock.NewBoot(), remote: newRemoteTransactions(),
+		successLog: log.Sample(&zerolog.BurstSampler{Burst: successesPerSecond, Period: time.Second}),
+	}
 	v.self = relay.Identity{
 		Version: relay.ProtocolVersion, VM: settings.VM, Incarnation: ident.Incarnation(time.Now().UnixNano()),
 		Zone: settings.Zone, Region: settings.Region, Address: net.JoinHostPort(settings.IP, strconv.Itoa(int(settings.FirstPort))),
@@ -145,7 +155,7 @@
 	})
 	v.takeover = takeover.New(takeover.Config{
 		Self: s.VM, Zone: s.Zone, Store: v.adapter.Store, Promoter: v.adapter.Promoter, Dial: v.adapter.Dial,
-		State: v.follower.State, Live: v.peers.Live, Confirm: v.confirmSilent, Now: now, Log: v.log, Unique: v.unique,
+		State: v.follower.State, Settled: v.follower.Settled, Live: v.peers.Live, Confirm: v.confirmSilent, Now: now, Log: v.log, Unique: v.unique,
 	})
 	v.limits = limits.New(limits.Config{
 		Self: v.self, Peers: v.peers, Store: v.adapter.Store, State: v.follower.State, Live: v.peers.Live,
