--- a/cmd/rosemarywall-platform/main.go
+++ b/cmd/rosemarywall-platform/main.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"net"
 	"os"
@@ -11,17 +10,12 @@
 	"runtime/debug"
 	"strconv"
 	"syscall"
-	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarywall/rosemarywall/internal/commandline"
-	"github.com/rosemarywall/rosemarywall/internal/controller/following"
-	"github.com/rosemarywall/rosemarywall/internal/execution"
-	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/logging"
 	"github.com/rosemarywall/rosemarywall/internal/service"
-	"github.com/rosemarywall/rosemarywall/internal/servicemetrics"
 	"github.com/rosemarywall/rosemarywall/platform"
 )
 
@@ -33,9 +27,6 @@
 	// memoryShare (of 100) of the process's memory limit is the collector's target;
 	// the rest holds stacks and buffers of the system.
 	memoryShare = 60
-	// unacknowledged is the time after which bytes that an upstream does not
-	// acknowledge end the connection.
-	unacknowledged = 1500 * time.Millisecond
 )
 
 type options struct {
@@ -82,7 +73,7 @@
 	log = log.With().Str("vm", string(settings.VM)).Logger()
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
-	adapter := newAdapter(settings)
+	adapter := platform.NewAdapter(settings)
 	adapter.LogOverflow = sink.Overflow
 	if o.Metrics > 0 {
 		adapter.MetricsAddress = net.JoinHostPort(settings.IP, strconv.Itoa(int(o.Metrics)))
@@ -111,24 +102,3 @@
 	}
 	log.Info().Strs("restart_needed_for", vm.Reload(settings)).Msg("settings reloaded")
 }
-
-func newAdapter(settings service.Settings) service.Adapter {
-	metrics := servicemetrics.New()
-	store := platform.NewStore(settings.Store, metrics.PlatformCall)
-	dialer := platform.Dialer{Unacknowledged: unacknowledged}
-	return service.Adapter{
-		Store: store, Metrics: metrics,
-		Source: following.Source{
-			Store: store, ConfigKind: platform.ConfigKind, ConfigName: platform.ConfigName,
-			UpstreamsKind: platform.UpstreamsKind, EvacuationsKind: platform.EvacuationsKind,
-			DecodeCatalog: platform.DecodeCatalog, DecodeUpstream: platform.DecodeUpstream,
-		},
-		Promoter: platform.NewDuties(settings.Duties, metrics.PlatformCall),
-		Dial: func(ctx context.Context, t execution.Target, organisation ident.OrganisationName) (execution.Conn, error) {
-			conn, err := dialer.Dial(ctx, t, organisation)
-			metrics.Dialled(err)
-			return conn, err
-		},
-		NewCodec: platform.NewCodec, NewReady: platform.NewReadyServer,
-	}
-}
--- a/internal/controller/limits/table.go
+++ b/internal/controller/limits/table.go
@@ -30,6 +30,23 @@
 	Put(ctx context.Context, kind objectapi.Kind, name string, value any, ifVersion objectapi.Version) (objectapi.Object, error)
 }
 
+// Hint says that another VM has read a version of the table.
+func (c *Controller) Hint(version uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if _, known := c.holder.Table(); version > known {
+		c.holder.Doubt()
+	}
+}
+
+// Version returns the version of the table that was read last.
+func (c *Controller) Version() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, version := c.holder.Table()
+	return version
+}
+
 // keepTable reads and writes the table of parts until ctx ends.
 func (c *Controller) keepTable(ctx context.Context) {
 	ticker := time.NewTicker(tableTick)
--- a/internal/controller/peers/peers.go
+++ b/internal/controller/peers/peers.go
@@ -44,6 +44,8 @@
 	// Leaving says that the VM stops and takes no more statements.
 	Leaving     bool              `cbor:"4,keyasint,omitempty"`
 	Incarnation ident.Incarnation `cbor:"5,keyasint,omitempty"`
+	// PartsVersion is the version of the table of rate parts that the VM has read.
+	PartsVersion uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Store holds the registrations.
@@ -132,6 +134,11 @@
 		case <-time.After(wait):
 		}
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, q := range p.peers {
+		q.client.Reset()
+	}
 }
 
 // registration is the value of a KindVM object.
--- a/internal/core/parts/parts.go
+++ b/internal/core/parts/parts.go
@@ -16,7 +16,9 @@
 //     stored wherever that is the careful choice, until the table has been read again.
 //
 // A VM that restarts at the same address takes over its row at once. Its buckets
-// start empty, so what its former life spent is not spent again.
+// start empty, so what its former life spent is not spent again. A write of the
+// former life that is stored later replaces the very table that the VM has read, for
+// which it holds back the same parts.
 package parts
 
 import (
@@ -37,10 +39,9 @@
 	Lease = 15 * time.Second
 	// Guard is added to Lease for differences between clocks and for late writes.
 	Guard = 3 * time.Second
-	// ReadEvery is the time between readings of a table that does not change.
+	// ReadEvery is the time between readings of a table of which no newer version is
+	// known.
 	ReadEvery = Lease / 3
-	// settleEvery is the time between readings while parts change hands.
-	settleEvery = time.Second
 	// goneAfter is the time after which the row of a VM that does not answer is revoked.
 	goneAfter = 10 * time.Second
 	// tolerance is the difference from the equal part that is not worth a write.
@@ -129,11 +130,15 @@
 	if version < h.version || !t.valid() {
 		return false
 	}
-	if version != h.version {
-		h.held = 0
-	}
+	changed := version != h.version
 	h.table, h.version, h.loaded, h.readAt = t, version, true, max(h.readAt, sentAt)
 	h.doubt = false
+	if changed {
+		h.held = 0
+		// A former life may have given the surplus away in a write that is stored later,
+		// so it is not used from the first reading on.
+		h.hold(now, h.surplus())
+	}
 	marked := map[Key]time.Duration{}
 	for _, r := range t.Rows {
 		if r.Revoked {
@@ -165,20 +170,7 @@
 	if !h.loaded || h.doubt {
 		return true
 	}
-	interval := ReadEvery
-	if h.unsettled() {
-		interval = settleEvery
-	}
-	return now >= h.readAt+interval
-}
-
-func (h *Holder) unsettled() bool {
-	i, ok := h.table.find(h.self)
-	if !ok || h.held > 0 {
-		return true
-	}
-	fair := h.fair()
-	return h.table.Rows[i].Parts+tolerance < fair
+	return now >= h.readAt+ReadEvery
 }
 
 // fair is the equal part of each row that is not revoked.
@@ -229,18 +221,32 @@
 	case own.Parts+tolerance < fair && free > 0:
 		own.Parts += uint32(min(free, int64(fair-own.Parts)))
 		return h.table.with(own), true
-	case own.Parts > fair+tolerance:
-		return h.give(now, own, own.Parts-fair)
+	case h.surplus() > 0:
+		return h.give(now, own, h.surplus())
 	}
 	h.held = 0
 	return Table{}, false
 }
 
-// give stops the use of some parts, and writes the table once all loans have ended.
-func (h *Holder) give(now time.Duration, own Row, surplus uint32) (Table, bool) {
+// surplus returns the parts that this VM has to give away.
+func (h *Holder) surplus() uint32 {
+	i, ok := h.table.find(h.self)
+	if fair := h.fair(); ok && h.table.Rows[i].Parts > fair+tolerance {
+		return h.table.Rows[i].Parts - fair
+	}
+	return 0
+}
+
+// hold stops the use of some parts.
+func (h *Holder) hold(now time.Duration, surplus uint32) {
 	if h.held < surplus {
 		h.held, h.heldSince = surplus, now
 	}
+}
+
+// give writes the table once all loans of the held parts have ended.
+func (h *Holder) give(now time.Duration, own Row, surplus uint32) (Table, bool) {
+	h.hold(now, surplus)
 	if now < h.heldSince+shares.LoanHold {
 		return Table{}, false
 	}
--- a/internal/service/observe.go
+++ b/internal/service/observe.go
@@ -8,6 +8,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarywall/rosemarywall/internal/core/parts"
+	"github.com/rosemarywall/rosemarywall/internal/core/shares"
 	"github.com/rosemarywall/rosemarywall/internal/execution"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/proxy"
@@ -89,17 +90,19 @@
 
 // Dump is the state of a VM for operators. It holds no key.
 type Dump struct {
-	VM           string         `json:"vm"`
-	Ready        bool           `json:"ready"`
-	Reason       string         `json:"reason,omitempty"`
-	Version      uint64         `json:"version"`
-	ProofAge     time.Duration  `json:"proof_age_ns"`
-	LiveVMs      []string       `json:"live_vms"`
-	Upstreams    map[string]any `json:"upstreams"`
-	Parts        parts.Table    `json:"rate_parts"`
-	RatesOfVM    any            `json:"rates"`
-	Callers      int            `json:"callers"`
-	Transactions int            `json:"open_transactions"`
+	VM        string         `json:"vm"`
+	Ready     bool           `json:"ready"`
+	Reason    string         `json:"reason,omitempty"`
+	Version   uint64         `json:"version"`
+	ProofAge  time.Duration  `json:"proof_age_ns"`
+	LiveVMs   []string       `json:"live_vms"`
+	Upstreams map[string]any `json:"upstreams"`
+	Parts     parts.Table    `json:"rate_parts"`
+	RateShare float64        `json:"rate_share"`
+	// Rates are the buckets of the organisations.
+	Rates        map[ident.OrganisationName]shares.Level `json:"rates"`
+	Callers      int                                     `json:"callers"`
+	Transactions int                                     `json:"open_transactions"`
 }
 
 // State returns the state dump.
@@ -116,7 +119,9 @@
 	for group, members := range v.follower.State().Upstreams {
 		d.Upstreams[string(group)] = members
 	}
-	d.Parts, d.RatesOfVM = v.limits.Table(), v.limits.Levels()
+	d.Parts, d.Rates = v.limits.Table(), v.limits.Levels()
+	own, _ := v.limits.Parts()
+	d.RateShare = float64(own) / parts.Total
 	return d
 }
 
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -137,6 +137,7 @@
 	v.peers = peers.New(peers.Config{
 		Self: v.self, Store: v.adapter.Store, ProbeInterval: s.Bounds.Apply / probeShare, Now: now, Log: v.log, Dial: dialPeer,
 		OnPulse: func(askedAt time.Duration, _ ident.VMName, p peers.Pulse) {
+			v.limits.Hint(p.PartsVersion)
 			if p.Proved {
 				v.follower.Relayed(askedAt, p.Version, p.ProofAge)
 			}
@@ -317,7 +318,8 @@
 
 func (v *VM) pulse() peers.Pulse {
 	version, age, proved := v.follower.Proof()
-	return peers.Pulse{Version: version, ProofAge: age, Proved: proved, Leaving: v.leaving.Load(), Incarnation: v.self.Incarnation}
+	return peers.Pulse{Version: version, ProofAge: age, Proved: proved, Leaving: v.leaving.Load(),
+		Incarnation: v.self.Incarnation, PartsVersion: v.limits.Version()}
 }
 
 // executeFor executes a statement for another VM.
