--- /dev/null
+++ b/internal/controller/following/follower_test.go
@@ -0,0 +1,229 @@
+package following
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+// fakeStore is a store in memory.
+type fakeStore struct {
+	mu       sync.Mutex
+	version  uint64
+	upstream map[string]catalog.Upstream
+	zones    []string
+	revision objectapi.Version
+	fail     error
+	delay    time.Duration
+	gets     int
+}
+
+func newStore() *fakeStore {
+	return &fakeStore{version: 1, revision: 1, upstream: map[string]catalog.Upstream{}}
+}
+
+func (s *fakeStore) change(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	f()
+}
+
+func (s *fakeStore) Get(ctx context.Context, kind objectapi.Kind, name string) (objectapi.Object, error) {
+	s.mu.Lock()
+	s.gets++
+	delay, fail := s.delay, s.fail
+	value, _ := json.Marshal(s.version)
+	o := objectapi.Object{Kind: kind, Name: name, Version: s.revision, Value: value}
+	s.mu.Unlock()
+	time.Sleep(delay)
+	return o, fail
+}
+
+func (s *fakeStore) List(_ context.Context, kind objectapi.Kind) (objectapi.Changes, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all := objectapi.Changes{Version: s.revision}
+	if kind == "zones" {
+		for _, zone := range s.zones {
+			all.Objects = append(all.Objects, objectapi.Object{Name: zone, Version: s.revision})
+		}
+		return all, s.fail
+	}
+	for name, u := range s.upstream {
+		value, _ := json.Marshal(u)
+		all.Objects = append(all.Objects, objectapi.Object{Name: name, Version: objectapi.Version(u.Revision), Value: value})
+	}
+	return all, s.fail
+}
+
+// Watch hears nothing, as a watch that the store has lost.
+func (s *fakeStore) Watch(ctx context.Context, _ []objectapi.Kind, after objectapi.Version, timeout time.Duration) (objectapi.Changes, error) {
+	select {
+	case <-time.After(timeout):
+		return objectapi.Changes{Version: after}, nil
+	case <-ctx.Done():
+		return objectapi.Changes{}, ctx.Err()
+	}
+}
+
+type testFollower struct {
+	*Follower
+	store *fakeStore
+	rank  int
+	start time.Time
+}
+
+func (f *testFollower) elapsed() time.Duration { return time.Since(f.start) }
+
+func newFollower(store *fakeStore) *testFollower {
+	f := &testFollower{store: store, start: time.Now()}
+	f.Follower = New(Options{
+		Source: Source{
+			Store: store, ConfigKind: "config", ConfigName: "main", UpstreamsKind: "upstreams", EvacuationsKind: "zones",
+			DecodeCatalog: func(o objectapi.Object) (*catalog.Catalog, error) {
+				c := &catalog.Catalog{}
+				return c, o.Decode(&c.Version)
+			},
+			DecodeUpstream: func(o objectapi.Object) (u catalog.Upstream, err error) {
+				err = o.Decode(&u)
+				return u, err
+			},
+		},
+		Times: Times{Apply: 3 * time.Second, Revoke: 5 * time.Second, Return: 2500 * time.Millisecond},
+		Now:   f.elapsed, Log: zerolog.Nop(), Rank: func() int { return f.rank }, Changed: nil,
+	})
+	return f
+}
+
+// run runs the follower for a test in virtual time.
+func run(t *testing.T, test func(f *testFollower, store *fakeStore)) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newStore()
+		f := newFollower(store)
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() { f.Run(ctx) })
+		time.Sleep(100 * time.Millisecond)
+		test(f, store)
+		cancel()
+		wg.Wait()
+	})
+}
+
+// Guards against a configuration that is honoured for longer than the time to revoke
+// a key, and against a proof that is dated by its arrival.
+func TestProofIsDatedByTheQuestion(t *testing.T) {
+	run(t, func(f *testFollower, store *fakeStore) {
+		assert.Assert(t, f.Fresh())
+		store.change(func() { store.delay = 700 * time.Millisecond })
+		time.Sleep(3 * time.Second)
+		_, age, ok := f.Proof()
+		assert.Assert(t, ok)
+		assert.Assert(t, age >= 700*time.Millisecond-tick, "%v", age)
+		store.change(func() { store.fail = resultcode.New(resultcode.PlatformDown, "down") })
+		time.Sleep(5 * time.Second)
+		assert.Assert(t, !f.Fresh())
+		f.Relayed(f.elapsed()-time.Second, 1, 3*time.Second)
+		assert.Assert(t, f.Fresh(), "4 s old by the time of the question")
+		time.Sleep(600 * time.Millisecond)
+		assert.Assert(t, !f.Fresh())
+		f.Relayed(f.elapsed(), 2, 0)
+		assert.Assert(t, !f.Fresh(), "a proof of another version proves nothing")
+	})
+}
+
+// Guards against a change that takes longer to arrive than the bound, and against
+// VMs that all read the configuration although one of them would do.
+func TestChangeArrivesWithinTheBound(t *testing.T) {
+	for rank, bound := range []time.Duration{1100 * time.Millisecond, 1700 * time.Millisecond, 2 * time.Second, 2200 * time.Millisecond} {
+		run(t, func(f *testFollower, store *fakeStore) {
+			f.rank = rank
+			store.change(func() { store.version = 9 })
+			time.Sleep(bound)
+			assert.Equal(t, f.State().Catalog.Version, ident.ConfigurationVersion(9), "rank %d", rank)
+		})
+	}
+	run(t, func(f *testFollower, store *fakeStore) {
+		f.rank = 3
+		for range 20 {
+			time.Sleep(500 * time.Millisecond)
+			f.Relayed(f.elapsed(), 1, 900*time.Millisecond)
+		}
+		assert.Equal(t, store.gets, 1)
+		store.change(func() { store.version = 2 })
+		f.Relayed(f.elapsed(), 2, 0)
+		time.Sleep(10 * time.Millisecond)
+		assert.Equal(t, f.State().Catalog.Version, ident.ConfigurationVersion(2), "a peer's newer version is read at once")
+	})
+}
+
+// Guards against an older configuration that comes back.
+func TestVersionNeverGoesBack(t *testing.T) {
+	run(t, func(f *testFollower, store *fakeStore) {
+		store.change(func() { store.version = 5 })
+		time.Sleep(2 * time.Second)
+		store.change(func() { store.version = 4 })
+		time.Sleep(2 * time.Second)
+		assert.Equal(t, f.State().Catalog.Version, ident.ConfigurationVersion(5))
+	})
+}
+
+// Guards against upstreams that count as gone although only their registrations
+// expired while the store was away, and against ones that never count as gone.
+func TestRegistrationsThatExpireInAnOutage(t *testing.T) {
+	run(t, func(f *testFollower, store *fakeStore) {
+		u := catalog.Upstream{Name: "u1", Group: "g1", Revision: 7}
+		store.change(func() { store.upstream["u1"] = u })
+		time.Sleep(relistEvery + time.Second)
+		assert.Equal(t, len(f.State().Upstreams["g1"]), 1)
+		store.change(func() { store.fail = resultcode.New(resultcode.PlatformUnavailable, "down") })
+		time.Sleep(relistEvery)
+		assert.Assert(t, !f.Settled())
+		store.change(func() { store.fail = nil; delete(store.upstream, "u1") })
+		time.Sleep(1500 * time.Millisecond)
+		assert.Assert(t, !f.Settled())
+		if at, leaving := f.State().Leaving["u1"]; leaving {
+			assert.Assert(t, at > f.elapsed(), "it still counts as present")
+		}
+		time.Sleep(2500 * time.Millisecond)
+		assert.Assert(t, f.Settled())
+		at, leaving := f.State().Leaving["u1"]
+		assert.Assert(t, leaving && at <= f.elapsed())
+		store.change(func() { store.upstream["u1"] = u })
+		time.Sleep(relistEvery + time.Second)
+		_, leaving = f.State().Leaving["u1"]
+		assert.Assert(t, !leaving, "it has registered again, unchanged")
+	})
+}
+
+// Guards against a draining upstream, or a zone to be left, that goes on getting
+// work, and against a zone that never returns.
+func TestDrainingAndEvacuation(t *testing.T) {
+	run(t, func(f *testFollower, store *fakeStore) {
+		store.change(func() {
+			store.upstream["u1"] = catalog.Upstream{Name: "u1", Group: "g1", Revision: 7, State: catalog.Draining}
+			store.zones = []string{"a"}
+		})
+		time.Sleep(relistEvery + time.Second)
+		_, leaving := f.State().Leaving["u1"]
+		assert.Assert(t, leaving)
+		_, evacuated := f.State().Evacuated["a"]
+		assert.Assert(t, evacuated)
+		store.change(func() { store.zones = nil })
+		time.Sleep(relistEvery + time.Second)
+		_, evacuated = f.State().Evacuated["a"]
+		assert.Assert(t, !evacuated)
+	})
+}
--- a/internal/core/parts/parts_test.go
+++ b/internal/core/parts/parts_test.go
@@ -41,7 +41,9 @@
 	late    []lateWrite
 }
 
-func key(i int) Key { return Key{VM: ident.VMName(fmt.Sprintf("vm-%d", i)), Address: fmt.Sprintf("10.0.0.%d", i)} }
+func key(i int) Key {
+	return Key{VM: ident.VMName(fmt.Sprintf("vm-%d", i)), Address: fmt.Sprintf("10.0.0.%d", i)}
+}
 
 func newWorld(n int) *world {
 	w := &world{now: time.Second, dead: make([]bool, n), cut: make([]bool, n)}
--- /dev/null
+++ b/internal/execution/local_test.go
@@ -0,0 +1,317 @@
+package execution
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	_ "github.com/rosemarywall/rosemarywall/internal/fixedseed"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/statement"
+)
+
+// fakeUpstream counts connections and checks the state of each one.
+type fakeUpstream struct {
+	mu      sync.Mutex
+	open    int
+	most    int
+	dialled int
+	limit   int
+	broken  []string
+	slow    time.Duration
+	fail    error // of the next Exchange
+	replyTo func(c statement.Command) statement.Reply
+}
+
+type fakeConn struct {
+	upstream     *fakeUpstream
+	organisation ident.OrganisationName
+	values       map[string]string
+	prepared     map[string]string
+	state        statement.TransactionState
+	owner        string // of the open transaction
+	closed       bool
+}
+
+func (u *fakeUpstream) dial(_ context.Context, _ Target, organisation ident.OrganisationName) (Conn, error) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.limit > 0 && u.open >= u.limit {
+		return nil, &RefusedError{Code: statement.TooManyConnections}
+	}
+	u.open++
+	u.dialled++
+	u.most = max(u.most, u.open)
+	return &fakeConn{upstream: u, organisation: organisation, values: map[string]string{}, prepared: map[string]string{}}, nil
+}
+
+func (c *fakeConn) Exchange(_ context.Context, commands ...statement.Command) ([]statement.Reply, error) {
+	u := c.upstream
+	time.Sleep(u.slow)
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if err := u.fail; err != nil {
+		u.fail = nil
+		return nil, err
+	}
+	var replies []statement.Reply
+	for _, command := range commands {
+		reply := statement.Reply{}
+		if command.Kind == statement.RunCommand && u.replyTo != nil {
+			reply = u.replyTo(command)
+		}
+		if reply.Code == statement.OK {
+			c.apply(command)
+		}
+		reply.State = c.state
+		replies = append(replies, reply)
+	}
+	return replies, nil
+}
+
+// apply runs a command. Texts of callers are "session transaction values prepared".
+func (c *fakeConn) apply(command statement.Command) {
+	switch command.Kind {
+	case statement.BeginCommand, statement.BeginReadCommand:
+		c.state = statement.InTransaction
+	case statement.RollbackCommand:
+		c.state, c.owner = statement.Idle, ""
+	case statement.DiscardCommand:
+		clear(c.values)
+		clear(c.prepared)
+	case statement.SetCommand:
+		c.values[command.Name] = command.Value
+	case statement.PrepareCommand:
+		fields := strings.Fields(command.Text)
+		if c.prepared[fields[1]] != "" {
+			c.complain("prepared twice: %s", command.Text)
+		}
+		c.prepared[fields[1]] = command.Text
+	case statement.DeallocateCommand:
+		delete(c.prepared, command.Name)
+	case statement.RunCommand:
+		c.check(command.Text)
+	}
+}
+
+func (c *fakeConn) check(text string) {
+	fields := strings.Split(text, "|")
+	if len(fields) < 5 {
+		return
+	}
+	organisation, transaction, values, prepared, ends := fields[0], fields[1], fields[2], fields[3], fields[4]
+	if string(c.organisation) != organisation {
+		c.complain("connection of %s runs %s", c.organisation, text)
+	}
+	if fmt.Sprint(c.values) != values {
+		c.complain("values are %v for %s", c.values, text)
+	}
+	if name, _, _ := strings.Cut(prepared, "="); name != "" && c.prepared[name] != strings.TrimPrefix(prepared, name+"=") {
+		c.complain("%s is %q for %s", name, c.prepared[name], text)
+	}
+	if c.owner == "" && c.state == statement.InTransaction {
+		c.owner = transaction
+	}
+	if c.owner != transaction {
+		c.complain("transaction %q runs %s", c.owner, text)
+	}
+	if ends == "end" {
+		c.state, c.owner = statement.Idle, ""
+	}
+}
+
+func (c *fakeConn) complain(format string, args ...any) {
+	c.upstream.broken = append(c.upstream.broken, fmt.Sprintf(format, args...))
+}
+
+func (c *fakeConn) Status(context.Context, statement.Command) (statement.Status, statement.Reply, error) {
+	return statement.Status{}, statement.Reply{}, errors.New("not asked here")
+}
+
+func (c *fakeConn) Alive() bool { return !c.closed }
+
+func (c *fakeConn) Close() {
+	c.upstream.mu.Lock()
+	defer c.upstream.mu.Unlock()
+	if !c.closed {
+		c.closed = true
+		c.upstream.open--
+	}
+}
+
+var target = Target{Group: "g1", Upstream: "u1", Address: "10.0.0.1:1"}
+
+func request(organisation string, mode Mode) Request {
+	return Request{Target: target, Connections: 3, Organisation: ident.OrganisationName(organisation), Mode: mode, ID: "id", Text: "READ a",
+		Wait: time.Second, Timeout: time.Second}
+}
+
+func newLocal(u *fakeUpstream) *Local {
+	start := time.Now()
+	return NewLocal(u.dial, func() time.Duration { return time.Since(start) })
+}
+
+// Guards against statements on a connection with another caller's organisation,
+// values, prepared statement or transaction, in any interleaving of sessions.
+func TestConnectionsServeOneSessionAtATime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		u := &fakeUpstream{}
+		l := newLocal(u)
+		open := map[string]Request{}
+		for i := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			session := rapid.IntRange(0, 5).Draw(t, "session")
+			organisation := fmt.Sprintf("o%d", session%3)
+			values := map[string]string{}
+			if v := rapid.IntRange(0, 2).Draw(t, "value"); v > 0 {
+				values["colour"] = fmt.Sprint(v)
+			}
+			r := request(organisation, Single)
+			name := fmt.Sprintf("t%d", session)
+			held, inside := open[name]
+			if inside {
+				// Values may only grow inside a transaction; the session keeps the rest.
+				r, values = held, held.Values
+				r.Mode = Continue
+			} else if rapid.Bool().Draw(t, "begin") && len(open) < 2 {
+				r.Mode, r.Transaction = Open, fmt.Sprintf("t%d-%d", session, i)
+			}
+			r.Values = values
+			prepared := ""
+			if p := rapid.IntRange(0, 2).Draw(t, "prepared"); p > 0 {
+				r.Prepared = &Prepared{Name: "s", Text: fmt.Sprintf("PARSE s READ q%d", p)}
+				prepared = "s=" + r.Prepared.Text
+			}
+			ends := ""
+			if r.Mode == Continue && rapid.Bool().Draw(t, "end") {
+				ends = "end"
+			}
+			r.Text = strings.Join([]string{organisation, r.Transaction, fmt.Sprint(values), prepared, ends}, "|")
+			result := l.Execute(context.Background(), r)
+			if result.Outcome != Done {
+				t.Fatalf("%+v: %+v", r, result)
+			}
+			switch {
+			case r.Mode == Open:
+				open[name] = r
+			case ends != "":
+				delete(open, name)
+			case r.Mode == Continue && rapid.IntRange(0, 3).Draw(t, "abandon") == 0:
+				l.Abandon(target, r.Transaction)
+				delete(open, name)
+			}
+			if u.open > 3 {
+				t.Fatalf("%d connections with a limit of 3", u.open)
+			}
+		}
+		if len(u.broken) > 0 {
+			t.Fatal(strings.Join(u.broken, "\n"))
+		}
+	})
+}
+
+// Guards against connections of one organisation that block the others.
+func TestIdleConnectionMakesRoom(t *testing.T) {
+	u := &fakeUpstream{}
+	l := newLocal(u)
+	for i := range 8 {
+		assert.Equal(t, l.Execute(context.Background(), request(fmt.Sprintf("o%d", i), Single)).Outcome, Done)
+	}
+	assert.Equal(t, u.most, 3)
+}
+
+// Guards against an open connection for each statement.
+func TestConnectionIsUsedAgain(t *testing.T) {
+	u := &fakeUpstream{}
+	l := newLocal(u)
+	for range 10 {
+		assert.Equal(t, l.Execute(context.Background(), request("o1", Single)).Outcome, Done)
+	}
+	assert.Equal(t, u.dialled, 1)
+}
+
+// Guards against a connection that is used again after a statement without an
+// answer: its next answer would belong to that statement.
+func TestUnansweredStatementEndsTheConnection(t *testing.T) {
+	u := &fakeUpstream{}
+	l := newLocal(u)
+	assert.Equal(t, l.Execute(context.Background(), request("o1", Single)).Outcome, Done)
+	u.fail = errors.New("reset")
+	assert.Equal(t, l.Execute(context.Background(), request("o1", Single)).Outcome, Unknown)
+	assert.Equal(t, u.open, 0)
+}
+
+// Guards against an unknown outcome when the connection ended before the statement
+// was sent, and against "not run" after it was sent.
+func TestOutcomeByWhatWasSent(t *testing.T) {
+	u := &fakeUpstream{}
+	l := newLocal(u)
+	r := request("o1", Single)
+	r.Values = map[string]string{"a": "b"}
+	u.fail = errors.New("reset")
+	result := l.Execute(context.Background(), r)
+	assert.Equal(t, result.Outcome, NotRun)
+	assert.Equal(t, result.Reason, Unreachable)
+	r.Mode = Leader
+	u.replyTo = func(statement.Command) statement.Reply { return statement.Reply{Code: statement.ReadOnly} }
+	result = l.Execute(context.Background(), r)
+	assert.Equal(t, result.Outcome, NotRun)
+	assert.Assert(t, !result.Led)
+}
+
+// Guards against requests that wait for a connection beyond their time.
+func TestWaitForAConnectionIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &fakeUpstream{slow: 10 * time.Second}
+		l := newLocal(u)
+		var wg sync.WaitGroup
+		for range 3 {
+			wg.Go(func() { l.Execute(context.Background(), request("o1", Single)) })
+		}
+		synctest.Wait()
+		r := request("o1", Single)
+		r.Wait = 100 * time.Millisecond
+		began := time.Now()
+		result := l.Execute(context.Background(), r)
+		assert.Equal(t, result.Reason, NoConnection)
+		assert.Equal(t, time.Since(began), 100*time.Millisecond)
+		wg.Wait()
+	})
+}
+
+// Guards against a storm of connection attempts at an upstream that refuses more.
+func TestRefusedConnectionPausesTheDialling(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &fakeUpstream{limit: 1}
+		l := newLocal(u)
+		first := request("o1", Open)
+		first.Transaction = "t1"
+		assert.Equal(t, l.Execute(context.Background(), first).Outcome, Done)
+		result := l.Execute(context.Background(), request("o1", Single))
+		assert.Equal(t, result.Code, statement.TooManyConnections)
+		assert.Equal(t, l.Execute(context.Background(), request("o1", Single)).Reason, NoConnection)
+		u.limit = 2
+		time.Sleep(refusalPause)
+		assert.Equal(t, l.Execute(context.Background(), request("o1", Single)).Outcome, Done)
+	})
+}
+
+// Guards against a transaction that is used after the VM has rolled it back.
+func TestAbandonedTransactionIsGone(t *testing.T) {
+	u := &fakeUpstream{}
+	l := newLocal(u)
+	r := request("o1", Open)
+	r.Transaction = "t1"
+	assert.Equal(t, l.Execute(context.Background(), r).Outcome, Done)
+	l.Abandon(target, "t1")
+	r.Mode = Continue
+	assert.Equal(t, l.Execute(context.Background(), r).Reason, NoTransaction)
+	assert.Equal(t, l.Transactions(), 0)
+}
--- a/internal/sessions/codes_test.go
+++ b/internal/sessions/codes_test.go
@@ -30,7 +30,7 @@
 // Guards against a code that no recorded session shows, and so nobody has seen.
 func TestEveryCodeAppearsInAGoldenFile(t *testing.T) {
 	var all strings.Builder
-	err := filepath.WalkDir("..", func(path string, entry fs.DirEntry, err error) error {
+	err := filepath.WalkDir("../..", func(path string, entry fs.DirEntry, err error) error {
 		if err != nil || entry.IsDir() || filepath.Ext(path) != ".golden" {
 			return err
 		}
