Keep lines about state before those of requests; explain a request from the logs

Change: three classes of lines with budgets of their own. rosemarywallctl explain gathers the lines of one request from the logs of several processes with the state that decided it.

--- a/internal/logging/bounded.go
+++ b/internal/logging/bounded.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"io"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -14,28 +15,57 @@
 const (
 	// queueLines is the number of lines of each class that wait for the output.
 	queueLines = 512
-	// ordinaryPerSecond and urgentPerSecond bound the lines written a second. Lines at
-	// warn and above are urgent. 100 lines take about 1 ms of processor time.
-	ordinaryPerSecond = 40
-	urgentPerSecond   = 60
 	// bufferBytes joins the lines of a burst into few writes.
 	bufferBytes = 8 << 10
 	// summaryEvery is the time between lines that count what was suppressed.
 	summaryEvery = time.Second
+	// trafficPrefix and callerPrefix begin the events that requests cause.
+	trafficPrefix = "statement "
+	callerPrefix  = "caller "
 )
 
+// class orders lines by their use after a failure.
+type class int
+
+const (
+	// state lines say what the process believes: dependencies, configuration, roles.
+	state class = iota
+	// failure lines are about requests that were refused or failed.
+	failure
+	// success lines are about the others.
+	success
+	classes
+)
+
+// perSecond bounds the lines of each class written a second. 100 lines take about 1 ms
+// of processor time.
+var perSecond = [classes]int{state: 60, failure: 40, success: 20}
+
+// classOf returns the class of a line.
+func classOf(level zerolog.Level, event string) class {
+	switch {
+	case !strings.HasPrefix(event, trafficPrefix) && !strings.HasPrefix(event, callerPrefix):
+		return state
+	case level >= zerolog.WarnLevel:
+		return failure
+	}
+	return success
+}
+
 // Bounded is an output that never blocks the process: lines that do not fit are
-// counted. Urgent lines are kept before ordinary ones. It implements
+// counted. Lines about the state of the process are kept before those about failed
+// requests, and these before those about successes. It implements
 // zerolog.LevelWriter.
 type Bounded struct {
-	out              pairsWriter
-	buffer           *bufio.Writer // flushed when no line waits
-	ordinary, urgent chan []byte
-	overflow         atomic.Int64
-	suppressed       map[string]int // by event; owned by run
-	stop             chan struct{}
-	stopOnce         sync.Once
-	done             sync.WaitGroup
+	out        pairsWriter
+	buffer     *bufio.Writer // flushed when no line waits
+	queues     [classes]chan []byte
+	wake       chan struct{}
+	overflow   atomic.Int64
+	suppressed map[string]int // by event; owned by run
+	stop       chan struct{}
+	stopOnce   sync.Once
+	done       sync.WaitGroup
 }
 
 // NewBounded returns a logger over a Bounded output that writes to out. Close
@@ -43,9 +73,12 @@
 func NewBounded(out io.Writer, level string) (zerolog.Logger, *Bounded, error) {
 	buffer := bufio.NewWriterSize(out, bufferBytes)
 	b := &Bounded{
-		out: pairsWriter{buffer}, buffer: buffer, ordinary: make(chan []byte, queueLines), urgent: make(chan []byte, queueLines),
+		out: pairsWriter{buffer}, buffer: buffer, wake: make(chan struct{}, 1),
 		suppressed: map[string]int{}, stop: make(chan struct{}),
 	}
+	for i := range b.queues {
+		b.queues[i] = make(chan []byte, queueLines)
+	}
 	log, err := newLogger(b, level)
 	if err == nil {
 		b.done.Go(b.run)
@@ -58,15 +91,15 @@
 
 // WriteLevel implements zerolog.LevelWriter. It never blocks.
 func (b *Bounded) WriteLevel(level zerolog.Level, line []byte) (int, error) {
-	queue := b.ordinary
-	if level >= zerolog.WarnLevel {
-		queue = b.urgent
-	}
 	select {
-	case queue <- bytes.Clone(line):
+	case b.queues[classOf(level, eventOf(line))] <- bytes.Clone(line):
 	default:
 		b.overflow.Add(1)
 	}
+	select {
+	case b.wake <- struct{}{}:
+	default:
+	}
 	return len(line), nil
 }
 
@@ -83,46 +116,38 @@
 func (b *Bounded) run() {
 	ticker := time.NewTicker(summaryEvery)
 	defer ticker.Stop()
-	ordinary, urgent := ordinaryPerSecond, urgentPerSecond
+	budget := perSecond
 	for {
-		select {
-		case line := <-b.urgent:
-			b.write(line, &urgent)
-			continue
-		default:
-		}
-		if len(b.ordinary) == 0 {
-			_ = b.buffer.Flush() // see write
+		for b.next(&budget) {
 		}
+		_ = b.buffer.Flush() // see write
 		select {
-		case line := <-b.urgent:
-			b.write(line, &urgent)
-		case line := <-b.ordinary:
-			b.write(line, &ordinary)
+		case <-b.wake:
 		case <-ticker.C:
-			ordinary, urgent = ordinaryPerSecond, urgentPerSecond
+			budget = perSecond
 			b.summarise()
 		case <-b.stop:
-			b.drain()
+			budget = [classes]int{queueLines, queueLines, queueLines}
+			for b.next(&budget) {
+			}
+			b.summarise()
+			_ = b.buffer.Flush()
 			return
 		}
 	}
 }
 
-func (b *Bounded) drain() {
-	for {
-		budget := 1
+// next takes the most useful line that waits; false when there is none.
+func (b *Bounded) next(budget *[classes]int) bool {
+	for c, queue := range b.queues {
 		select {
-		case line := <-b.urgent:
-			b.write(line, &budget)
-		case line := <-b.ordinary:
-			b.write(line, &budget)
+		case line := <-queue:
+			b.write(line, &budget[c])
+			return true
 		default:
-			b.summarise()
-			_ = b.buffer.Flush()
-			return
 		}
 	}
+	return false
 }
 
 // write writes a line or counts it when the budget is spent. The output's error has
--- a/internal/operator/main.go
+++ b/internal/operator/main.go
@@ -95,6 +95,7 @@
 		{note, "history", "show accepted notes", "Lists the accepted notes, the newest first.", s.plain(s.showHistory)},
 		{key, "new", "make a key", "Prints a new key once, to the error output, and the section of a note that adds it.", s.withKey()},
 		{parser.Command, "dump", "dump the state of VMs", "Prints the state of the VMs at the given administration addresses.", s.withAddresses()},
+		{parser.Command, "explain", "explain a request", "Prints the log lines of a request from the logs of several processes in order, with the state that decided it.", s.withRequest()},
 	} {
 		if _, err := c.parent.AddCommand(c.name, c.short, c.long, c.data); err != nil {
 			return err
