--- a/internal/controller/following/follower.go
+++ b/internal/controller/following/follower.go
@@ -75,6 +75,9 @@
 	Leaving map[ident.UpstreamName]time.Duration
 	// Gone holds the upstreams whose registration went away, and when.
 	Gone map[ident.UpstreamName]time.Duration
+	// ColdUntil holds the time until which an upstream is cold after its start or after
+	// its zone has returned.
+	ColdUntil map[ident.UpstreamName]time.Duration
 	// Evacuated holds the zones to leave with the time at which this VM learned it.
 	Evacuated map[ident.AvailabilityZone]time.Duration
 }
@@ -100,6 +103,7 @@
 	gone      map[string]time.Duration // registrations that went away, and when
 	leaving   map[ident.UpstreamName]time.Duration
 	evacuated map[ident.AvailabilityZone]time.Duration
+	cold      map[ident.UpstreamName]time.Duration
 	loaded    map[objectapi.Kind]bool
 	listedAt  time.Duration // first list of the upstreams
 	lostSince time.Duration // last failed call of the store
@@ -122,6 +126,7 @@
 		source: o.Source, times: o.Times, now: o.Now, log: o.Log, rank: o.Rank, changed: o.Changed,
 		hurry: make(chan struct{}, 1), upstreams: map[string]catalog.Upstream{}, gone: map[string]time.Duration{},
 		leaving: map[ident.UpstreamName]time.Duration{}, evacuated: map[ident.AvailabilityZone]time.Duration{},
+		cold:   map[ident.UpstreamName]time.Duration{},
 		loaded: map[objectapi.Kind]bool{}, available: true,
 	}
 	f.state.Store(&State{Catalog: &catalog.Catalog{}, Upstreams: catalog.Upstreams{}})
@@ -271,7 +276,8 @@
 // publish builds the view; f.mu is held.
 func (f *Follower) publish() {
 	s := &State{Catalog: f.catalog, Upstreams: catalog.Upstreams{}, Leaving: map[ident.UpstreamName]time.Duration{},
-		Gone: map[ident.UpstreamName]time.Duration{}, Evacuated: map[ident.AvailabilityZone]time.Duration{}}
+		Gone: map[ident.UpstreamName]time.Duration{}, Evacuated: map[ident.AvailabilityZone]time.Duration{},
+		ColdUntil: map[ident.UpstreamName]time.Duration{}}
 	if s.Catalog == nil {
 		s.Catalog = &catalog.Catalog{}
 	}
@@ -282,6 +288,13 @@
 	for name, at := range f.leaving {
 		s.Leaving[name] = at
 	}
+	for name, until := range f.cold {
+		if until > f.now() {
+			s.ColdUntil[name] = until
+		} else {
+			delete(f.cold, name)
+		}
+	}
 	for name, at := range f.gone {
 		s.Gone[ident.UpstreamName(name)] = at
 	}
--- a/internal/controller/following/lists.go
+++ b/internal/controller/following/lists.go
@@ -119,6 +119,7 @@
 			Bool("draining", u.State == catalog.Draining).Uint64("revision", u.Revision).Msg("upstream registered")
 	}
 	f.upstreams[o.Name] = u
+	f.chill(u.Name, u.Cold)
 	if u.State == catalog.Draining {
 		if _, already := f.leaving[u.Name]; !already {
 			f.leaving[u.Name] = f.now()
@@ -193,7 +194,20 @@
 	}
 }
 
+// chill marks an upstream as cold for a time; f.mu is held.
+func (f *Follower) chill(name ident.UpstreamName, d time.Duration) {
+	if d > 0 {
+		f.cold[name] = max(f.cold[name], f.now()+d)
+	}
+}
+
+// returned ends an evacuation. The zone's upstreams may have become cold meanwhile.
 func (f *Follower) returned(zone ident.AvailabilityZone) {
 	delete(f.evacuated, zone)
+	for _, u := range f.upstreams {
+		if u.Zone == zone && f.catalog != nil {
+			f.chill(u.Name, f.catalog.Groups[u.Group].ColdTime)
+		}
+	}
 	f.log.Info().Str("zone", string(zone)).Msg("zone returned")
 }
--- a/internal/controller/steering/router.go
+++ b/internal/controller/steering/router.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/rosemarywall/rosemarywall/internal/controller/following"
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/core/placement"
@@ -76,6 +78,8 @@
 	mu        sync.Mutex
 	upstreams map[ident.UpstreamName]*seen
 	samples   map[ident.GroupName]*staleness.Samples
+	// warming limits the statements that this VM sends to cold upstreams.
+	warming map[ident.UpstreamName]*rate.Limiter
 	// saturated and unreachable hold the times until which a VM is passed over for an
 	// upstream, because its connections were in use or could not be opened.
 	saturated, unreachable map[seat]time.Duration
@@ -85,6 +89,7 @@
 func New(cfg Config) *Router {
 	return &Router{
 		cfg: cfg, upstreams: map[ident.UpstreamName]*seen{}, samples: map[ident.GroupName]*staleness.Samples{},
+		warming:   map[ident.UpstreamName]*rate.Limiter{},
 		saturated: map[seat]time.Duration{}, unreachable: map[seat]time.Duration{},
 	}
 }
@@ -96,7 +101,7 @@
 	defer r.mu.Unlock()
 	if need.Primary {
 		u, ok := r.primary(state, need, now)
-		if !ok || slices.Contains(need.Avoid, u.Name) {
+		if !ok || slices.Contains(need.Avoid, u.Name) || !r.warm(state, need, u, now, true) {
 			return proxy.Choice{}, false
 		}
 		c, ok := r.seat(need, u, now)
@@ -165,14 +170,14 @@
 			continue
 		}
 		level := r.unfit(state, need, u, now)
-		if level == unusable {
+		if level == unusable || !r.warm(state, need, u, now, false) {
 			continue
 		}
 		if p := r.penalty(u, isPrimary, level, point, now); bestPenalty < 0 || p < bestPenalty {
 			best, bestPenalty = u, p
 		}
 	}
-	if bestPenalty < 0 {
+	if bestPenalty < 0 || !r.warm(state, need, best, now, true) {
 		return proxy.Choice{}, false
 	}
 	c, ok := r.seat(need, best, now)
@@ -180,6 +185,34 @@
 	return c, ok
 }
 
+// warm reports whether a statement may go to an upstream, which it always may unless
+// the upstream is cold. Each live VM may use an equal part of the cold rate; with
+// spend set the statement uses it.
+func (r *Router) warm(state *following.State, need proxy.Need, u catalog.Upstream, now time.Duration, spend bool) bool {
+	until, cold := state.ColdUntil[u.Name]
+	if !cold || now >= until || need.Grant.Group.ColdRate <= 0 {
+		delete(r.warming, u.Name)
+		return true
+	}
+	part := rate.Limit(need.Grant.Group.ColdRate / float64(max(1, len(r.cfg.Live()))))
+	limiter, ok := r.warming[u.Name]
+	if !ok {
+		limiter = rate.NewLimiter(part, 1)
+		r.warming[u.Name] = limiter
+	}
+	at := epoch.Add(now)
+	if limiter.Limit() != part {
+		limiter.SetLimitAt(at, part)
+	}
+	if spend {
+		return limiter.AllowN(at, 1)
+	}
+	return limiter.TokensAt(at) >= 1
+}
+
+// epoch turns the process clock into the times of the limiters.
+var epoch = time.Unix(0, 0)
+
 // Penalties order upstreams for reads; each outweighs the sum of the smaller ones.
 const (
 	penaltyLeaving = 1000
