--- a/internal/controller/following/follower.go
+++ b/internal/controller/following/follower.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"encoding/binary"
+	"hash/fnv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -56,9 +58,14 @@
 	callTimeout = 800 * time.Millisecond
 	// watchTime is the time that a watch waits at the store.
 	watchTime = 20 * time.Second
-	// relistEvery is the time between full lists beside the watch, because a watch may
-	// have been lost without notice.
-	relistEvery = 10 * time.Second
+	// firstRelist and otherRelist are the times between full lists beside the watch, for
+	// the first VM and for the others. A watch may have been lost without notice; the
+	// others learn of that from the first one's digest.
+	firstRelist = 4 * time.Second
+	otherRelist = 20 * time.Second
+	// differsFor is the time for which another VM's digest must differ before this VM
+	// lists again. Changes reach all watches within a fraction of it.
+	differsFor = 700 * time.Millisecond
 	// firstRetry and lastRetry bound the pause after a failed call.
 	firstRetry = 150 * time.Millisecond
 	lastRetry  = time.Second
@@ -94,6 +101,8 @@
 
 	state atomic.Pointer[State]
 	hurry chan struct{}
+	// relist asks for a full list of all kinds.
+	relist map[objectapi.Kind]chan struct{}
 
 	mu        sync.Mutex
 	catalog   *catalog.Catalog
@@ -107,6 +116,7 @@
 	loaded    map[objectapi.Kind]bool
 	listedAt  time.Duration // first list of the upstreams
 	lostSince time.Duration // last failed call of the store
+	differs   time.Duration // since when digests of other VMs differ; zero while they agree
 	available bool
 }
 
@@ -128,6 +138,9 @@
 		leaving: map[ident.UpstreamName]time.Duration{}, evacuated: map[ident.AvailabilityZone]time.Duration{},
 		cold:   map[ident.UpstreamName]time.Duration{},
 		loaded: map[objectapi.Kind]bool{}, available: true,
+		relist: map[objectapi.Kind]chan struct{}{
+			o.Source.UpstreamsKind: make(chan struct{}, 1), o.Source.EvacuationsKind: make(chan struct{}, 1),
+		},
 	}
 	f.state.Store(&State{Catalog: &catalog.Catalog{}, Upstreams: catalog.Upstreams{}})
 	return f
@@ -201,6 +214,54 @@
 	}
 }
 
+// Digest returns a value that two VMs share while they know the same registrations
+// and zones to be left.
+func (f *Follower) Digest() uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.digest()
+}
+
+func (f *Follower) digest() uint64 {
+	sum := uint64(0) // a sum, because the order of the entries does not matter
+	for name, u := range f.upstreams {
+		if _, gone := f.gone[name]; !gone {
+			sum += hash(name, u.Revision)
+		}
+	}
+	for zone := range f.evacuated {
+		sum += hash(string(zone), 0)
+	}
+	return sum
+}
+
+func hash(name string, revision uint64) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write(binary.BigEndian.AppendUint64([]byte(name), revision))
+	return h.Sum64()
+}
+
+// RelayedDigest takes the digest of another VM. One that differs for a while means
+// that a watch has been lost, here or there.
+func (f *Follower) RelayedDigest(digest uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	switch {
+	case digest == f.digest():
+		f.differs = 0
+	case f.differs == 0:
+		f.differs = f.now()
+	case f.now() >= f.differs+differsFor:
+		f.differs = 0
+		for _, c := range f.relist {
+			select {
+			case c <- struct{}{}:
+			default:
+			}
+		}
+	}
+}
+
 // followConfiguration reads the configuration when its proof grows old or another VM
 // knows a newer one.
 func (f *Follower) followConfiguration(ctx context.Context) {
--- a/internal/controller/following/follower_test.go
+++ b/internal/controller/following/follower_test.go
@@ -186,10 +186,10 @@
 	run(t, func(f *testFollower, store *fakeStore) {
 		u := catalog.Upstream{Name: "u1", Group: "g1", Revision: 7}
 		store.change(func() { store.upstream["u1"] = u })
-		time.Sleep(relistEvery + time.Second)
+		time.Sleep(firstRelist + time.Second)
 		assert.Equal(t, len(f.State().Upstreams["g1"]), 1)
 		store.change(func() { store.fail = resultcode.New(resultcode.PlatformUnavailable, "down") })
-		time.Sleep(relistEvery)
+		time.Sleep(firstRelist)
 		assert.Assert(t, !f.Settled())
 		store.change(func() { store.fail = nil; delete(store.upstream, "u1") })
 		time.Sleep(1500 * time.Millisecond)
@@ -202,7 +202,7 @@
 		at, leaving := f.State().Leaving["u1"]
 		assert.Assert(t, leaving && at <= f.elapsed())
 		store.change(func() { store.upstream["u1"] = u })
-		time.Sleep(relistEvery + time.Second)
+		time.Sleep(firstRelist + time.Second)
 		_, leaving = f.State().Leaving["u1"]
 		assert.Assert(t, !leaving, "it has registered again, unchanged")
 	})
@@ -216,14 +216,31 @@
 			store.upstream["u1"] = catalog.Upstream{Name: "u1", Group: "g1", Revision: 7, State: catalog.Draining}
 			store.zones = []string{"a"}
 		})
-		time.Sleep(relistEvery + time.Second)
+		time.Sleep(firstRelist + time.Second)
 		_, leaving := f.State().Leaving["u1"]
 		assert.Assert(t, leaving)
 		_, evacuated := f.State().Evacuated["a"]
 		assert.Assert(t, evacuated)
 		store.change(func() { store.zones = nil })
-		time.Sleep(relistEvery + time.Second)
+		time.Sleep(firstRelist + time.Second)
 		_, evacuated = f.State().Evacuated["a"]
 		assert.Assert(t, !evacuated)
 	})
 }
+
+// Guards against a VM whose watch was lost without notice and that sends work to an
+// upstream which drains: another VM knows of it.
+func TestLostWatchIsNoticedByTheDigestOfAnotherVM(t *testing.T) {
+	run(t, func(f *testFollower, store *fakeStore) {
+		f.rank = 1
+		time.Sleep(firstRelist) // the list that is due was decided on at rank 0
+		assert.Equal(t, f.Digest(), uint64(0))
+		store.change(func() { store.upstream["u1"] = catalog.Upstream{Name: "u1", Group: "g1", Revision: 7} })
+		for range 3 {
+			f.RelayedDigest(4711)
+			time.Sleep(500 * time.Millisecond)
+		}
+		assert.Equal(t, len(f.State().Upstreams["g1"]), 1)
+		assert.Assert(t, f.Digest() != 0)
+	})
+}
--- a/internal/controller/following/lists.go
+++ b/internal/controller/following/lists.go
@@ -46,12 +46,22 @@
 
 // watch follows changes until the next full list is due or the watch fails.
 func (f *Follower) watch(ctx context.Context, kind objectapi.Kind, version objectapi.Version, change func(objectapi.Changes)) {
-	until := f.now() + relistEvery
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-f.relist[kind]:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	interval := otherRelist
+	if f.rank() == 0 {
+		interval = firstRelist
+	}
+	until := f.now() + interval
 	for ctx.Err() == nil && f.now() < until {
-		wait := min(watchTime, until-f.now())
-		call, cancel := context.WithTimeout(ctx, wait+callTimeout)
-		changes, err := f.source.Store.Watch(call, []objectapi.Kind{kind}, version, wait)
-		cancel()
+		changes, err := f.watchOnce(ctx, kind, version, min(watchTime, until-f.now()))
 		if ctx.Err() != nil {
 			return
 		}
@@ -73,6 +83,12 @@
 	}
 }
 
+func (f *Follower) watchOnce(ctx context.Context, kind objectapi.Kind, version objectapi.Version, wait time.Duration) (objectapi.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
+	defer cancel()
+	return f.source.Store.Watch(ctx, []objectapi.Kind{kind}, version, wait)
+}
+
 // replaceUpstreams takes a full list; f.mu is held.
 func (f *Follower) replaceUpstreams(objects []objectapi.Object) {
 	listed := map[string]bool{}
--- a/internal/controller/peers/peers.go
+++ b/internal/controller/peers/peers.go
@@ -30,10 +30,8 @@
 // of the VM.
 const KindVM objectapi.Kind = "rosemarywall-vms"
 
-// Probe asks a VM for what it knows.
-type Probe struct {
-	From relay.Identity `cbor:"1,keyasint"`
-}
+// Probe asks a VM for what it knows. The connection names the VM that asks.
+type Probe struct{}
 
 // Pulse answers a Probe.
 type Pulse struct {
@@ -46,6 +44,8 @@
 	Incarnation ident.Incarnation `cbor:"5,keyasint,omitempty"`
 	// PartsVersion is the version of the table of rate parts that the VM has read.
 	PartsVersion uint64 `cbor:"6,keyasint,omitempty"`
+	// Digest stands for the registrations and the zones to be left that the VM knows.
+	Digest uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Store holds the registrations.
@@ -256,7 +256,7 @@
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	var pulse Pulse
-	err := q.client.Ask(ctx, KindProbe, Probe{From: p.cfg.Self}, &pulse)
+	err := q.client.Ask(ctx, KindProbe, Probe{}, &pulse)
 	if err != nil {
 		q.client.Reset()
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -138,6 +138,7 @@
 		Self: v.self, Store: v.adapter.Store, ProbeInterval: s.Bounds.Apply / probeShare, Now: now, Log: v.log, Dial: dialPeer,
 		OnPulse: func(askedAt time.Duration, _ ident.VMName, p peers.Pulse) {
 			v.limits.Hint(p.PartsVersion)
+			v.follower.RelayedDigest(p.Digest)
 			if p.Proved {
 				v.follower.Relayed(askedAt, p.Version, p.ProofAge)
 			}
@@ -319,7 +320,7 @@
 func (v *VM) pulse() peers.Pulse {
 	version, age, proved := v.follower.Proof()
 	return peers.Pulse{Version: version, ProofAge: age, Proved: proved, Leaving: v.leaving.Load(),
-		Incarnation: v.self.Incarnation, PartsVersion: v.limits.Version()}
+		Incarnation: v.self.Incarnation, PartsVersion: v.limits.Version(), Digest: v.follower.Digest()}
 }
 
 // executeFor executes a statement for another VM.
