--- a/internal/controller/limits/limits.go
+++ b/internal/controller/limits/limits.go
@@ -58,6 +58,7 @@
 
 	mu     sync.Mutex
 	holder *parts.Holder
+	hinted time.Duration // last reading because of a hint
 }
 
 // New returns a controller.
--- a/internal/controller/limits/table.go
+++ b/internal/controller/limits/table.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/core/parts"
+	"github.com/rosemarywall/rosemarywall/internal/core/placement"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
@@ -30,21 +32,29 @@
 	Put(ctx context.Context, kind objectapi.Kind, name string, value any, ifVersion objectapi.Version) (objectapi.Object, error)
 }
 
-// Hint says that another VM has read a version of the table.
-func (c *Controller) Hint(version uint64) {
+// Hint takes what another VM has answered to a question sent at askedAt: the version
+// of the table that it has read, and the age of its reading.
+func (c *Controller) Hint(askedAt time.Duration, version uint64, age time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if _, known := c.holder.Table(); version > known {
+	c.holder.Relayed(askedAt, version, age)
+	if _, known := c.holder.Table(); version > known && c.cfg.Now() >= c.hinted+hintPause {
+		c.hinted = c.cfg.Now()
 		c.holder.Doubt()
 	}
 }
 
-// Version returns the version of the table that was read last.
-func (c *Controller) Version() uint64 {
+// hintPause is the time between readings for newer versions that others have read;
+// the table changes several times when VMs start together.
+const hintPause = time.Second
+
+// Reading returns the version of the table that was read last and the age of its
+// proof.
+func (c *Controller) Reading() (version uint64, age time.Duration) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	_, version := c.holder.Table()
-	return version
+	readAt, version := c.holder.ReadAt()
+	return version, c.cfg.Now() - readAt
 }
 
 // keepTable reads and writes the table of parts until ctx ends.
@@ -68,7 +78,7 @@
 
 func (c *Controller) stepTable(ctx context.Context) error {
 	c.mu.Lock()
-	due := c.holder.Due(c.cfg.Now())
+	due := c.holder.Due(c.cfg.Now(), c.rank())
 	c.mu.Unlock()
 	if due {
 		if err := c.readTable(ctx); err != nil {
@@ -76,7 +86,7 @@
 		}
 	}
 	c.mu.Lock()
-	next, base, ok := c.holder.Next(c.cfg.Now(), c.alive, c.first())
+	next, base, ok := c.holder.Next(c.cfg.Now(), c.alive, c.rank() == 0)
 	c.mu.Unlock()
 	if !ok {
 		return nil
@@ -149,8 +159,7 @@
 	return ok && address == k.Address
 }
 
-// first reports whether this VM cleans up the table.
-func (c *Controller) first() bool {
-	live := c.cfg.Live()
-	return len(live) > 0 && live[0].Name == c.cfg.Self.VM
+// rank returns this VM's place among the live ones.
+func (c *Controller) rank() int {
+	return max(0, slices.IndexFunc(c.cfg.Live(), func(v placement.VM) bool { return v.Name == c.cfg.Self.VM }))
 }
--- a/internal/controller/peers/peers.go
+++ b/internal/controller/peers/peers.go
@@ -42,8 +42,10 @@
 	// Leaving says that the VM stops and takes no more statements.
 	Leaving     bool              `cbor:"4,keyasint,omitempty"`
 	Incarnation ident.Incarnation `cbor:"5,keyasint,omitempty"`
-	// PartsVersion is the version of the table of rate parts that the VM has read.
-	PartsVersion uint64 `cbor:"6,keyasint,omitempty"`
+	// PartsVersion is the version of the table of rate parts that the VM has read, and
+	// PartsAge the age of its reading.
+	PartsVersion uint64        `cbor:"6,keyasint,omitempty"`
+	PartsAge     time.Duration `cbor:"8,keyasint,omitempty"`
 	// Digest stands for the registrations and the zones to be left that the VM knows.
 	Digest uint64 `cbor:"7,keyasint,omitempty"`
 }
@@ -64,7 +66,7 @@
 	storeTimeout = time.Second
 	// relistEvery is the time between reads of the registrations, for VMs that could
 	// not be reached when they started.
-	relistEvery = 15 * time.Second
+	relistEvery = time.Minute
 	retryEvery  = 300 * time.Millisecond
 	// unacknowledged is the time after which bytes that a VM does not acknowledge end
 	// the connection.
--- a/internal/core/parts/parts.go
+++ b/internal/core/parts/parts.go
@@ -42,6 +42,10 @@
 	// ReadEvery is the time between readings of a table of which no newer version is
 	// known.
 	ReadEvery = Lease / 3
+	// rankDelay separates the readings of the VMs; an answer relayed by a probe arrives
+	// within it.
+	rankDelay = 1500 * time.Millisecond
+	maxRank   = 3
 	// goneAfter is the time after which the row of a VM that does not answer is revoked.
 	goneAfter = 10 * time.Second
 	// tolerance is the difference from the equal part that is not worth a write.
@@ -165,12 +169,24 @@
 	return h.table.Rows[i].Parts - min(h.held, h.table.Rows[i].Parts), h.readAt + Lease
 }
 
-// Due reports whether the table is to be read again.
-func (h *Holder) Due(now time.Duration) bool {
+// Relayed takes the answer of another VM to a question sent at askedAt: it has read
+// this version at most age before its answer.
+func (h *Holder) Relayed(askedAt time.Duration, version uint64, age time.Duration) {
+	if h.loaded && version == h.version && !h.doubt {
+		h.readAt = max(h.readAt, askedAt-age)
+	}
+}
+
+// ReadAt returns the time for which the version is proved, and the version.
+func (h *Holder) ReadAt() (time.Duration, uint64) { return h.readAt, h.version }
+
+// Due reports whether the table is to be read again. rank is this VM's place among
+// the live ones: the first reads, and the others only when nobody relays a reading.
+func (h *Holder) Due(now time.Duration, rank int) bool {
 	if !h.loaded || h.doubt {
 		return true
 	}
-	return now >= h.readAt+ReadEvery
+	return now >= h.readAt+ReadEvery+time.Duration(min(rank, maxRank))*rankDelay
 }
 
 // fair is the equal part of each row that is not revoked.
--- a/internal/core/parts/parts_test.go
+++ b/internal/core/parts/parts_test.go
@@ -65,7 +65,7 @@
 }
 
 func (w *world) read(i int) {
-	if w.holders[i].Due(w.now) {
+	if w.holders[i].Due(w.now, 0) {
 		w.holders[i].Read(w.now, w.now, w.store.table, w.store.version)
 	}
 }
@@ -103,6 +103,15 @@
 	return true
 }
 
+// relay lets one VM tell another what it has read; the answer may be delayed.
+func (w *world) relay(from, to int, delay time.Duration) {
+	asked := w.now
+	readAt, version := w.holders[from].ReadAt()
+	age := w.now - readAt
+	w.now += delay
+	w.holders[to].Relayed(asked, version, age)
+}
+
 // quiet lets all VMs but one work for a while.
 func (w *world) quiet(but int, d time.Duration) {
 	for end := w.now + d; w.now < end; w.now += time.Second {
@@ -124,7 +133,11 @@
 		w := newWorld(n)
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			i := rapid.IntRange(0, n-1).Draw(t, "vm")
-			switch rapid.IntRange(0, 11).Draw(t, "step") {
+			switch rapid.IntRange(0, 12).Draw(t, "step") {
+			case 12:
+				if j := rapid.IntRange(0, n-1).Draw(t, "to"); j != i && !w.dead[i] && !w.dead[j] {
+					w.relay(i, j, time.Duration(rapid.IntRange(0, 9000).Draw(t, "delay ms"))*time.Millisecond)
+				}
 			case 10:
 				w.cut[i] = !w.cut[i]
 			case 11:
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -137,7 +137,7 @@
 	v.peers = peers.New(peers.Config{
 		Self: v.self, Store: v.adapter.Store, ProbeInterval: s.Bounds.Apply / probeShare, Now: now, Log: v.log, Dial: dialPeer,
 		OnPulse: func(askedAt time.Duration, _ ident.VMName, p peers.Pulse) {
-			v.limits.Hint(p.PartsVersion)
+			v.limits.Hint(askedAt, p.PartsVersion, p.PartsAge)
 			v.follower.RelayedDigest(p.Digest)
 			if p.Proved {
 				v.follower.Relayed(askedAt, p.Version, p.ProofAge)
@@ -319,8 +319,9 @@
 
 func (v *VM) pulse() peers.Pulse {
 	version, age, proved := v.follower.Proof()
+	table, tableAge := v.limits.Reading()
 	return peers.Pulse{Version: version, ProofAge: age, Proved: proved, Leaving: v.leaving.Load(),
-		Incarnation: v.self.Incarnation, PartsVersion: v.limits.Version(), Digest: v.follower.Digest()}
+		Incarnation: v.self.Incarnation, PartsVersion: table, PartsAge: tableAge, Digest: v.follower.Digest()}
 }
 
 // executeFor executes a statement for another VM.
