--- a/cmd/rosemarywall-platform/main.go
+++ b/cmd/rosemarywall-platform/main.go
@@ -23,7 +23,7 @@
 	// exitFailed is the status of a process that could not start.
 	exitFailed = 1
 	// gcPercent lets the heap grow to three times what is live before a collection.
-	gcPercent = 100
+	gcPercent = 25
 	// memoryShare (of 100) of the process's memory limit is the collector's target;
 	// the rest holds stacks and buffers of the system.
 	memoryShare = 60
