--- a/internal/controller/steering/router.go
+++ b/internal/controller/steering/router.go
@@ -24,6 +24,8 @@
 	// failureTime is the time for which an upstream that could not be reached is used
 	// only when no other fits.
 	failureTime = 300 * time.Millisecond
+	// tryInterval is the time between statements to a primary that fails.
+	tryInterval = 50 * time.Millisecond
 	// unreachableTime is the time for which a VM that could not reach an upstream is
 	// passed over for it.
 	unreachableTime = time.Second
@@ -61,6 +63,8 @@
 	applied     ident.LogPoint
 	appliedAt   time.Duration
 	failedUntil time.Duration
+	// nextTry is the time of the next statement for a primary that fails.
+	nextTry time.Duration
 	// refusedAs is the revision of the registration under which it refused to act as
 	// primary.
 	refusedAs uint64
@@ -101,7 +105,7 @@
 	defer r.mu.Unlock()
 	if need.Primary {
 		u, ok := r.primary(state, need, now)
-		if !ok || slices.Contains(need.Avoid, u.Name) || !r.warm(state, need, u, now, true) {
+		if !ok || slices.Contains(need.Avoid, u.Name) || !r.mayTry(u.Name, now) || !r.warm(state, need, u, now, true) {
 			return proxy.Choice{}, false
 		}
 		c, ok := r.seat(need, u, now)
@@ -111,6 +115,20 @@
 	return r.read(state, need, now)
 }
 
+// mayTry reports whether a statement may go to a primary. While it fails, one
+// statement at a time tries it; the others are not held up by it.
+func (r *Router) mayTry(u ident.UpstreamName, now time.Duration) bool {
+	s := r.upstreams[u]
+	if s == nil || now >= s.failedUntil {
+		return true
+	}
+	if now < s.nextTry {
+		return false
+	}
+	s.nextTry = now + tryInterval
+	return true
+}
+
 // primary returns the group's primary: of the upstreams that call themselves so, the
 // one whose registration changed last.
 func (r *Router) primary(state *following.State, need proxy.Need, now time.Duration) (catalog.Upstream, bool) {
--- a/internal/controller/takeover/ledger.go
+++ b/internal/controller/takeover/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/controller/following"
@@ -139,9 +140,15 @@
 	return false
 }
 
-// withHolders adds the upstreams that only the ledger knows. They cannot become
-// primary, but may hold a commit.
+// withHolders adds the upstreams that only the ledger knows: they cannot become
+// primary, but may hold a commit. It drops those that have gone and that the ledger
+// names no more: what they held is elsewhere.
 func (t *attempt) withHolders(members []catalog.Upstream) []catalog.Upstream {
+	members = slices.DeleteFunc(members, func(u catalog.Upstream) bool {
+		_, gone := t.state.Gone[u.Name]
+		_, holds := t.record.Holders[u.Name]
+		return gone && !holds && len(t.record.Holders) > 0
+	})
 	known := map[ident.UpstreamName]bool{}
 	if t.primary != nil {
 		known[t.primary.Name] = true
--- a/internal/execution/local.go
+++ b/internal/execution/local.go
@@ -11,8 +11,13 @@
 	"github.com/rosemarywall/rosemarywall/internal/statement"
 )
 
-// rollbackTimeout bounds a rollback, which takes no slot of the upstream.
-const rollbackTimeout = 500 * time.Millisecond
+const (
+	// rollbackTimeout bounds a rollback, which takes no slot of the upstream.
+	rollbackTimeout = 500 * time.Millisecond
+	// prepareTimeout bounds the commands before the caller's statement, which take no
+	// slot either. An upstream that is silent for longer is taken for lost.
+	prepareTimeout = 300 * time.Millisecond
+)
 
 // Local executes statements over this VM's own connections.
 type Local struct {
@@ -129,7 +134,7 @@
 	if len(commands) == 0 {
 		return Result{}, true
 	}
-	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, min(r.Timeout, prepareTimeout))
 	defer cancel()
 	replies, err := c.conn.Exchange(ctx, commands...)
 	for _, reply := range replies {
@@ -153,7 +158,7 @@
 	if readOnly {
 		command = statement.Command{Kind: statement.BeginReadCommand, MinPosition: r.MinPosition}
 	}
-	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, min(r.Timeout, prepareTimeout))
 	defer cancel()
 	replies, err := c.conn.Exchange(ctx, command)
 	if err != nil {
--- a/internal/execution/pool.go
+++ b/internal/execution/pool.go
@@ -13,6 +13,9 @@
 )
 
 const (
+	// minDial is the least time for the opening of a connection, also when the wait for
+	// a free place has used the time of the request.
+	minDial = 100 * time.Millisecond
 	// dialTimeout bounds the opening of a connection. Opening takes some tens of
 	// milliseconds of an upstream's time; a busy upstream makes it wait.
 	dialTimeout = 500 * time.Millisecond
@@ -55,6 +58,7 @@
 // acquire returns a connection of the organisation for exclusive use. Each
 // connection given out holds a slot of the queue until release.
 func (p *pool) acquire(ctx context.Context, r Request) (*pooled, error) {
+	began := p.now()
 	limit := max(1, r.Connections)
 	if !p.queue.Enter(ctx, limit, r.Organisation, r.Weight, p.now()+r.Wait) {
 		return nil, errNoConnection
@@ -67,7 +71,7 @@
 		p.queue.Release()
 		return nil, errNoConnection
 	}
-	return p.connect(ctx, r.Organisation)
+	return p.connect(ctx, r.Organisation, max(minDial, min(dialTimeout, r.Wait-(p.now()-began))))
 }
 
 // take returns an idle connection of the organisation, or makes room for a new one.
@@ -105,8 +109,8 @@
 	p.open--
 }
 
-func (p *pool) connect(ctx context.Context, organisation ident.OrganisationName) (*pooled, error) {
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+func (p *pool) connect(ctx context.Context, organisation ident.OrganisationName, timeout time.Duration) (*pooled, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, err := p.dial(ctx, p.target, organisation)
 	if err == nil {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -17,6 +17,9 @@
 	// connection of one upstream. A later refusal is of less use to the caller than
 	// an early one.
 	waitShare = 4
+	// minWait is the shortest wait for a connection; opening one takes some tens of
+	// milliseconds.
+	minWait = 50 * time.Millisecond
 	// maxAttempts bounds the attempts of one statement.
 	maxAttempts = 40
 )
@@ -33,20 +36,25 @@
 	effect bool
 	// leader allows execution.Leader for reads without a known position.
 	leader bool
-	trace  Trace
+	// offered says that an upstream has received the statement.
+	offered bool
+	trace   Trace
 }
 
-// run returns the result of the statement, or the error that the caller is told.
+// run returns the result of the statement, or the error that the caller is told. A
+// statement that no upstream was offered is refused after a short wait, so that the
+// caller can try another VM.
 func (a *attempt) run(ctx context.Context) (execution.Result, Choice, error) {
 	now := a.session.services.Now
 	start := now()
-	deadline := start + a.request.Timeout
 	wait := a.need.Grant.Route.LatencyTarget / waitShare
+	deadline, offer := start+a.request.Timeout, start+wait
 	var last execution.Result
-	for n := 0; n < maxAttempts && now() < deadline; n++ {
+	for n := 0; n < maxAttempts && now() < deadline && (a.offered || now() < offer); n++ {
 		choice, ok := a.session.services.Router.Choose(a.need)
 		if ok {
-			last = a.execute(ctx, choice, wait, deadline-now())
+			last = a.execute(ctx, choice, max(minWait, offer-now()), deadline-now())
+			a.offered = a.offered || last.Sent
 			if last.Outcome == execution.Done {
 				return last, choice, nil
 			}
@@ -54,14 +62,9 @@
 				return last, choice, err
 			}
 			a.need.Avoid = append(a.need.Avoid, choice.Target.Upstream)
-			if last.Reason == execution.NoConnection && now()-start >= wait {
-				break
-			}
-			if !a.exhausted() {
-				continue
-			}
+			continue
 		}
-		a.need.Avoid = nil
+		a.need.Avoid = nil // every fitting upstream was tried
 		if now()+retryPause >= deadline || !pause(ctx, retryPause) {
 			break
 		}
@@ -72,12 +75,6 @@
 	return last, Choice{}, a.refusal(last)
 }
 
-// exhausted reports whether no upstream is left that was not tried.
-func (a *attempt) exhausted() bool {
-	_, ok := a.session.services.Router.Choose(a.need)
-	return !ok
-}
-
 func (a *attempt) execute(ctx context.Context, choice Choice, wait, left time.Duration) execution.Result {
 	r := a.request
 	r.Target, r.Connections, r.MinPosition = choice.Target, choice.Connections, choice.MinPosition
