--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -16,7 +16,7 @@
 	// waitShare is the part of the latency target that a request waits for a
 	// connection of one upstream. A later refusal is of less use to the caller than
 	// an early one.
-	waitShare = 4
+	waitShare = 5
 	// minWait is the shortest wait for a connection; opening one takes some tens of
 	// milliseconds.
 	minWait = 50 * time.Millisecond
