--- a/internal/controller/steering/router.go
+++ b/internal/controller/steering/router.go
@@ -287,11 +287,15 @@
 		near = []placement.VM{r.cfg.Self} // no other region may see the statement
 	}
 	key := string(need.Grant.Organisation.Name)
+	connections := placement.Connections(need.Grant.Group.MaxConnections, len(near))
 	chosen, ok := r.open(placement.Rank(near, key), u.Name, now)
 	if !ok && !homes {
 		// The near VMs may be cut off from the upstream while others reach it.
 		if far, found := r.open(placement.Rank(live, key), u.Name, now); found && r.unreached(near, u.Name, now) {
 			chosen = far
+			if !slices.ContainsFunc(near, func(v placement.VM) bool { return v.Name == far.Name }) {
+				connections = placement.SpareConnections(need.Grant.Group.MaxConnections, len(live))
+			}
 		}
 	}
 	executor := r.cfg.Local
@@ -301,7 +305,7 @@
 	return proxy.Choice{
 		Target:   execution.Target{Group: u.Group, Upstream: u.Name, Address: u.Address},
 		Executor: executor, Via: chosen.Name,
-		Connections: placement.Connections(need.Grant.Group.MaxConnections, len(near)),
+		Connections: connections,
 	}, true
 }
 
--- a/internal/controller/takeover/attempt.go
+++ b/internal/controller/takeover/attempt.go
@@ -26,6 +26,9 @@
 	primary    *catalog.Upstream
 	record     record     // as claimed
 	term       ident.Term // newest term that any member has reported
+
+	mu    sync.Mutex
+	conns map[execution.Target]execution.Conn
 }
 
 func (t *attempt) log(e *zerolog.Event) *zerolog.Event {
@@ -37,6 +40,7 @@
 }
 
 func (t *attempt) run(ctx context.Context) {
+	defer t.close()
 	c := t.controller
 	if t.doubtful() && !t.confirmed(ctx) {
 		c.done(t.group, attemptPause, true)
@@ -65,7 +69,7 @@
 func (t *attempt) confirmed(ctx context.Context) bool {
 	c := t.controller
 	target := targetOf(*t.primary)
-	if _, err := c.status(ctx, target, statement.Command{Kind: statement.StatusCommand}); err == nil {
+	if _, err := t.status(ctx, target, statement.Command{Kind: statement.StatusCommand}); err == nil {
 		t.log(c.cfg.Log.Info()).Msg("primary answers; suspicion dropped")
 		return false
 	}
@@ -95,6 +99,49 @@
 		return statement.Status{}, err
 	}
 	defer conn.Close()
+	return statusOn(ctx, conn, command)
+}
+
+// status runs one status command. The connections of an attempt are kept until its
+// end, because opening one costs as much as several questions.
+func (t *attempt) status(ctx context.Context, target execution.Target, command statement.Command) (statement.Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, memberTimeout)
+	defer cancel()
+	t.mu.Lock()
+	conn := t.conns[target]
+	delete(t.conns, target)
+	t.mu.Unlock()
+	if conn == nil || !conn.Alive() {
+		var err error
+		if conn, err = t.controller.cfg.Dial(ctx, target, ""); err != nil {
+			return statement.Status{}, err
+		}
+	}
+	status, err := statusOn(ctx, conn, command)
+	if err != nil {
+		conn.Close()
+		return status, err
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.conns == nil {
+		t.conns = map[execution.Target]execution.Conn{}
+	}
+	t.conns[target] = conn
+	return status, nil
+}
+
+// close closes the connections of the attempt.
+func (t *attempt) close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, conn := range t.conns {
+		conn.Close()
+	}
+	t.conns = nil
+}
+
+func statusOn(ctx context.Context, conn execution.Conn, command statement.Command) (statement.Status, error) {
 	for {
 		status, reply, err := conn.Status(ctx, command)
 		if err != nil {
@@ -139,7 +186,7 @@
 	for i, u := range members {
 		wg.Go(func() {
 			cmd := command(u)
-			status, err := t.controller.status(ctx, targetOf(u), cmd)
+			status, err := t.status(ctx, targetOf(u), cmd)
 			mu.Lock()
 			defer mu.Unlock()
 			reports[i] = core.Report{Name: u.Name, Fit: fit(t.state, u), Near: u.Zone == t.controller.cfg.Zone}
@@ -165,7 +212,7 @@
 func (t *attempt) prepare(ctx context.Context) (ident.UpstreamName, bool) {
 	members := t.withHolders(t.others())
 	if t.primary != nil {
-		if status, err := t.controller.status(ctx, targetOf(*t.primary), statement.Command{Kind: statement.StatusCommand}); err == nil {
+		if status, err := t.status(ctx, targetOf(*t.primary), statement.Command{Kind: statement.StatusCommand}); err == nil {
 			t.term = max(t.term, status.Term, status.Received.Term)
 		}
 	}
@@ -229,7 +276,7 @@
 	}
 	c.mu.Unlock()
 	for name, target := range paused {
-		if _, err := c.status(ctx, target, statement.Command{Kind: statement.ResumeCommand}); err != nil {
+		if _, err := t.status(ctx, target, statement.Command{Kind: statement.ResumeCommand}); err != nil {
 			t.log(c.cfg.Log.Warn()).Err(err).Str("upstream", string(name)).Msg("replica not resumed")
 			continue
 		}
@@ -260,7 +307,7 @@
 		t.resume(ctx)
 		c.done(t.group, attemptPause, false)
 	default:
-		c.done(t.group, attemptPause/2, false)
+		c.done(t.group, lostCallPause, false)
 	}
 }
 
--- a/internal/controller/takeover/controller.go
+++ b/internal/controller/takeover/controller.go
@@ -35,8 +35,11 @@
 	// memberTimeout bounds a question to a member.
 	memberTimeout = 500 * time.Millisecond
 	storeTimeout  = 800 * time.Millisecond
-	// promoteTimeout bounds the call that promotes.
-	promoteTimeout = 2 * time.Second
+	// promoteTimeout bounds the call that promotes, which is answered within
+	// milliseconds. A call without an answer is followed by one of a higher generation.
+	promoteTimeout = 600 * time.Millisecond
+	// lostCallPause is the pause before that one.
+	lostCallPause = 50 * time.Millisecond
 	// catchUpTime bounds the wait for a candidate that lacks what a paused replica has.
 	catchUpTime = time.Second
 	catchUpPoll = 30 * time.Millisecond
--- a/internal/controller/takeover/ledger.go
+++ b/internal/controller/takeover/ledger.go
@@ -42,6 +42,7 @@
 	g.busy, g.nextLedger = true, now+ledgerPause
 	t := &attempt{controller: c, group: g, spec: spec, state: state, reason: "ledger", primary: primary}
 	go func() {
+		defer t.close()
 		t.updateLedger(ctx)
 		c.mu.Lock()
 		g.busy = false
@@ -116,7 +117,7 @@
 // that position.
 func (t *attempt) covered(ctx context.Context, present map[ident.UpstreamName]bool) bool {
 	c := t.controller
-	status, err := c.status(ctx, targetOf(*t.primary), statusCommand(*t.primary))
+	status, err := t.status(ctx, targetOf(*t.primary), statusCommand(*t.primary))
 	if err != nil || !status.Primary {
 		return false
 	}
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -80,3 +80,10 @@
 func Connections(limit, sharing int) int {
 	return max(1, limit*usableShare/100/max(1, sharing))
 }
+
+// SpareConnections returns the number of connections that a VM which does not share
+// the upstream's connections may hold for a while, because those that do cannot
+// reach it. live is the number of live VMs.
+func SpareConnections(limit, live int) int {
+	return max(1, limit*(100-usableShare)/100/max(1, live))
+}
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -58,6 +58,9 @@
 			n := Connections(limit, sharing)
 			assert.Assert(t, n >= 1)
 			assert.Assert(t, n*sharing <= max(limit, sharing), "limit %d, %d VMs, %d each", limit, sharing, n)
+			if spare := SpareConnections(limit, sharing); limit >= 4*sharing {
+				assert.Assert(t, (n+spare)*sharing <= limit, "limit %d, %d VMs, %d and %d each", limit, sharing, n, spare)
+			}
 		}
 	}
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"reflect"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -271,6 +272,9 @@
 	for _, u := range state.Upstreams[t.Group] {
 		if u.Name == t.Upstream && u.Address == t.Address {
 			near := placement.Near(v.peers.Live(), u.Zone, v.settings.Regions[u.Zone])
+			if !slices.ContainsFunc(near, func(vm placement.VM) bool { return vm.Name == v.settings.VM }) {
+				return 0, true // idle connections are those of the VMs near the upstream
+			}
 			return placement.Connections(state.Catalog.Groups[t.Group].MaxConnections, len(near)), true
 		}
 	}
