--- a/internal/controller/steering/router.go
+++ b/internal/controller/steering/router.go
@@ -56,6 +56,8 @@
 	Drain, Evacuate time.Duration
 	// OnPrimary is told the results of statements that were meant for a primary.
 	OnPrimary func(target execution.Target, writes bool, result execution.Result)
+	// OnReplica is told the results of the other statements.
+	OnReplica func(target execution.Target, result execution.Result)
 }
 
 // seen is what is known about an upstream from its answers.
@@ -330,6 +332,8 @@
 func (r *Router) Observe(choice proxy.Choice, writes bool, sentAt time.Duration, result execution.Result) {
 	if choice.Leader {
 		r.cfg.OnPrimary(choice.Target, writes, result)
+	} else {
+		r.cfg.OnReplica(choice.Target, result)
 	}
 	now := r.cfg.Now()
 	r.mu.Lock()
--- a/internal/controller/steering/router_test.go
+++ b/internal/controller/steering/router_test.go
@@ -43,6 +43,7 @@
 		Self: w.live[2], Regions: regions, State: func() *following.State { return w.state }, Live: func() []placement.VM { return w.live },
 		Local: nil, Remote: func(ident.VMName) execution.Executor { return nil }, Now: func() time.Duration { return w.now },
 		Drain: 6 * time.Second, Evacuate: 4 * time.Second, OnPrimary: func(execution.Target, bool, execution.Result) {},
+		OnReplica: func(execution.Target, execution.Result) {},
 	})
 	return w
 }
--- a/internal/controller/takeover/attempt.go
+++ b/internal/controller/takeover/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 	"time"
 
@@ -185,8 +186,7 @@
 	var mu sync.Mutex
 	for i, u := range members {
 		wg.Go(func() {
-			cmd := command(u)
-			status, err := t.status(ctx, targetOf(u), cmd)
+			status, err := t.status(ctx, targetOf(u), command(u))
 			mu.Lock()
 			defer mu.Unlock()
 			reports[i] = core.Report{Name: u.Name, Fit: fit(t.state, u), Near: u.Zone == t.controller.cfg.Zone}
@@ -195,7 +195,7 @@
 				return
 			}
 			reports[i].Reached, reports[i].Received = true, status.Received
-			reports[i].Paused = cmd.Kind == statement.PauseCommand
+			reports[i].Paused = status.PausedTerm > 0 && !t.mayResume(u.Name)
 			t.term = max(t.term, status.Term, status.Received.Term)
 		})
 	}
@@ -237,6 +237,8 @@
 		rest = append(rest, u)
 		t.markPaused(u)
 	}
+	// The lowest term that is accepted: a pause that is carried out late, after the
+	// promotion, is refused.
 	term := t.term + 1
 	reports := t.ask(ctx, rest, func(catalog.Upstream) statement.Command {
 		return statement.Command{Kind: statement.PauseCommand, Term: term}
@@ -266,26 +268,36 @@
 	t.group.paused[u.Name] = targetOf(u)
 }
 
-// resume lets the paused replicas receive again.
+// resume lets the paused replicas receive again. One without an answer may be
+// carried out later, so that a pause of the replica proves nothing for a while.
 func (t *attempt) resume(ctx context.Context) {
 	c := t.controller
 	c.mu.Lock()
-	paused := make(map[ident.UpstreamName]execution.Target, len(t.group.paused))
-	for name, target := range t.group.paused {
-		paused[name] = target
-	}
+	paused := maps.Clone(t.group.paused)
 	c.mu.Unlock()
 	for name, target := range paused {
-		if _, err := t.status(ctx, target, statement.Command{Kind: statement.ResumeCommand}); err != nil {
-			t.log(c.cfg.Log.Warn()).Err(err).Str("upstream", string(name)).Msg("replica not resumed")
-			continue
-		}
+		_, err := t.status(ctx, target, statement.Command{Kind: statement.ResumeCommand})
 		c.mu.Lock()
-		delete(t.group.paused, name)
+		if err == nil {
+			delete(t.group.paused, name)
+		} else {
+			t.group.resuming[name] = c.cfg.Now() + lateOrder
+		}
 		c.mu.Unlock()
+		if err != nil {
+			t.log(c.cfg.Log.Warn()).Err(err).Str("upstream", string(name)).Msg("replica not resumed")
+		}
 	}
 }
 
+// mayResume reports whether a resume without an answer may still be carried out.
+func (t *attempt) mayResume(name ident.UpstreamName) bool {
+	c := t.controller
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cfg.Now() < t.group.resuming[name]
+}
+
 // promote calls the platform. While the outcome of a call is unknown the replicas
 // stay paused and the next attempt claims a higher generation.
 func (t *attempt) promote(ctx context.Context, generation uint64, candidate ident.UpstreamName) {
@@ -299,7 +311,7 @@
 		t.settle(ctx, candidate)
 		t.finish(ctx, generation, candidate)
 		c.mu.Lock()
-		clear(t.group.paused)
+		clear(t.group.paused) // a promotion lets all members receive again
 		c.mu.Unlock()
 		c.done(t.group, attemptPause, true)
 	case resultcode.Is(err, resultcode.PlatformConflict), resultcode.Is(err, resultcode.PlatformQuota),
--- a/internal/controller/takeover/controller.go
+++ b/internal/controller/takeover/controller.go
@@ -40,6 +40,9 @@
 	promoteTimeout = 600 * time.Millisecond
 	// lostCallPause is the pause before that one.
 	lostCallPause = 50 * time.Millisecond
+	// lateOrder is the time after which an order without an answer is not carried out any
+	// more; the platform names 12 s.
+	lateOrder = 13 * time.Second
 	// catchUpTime bounds the wait for a candidate that lacks what a paused replica has.
 	catchUpTime = time.Second
 	catchUpPoll = 30 * time.Millisecond
@@ -96,6 +99,13 @@
 	since  time.Duration
 	reason string
 	next   time.Duration // earliest time of the next attempt
+	// resuming holds the replicas for which a resume got no answer, and until when it may
+	// still be carried out.
+	resuming map[ident.UpstreamName]time.Duration
+	// lagging holds the replicas that refuse reads because they lag, and since when.
+	lagging map[ident.UpstreamName]time.Duration
+	// nextResume is the earliest time of the next look at replicas that lag.
+	nextResume time.Duration
 	// nextLedger is the earliest time of the next look at the ledger.
 	nextLedger time.Duration
 	busy       bool
@@ -126,7 +136,8 @@
 func (c *Controller) group(name ident.GroupName) *group {
 	g, ok := c.groups[name]
 	if !ok {
-		g = &group{name: name, evidence: map[ident.UpstreamName]*core.Evidence{}, paused: map[ident.UpstreamName]execution.Target{}}
+		g = &group{name: name, evidence: map[ident.UpstreamName]*core.Evidence{}, paused: map[ident.UpstreamName]execution.Target{},
+			lagging: map[ident.UpstreamName]time.Duration{}, resuming: map[ident.UpstreamName]time.Duration{}}
 		c.groups[name] = g
 	}
 	return g
@@ -167,6 +178,7 @@
 		if reason == "" {
 			g.since, g.reason = 0, ""
 			c.keepLedger(ctx, g, spec, state, primary, now)
+			c.resumeForgotten(ctx, g, spec, state, primary, now)
 			continue
 		}
 		if g.reason != reason {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -155,6 +155,7 @@
 		Remote: func(name ident.VMName) execution.Executor { return v.peers.Remote(name) },
 		Now:    now, Drain: s.Bounds.Drain, Evacuate: s.Bounds.Evacuate,
 		OnPrimary: func(t execution.Target, writes bool, result execution.Result) { v.takeover.Observe(t, writes, result) },
+		OnReplica: func(t execution.Target, result execution.Result) { v.takeover.ObserveReplica(t, result) },
 	})
 	v.takeover = takeover.New(takeover.Config{
 		Self: s.VM, Zone: s.Zone, Store: v.adapter.Store, Promoter: v.adapter.Promoter, Dial: v.adapter.Dial,
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -174,6 +174,9 @@
 	Primary bool
 	// Term is the newest term that the upstream knows.
 	Term ident.Term
+	// PausedTerm is the term at which the upstream was stopped from receiving; zero when
+	// it receives.
+	PausedTerm ident.Term
 	// Received is the end of the log that the upstream holds, applied or not.
 	Received ident.LogPoint
 	// Connections and Busy are the open connections and the slots in use.
