Log statements that miss their target, and why callers are refused

Change: a statement above its latency target is logged as a failure is. The refusal of a caller names the version and its proof. explain shows the state of the VMs that had a part, and takeovers of the group.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # Runs every check: formatter, linter, build and tests with the race detector.
-.PHONY: test check build model bench
-test: check build model
+.PHONY: test check build deploy model bench
+test: check build deploy model
 	go test -race -timeout 20m ./...
 
 check:
@@ -12,6 +12,10 @@
 build:
 	go build ./...
 
+# Runs the build line of the deploy file, as the platform does in a clean checkout.
+deploy:
+	sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/system.toml)"
+
 # Model-checks the protocol specifications with Spin.
 model:
 	./specs/run.sh
--- a/cmd/rosemarywall-platform/main.go
+++ b/cmd/rosemarywall-platform/main.go
@@ -35,7 +35,7 @@
 	Settings string `long:"settings" short:"s" value-name:"FILE" description:"settings file; by default the one that the platform names in its variable"`
 	Check    bool   `long:"check" description:"check the settings and exit"`
 	Metrics  uint16 `long:"metrics-port" value-name:"PORT" description:"port of the metrics and the state dump; none by default"`
-	LogLevel string `long:"log-level" default:"info" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"lowest level that is logged"`
+	LogLevel string `long:"log-level" default:"info" description:"lowest level that is logged: debug, info, warn or error"`
 }
 
 func main() { os.Exit(run(os.Args[1:])) }
--- a/internal/controller/limits/table.go
+++ b/internal/controller/limits/table.go
@@ -14,7 +14,7 @@
 // KindParts and nameParts identify the table of parts in the store.
 const (
 	KindParts objectapi.Kind = "rosemarywall-parts"
-	nameParts                = "fleet"
+	nameParts string         = "fleet"
 )
 
 const (
--- a/internal/controller/peers/peers.go
+++ b/internal/controller/peers/peers.go
@@ -68,9 +68,6 @@
 	// not be reached when they started.
 	relistEvery = time.Minute
 	retryEvery  = 300 * time.Millisecond
-	// unacknowledged is the time after which bytes that a VM does not acknowledge end
-	// the connection.
-	unacknowledged = 1500 * time.Millisecond
 )
 
 // peer is another VM.
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -140,8 +140,16 @@
 	return strings.Join(kind, " ")
 }
 
-// concerns reports whether a state line belongs to what the request's lines name.
+// concerns reports whether a line is about the state of a VM that the request's lines
+// name, and of nothing that they do not name.
 func concerns(l Line, own []Line) bool {
+	if event := l.Fields["event"]; strings.HasPrefix(event, "statement ") || strings.HasPrefix(event, "caller ") {
+		return false
+	}
+	if !slices.ContainsFunc(own, func(o Line) bool { return l.Fields["vm"] == o.Fields["vm"] || l.Fields["vm"] == o.Fields["via"] }) {
+		// A takeover runs on any VM.
+		return l.Fields["group"] != "" && strings.HasPrefix(l.Fields["event"], "takeover") && named(l, own, "group")
+	}
 	return slices.ContainsFunc(own, func(o Line) bool {
 		named := false
 		for field, requestField := range stateFields {
@@ -155,3 +163,8 @@
 		return !named && l.Fields["vm"] == o.Fields["vm"]
 	})
 }
+
+// named reports whether a request's line has the same value of a field.
+func named(l Line, own []Line, field string) bool {
+	return slices.ContainsFunc(own, func(o Line) bool { return o.Fields[field] == l.Fields[field] })
+}
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -114,15 +114,16 @@
 		return // the caller left
 	}
 	var session *Session
+	var trace Trace
 	if err == nil {
-		session, err = Open(s.services, database, key)
+		session, trace, err = Open(s.services, database, key)
 	}
 	_ = conn.SetWriteDeadline(time.Now().Add(answerTimeout))
 	if failed := codec.Opened(err); failed != nil {
 		return
 	}
 	if err != nil {
-		s.observe(Record{Database: database, Opening: true, Answer: Answer{Err: err}})
+		s.observe(Record{Database: database, Opening: true, Answer: Answer{Err: err, Trace: trace}})
 		return
 	}
 	defer session.Close()
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -98,6 +98,8 @@
 	ProofAge     time.Duration
 	Organisation ident.OrganisationName
 	Group        ident.GroupName
+	// Target is the latency target of the route.
+	Target time.Duration
 	// Primary says that the statement was meant for the group's primary.
 	Primary bool
 	// Upstream and Via are the last upstream asked and the VM that executed.
@@ -134,12 +136,13 @@
 }
 
 // Open starts a session after checking the caller. Errors are those of Authorise.
-func Open(services *Services, database, key string) (*Session, error) {
+func Open(services *Services, database, key string) (*Session, Trace, error) {
 	s := &Session{services: services, database: database, key: catalog.HashKey(key), prepared: map[string]statement.Statement{}}
-	if _, err := s.authorise(); err != nil {
-		return nil, err
+	grant, err := s.authorise()
+	if err != nil {
+		return nil, grantTrace(&grant), err
 	}
-	return s, nil
+	return s, Trace{}, nil
 }
 
 // State returns the transaction state.
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -116,7 +116,8 @@
 
 // grantTrace describes a decision for which no upstream was asked.
 func grantTrace(grant *Grant) Trace {
-	return Trace{Version: grant.Version, ProofAge: grant.ProofAge, Organisation: grant.Organisation.Name, Group: grant.Route.Group}
+	return Trace{Version: grant.Version, ProofAge: grant.ProofAge, Organisation: grant.Organisation.Name, Group: grant.Route.Group,
+		Target: grant.Route.LatencyTarget}
 }
 
 func traceOf(grant *Grant, choice Choice, result execution.Result) Trace {
--- a/internal/service/observe.go
+++ b/internal/service/observe.go
@@ -36,6 +36,8 @@
 		line, message = v.log.Warn().Err(a.Err), "caller refused"
 	case a.Err != nil:
 		line, message = v.log.Warn().Err(a.Err), "statement refused"
+	case t.Target > 0 && r.Duration > t.Target:
+		line, message = v.log.Warn(), "statement slow"
 	case t.Attempts == 0:
 		return // answered from the session without a decision
 	}
@@ -47,7 +49,7 @@
 	t := r.Answer.Trace
 	line = line.Str("request", r.ID).Str("database", r.Database).Str("organisation", string(t.Organisation)).
 		Str("kind", r.Kind.String()).Uint64("version", uint64(t.Version)).Dur("proof_age_ms", t.ProofAge).
-		Dur("took_ms", r.Duration).Int("attempts", t.Attempts)
+		Dur("took_ms", r.Duration).Dur("target_ms", t.Target).Int("attempts", t.Attempts)
 	if t.Attempts == 0 {
 		return line
 	}
