--- a/internal/service/observe.go
+++ b/internal/service/observe.go
@@ -16,6 +16,10 @@
 	"github.com/rosemarywall/rosemarywall/internal/servicemetrics"
 )
 
+// slowShare is the part of the latency target above which a statement is logged as
+// slow. The target covers an operation of several statements.
+const slowShare = 2
+
 // codeOK is the label and log value of a successful statement.
 const codeOK = "ok"
 
@@ -36,7 +40,7 @@
 		line, message = v.log.Warn().Err(a.Err), "caller refused"
 	case a.Err != nil:
 		line, message = v.log.Warn().Err(a.Err), "statement refused"
-	case t.Target > 0 && r.Duration > t.Target:
+	case t.Target > 0 && r.Duration > t.Target/slowShare:
 		line, message = v.log.Warn(), "statement slow"
 	case t.Attempts == 0:
 		return // answered from the session without a decision
