--- /dev/null
+++ b/internal/controller/peers/peers_test.go
@@ -0,0 +1,164 @@
+package peers
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
+	"github.com/rosemarywall/rosemarywall/internal/relay"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+// Guards against probes that exceed the traffic bound of the design, 6,000 bytes a
+// second for control, at the size of today's fleets: 8 VMs that each ask 7 others
+// twice a second and answer as often.
+func TestProbesStayWithinTheTrafficBound(t *testing.T) {
+	question, err := cbor.Marshal(Probe{})
+	assert.NilError(t, err)
+	answer, err := cbor.Marshal(Pulse{
+		Version: 100000, ProofAge: time.Second, Proved: true, Incarnation: math.MaxUint64,
+		PartsVersion: 100000, PartsAge: 5 * time.Second, Digest: math.MaxUint64,
+	})
+	assert.NilError(t, err)
+	// The frames of the relay around both, and the headers and the mask of WebSocket.
+	const frames = 2*9 + 8
+	n := len(question) + len(answer) + frames
+	const perSecond = 2 * 7 * 2
+	assert.Assert(t, n*perSecond <= 6000, "%d bytes for each probe", n)
+	t.Logf("%d bytes for each probe and its answer", n)
+}
+
+// registry is a store of registrations in memory.
+type registry struct {
+	mu      sync.Mutex
+	objects map[string]objectapi.Object
+	version objectapi.Version
+	puts    int
+}
+
+func (r *registry) List(context.Context, objectapi.Kind) (objectapi.Changes, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var all objectapi.Changes
+	for _, o := range r.objects {
+		all.Objects = append(all.Objects, o)
+	}
+	return all, nil
+}
+
+func (r *registry) Put(_ context.Context, kind objectapi.Kind, name string, value any, ifVersion objectapi.Version) (objectapi.Object, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.objects[name].Version != ifVersion {
+		return r.objects[name], resultcode.New(resultcode.PlatformConflict, "another version")
+	}
+	r.version++
+	r.puts++
+	raw, err := json.Marshal(value)
+	o := objectapi.Object{Kind: kind, Name: name, Version: r.version, Value: raw}
+	r.objects[name] = o
+	return o, err
+}
+
+// node is a VM with its relay server.
+type node struct {
+	*Peers
+	server *relay.Server
+	cancel context.CancelFunc
+	mu     sync.Mutex
+	leave  bool
+	silent bool
+}
+
+func (n *node) Answer(_ context.Context, from relay.Caller, _ relay.Kind, _ cbor.RawMessage) any {
+	n.Meet(from.Identity)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.silent {
+		return nil
+	}
+	return Pulse{Leaving: n.leave}
+}
+
+func (n *node) Closed(relay.Caller) {}
+
+func startNode(t *testing.T, store Store, name, zone string) *node {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	start := time.Now()
+	n := &node{}
+	n.Peers = New(Config{
+		Self:  relay.Identity{Version: relay.ProtocolVersion, VM: ident.VMName(name), Zone: ident.AvailabilityZone(zone), Address: l.Addr().String()},
+		Store: store, ProbeInterval: 20 * time.Millisecond, Now: func() time.Duration { return time.Since(start) }, Log: zerolog.Nop(),
+		Dial: func(ctx context.Context, address string) (net.Conn, error) {
+			return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+		},
+		OnPulse: func(time.Duration, ident.VMName, Pulse) {}, OnChange: func() {},
+	})
+	n.server = relay.NewServer(n)
+	go func() { _ = n.server.Serve(l) }()
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	go n.Run(ctx)
+	t.Cleanup(func() { cancel(); n.server.Close() })
+	return n
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); time.Now().Before(end); time.Sleep(2 * time.Millisecond) {
+		if condition() {
+			return
+		}
+	}
+	t.Fatal("never: " + what)
+}
+
+// Guards against VMs that do not find each other, and against ones that go on using a
+// VM that has died, is silent or leaves.
+func TestVMsFindAndLoseEachOther(t *testing.T) {
+	store := &registry{objects: map[string]objectapi.Object{}}
+	first := startNode(t, store, "vm-1", "a")
+	second := startNode(t, store, "vm-2", "a")
+	third := startNode(t, store, "vm-3", "b")
+	all := func(n int, nodes ...*node) func() bool {
+		return func() bool {
+			for _, node := range nodes {
+				if len(node.Live()) != n {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	eventually(t, "all see all", all(3, first, second, third))
+	assert.Equal(t, store.puts, 3)
+	third.cancel()
+	third.server.Close()
+	eventually(t, "the dead VM is passed over", all(2, first, second))
+	second.mu.Lock()
+	second.silent = true
+	second.mu.Unlock()
+	eventually(t, "the silent VM is passed over", all(1, first))
+	second.mu.Lock()
+	second.silent, second.leave = false, true
+	second.mu.Unlock()
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, len(first.Live()), 1, "a VM that leaves is not used")
+	second.mu.Lock()
+	second.leave = false
+	second.mu.Unlock()
+	eventually(t, "the VM is used again", all(2, first))
+	first.Leave()
+	assert.Equal(t, len(first.Live()), 1, "a VM that leaves executes on the others")
+}
