--- a/internal/controller/takeover/controller.go
+++ b/internal/controller/takeover/controller.go
@@ -20,7 +20,7 @@
 
 const (
 	// tickEvery is the time between looks at the groups.
-	tickEvery = 100 * time.Millisecond
+	tickEvery = 50 * time.Millisecond
 	// rankDelay separates the attempts of the VMs. It exceeds the time in which the
 	// first one claims the group.
 	rankDelay = 400 * time.Millisecond
--- a/internal/core/takeover/takeover.go
+++ b/internal/core/takeover/takeover.go
@@ -103,9 +103,10 @@
 
 // Times of suspicion.
 const (
-	// SuspectAfter is the time without an answer after which a primary is suspected;
-	// it exceeds the pauses of a loaded upstream.
-	SuspectAfter = 500 * time.Millisecond
+	// SuspectAfter is the time without an answer after which a primary is suspected. A
+	// false suspicion costs one question to the primary, a late one lasts until the
+	// change.
+	SuspectAfter = 250 * time.Millisecond
 	// StuckAfter is the time without a successful write, while writes are tried, after
 	// which a primary that answers reads is suspected to be cut off from its replicas.
 	StuckAfter = 1200 * time.Millisecond
