--- a/internal/controller/takeover/attempt.go
+++ b/internal/controller/takeover/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +27,7 @@
 	reason     string
 	primary    *catalog.Upstream
 	record     record     // as claimed
+	silent     bool       // the primary does not answer
 	term       ident.Term // newest term that any member has reported
 
 	mu    sync.Mutex
@@ -66,18 +68,21 @@
 // doubtful reports whether the reason is an observation of this VM alone.
 func (t *attempt) doubtful() bool { return t.reason == reasonSilent }
 
-// confirmed asks the primary once more, and lets another VM ask it.
+// confirmed asks the primary once more, and lets other VMs ask it at the same time.
 func (t *attempt) confirmed(ctx context.Context) bool {
 	c := t.controller
 	target := targetOf(*t.primary)
+	others := make(chan bool, 1)
+	go func() { others <- c.cfg.Confirm(ctx, target) }()
 	if _, err := t.status(ctx, target, statement.Command{Kind: statement.StatusCommand}); err == nil {
 		t.log(c.cfg.Log.Info()).Msg("primary answers; suspicion dropped")
 		return false
 	}
-	if !c.cfg.Confirm(ctx, target) {
+	if !<-others {
 		t.log(c.cfg.Log.Info()).Msg("primary answers another VM; suspicion dropped")
 		return false
 	}
+	t.silent = true
 	return true
 }
 
@@ -211,12 +216,11 @@
 // holds every acknowledged commit.
 func (t *attempt) prepare(ctx context.Context) (ident.UpstreamName, bool) {
 	members := t.withHolders(t.others())
-	if t.primary != nil {
-		if status, err := t.status(ctx, targetOf(*t.primary), statement.Command{Kind: statement.StatusCommand}); err == nil {
-			t.term = max(t.term, status.Term, status.Received.Term)
-		}
+	asked := members
+	if t.primary != nil && !t.silent {
+		asked = append(slices.Clone(members), *t.primary) // for its term
 	}
-	candidate, ok := core.Candidate(t.ask(ctx, members, statusCommand))
+	candidate, ok := core.Candidate(t.ask(ctx, asked, statusCommand)[:len(members)])
 	if !ok {
 		t.log(t.controller.cfg.Log.Warn()).Msg("no member can become primary")
 		return "", false
