--- a/internal/controller/takeover/controller.go
+++ b/internal/controller/takeover/controller.go
@@ -74,6 +74,11 @@
 	// that a missing primary may live, and a missing replica may hold a commit.
 	Settled func() bool
 	Live    func() []placement.VM
+	// HolderTime is the shortest time between two holders of a group; zero sets none.
+	HolderTime time.Duration
+	// MissingFor is the time for which no primary must be registered before one is made.
+	// A primary that starts beside this VM registers within it.
+	MissingFor time.Duration
 	// Confirm asks another VM whether it, too, fails to reach a primary. Without a VM
 	// to ask it returns true.
 	Confirm func(ctx context.Context, target execution.Target) bool
@@ -184,6 +189,9 @@
 		if g.reason != reason {
 			g.since, g.reason = now, reason
 		}
+		if reason == reasonMissing && now < g.since+c.cfg.MissingFor {
+			continue
+		}
 		if g.busy || now < g.next || now < g.since+time.Duration(c.rank(name))*rankDelay {
 			continue
 		}
--- a/internal/controller/takeover/record.go
+++ b/internal/controller/takeover/record.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rosemarywall/rosemarywall/internal/core/placement"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
@@ -44,7 +46,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if !seen.Done && seen.Generation > 0 && seen.Holder != c.cfg.Self && c.cfg.Now() < seen.at+claimTime {
+	if !seen.Done && seen.Generation > 0 && seen.Holder != c.cfg.Self && c.respected(seen) {
 		return 0, errClaimed
 	}
 	next := seen.record
@@ -53,6 +55,15 @@
 	return next.Generation, t.write(ctx, next, seen.version)
 }
 
+// respected reports whether another VM's unfinished claim is to be left alone. The
+// claim of a VM that does not answer is not, unless the platform sets a time between
+// two holders.
+func (c *Controller) respected(seen seenRecord) bool {
+	now := c.cfg.Now()
+	alive := slices.ContainsFunc(c.cfg.Live(), func(v placement.VM) bool { return v.Name == seen.Holder })
+	return now < seen.at+c.cfg.HolderTime || alive && now < seen.at+claimTime
+}
+
 // read reads the group's record.
 func (t *attempt) read(ctx context.Context) (seenRecord, error) {
 	c := t.controller
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -64,6 +64,10 @@
 // count all of them.
 const successesPerSecond = 5
 
+// missedRegistrations is the number of registrations after which the platform takes
+// an upstream for gone.
+const missedRegistrations = 3
+
 // returnTime is the time after an outage of the store within which upstreams that
 // live have registered again; the platform states about two seconds.
 const returnTime = 2500 * time.Millisecond
@@ -159,7 +163,8 @@
 	})
 	v.takeover = takeover.New(takeover.Config{
 		Self: s.VM, Zone: s.Zone, Store: v.adapter.Store, Promoter: v.adapter.Promoter, Dial: v.adapter.Dial,
-		State: v.follower.State, Settled: v.follower.Settled, Live: v.peers.Live, Confirm: v.confirmSilent, Now: now, Log: v.log, Unique: v.unique,
+		State: v.follower.State, Settled: v.follower.Settled, Live: v.peers.Live,
+		HolderTime: s.Bounds.Lease, MissingFor: missedRegistrations * s.RegistrationInterval, Confirm: v.confirmSilent, Now: now, Log: v.log, Unique: v.unique,
 	})
 	v.limits = limits.New(limits.Config{
 		Self: v.self, Peers: v.peers, Store: v.adapter.Store, State: v.follower.State, Live: v.peers.Live,
