--- a/internal/controller/takeover/attempt.go
+++ b/internal/controller/takeover/attempt.go
@@ -28,6 +28,9 @@
 	primary    *catalog.Upstream
 	record     record     // as claimed
 	silent     bool       // the primary does not answer
+	// bound is the only member that may be promoted, because an earlier call for it may
+	// still take effect; empty leaves the choice.
+	bound ident.UpstreamName
 	term       ident.Term // newest term that any member has reported
 
 	mu    sync.Mutex
@@ -220,7 +223,11 @@
 	if t.primary != nil && !t.silent {
 		asked = append(slices.Clone(members), *t.primary) // for its term
 	}
-	candidate, ok := core.Candidate(t.ask(ctx, asked, statusCommand)[:len(members)])
+	reports := t.ask(ctx, asked, statusCommand)[:len(members)]
+	if t.bound != "" {
+		reports = slices.DeleteFunc(reports, func(r core.Report) bool { return r.Name != t.bound })
+	}
+	candidate, ok := core.Candidate(reports)
 	if !ok {
 		t.log(t.controller.cfg.Log.Warn()).Msg("no member can become primary")
 		return "", false
@@ -306,6 +313,11 @@
 // stay paused and the next attempt claims a higher generation.
 func (t *attempt) promote(ctx context.Context, generation uint64, candidate ident.UpstreamName) {
 	c := t.controller
+	if err := t.announce(ctx, generation, candidate); err != nil {
+		t.log(c.cfg.Log.Info()).Err(err).Msg("candidate not announced")
+		c.done(t.group, attemptPause, false)
+		return
+	}
 	call, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
 	err := c.cfg.Promoter.Promote(call, c.cfg.Self, generation, t.group.name, candidate)
--- a/internal/controller/takeover/doc.go
+++ b/internal/controller/takeover/doc.go
@@ -12,6 +12,7 @@
 //	         update; the generation is its fencing token
 //	pause    stops all replicas but the candidate from receiving
 //	verify   reads the candidate's position; see internal/core/takeover
+//	announce writes the candidate into the object
 //	promote  calls the platform with its token
 //	finish   marks the object as done
 //
@@ -19,6 +20,8 @@
 //
 // Each generation has one holder. A call whose answer is lost may still take effect
 // later; replicas stay paused until a call with a higher generation has been
-// answered, which makes the platform refuse the older one. The choice of the
-// candidate is safe whether or not the old primary still runs.
+// answered, which makes the platform refuse the older one. Until then, and as long as
+// calls may be late, every attempt is bound to the same candidate: another member that
+// was verified before the first one leads would lack what that one commits. The choice
+// of the candidate is safe whether or not the old primary still runs.
 package takeover
--- a/internal/controller/takeover/record.go
+++ b/internal/controller/takeover/record.go
@@ -20,6 +20,9 @@
 	Holder     ident.VMName `json:"holder"`
 	// Done says that the holder's change has ended.
 	Done bool `json:"done"`
+	// Candidate is the member that the holder asks the platform to promote. It is written
+	// before the call, and stays while the call may still take effect.
+	Candidate ident.UpstreamName `json:"candidate,omitempty"`
 	// Primary is the newest known primary.
 	Primary ident.UpstreamName `json:"primary"`
 	// Holders are the addresses of the upstreams, the primary included, that may hold
@@ -49,8 +52,14 @@
 	if !seen.Done && seen.Generation > 0 && seen.Holder != c.cfg.Self && c.respected(seen) {
 		return 0, errClaimed
 	}
+	if !seen.Done && seen.Candidate != "" && c.cfg.Now() < seen.at+lateOrder {
+		// The call of an earlier generation may take effect at any moment. A promotion of
+		// another member that was verified before would lose what is committed after it.
+		t.bound = seen.Candidate
+	}
 	next := seen.record
 	next.Generation, next.Holder, next.Done, next.Writer = seen.Generation+1, c.cfg.Self, false, c.cfg.Unique()
+	next.Candidate = t.bound
 	t.record = next
 	return next.Generation, t.write(ctx, next, seen.version)
 }
@@ -98,7 +107,11 @@
 	o, err := c.cfg.Store.Put(call, KindGroup, string(t.group.name), r, base)
 	if err == nil {
 		c.mu.Lock()
-		t.group.record = seenRecord{record: r, version: o.Version, at: c.cfg.Now()}
+		at := c.cfg.Now()
+		if r.Candidate != "" && r.Candidate == t.group.record.Candidate {
+			at = t.group.record.at // counts from the first call
+		}
+		t.group.record = seenRecord{record: r, version: o.Version, at: at}
 		c.mu.Unlock()
 	}
 	if err == nil || !resultcode.Is(err, resultcode.PlatformDown) {
@@ -111,12 +124,26 @@
 	return errors.CombineErrors(err, readErr)
 }
 
+// announce records the candidate before the platform is asked to promote it.
+func (t *attempt) announce(ctx context.Context, generation uint64, candidate ident.UpstreamName) error {
+	seen, err := t.read(ctx)
+	if err != nil {
+		return err
+	}
+	if seen.Generation != generation || seen.Holder != t.controller.cfg.Self {
+		return errClaimed
+	}
+	r := seen.record
+	r.Candidate, r.Writer = candidate, t.controller.cfg.Unique()
+	return t.write(ctx, r, seen.version)
+}
+
 // finish marks the change as done, so that the next one need not wait.
 func (t *attempt) finish(ctx context.Context, generation uint64, primary ident.UpstreamName) {
 	seen, err := t.read(ctx)
 	if err == nil && seen.Generation == generation && seen.Holder == t.controller.cfg.Self {
 		r := seen.record
-		r.Done, r.Primary, r.Writer = true, primary, t.controller.cfg.Unique()
+		r.Done, r.Primary, r.Candidate, r.Writer = true, primary, "", t.controller.cfg.Unique()
 		err = t.write(ctx, r, seen.version)
 	}
 	if err != nil {
