--- a/internal/controller/takeover/attempt.go
+++ b/internal/controller/takeover/attempt.go
@@ -26,12 +26,12 @@
 	state      *following.State
 	reason     string
 	primary    *catalog.Upstream
-	record     record     // as claimed
-	silent     bool       // the primary does not answer
+	record     record // as claimed
+	silent     bool   // the primary does not answer
 	// bound is the only member that may be promoted, because an earlier call for it may
 	// still take effect; empty leaves the choice.
 	bound ident.UpstreamName
-	term       ident.Term // newest term that any member has reported
+	term  ident.Term // newest term that any member has reported
 
 	mu    sync.Mutex
 	conns map[execution.Target]execution.Conn
--- a/internal/controller/takeover/ledger.go
+++ b/internal/controller/takeover/ledger.go
@@ -36,7 +36,8 @@
 	if g.busy || primary == nil || now < g.nextLedger || c.rank(g.name) > 0 {
 		return
 	}
-	if g.record.at > 0 && g.record.Primary == primary.Name && !g.differs(state, now) {
+	unmarked := !g.record.Done && g.record.Candidate == primary.Name
+	if g.record.at > 0 && g.record.Primary == primary.Name && !unmarked && !g.differs(state, now) {
 		return
 	}
 	g.busy, g.nextLedger = true, now+ledgerPause
@@ -88,7 +89,11 @@
 	}
 	t.removeCovered(ctx, next.Holders, present)
 	next.Primary = t.primary.Name
-	if next.Primary == seen.Primary && maps.Equal(next.Holders, seen.Holders) {
+	if !seen.Done && seen.Candidate == t.primary.Name {
+		// The holder has died, or could not mark its change as done.
+		next.Done, next.Candidate = true, ""
+	}
+	if next.Primary == seen.Primary && next.Done == seen.Done && maps.Equal(next.Holders, seen.Holders) {
 		return
 	}
 	next.Writer = t.controller.cfg.Unique()
