--- a/internal/clock/clock.go
+++ b/internal/clock/clock.go
@@ -7,6 +7,7 @@
 package clock
 
 import (
+	"context"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,3 +74,15 @@
 	}
 	c.skew.Store(int64(skew))
 }
+
+// Sleep waits for d; false when ctx ended first.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.C:
+		return true
+	}
+}
--- a/internal/controller/following/follower.go
+++ b/internal/controller/following/follower.go
@@ -10,6 +10,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
@@ -273,7 +274,7 @@
 			if f.readConfiguration(ctx) {
 				retry = firstRetry
 			} else {
-				if !sleep(ctx, retry) {
+				if !clock.Sleep(ctx, retry) {
 					return
 				}
 				retry = min(2*retry, lastRetry)
@@ -385,14 +386,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/controller/following/lists.go
+++ b/internal/controller/following/lists.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
@@ -16,7 +17,7 @@
 	for ctx.Err() == nil {
 		version, err := f.list(ctx, kind, replace)
 		if err != nil {
-			sleep(ctx, retry)
+			clock.Sleep(ctx, retry)
 			retry = min(2*retry, lastRetry)
 			continue
 		}
@@ -69,7 +70,7 @@
 		if err != nil {
 			f.log.Debug().Err(err).Str("kind", string(kind)).Msg("watch ended")
 			if !resultcode.Is(err, resultcode.PlatformHistoryGone) {
-				sleep(ctx, firstRetry)
+				clock.Sleep(ctx, firstRetry)
 			}
 			return
 		}
--- a/internal/controller/steering/router.go
+++ b/internal/controller/steering/router.go
@@ -178,33 +178,6 @@
 	return level
 }
 
-// read chooses the upstream of a read by the smallest penalty.
-func (r *Router) read(state *following.State, need proxy.Need, now time.Duration) (proxy.Choice, bool) {
-	point, known := r.point(need, now)
-	primary, hasPrimary := r.primary(state, need, now)
-	var best catalog.Upstream
-	bestPenalty := -1
-	for _, u := range state.Upstreams[need.Grant.Route.Group] {
-		isPrimary := hasPrimary && u.Name == primary.Name
-		if slices.Contains(need.Avoid, u.Name) || !known && !isPrimary {
-			continue
-		}
-		level := r.unfit(state, need, u, now)
-		if level == unusable || !r.warm(state, need, u, now, false) {
-			continue
-		}
-		if p := r.penalty(u, isPrimary, level, point, now); bestPenalty < 0 || p < bestPenalty {
-			best, bestPenalty = u, p
-		}
-	}
-	if bestPenalty < 0 || !r.warm(state, need, best, now, true) {
-		return proxy.Choice{}, false
-	}
-	c, ok := r.seat(need, best, now)
-	c.MinPosition, c.Leader = point, !known
-	return c, ok
-}
-
 // warm reports whether a statement may go to an upstream, which it always may unless
 // the upstream is cold. Each live VM may use an equal part of the cold rate; with
 // spend set the statement uses it.
@@ -233,101 +206,6 @@
 // epoch turns the process clock into the times of the limiters.
 var epoch = time.Unix(0, 0)
 
-// Penalties order upstreams for reads; each outweighs the sum of the smaller ones.
-const (
-	penaltyLeaving = 1000
-	penaltyFailed  = 400
-	penaltyLagging = 200
-	penaltyPrimary = 50
-	penaltyRegion  = 20
-	penaltyZone    = 10
-)
-
-func (r *Router) penalty(u catalog.Upstream, isPrimary bool, level int, point ident.LogPoint, now time.Duration) int {
-	p := level * penaltyLeaving
-	switch {
-	case r.cfg.Regions[u.Zone] != r.cfg.Self.Region:
-		p += penaltyRegion
-	case u.Zone != r.cfg.Self.Zone:
-		p += penaltyZone
-	}
-	if isPrimary {
-		p += penaltyPrimary
-	}
-	if s := r.upstreams[u.Name]; s != nil {
-		if now < s.failedUntil {
-			p += penaltyFailed
-		}
-		if !isPrimary && now < s.appliedAt+lagMemory && !s.applied.AtLeast(point) {
-			p += penaltyLagging
-		}
-	}
-	return p
-}
-
-// point returns the position that a read must see; false when none is known.
-func (r *Router) point(need proxy.Need, now time.Duration) (ident.LogPoint, bool) {
-	route := need.Grant.Route
-	samples := r.samples[route.Group]
-	if samples == nil {
-		return ident.LogPoint{}, false
-	}
-	point, ok := samples.Oldest(now, route.MaxStaleness)
-	if ok && route.Consistency == catalog.ReadYourWrites && need.Session.Compare(point) > 0 {
-		point = need.Session
-	}
-	return point, ok
-}
-
-// seat chooses the VM that executes at an upstream.
-func (r *Router) seat(need proxy.Need, u catalog.Upstream, now time.Duration) (proxy.Choice, bool) {
-	region := r.cfg.Regions[u.Zone]
-	live := r.cfg.Live()
-	near := placement.Near(live, u.Zone, region)
-	homes := len(need.Grant.Route.Homes)+len(need.Grant.Organisation.Homes) > 0
-	if homes && (len(near) == 0 || near[0].Region != region) {
-		near = []placement.VM{r.cfg.Self} // no other region may see the statement
-	}
-	key := string(need.Grant.Organisation.Name)
-	connections := placement.Connections(need.Grant.Group.MaxConnections, len(near))
-	chosen, ok := r.open(placement.Rank(near, key), u.Name, now)
-	if !ok && !homes {
-		// The near VMs may be cut off from the upstream while others reach it.
-		if far, found := r.open(placement.Rank(live, key), u.Name, now); found && r.unreached(near, u.Name, now) {
-			chosen = far
-			if !slices.ContainsFunc(near, func(v placement.VM) bool { return v.Name == far.Name }) {
-				connections = placement.SpareConnections(need.Grant.Group.MaxConnections, len(live))
-			}
-		}
-	}
-	executor := r.cfg.Local
-	if chosen.Name != r.cfg.Self.Name {
-		executor = r.cfg.Remote(chosen.Name)
-	}
-	return proxy.Choice{
-		Target:   execution.Target{Group: u.Group, Upstream: u.Name, Address: u.Address},
-		Executor: executor, Via: chosen.Name,
-		Connections: connections,
-	}, true
-}
-
-// open returns the first VM that is not known to fail at the upstream; false with
-// the first one when there is none.
-func (r *Router) open(ranked []placement.VM, u ident.UpstreamName, now time.Duration) (placement.VM, bool) {
-	for _, vm := range ranked {
-		s := seat{vm.Name, u}
-		if now >= r.saturated[s] && now >= r.unreachable[s] {
-			return vm, true
-		}
-	}
-	return ranked[0], false
-}
-
-// unreached reports whether every given VM has failed to reach the upstream.
-func (r *Router) unreached(vms []placement.VM, u ident.UpstreamName, now time.Duration) bool {
-	return !slices.ContainsFunc(vms, func(vm placement.VM) bool { return now >= r.unreachable[seat{vm.Name, u}] })
-}
-
 // Observe implements proxy.Router.
 func (r *Router) Observe(choice proxy.Choice, writes bool, sentAt time.Duration, result execution.Result) {
 	if choice.Leader {
--- /dev/null
+++ b/internal/controller/steering/seat.go
@@ -0,0 +1,61 @@
+package steering
+
+import (
+	"slices"
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
+	"github.com/rosemarywall/rosemarywall/internal/core/placement"
+	"github.com/rosemarywall/rosemarywall/internal/execution"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/proxy"
+)
+
+// seat chooses the VM that executes at an upstream.
+func (r *Router) seat(need proxy.Need, u catalog.Upstream, now time.Duration) (proxy.Choice, bool) {
+	region := r.cfg.Regions[u.Zone]
+	live := r.cfg.Live()
+	near := placement.Near(live, u.Zone, region)
+	homes := len(need.Grant.Route.Homes)+len(need.Grant.Organisation.Homes) > 0
+	if homes && (len(near) == 0 || near[0].Region != region) {
+		near = []placement.VM{r.cfg.Self} // no other region may see the statement
+	}
+	key := string(need.Grant.Organisation.Name)
+	connections := placement.Connections(need.Grant.Group.MaxConnections, len(near))
+	chosen, ok := r.open(placement.Rank(near, key), u.Name, now)
+	if !ok && !homes {
+		// The near VMs may be cut off from the upstream while others reach it.
+		if far, found := r.open(placement.Rank(live, key), u.Name, now); found && r.unreached(near, u.Name, now) {
+			chosen = far
+			if !slices.ContainsFunc(near, func(v placement.VM) bool { return v.Name == far.Name }) {
+				connections = placement.SpareConnections(need.Grant.Group.MaxConnections, len(live))
+			}
+		}
+	}
+	executor := r.cfg.Local
+	if chosen.Name != r.cfg.Self.Name {
+		executor = r.cfg.Remote(chosen.Name)
+	}
+	return proxy.Choice{
+		Target:   execution.Target{Group: u.Group, Upstream: u.Name, Address: u.Address},
+		Executor: executor, Via: chosen.Name,
+		Connections: connections,
+	}, true
+}
+
+// open returns the first VM that is not known to fail at the upstream; false with
+// the first one when there is none.
+func (r *Router) open(ranked []placement.VM, u ident.UpstreamName, now time.Duration) (placement.VM, bool) {
+	for _, vm := range ranked {
+		s := seat{vm.Name, u}
+		if now >= r.saturated[s] && now >= r.unreachable[s] {
+			return vm, true
+		}
+	}
+	return ranked[0], false
+}
+
+// unreached reports whether every given VM has failed to reach the upstream.
+func (r *Router) unreached(vms []placement.VM, u ident.UpstreamName, now time.Duration) bool {
+	return !slices.ContainsFunc(vms, func(vm placement.VM) bool { return now >= r.unreachable[seat{vm.Name, u}] })
+}
--- a/internal/controller/takeover/attempt.go
+++ b/internal/controller/takeover/attempt.go
@@ -5,10 +5,10 @@
 	"maps"
 	"slices"
 	"sync"
-	"time"
 
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/controller/following"
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	core "github.com/rosemarywall/rosemarywall/internal/core/takeover"
@@ -159,23 +159,12 @@
 		if reply.Code == statement.OK {
 			return status, nil
 		}
-		if reply.Code != statement.Busy || !pause(ctx, catchUpPoll) {
+		if reply.Code != statement.Busy || !clock.Sleep(ctx, catchUpPoll) {
 			return status, &execution.RefusedError{Code: reply.Code}
 		}
 	}
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // others returns the members besides the primary.
 func (t *attempt) others() []catalog.Upstream {
 	var out []catalog.Upstream
@@ -267,7 +256,7 @@
 		case verdict == core.Uncovered, t.controller.cfg.Now() >= deadline:
 			return "", false
 		}
-		if !pause(ctx, catchUpPoll) {
+		if !clock.Sleep(ctx, catchUpPoll) {
 			return "", false
 		}
 	}
@@ -348,7 +337,7 @@
 				return
 			}
 		}
-		if !pause(ctx, catchUpPoll) {
+		if !clock.Sleep(ctx, catchUpPoll) {
 			return
 		}
 	}
--- a/internal/controller/takeover/ledger.go
+++ b/internal/controller/takeover/ledger.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/controller/following"
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/execution"
@@ -139,7 +140,7 @@
 				return true
 			}
 		}
-		if len(replicas) == 0 || !pause(ctx, catchUpPoll) {
+		if len(replicas) == 0 || !clock.Sleep(ctx, catchUpPoll) {
 			return false
 		}
 	}
--- a/internal/filter/errors.go
+++ b/internal/filter/errors.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
@@ -70,15 +69,3 @@
 	}
 	return resultcode.New(code, "%s", detail)
 }
-
-// Sleep pauses and reports whether ctx leaves time for more.
-func Sleep(ctx context.Context, pause time.Duration) bool {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/filter/forward/resolve.go
+++ b/internal/filter/forward/resolve.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/filter"
 	"github.com/rosemarywall/rosemarywall/internal/frontend/sqltext"
 	"github.com/rosemarywall/rosemarywall/internal/group"
@@ -63,7 +64,7 @@
 		default:
 			return unknown("the group does not know the transaction")
 		}
-		if !filter.Sleep(ctx, resolvePause) {
+		if !clock.Sleep(ctx, resolvePause) {
 			return unknown("the group did not tell the outcome before the deadline")
 		}
 	}
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -7,6 +7,7 @@
 	"errors"
 	"time"
 
+	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/filter"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/request"
@@ -86,7 +87,7 @@
 		if retry.Reason == filter.NotSent && !(errors.As(retry.Cause, &open) && open.Full) {
 			h.cfg.Router.ReportFailure(r.Target, retry.Cause)
 		}
-		if !filter.Sleep(ctx, pause) {
+		if !clock.Sleep(ctx, pause) {
 			return refusal(ctx, r, retry)
 		}
 		pause = min(2*pause, lastPause)
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/execution"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/statement"
@@ -65,7 +66,7 @@
 			continue
 		}
 		a.need.Avoid = nil // every fitting upstream was tried
-		if now()+retryPause >= deadline || !pause(ctx, retryPause) {
+		if now()+retryPause >= deadline || !clock.Sleep(ctx, retryPause) {
 			break
 		}
 	}
@@ -143,15 +144,3 @@
 	}
 	return result.Reason.String()
 }
-
-// pause waits; false when ctx ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/execution"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
@@ -67,7 +68,7 @@
 		if result.Outcome == execution.Done {
 			return s.succeed(st, result).with(trace)
 		}
-		if result.Open && s.services.Now()+busyPause < deadline && pause(ctx, busyPause) {
+		if result.Open && s.services.Now()+busyPause < deadline && clock.Sleep(ctx, busyPause) {
 			continue // the upstream's queue was full and the transaction is still open
 		}
 		return s.failOrEnd(st, transactionError(st, result)).with(trace)
--- /dev/null
+++ b/internal/service/answer.go
@@ -0,0 +1,122 @@
+package service
+
+import (
+	"context"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/rosemarywall/rosemarywall/internal/controller/peers"
+	"github.com/rosemarywall/rosemarywall/internal/core/placement"
+	"github.com/rosemarywall/rosemarywall/internal/core/shares"
+	"github.com/rosemarywall/rosemarywall/internal/execution"
+	"github.com/rosemarywall/rosemarywall/internal/relay"
+)
+
+// Answer implements relay.Handler.
+func (v *VM) Answer(ctx context.Context, from relay.Caller, kind relay.Kind, body cbor.RawMessage) any {
+	switch kind {
+	case peers.KindProbe:
+		v.peers.Meet(from.Identity)
+		return v.pulse()
+	case peers.KindExecute:
+		var r execution.Request
+		if v.decode(from, body, &r) {
+			return v.executeFor(ctx, from, r)
+		}
+	case peers.KindAbandon:
+		var a peers.AbandonRequest
+		if v.decode(from, body, &a) {
+			v.remote.ended(from.Connection, a.Transaction)
+			v.local.Abandon(a.Target, a.Transaction)
+			return true
+		}
+	case peers.KindReach:
+		var target execution.Target
+		if v.decode(from, body, &target) {
+			return v.takeover.Reachable(ctx, target)
+		}
+	case peers.KindBorrow:
+		var ask shares.AskMessage
+		if v.decode(from, body, &ask) {
+			return v.limits.Lend(from.Identity, ask)
+		}
+	}
+	return nil
+}
+
+func (v *VM) decode(from relay.Caller, body cbor.RawMessage, into any) bool {
+	err := relay.Decode(body, into)
+	if err != nil {
+		v.log.Warn().Err(err).Str("peer", string(from.VM)).Msg("message of a peer ignored")
+	}
+	return err == nil
+}
+
+func (v *VM) pulse() peers.Pulse {
+	version, age, proved := v.follower.Proof()
+	table, tableAge := v.limits.Reading()
+	return peers.Pulse{Version: version, ProofAge: age, Proved: proved, Leaving: v.leaving.Load(),
+		Incarnation: v.self.Incarnation, PartsVersion: table, PartsAge: tableAge, Digest: v.follower.Digest()}
+}
+
+// executeFor executes a statement for another VM.
+func (v *VM) executeFor(ctx context.Context, from relay.Caller, r execution.Request) execution.Result {
+	if r.Mode != execution.Continue && v.leaving.Load() {
+		return execution.Result{Outcome: execution.NotRun, Reason: execution.Stopping}
+	}
+	if r.Mode == execution.Open {
+		v.remote.opened(from.Connection, r.Transaction, r.Target)
+	}
+	result := v.local.Execute(ctx, r)
+	v.executed(from.VM, r, result)
+	if r.Transaction != "" && !result.Open {
+		v.remote.ended(from.Connection, r.Transaction)
+	}
+	return result
+}
+
+const (
+	// confirmers is the number of VMs that are asked whether they reach a primary.
+	confirmers = 3
+	// confirmTimeout bounds their answers; a VM that does not answer confirms nothing
+	// and denies nothing.
+	confirmTimeout = 800 * time.Millisecond
+)
+
+// confirmSilent asks other VMs, those of other zones first, and reports whether none
+// of them reaches the upstream.
+func (v *VM) confirmSilent(ctx context.Context, target execution.Target) bool {
+	var others []placement.VM
+	for _, vm := range placement.Rank(v.peers.Live(), string(target.Upstream)) {
+		if vm.Zone != v.settings.Zone {
+			others = append(others, vm)
+		}
+	}
+	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
+	defer cancel()
+	answers := make(chan bool, confirmers)
+	asked := others[:min(confirmers, len(others))]
+	for _, vm := range asked {
+		go func() {
+			var reached bool
+			err := v.peers.Ask(ctx, vm.Name, peers.KindReach, target, &reached)
+			answers <- err == nil && reached
+		}()
+	}
+	silent := true
+	for range asked {
+		if <-answers {
+			silent = false
+		}
+	}
+	return silent
+}
+
+// Closed implements relay.Handler: the transactions that a VM has opened here are
+// rolled back when its connection ends.
+func (v *VM) Closed(from relay.Caller) {
+	for transaction, target := range v.remote.close(from.Connection) {
+		v.local.Abandon(target, transaction)
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"reflect"
 	"slices"
 	"strconv"
 	"sync"
@@ -15,7 +14,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarywall/rosemarywall/internal/clock"
@@ -24,9 +22,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/controller/peers"
 	"github.com/rosemarywall/rosemarywall/internal/controller/steering"
 	"github.com/rosemarywall/rosemarywall/internal/controller/takeover"
-	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/core/placement"
-	"github.com/rosemarywall/rosemarywall/internal/core/shares"
 	"github.com/rosemarywall/rosemarywall/internal/execution"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
@@ -232,29 +228,6 @@
 	return v.follower.Ready()
 }
 
-// Authorise implements proxy.Authoriser.
-func (v *VM) Authorise(database string, key catalog.KeyHash) (proxy.Grant, error) {
-	state := v.follower.State()
-	c := state.Catalog
-	route, ok := c.Routes[database]
-	_, age, _ := v.follower.Proof()
-	refused := proxy.Grant{Version: c.Version, ProofAge: age}
-	if c.Version == 0 || (!v.follower.Fresh() && !(ok && route.Public)) {
-		return refused, resultcode.New(resultcode.ConfigurationNotFresh, "the configuration is not proved current")
-	}
-	if !ok {
-		return refused, resultcode.New(resultcode.UnknownDatabase, "no such database")
-	}
-	organisation, known := c.Organisation(key)
-	if !known && !route.Public {
-		return refused, resultcode.New(resultcode.KeyRejected, "key is not accepted")
-	}
-	return proxy.Grant{
-		Version: c.Version, ProofAge: age, Route: route, Organisation: organisation, Group: c.Groups[route.Group],
-		IdleTransaction: c.IdleTransaction,
-	}, nil
-}
-
 // poolInterval is the time between looks at connections of upstreams that have gone.
 const poolInterval = 2 * time.Second
 
@@ -287,171 +260,6 @@
 	return 0, false
 }
 
-// Answer implements relay.Handler.
-func (v *VM) Answer(ctx context.Context, from relay.Caller, kind relay.Kind, body cbor.RawMessage) any {
-	switch kind {
-	case peers.KindProbe:
-		v.peers.Meet(from.Identity)
-		return v.pulse()
-	case peers.KindExecute:
-		var r execution.Request
-		if v.decode(from, body, &r) {
-			return v.executeFor(ctx, from, r)
-		}
-	case peers.KindAbandon:
-		var a peers.AbandonRequest
-		if v.decode(from, body, &a) {
-			v.remote.ended(from.Connection, a.Transaction)
-			v.local.Abandon(a.Target, a.Transaction)
-			return true
-		}
-	case peers.KindReach:
-		var target execution.Target
-		if v.decode(from, body, &target) {
-			return v.takeover.Reachable(ctx, target)
-		}
-	case peers.KindBorrow:
-		var ask shares.AskMessage
-		if v.decode(from, body, &ask) {
-			return v.limits.Lend(from.Identity, ask)
-		}
-	}
-	return nil
-}
-
-func (v *VM) decode(from relay.Caller, body cbor.RawMessage, into any) bool {
-	err := relay.Decode(body, into)
-	if err != nil {
-		v.log.Warn().Err(err).Str("peer", string(from.VM)).Msg("message of a peer ignored")
-	}
-	return err == nil
-}
-
-func (v *VM) pulse() peers.Pulse {
-	version, age, proved := v.follower.Proof()
-	table, tableAge := v.limits.Reading()
-	return peers.Pulse{Version: version, ProofAge: age, Proved: proved, Leaving: v.leaving.Load(),
-		Incarnation: v.self.Incarnation, PartsVersion: table, PartsAge: tableAge, Digest: v.follower.Digest()}
-}
-
-// executeFor executes a statement for another VM.
-func (v *VM) executeFor(ctx context.Context, from relay.Caller, r execution.Request) execution.Result {
-	if r.Mode != execution.Continue && v.leaving.Load() {
-		return execution.Result{Outcome: execution.NotRun, Reason: execution.Stopping}
-	}
-	if r.Mode == execution.Open {
-		v.remote.opened(from.Connection, r.Transaction, r.Target)
-	}
-	result := v.local.Execute(ctx, r)
-	v.executed(from.VM, r, result)
-	if r.Transaction != "" && !result.Open {
-		v.remote.ended(from.Connection, r.Transaction)
-	}
-	return result
-}
-
-const (
-	// confirmers is the number of VMs that are asked whether they reach a primary.
-	confirmers = 3
-	// confirmTimeout bounds their answers; a VM that does not answer confirms nothing
-	// and denies nothing.
-	confirmTimeout = 800 * time.Millisecond
-)
-
-// confirmSilent asks other VMs, those of other zones first, and reports whether none
-// of them reaches the upstream.
-func (v *VM) confirmSilent(ctx context.Context, target execution.Target) bool {
-	var others []placement.VM
-	for _, vm := range placement.Rank(v.peers.Live(), string(target.Upstream)) {
-		if vm.Zone != v.settings.Zone {
-			others = append(others, vm)
-		}
-	}
-	ctx, cancel := context.WithTimeout(ctx, confirmTimeout)
-	defer cancel()
-	answers := make(chan bool, confirmers)
-	asked := others[:min(confirmers, len(others))]
-	for _, vm := range asked {
-		go func() {
-			var reached bool
-			err := v.peers.Ask(ctx, vm.Name, peers.KindReach, target, &reached)
-			answers <- err == nil && reached
-		}()
-	}
-	silent := true
-	for range asked {
-		if <-answers {
-			silent = false
-		}
-	}
-	return silent
-}
-
-// Closed implements relay.Handler: the transactions that a VM has opened here are
-// rolled back when its connection ends.
-func (v *VM) Closed(from relay.Caller) {
-	for transaction, target := range v.remote.close(from.Connection) {
-		v.local.Abandon(target, transaction)
-	}
-}
-
-// Reload compares new settings with those in use. The bounds of planned stops apply
-// at once; it returns the names of the other settings that differ, which apply at
-// the next start.
-func (v *VM) Reload(s Settings) (restartNeeded []string) {
-	v.grace.Store(int64(s.Bounds.Grace))
-	applied := s
-	applied.Bounds.Grace = v.settings.Bounds.Grace
-	old, changed := reflect.ValueOf(v.settings), reflect.ValueOf(applied)
-	for i := range old.NumField() {
-		if !reflect.DeepEqual(old.Field(i).Interface(), changed.Field(i).Interface()) {
-			restartNeeded = append(restartNeeded, old.Type().Field(i).Name)
-		}
-	}
-	return restartNeeded
-}
-
-// Stop drains the VM within its grace time.
-func (v *VM) Stop() {
-	v.leaving.Store(true)
-	v.log.Info().Msg("stopping")
-	v.peers.Leave()
-	v.local.Retire()
-	grace := time.Duration(v.grace.Load())
-	time.Sleep(min(rotationTime, grace/3))
-	v.server.Stop()
-	time.Sleep(max(0, grace/2-min(rotationTime, grace/3)))
-	v.server.Force()
-	deadline := time.Now().Add(grace/2 - stopReserve)
-	for v.server.Callers() > 0 && time.Now().Before(deadline) {
-		time.Sleep(stopPoll)
-	}
-	cut := v.server.Callers()
-	v.Close()
-	v.log.Info().Int("callers_cut", cut).Msg("stopped")
-}
-
-const (
-	// rotationTime is the time after which the platform, which asks for readiness every
-	// second and acts on the second miss, sends no new callers.
-	rotationTime = 2200 * time.Millisecond
-	// stopReserve is left of the grace time for the end of the process.
-	stopReserve = 700 * time.Millisecond
-	stopPoll    = 50 * time.Millisecond
-)
-
-// Close ends the VM at once.
-func (v *VM) Close() {
-	v.cancel()
-	v.local.Retire()
-	v.relay.Close()
-	_ = v.ready.Close()
-	_ = v.metrics.Close()
-	for _, l := range v.listeners {
-		_ = l.Close()
-	}
-}
-
 // peerDialTimeout bounds the opening of a connection to another VM.
 const peerDialTimeout = time.Second
 
