--- a/internal/controller/following/follower.go
+++ b/internal/controller/following/follower.go
@@ -96,9 +96,7 @@
 	times  Times
 	now    func() time.Duration
 	log    zerolog.Logger
-	// Rank returns this VM's place among the live VMs that may read the configuration.
-	rank    func() int
-	changed func(*State)
+	rank   func() int
 
 	state atomic.Pointer[State]
 	hurry chan struct{}
@@ -123,18 +121,19 @@
 
 // Options connect a Follower.
 type Options struct {
-	Source  Source
-	Times   Times
-	Now     func() time.Duration
-	Log     zerolog.Logger
-	Rank    func() int
-	Changed func(*State)
+	Source Source
+	Times  Times
+	// Now is the time since process start.
+	Now func() time.Duration
+	Log zerolog.Logger
+	// Rank returns this VM's place among the live VMs that may read the configuration.
+	Rank func() int
 }
 
 // New returns a follower that knows nothing yet.
 func New(o Options) *Follower {
 	f := &Follower{
-		source: o.Source, times: o.Times, now: o.Now, log: o.Log, rank: o.Rank, changed: o.Changed,
+		source: o.Source, times: o.Times, now: o.Now, log: o.Log, rank: o.Rank,
 		hurry: make(chan struct{}, 1), upstreams: map[string]catalog.Upstream{}, gone: map[string]time.Duration{},
 		leaving: map[ident.UpstreamName]time.Duration{}, evacuated: map[ident.AvailabilityZone]time.Duration{},
 		cold:   map[ident.UpstreamName]time.Duration{},
@@ -364,9 +363,6 @@
 		s.Evacuated[zone] = at
 	}
 	f.state.Store(s)
-	if f.changed != nil {
-		f.changed(s)
-	}
 }
 
 // noteCall records whether the store answers, and logs when that changes.
--- a/internal/controller/following/follower_test.go
+++ b/internal/controller/following/follower_test.go
@@ -102,7 +102,7 @@
 			},
 		},
 		Times: Times{Apply: 3 * time.Second, Revoke: 5 * time.Second, Return: 2500 * time.Millisecond},
-		Now:   f.elapsed, Log: zerolog.Nop(), Rank: func() int { return f.rank }, Changed: nil,
+		Now:   f.elapsed, Log: zerolog.Nop(), Rank: func() int { return f.rank },
 	})
 	return f
 }
--- a/internal/controller/peers/peers.go
+++ b/internal/controller/peers/peers.go
@@ -91,8 +91,6 @@
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// OnPulse is told each answer and when the question was sent.
 	OnPulse func(askedAt time.Duration, from ident.VMName, p Pulse)
-	// OnChange is told when the live VMs change.
-	OnChange func()
 }
 
 // Peers knows the other VMs. It is safe for concurrent use.
@@ -265,16 +263,13 @@
 // mark records whether a VM answers.
 func (p *Peers) mark(q *peer, alive, leaving bool) {
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	changed := q.alive != alive || q.leaving != leaving
 	q.alive, q.leaving = alive, leaving
 	if changed {
 		p.cfg.Log.Info().Str("peer", string(q.identity.VM)).Bool("alive", alive).Bool("leaving", leaving).Msg("peer changed")
 		p.rebuild()
 	}
-	p.mu.Unlock()
-	if changed {
-		p.cfg.OnChange()
-	}
 }
 
 // suspect stops the use of a VM whose connection failed until it answers a probe.
--- a/internal/controller/peers/peers_test.go
+++ b/internal/controller/peers/peers_test.go
@@ -103,7 +103,7 @@
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
 		},
-		OnPulse: func(time.Duration, ident.VMName, Pulse) {}, OnChange: func() {},
+		OnPulse: func(time.Duration, ident.VMName, Pulse) {},
 	})
 	n.server = relay.NewServer(n)
 	go func() { _ = n.server.Serve(l) }()
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -35,8 +35,6 @@
 	StatementTimeout time.Duration
 	// LatencyTarget is the target for a whole operation.
 	LatencyTarget time.Duration
-	// Priority orders routes under load; zero is the highest.
-	Priority int
 	// Public routes need no key.
 	Public bool
 	// Homes are the regions whose upstreams may serve the route; empty means all.
@@ -65,7 +63,6 @@
 	// Rate is the number of operations a second, and Burst the number at once, over
 	// all VMs.
 	Rate, Burst float64
-	Priority    int
 	Homes       []ident.Region
 }
 
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -107,7 +107,7 @@
 	}
 	v.self = relay.Identity{
 		Version: relay.ProtocolVersion, VM: settings.VM, Incarnation: ident.Incarnation(time.Now().UnixNano()),
-		Zone: settings.Zone, Region: settings.Region, Address: net.JoinHostPort(settings.IP, strconv.Itoa(int(settings.FirstPort))),
+		Zone: settings.Zone, Region: settings.Region, Address: net.JoinHostPort(settings.IP, strconv.Itoa(int(settings.RelayPort))),
 	}
 	v.grace.Store(int64(settings.Bounds.Grace))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -144,7 +144,6 @@
 				v.follower.Relayed(askedAt, p.Version, p.ProofAge)
 			}
 		},
-		OnChange: func() {},
 	})
 	v.follower = following.New(following.Options{
 		Source: v.adapter.Source, Now: now, Log: v.log, Rank: v.rank,
--- a/internal/service/settings.go
+++ b/internal/service/settings.go
@@ -17,11 +17,10 @@
 	// Callers, Ready, Store and Duties are addresses, IP:port: where callers connect,
 	// where the platform asks for readiness, the metadata store and the duty calls.
 	Callers, Ready, Store, Duties string
-	// FirstPort and LastPort bound the ports between VMs.
-	FirstPort, LastPort uint16
-	// MemoryBytes and Descriptors limit the process; zero means unknown.
+	// RelayPort is the port for questions of other VMs.
+	RelayPort uint16
+	// MemoryBytes limits the process; zero means unknown.
 	MemoryBytes int64
-	Descriptors int
 	// RegistrationInterval is the time between the reports of upstreams.
 	RegistrationInterval time.Duration
 	Bounds               Bounds
@@ -29,8 +28,6 @@
 
 // Bounds are the times that the platform's rules set.
 type Bounds struct {
-	// Contact is the time after which a VM counts as in touch again.
-	Contact time.Duration
 	// Drain is the time after which nothing may reach an upstream that drains.
 	Drain time.Duration
 	// Grace is the time from SIGTERM to SIGKILL.
@@ -48,8 +45,6 @@
 	// on top.
 	RateWindow          time.Duration
 	RateOver, RateSlack float64
-	// WarmFactor is the allowed excess over an upstream's cold rate.
-	WarmFactor float64
 }
 
 // Excess returns the number of operations that an organisation may get above its
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -78,8 +78,6 @@
 	PauseCommand
 	// ResumeCommand lets a paused replica receive again.
 	ResumeCommand
-	// StepDownCommand makes a primary of a lower term a replica.
-	StepDownCommand
 )
 
 // Command is one command to an upstream.
@@ -92,7 +90,7 @@
 	// Lagging where the upstream's log lacks the point.
 	MinPosition ident.LogPoint
 	Name, Value string
-	// Term belongs to PauseCommand and StepDownCommand.
+	// Term belongs to PauseCommand.
 	Term ident.Term
 }
 
@@ -179,6 +177,4 @@
 	PausedTerm ident.Term
 	// Received is the end of the log that the upstream holds, applied or not.
 	Received ident.LogPoint
-	// Connections and Busy are the open connections and the slots in use.
-	Connections, Busy int
 }
