--- a/internal/controller/following/follower_test.go
+++ b/internal/controller/following/follower_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -81,7 +82,7 @@
 type testFollower struct {
 	*Follower
 	store *fakeStore
-	rank  int
+	rank  atomic.Int64
 	start time.Time
 }
 
@@ -102,7 +103,7 @@
 			},
 		},
 		Times: Times{Apply: 3 * time.Second, Revoke: 5 * time.Second, Return: 2500 * time.Millisecond},
-		Now:   f.elapsed, Log: zerolog.Nop(), Rank: func() int { return f.rank },
+		Now:   f.elapsed, Log: zerolog.Nop(), Rank: func() int { return int(f.rank.Load()) },
 	})
 	return f
 }
@@ -149,14 +150,14 @@
 func TestChangeArrivesWithinTheBound(t *testing.T) {
 	for rank, bound := range []time.Duration{1100 * time.Millisecond, 1700 * time.Millisecond, 2 * time.Second, 2200 * time.Millisecond} {
 		run(t, func(f *testFollower, store *fakeStore) {
-			f.rank = rank
+			f.rank.Store(int64(rank))
 			store.change(func() { store.version = 9 })
 			time.Sleep(bound)
 			assert.Equal(t, f.State().Catalog.Version, ident.ConfigurationVersion(9), "rank %d", rank)
 		})
 	}
 	run(t, func(f *testFollower, store *fakeStore) {
-		f.rank = 3
+		f.rank.Store(3)
 		for range 20 {
 			time.Sleep(500 * time.Millisecond)
 			f.Relayed(f.elapsed(), 1, 900*time.Millisecond)
@@ -232,7 +233,7 @@
 // upstream which drains: another VM knows of it.
 func TestLostWatchIsNoticedByTheDigestOfAnotherVM(t *testing.T) {
 	run(t, func(f *testFollower, store *fakeStore) {
-		f.rank = 1
+		f.rank.Store(1)
 		time.Sleep(firstRelist) // the list that is due was decided on at rank 0
 		assert.Equal(t, f.Digest(), uint64(0))
 		store.change(func() { store.upstream["u1"] = catalog.Upstream{Name: "u1", Group: "g1", Revision: 7} })
