Let the claim of a gone primary hide no other, and keep holders 3 s apart

A dark primary lost its registration while it claimed the role with a newer revision than the promoted one. Each VM saw a primary that leaves, promoted the one that led already, and the next VM followed 0.4 s later. Ruled out: tokens, which rose with each call.

Change: of several claims one whose upstream has not gone counts first, for takeovers and for statements. The turn of another holder that answers is respected for 3.2 s, also when it is done.

--- a/internal/controller/steering/router.go
+++ b/internal/controller/steering/router.go
@@ -131,20 +131,21 @@
 	return true
 }
 
-// primary returns the group's primary: of the upstreams that call themselves so, the
-// one whose registration changed last.
+// primary returns the group's primary: of the upstreams that call themselves so, one
+// that does not leave before others, and then the one whose registration changed last.
 func (r *Router) primary(state *following.State, need proxy.Need, now time.Duration) (catalog.Upstream, bool) {
 	var best catalog.Upstream
-	found := false
+	found, bestLevel := false, unusable
 	for _, u := range state.Upstreams[need.Grant.Route.Group] {
-		if !u.Primary || r.unfit(state, need, u, now) == unusable {
+		level := r.unfit(state, need, u, now)
+		if !u.Primary || level == unusable {
 			continue
 		}
 		if s := r.upstreams[u.Name]; s != nil && s.refusedAs == u.Revision && u.Revision > 0 {
 			continue
 		}
-		if !found || u.Revision > best.Revision {
-			best, found = u, true
+		if !found || level < bestLevel || level == bestLevel && u.Revision > best.Revision {
+			best, bestLevel, found = u, level, true
 		}
 	}
 	return best, found
--- a/internal/controller/steering/router_test.go
+++ b/internal/controller/steering/router_test.go
@@ -109,6 +109,10 @@
 	c, _ = w.Choose(need(catalog.Primary, true))
 	assert.Equal(t, c.Target.Upstream, ident.UpstreamName("u-a"))
 	members[1].Revision = 21
+	w.state.Leaving["u-b"] = w.now
+	c, _ = w.Choose(need(catalog.Primary, true))
+	assert.Equal(t, c.Target.Upstream, ident.UpstreamName("u-a"), "the claim of one that has gone does not hide the other")
+	delete(w.state.Leaving, "u-b")
 	c, _ = w.Choose(need(catalog.Primary, true))
 	assert.Equal(t, c.Target.Upstream, ident.UpstreamName("u-b"), "its registration has changed since")
 }
--- a/internal/controller/takeover/controller.go
+++ b/internal/controller/takeover/controller.go
@@ -26,9 +26,9 @@
 	rankDelay = 400 * time.Millisecond
 	// attemptPause is the time between two attempts of one VM at one group.
 	attemptPause = 700 * time.Millisecond
-	// claimTime is the time for which another VM's unfinished claim is respected,
-	// counted from when it was first seen.
-	claimTime = 2500 * time.Millisecond
+	// claimTime is the time for which the turn of another VM is respected, counted from
+	// when it was first seen. The platform takes two holders within 3 s for a conflict.
+	claimTime = 3200 * time.Millisecond
 	// settleTime bounds the wait for a promotion to be registered. It stays below
 	// claimTime, for which the other VMs leave the group alone.
 	settleTime = 2 * time.Second
@@ -219,8 +219,12 @@
 // c.mu is held.
 func (c *Controller) reason(state *following.State, g *group, members []catalog.Upstream, now time.Duration) (string, *catalog.Upstream) {
 	var primary *catalog.Upstream
+	gone := func(u catalog.Upstream) bool { _, gone := state.Gone[u.Name]; return gone }
 	for i, u := range members {
-		if u.Primary && (primary == nil || u.Revision > primary.Revision) {
+		switch {
+		case !u.Primary:
+		case primary == nil, gone(*primary) && !gone(u), gone(*primary) == gone(u) && u.Revision > primary.Revision:
+			// The claim of an upstream that has gone does not hide that of one that lives.
 			primary = &members[i]
 		}
 	}
--- a/internal/controller/takeover/record.go
+++ b/internal/controller/takeover/record.go
@@ -38,6 +38,8 @@
 	record
 	version objectapi.Version
 	at      time.Duration
+	// old says that it was done when this VM first looked.
+	old bool
 }
 
 var errClaimed = errors.New("another VM replaces the primary")
@@ -49,7 +51,7 @@
 	if err != nil {
 		return 0, err
 	}
-	if !seen.Done && seen.Generation > 0 && seen.Holder != c.cfg.Self && c.respected(seen) {
+	if seen.Generation > 0 && seen.Holder != c.cfg.Self && c.respected(seen) {
 		return 0, errClaimed
 	}
 	if !seen.Done && seen.Candidate != "" && c.cfg.Now() < seen.at+lateOrder {
@@ -64,13 +66,14 @@
 	return next.Generation, t.write(ctx, next, seen.version)
 }
 
-// respected reports whether another VM's unfinished claim is to be left alone. The
-// claim of a VM that does not answer is not, unless the platform sets a time between
-// two holders.
+// respected reports whether the turn of another holder is to be left alone: its claim
+// while it may be at work, and the time between two holders after it. The turn of a
+// VM that does not answer is not. A change that had ended before this VM first looked
+// is taken for an old one.
 func (c *Controller) respected(seen seenRecord) bool {
 	now := c.cfg.Now()
 	alive := slices.ContainsFunc(c.cfg.Live(), func(v placement.VM) bool { return v.Name == seen.Holder })
-	return now < seen.at+c.cfg.HolderTime || alive && now < seen.at+claimTime
+	return now < seen.at+c.cfg.HolderTime || alive && !seen.old && now < seen.at+claimTime
 }
 
 // read reads the group's record.
@@ -93,7 +96,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if t.group.record.version != o.Version || t.group.record.at == 0 {
-		t.group.record = seenRecord{record: r, version: o.Version, at: c.cfg.Now()}
+		t.group.record = seenRecord{record: r, version: o.Version, at: c.cfg.Now(), old: r.Done && t.group.record.at == 0}
 	}
 	return t.group.record, nil
 }
