Look a VM up in one place; remove a result that never varies

Cause: reading the whole change once more. The place of a VM in a list was written out in six places, the target of an upstream in two, the eviction of idle connections and the end of background upkeep in two each; seat always returned true; views copied maps by hand. Log lines of refused and local statements spent the sample of successes.

Change: placement.Index, execution.TargetOf, pool.evict and attempt.upkeep; the sampler is asked for successes only. The log therefore holds up to five successes a second as its constant says; nothing else behaves differently.

--- a/internal/controller/following/follower.go
+++ b/internal/controller/following/follower.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"hash/fnv"
+	"maps"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,8 +79,8 @@
 type State struct {
 	Catalog   *catalog.Catalog
 	Upstreams catalog.Upstreams
-	// Leaving holds the time (process clock) at which this VM learned that an upstream
-	// drains, has gone, or is in a zone to leave.
+	// Leaving holds the time (process clock) from which an upstream counts as leaving,
+	// because it drains or has gone.
 	Leaving map[ident.UpstreamName]time.Duration
 	// Gone holds the upstreams whose registration went away, and when.
 	Gone map[ident.UpstreamName]time.Duration
@@ -336,8 +337,8 @@
 
 // publish builds the view; f.mu is held.
 func (f *Follower) publish() {
-	s := &State{Catalog: f.catalog, Upstreams: catalog.Upstreams{}, Leaving: map[ident.UpstreamName]time.Duration{},
-		Gone: map[ident.UpstreamName]time.Duration{}, Evacuated: map[ident.AvailabilityZone]time.Duration{},
+	s := &State{Catalog: f.catalog, Upstreams: catalog.Upstreams{}, Leaving: maps.Clone(f.leaving),
+		Gone: map[ident.UpstreamName]time.Duration{}, Evacuated: maps.Clone(f.evacuated),
 		ColdUntil: map[ident.UpstreamName]time.Duration{}}
 	if s.Catalog == nil {
 		s.Catalog = &catalog.Catalog{}
@@ -346,9 +347,6 @@
 		s.Upstreams[u.Group] = append(s.Upstreams[u.Group], u)
 	}
 	s.Upstreams.Sort()
-	for name, at := range f.leaving {
-		s.Leaving[name] = at
-	}
 	for name, until := range f.cold {
 		if until > f.now() {
 			s.ColdUntil[name] = until
@@ -359,9 +357,6 @@
 	for name, at := range f.gone {
 		s.Gone[ident.UpstreamName(name)] = at
 	}
-	for zone, at := range f.evacuated {
-		s.Evacuated[zone] = at
-	}
 	f.state.Store(s)
 }
 
--- a/internal/controller/limits/table.go
+++ b/internal/controller/limits/table.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
+	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/core/parts"
 	"github.com/rosemarywall/rosemarywall/internal/core/placement"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
@@ -64,10 +64,7 @@
 	for ctx.Err() == nil {
 		if err := c.stepTable(ctx); err != nil {
 			c.cfg.Log.Debug().Err(err).Msg("table of parts not reached")
-			select {
-			case <-ctx.Done():
-			case <-time.After(tableRetry):
-			}
+			clock.Sleep(ctx, tableRetry)
 		}
 		select {
 		case <-ctx.Done():
@@ -161,5 +158,5 @@
 
 // rank returns this VM's place among the live ones.
 func (c *Controller) rank() int {
-	return max(0, slices.IndexFunc(c.cfg.Live(), func(v placement.VM) bool { return v.Name == c.cfg.Self.VM }))
+	return max(0, placement.Index(c.cfg.Live(), c.cfg.Self.VM))
 }
--- a/internal/controller/steering/read.go
+++ b/internal/controller/steering/read.go
@@ -32,9 +32,9 @@
 	if bestPenalty < 0 || !r.warm(state, need, best, now, true) {
 		return proxy.Choice{}, false
 	}
-	c, ok := r.seat(need, best, now)
+	c := r.seat(need, best, now)
 	c.MinPosition, c.Leader = point, !known
-	return c, ok
+	return c, true
 }
 
 func (r *Router) penalty(u catalog.Upstream, isPrimary bool, level int, point ident.LogPoint, now time.Duration) int {
--- a/internal/controller/steering/router.go
+++ b/internal/controller/steering/router.go
@@ -110,9 +110,9 @@
 		if !ok || slices.Contains(need.Avoid, u.Name) || !r.mayTry(u.Name, now) || !r.warm(state, need, u, now, true) {
 			return proxy.Choice{}, false
 		}
-		c, ok := r.seat(need, u, now)
+		c := r.seat(need, u, now)
 		c.Leader = true
-		return c, ok
+		return c, true
 	}
 	return r.read(state, need, now)
 }
--- a/internal/controller/steering/seat.go
+++ b/internal/controller/steering/seat.go
@@ -12,7 +12,7 @@
 )
 
 // seat chooses the VM that executes at an upstream.
-func (r *Router) seat(need proxy.Need, u catalog.Upstream, now time.Duration) (proxy.Choice, bool) {
+func (r *Router) seat(need proxy.Need, u catalog.Upstream, now time.Duration) proxy.Choice {
 	region := r.cfg.Regions[u.Zone]
 	live := r.cfg.Live()
 	near := placement.Near(live, u.Zone, region)
@@ -27,7 +27,7 @@
 		// The near VMs may be cut off from the upstream while others reach it.
 		if far, found := r.open(placement.Rank(live, key), u.Name, now); found && r.unreached(near, u.Name, now) {
 			chosen = far
-			if !slices.ContainsFunc(near, func(v placement.VM) bool { return v.Name == far.Name }) {
+			if placement.Index(near, far.Name) < 0 {
 				connections = placement.SpareConnections(need.Grant.Group.MaxConnections, len(live))
 			}
 		}
@@ -37,10 +37,8 @@
 		executor = r.cfg.Remote(chosen.Name)
 	}
 	return proxy.Choice{
-		Target:   execution.Target{Group: u.Group, Upstream: u.Name, Address: u.Address},
-		Executor: executor, Via: chosen.Name,
-		Connections: connections,
-	}, true
+		Target: execution.TargetOf(u), Executor: executor, Via: chosen.Name, Connections: connections,
+	}
 }
 
 // open returns the first VM that is not known to fail at the upstream; false with
--- a/internal/controller/takeover/attempt.go
+++ b/internal/controller/takeover/attempt.go
@@ -74,7 +74,7 @@
 // confirmed asks the primary once more, and lets other VMs ask it at the same time.
 func (t *attempt) confirmed(ctx context.Context) bool {
 	c := t.controller
-	target := targetOf(*t.primary)
+	target := execution.TargetOf(*t.primary)
 	others := make(chan bool, 1)
 	go func() { others <- c.cfg.Confirm(ctx, target) }()
 	if _, err := t.status(ctx, target, statement.Command{Kind: statement.StatusCommand}); err == nil {
@@ -89,10 +89,6 @@
 	return true
 }
 
-func targetOf(u catalog.Upstream) execution.Target {
-	return execution.Target{Group: u.Group, Upstream: u.Name, Address: u.Address}
-}
-
 // Reachable reports whether an upstream answers this VM.
 func (c *Controller) Reachable(ctx context.Context, target execution.Target) bool {
 	_, err := c.status(ctx, target, statement.Command{Kind: statement.StatusCommand})
@@ -183,7 +179,7 @@
 	var mu sync.Mutex
 	for i, u := range members {
 		wg.Go(func() {
-			status, err := t.status(ctx, targetOf(u), command(u))
+			status, err := t.status(ctx, execution.TargetOf(u), command(u))
 			mu.Lock()
 			defer mu.Unlock()
 			reports[i] = core.Report{Name: u.Name, Fit: fit(t.state, u), Near: u.Zone == t.controller.cfg.Zone}
@@ -265,7 +261,7 @@
 func (t *attempt) markPaused(u catalog.Upstream) {
 	t.controller.mu.Lock()
 	defer t.controller.mu.Unlock()
-	t.group.paused[u.Name] = targetOf(u)
+	t.group.paused[u.Name] = execution.TargetOf(u)
 }
 
 // resume lets the paused replicas receive again. One without an answer may be
--- a/internal/controller/takeover/controller.go
+++ b/internal/controller/takeover/controller.go
@@ -203,8 +203,7 @@
 
 // rank returns this VM's place among the live ones for a group.
 func (c *Controller) rank(name ident.GroupName) int {
-	ranked := placement.Rank(c.cfg.Live(), "group/"+string(name))
-	return max(0, slices.IndexFunc(ranked, func(v placement.VM) bool { return v.Name == c.cfg.Self }))
+	return max(0, placement.Index(placement.Rank(c.cfg.Live(), "group/"+string(name)), c.cfg.Self))
 }
 
 // Reasons for a change.
--- a/internal/controller/takeover/ledger.go
+++ b/internal/controller/takeover/ledger.go
@@ -43,13 +43,16 @@
 	}
 	g.busy, g.nextLedger = true, now+ledgerPause
 	t := &attempt{controller: c, group: g, spec: spec, state: state, reason: "ledger", primary: primary}
-	go func() {
-		defer t.close()
-		t.updateLedger(ctx)
-		c.mu.Lock()
-		g.busy = false
-		c.mu.Unlock()
-	}()
+	go t.upkeep(func() { t.updateLedger(ctx) })
+}
+
+// upkeep runs a step outside a takeover.
+func (t *attempt) upkeep(step func()) {
+	defer t.close()
+	step()
+	t.controller.mu.Lock()
+	defer t.controller.mu.Unlock()
+	t.group.busy = false
 }
 
 // differs reports whether the ledger lacks a registered upstream or names one that is
@@ -123,7 +126,7 @@
 // that position.
 func (t *attempt) covered(ctx context.Context, present map[ident.UpstreamName]bool) bool {
 	c := t.controller
-	status, err := t.status(ctx, targetOf(*t.primary), statusCommand(*t.primary))
+	status, err := t.status(ctx, execution.TargetOf(*t.primary), statusCommand(*t.primary))
 	if err != nil || !status.Primary {
 		return false
 	}
--- a/internal/controller/takeover/paused.go
+++ b/internal/controller/takeover/paused.go
@@ -59,13 +59,7 @@
 	}
 	g.busy, g.nextResume = true, now+laggingPause
 	t := &attempt{controller: c, group: g, spec: spec, state: state, reason: "replica lags", primary: primary}
-	go func() {
-		defer t.close()
-		t.resumePaused(ctx, lagging)
-		c.mu.Lock()
-		g.busy = false
-		c.mu.Unlock()
-	}()
+	go t.upkeep(func() { t.resumePaused(ctx, lagging) })
 }
 
 // resumePaused resumes those of the replicas that are paused, unless another VM's
--- a/internal/controller/takeover/record.go
+++ b/internal/controller/takeover/record.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -72,7 +71,7 @@
 // is taken for an old one.
 func (c *Controller) respected(seen seenRecord) bool {
 	now := c.cfg.Now()
-	alive := slices.ContainsFunc(c.cfg.Live(), func(v placement.VM) bool { return v.Name == seen.Holder })
+	alive := placement.Index(c.cfg.Live(), seen.Holder) >= 0
 	return now < seen.at+c.cfg.HolderTime || alive && !seen.old && now < seen.at+claimTime
 }
 
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -44,6 +44,11 @@
 	return out
 }
 
+// Index returns the place of a VM in a list, or -1.
+func Index(vms []VM, name ident.VMName) int {
+	return slices.IndexFunc(vms, func(v VM) bool { return v.Name == name })
+}
+
 // Rank orders VMs by preference for a key; the order of the others does not change
 // when one leaves.
 func Rank(vms []VM, key string) []VM {
--- a/internal/execution/execution.go
+++ b/internal/execution/execution.go
@@ -17,6 +17,7 @@
 	"context"
 	"time"
 
+	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/statement"
 )
@@ -29,6 +30,11 @@
 	Address string `cbor:"3,keyasint"`
 }
 
+// TargetOf returns the target of a registered upstream.
+func TargetOf(u catalog.Upstream) Target {
+	return Target{Group: u.Group, Upstream: u.Name, Address: u.Address}
+}
+
 // Conn is an open connection to an upstream. It is used by one goroutine at a time.
 type Conn interface {
 	// Exchange sends commands together and returns their replies in order. With an
--- a/internal/execution/pool.go
+++ b/internal/execution/pool.go
@@ -91,11 +91,7 @@
 	if p.now() < p.paused {
 		return nil, false
 	}
-	for p.open >= limit && len(p.idle) > 0 {
-		oldest := p.idle[0]
-		p.idle = p.idle[1:]
-		p.drop(oldest)
-	}
+	p.evict(limit - 1)
 	if p.open >= limit {
 		return nil, false
 	}
@@ -155,7 +151,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.limit = limit
-	for p.open > limit && len(p.idle) > 0 {
+	p.evict(limit)
+}
+
+// evict closes the idle connections that were used longest ago until at most open are
+// left, if the others allow it; p.mu is held.
+func (p *pool) evict(open int) {
+	for p.open > open && len(p.idle) > 0 {
 		oldest := p.idle[0]
 		p.idle = p.idle[1:]
 		p.drop(oldest)
--- a/internal/service/observe.go
+++ b/internal/service/observe.go
@@ -7,6 +7,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/core/parts"
 	"github.com/rosemarywall/rosemarywall/internal/core/shares"
 	"github.com/rosemarywall/rosemarywall/internal/execution"
@@ -34,18 +35,16 @@
 	if t.Attempts > 0 && a.Err == nil {
 		v.adapter.Metrics.Answered(t.Primary)
 	}
-	line, message := v.successLog.Info(), "statement answered"
 	switch {
 	case r.Opening:
-		line, message = v.log.Warn().Err(a.Err), "caller refused"
+		describe(v.log.Warn().Err(a.Err), r).Str("code", code).Msg("caller refused")
 	case a.Err != nil:
-		line, message = v.log.Warn().Err(a.Err), "statement refused"
+		describe(v.log.Warn().Err(a.Err), r).Str("code", code).Msg("statement refused")
 	case t.Target > 0 && r.Duration > t.Target/slowShare:
-		line, message = v.log.Warn(), "statement slow"
-	case t.Attempts == 0:
-		return // answered from the session without a decision
+		describe(v.log.Warn(), r).Str("code", code).Msg("statement slow")
+	case t.Attempts > 0: // the session alone answers the others, without a decision
+		describe(v.successLog.Info(), r).Str("code", code).Msg("statement answered")
 	}
-	describe(line, r).Str("code", code).Msg(message)
 }
 
 // describe adds the inputs of the decision.
@@ -96,15 +95,15 @@
 
 // Dump is the state of a VM for operators. It holds no key.
 type Dump struct {
-	VM        string         `json:"vm"`
-	Ready     bool           `json:"ready"`
-	Reason    string         `json:"reason,omitempty"`
-	Version   uint64         `json:"version"`
-	ProofAge  time.Duration  `json:"proof_age_ns"`
-	LiveVMs   []string       `json:"live_vms"`
-	Upstreams map[string]any `json:"upstreams"`
-	Parts     parts.Table    `json:"rate_parts"`
-	RateShare float64        `json:"rate_share"`
+	VM        string            `json:"vm"`
+	Ready     bool              `json:"ready"`
+	Reason    string            `json:"reason,omitempty"`
+	Version   uint64            `json:"version"`
+	ProofAge  time.Duration     `json:"proof_age_ns"`
+	LiveVMs   []string          `json:"live_vms"`
+	Upstreams catalog.Upstreams `json:"upstreams"`
+	Parts     parts.Table       `json:"rate_parts"`
+	RateShare float64           `json:"rate_share"`
 	// Rates are the buckets of the organisations.
 	Rates        map[ident.OrganisationName]shares.Level `json:"rates"`
 	Callers      int                                     `json:"callers"`
@@ -117,14 +116,11 @@
 	version, age, _ := v.follower.Proof()
 	d := Dump{
 		VM: string(v.settings.VM), Ready: ready, Reason: reason, Version: uint64(version), ProofAge: age,
-		Upstreams: map[string]any{}, Callers: v.server.Callers(), Transactions: v.local.Transactions(),
+		Upstreams: v.follower.State().Upstreams, Callers: v.server.Callers(), Transactions: v.local.Transactions(),
 	}
 	for _, vm := range v.peers.Live() {
 		d.LiveVMs = append(d.LiveVMs, string(vm.Name))
 	}
-	for group, members := range v.follower.State().Upstreams {
-		d.Upstreams[string(group)] = members
-	}
 	d.Parts, d.Rates = v.limits.Table(), v.limits.Levels()
 	own, _ := v.limits.Parts()
 	d.RateShare = float64(own) / parts.Total
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -117,17 +116,17 @@
 		v.Close()
 		return nil, err
 	}
-	v.run(ctx, "store", v.follower.Run)
-	v.run(ctx, "peers", v.peers.Run)
-	v.run(ctx, "limits", v.limits.Run)
-	v.run(ctx, "pools", v.keepPools)
-	v.run(ctx, "takeover", v.takeover.Run)
+	v.run(ctx, v.follower.Run)
+	v.run(ctx, v.peers.Run)
+	v.run(ctx, v.limits.Run)
+	v.run(ctx, v.keepPools)
+	v.run(ctx, v.takeover.Run)
 	log.Info().Str("callers", settings.Callers).Str("relay", v.self.Address).Str("metrics", adapter.MetricsAddress).
 		Str("zone", string(settings.Zone)).Uint64("incarnation", uint64(v.self.Incarnation)).Str("build", version.Version).Msg("started")
 	return v, nil
 }
 
-func (v *VM) run(ctx context.Context, _ string, f func(context.Context)) {
+func (v *VM) run(ctx context.Context, f func(context.Context)) {
 	v.running.Go(func() { f(ctx) })
 }
 
@@ -180,12 +179,7 @@
 
 // rank returns this VM's place among the live ones in an order by hash.
 func (v *VM) rank() int {
-	for i, vm := range placement.Rank(v.peers.Live(), "configuration") {
-		if vm.Name == v.settings.VM {
-			return i
-		}
-	}
-	return 0
+	return max(0, placement.Index(placement.Rank(v.peers.Live(), "configuration"), v.settings.VM))
 }
 
 // unique returns a text that no other life of any VM has used.
@@ -250,7 +244,7 @@
 	for _, u := range state.Upstreams[t.Group] {
 		if u.Name == t.Upstream && u.Address == t.Address {
 			near := placement.Near(v.peers.Live(), u.Zone, v.settings.Regions[u.Zone])
-			if !slices.ContainsFunc(near, func(vm placement.VM) bool { return vm.Name == v.settings.VM }) {
+			if placement.Index(near, v.settings.VM) < 0 {
 				return 0, true // idle connections are those of the VMs near the upstream
 			}
 			return placement.Connections(state.Catalog.Groups[t.Group].MaxConnections, len(near)), true
