--- a/internal/controller/following/doc.go
+++ b/internal/controller/following/doc.go
@@ -7,6 +7,7 @@
 // too much. A watch that reports nothing is no proof, because the store may have
 // lost it.
 //
-// Calls are shared: the first live VM in an order by hash reads the configuration,
-// the others only when the relayed proof grows old.
+// Calls are shared: the first hub in an order by hash reads the configuration, the
+// others only when the relayed proof grows old. In each zone one hub watches the
+// registrations and the zones to leave, and the other VMs ask it; see view.go.
 package following
--- a/internal/controller/following/follower.go
+++ b/internal/controller/following/follower.go
@@ -11,7 +11,6 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
@@ -52,6 +51,9 @@
 	// configuration again. The others learn of a change with their next probe and read
 	// it themselves, so that three such parts stay within the bound.
 	pollShare = 3
+	// zoneShare is the part of Times.Apply for which a VM waits for a newer configuration
+	// from its own zone before it asks the store. Probes come once in such a part.
+	zoneShare = 6
 	// freshShare (of 100) is the part of Times.Revoke for which a proof of the
 	// configuration counts. The rest covers the time between check and send.
 	freshShare = 90
@@ -68,9 +70,11 @@
 	// differsFor is the time for which another VM's digest must differ before this VM
 	// lists again. Changes reach all watches within a fraction of it.
 	differsFor = 700 * time.Millisecond
-	// firstRetry and lastRetry bound the pause after a failed call.
-	firstRetry = 150 * time.Millisecond
-	lastRetry  = time.Second
+	// firstRetry and lastRetry bound the pause after a failed call. A VM to which another
+	// one relays what the store says pauses up to relayedRetry.
+	firstRetry   = 150 * time.Millisecond
+	lastRetry    = time.Second
+	relayedRetry = 3 * time.Second
 	// tick is the resolution of the polling decisions.
 	tick = 50 * time.Millisecond
 )
@@ -89,6 +93,8 @@
 	ColdUntil map[ident.UpstreamName]time.Duration
 	// Evacuated holds the zones to leave with the time at which this VM learned it.
 	Evacuated map[ident.AvailabilityZone]time.Duration
+
+	digest uint64
 }
 
 // Follower follows the store.
@@ -98,6 +104,8 @@
 	now    func() time.Duration
 	log    zerolog.Logger
 	rank   func() int
+	relay  func() (ident.VMName, bool)
+	ask    func(context.Context, ident.VMName, ViewRequest) (View, error)
 
 	state atomic.Pointer[State]
 	hurry chan struct{}
@@ -114,6 +122,12 @@
 	evacuated map[ident.AvailabilityZone]time.Duration
 	cold      map[ident.UpstreamName]time.Duration
 	loaded    map[objectapi.Kind]bool
+	// views are what other VMs may be told; see view.go.
+	views map[objectapi.Kind]*storeView
+	// readAt is the time of the next reading of a newer configuration that another VM
+	// has reported; zero without one. newerFrom is that VM if it stands in this zone.
+	readAt    time.Duration
+	newerFrom ident.VMName
 	listedAt  time.Duration // first list of the upstreams
 	lostSince time.Duration // last failed call of the store
 	differs   time.Duration // since when digests of other VMs differ; zero while they agree
@@ -127,8 +141,13 @@
 	// Now is the time since process start.
 	Now func() time.Duration
 	Log zerolog.Logger
-	// Rank returns this VM's place among the live VMs that may read the configuration.
+	// Rank returns this VM's place among the VMs that may read the configuration.
 	Rank func() int
+	// Relay returns the VM of this zone that follows the store for the others; false when
+	// this VM does, or when none is known. Nil means that there are no other VMs.
+	Relay func() (ident.VMName, bool)
+	// Ask asks a VM for its view.
+	Ask func(ctx context.Context, vm ident.VMName, request ViewRequest) (View, error)
 }
 
 // New returns a follower that knows nothing yet.
@@ -138,11 +157,17 @@
 		hurry: make(chan struct{}, 1), upstreams: map[string]catalog.Upstream{}, gone: map[string]time.Duration{},
 		leaving: map[ident.UpstreamName]time.Duration{}, evacuated: map[ident.AvailabilityZone]time.Duration{},
 		cold:   map[ident.UpstreamName]time.Duration{},
-		loaded: map[objectapi.Kind]bool{}, available: true,
+		loaded: map[objectapi.Kind]bool{}, available: true, relay: o.Relay, ask: o.Ask,
+		views: map[objectapi.Kind]*storeView{
+			o.Source.ConfigKind: newStoreView(), o.Source.UpstreamsKind: newStoreView(), o.Source.EvacuationsKind: newStoreView(),
+		},
 		relist: map[objectapi.Kind]chan struct{}{
 			o.Source.UpstreamsKind: make(chan struct{}, 1), o.Source.EvacuationsKind: make(chan struct{}, 1),
 		},
 	}
+	if f.relay == nil {
+		f.relay = func() (ident.VMName, bool) { return "", false }
+	}
 	f.state.Store(&State{Catalog: &catalog.Catalog{}, Upstreams: catalog.Upstreams{}})
 	return f
 }
@@ -199,15 +224,28 @@
 }
 
 // Relayed takes the proof of another VM, which was asked at askedAt and answered
-// with the age of its proof.
-func (f *Follower) Relayed(askedAt time.Duration, version ident.ConfigurationVersion, age time.Duration) {
+// with the age of its proof. A newer version is read at once from a VM of this zone,
+// and from the store by the VM that reads for the zone; the others wait a while for
+// the former.
+func (f *Follower) Relayed(askedAt time.Duration, from ident.VMName, sameZone bool, version ident.ConfigurationVersion, age time.Duration) {
+	_, relayed := f.relay()
 	f.mu.Lock()
 	newer := f.catalog == nil || version > f.catalog.Version
 	if !newer && f.proved && version == f.catalog.Version && askedAt-age > f.verified {
 		f.verified = askedAt - age
 	}
+	hurry := false
+	switch {
+	case !newer:
+	case sameZone:
+		f.newerFrom, f.readAt, hurry = from, f.now(), true
+	case !relayed:
+		f.readAt, hurry = f.now(), true
+	case f.readAt == 0:
+		f.readAt = f.now() + f.times.Apply/zoneShare
+	}
 	f.mu.Unlock()
-	if newer {
+	if hurry {
 		select {
 		case f.hurry <- struct{}{}:
 		default:
@@ -217,12 +255,10 @@
 
 // Digest returns a value that two VMs share while they know the same registrations
 // and zones to be left.
-func (f *Follower) Digest() uint64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.digest()
-}
+func (f *Follower) Digest() uint64 { return f.state.Load().digest }
 
+// digest is computed once for each view, because probes compare it many times a second;
+// f.mu is held.
 func (f *Follower) digest() uint64 {
 	sum := uint64(0) // a sum, because the order of the entries does not matter
 	for name, u := range f.upstreams {
@@ -248,7 +284,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	switch {
-	case digest == f.digest():
+	case digest == f.state.Load().digest:
 		f.differs = 0
 	case f.differs == 0:
 		f.differs = f.now()
@@ -268,16 +304,16 @@
 func (f *Follower) followConfiguration(ctx context.Context) {
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
-	retry := firstRetry
+	retry, next := firstRetry, time.Duration(0)
 	for {
-		if f.due() {
+		switch due := f.due(); {
+		case due && f.readNewer(ctx):
+		case due && f.now() >= next:
 			if f.readConfiguration(ctx) {
 				retry = firstRetry
 			} else {
-				if !clock.Sleep(ctx, retry) {
-					return
-				}
-				retry = min(2*retry, lastRetry)
+				next = f.now() + retry
+				retry = f.nextRetry(retry)
 			}
 		}
 		select {
@@ -285,52 +321,89 @@
 			return
 		case <-ticker.C:
 		case <-f.hurry:
-			f.readConfiguration(ctx)
 		}
 	}
 }
 
+// nextRetry returns the pause after the next failed call.
+func (f *Follower) nextRetry(retry time.Duration) time.Duration {
+	if _, relayed := f.relay(); relayed {
+		return min(2*retry, relayedRetry)
+	}
+	return min(2*retry, lastRetry)
+}
+
 func (f *Follower) due() bool {
 	_, age, ok := f.Proof()
+	f.mu.Lock()
+	newer := f.readAt > 0 && f.now() >= f.readAt
+	f.mu.Unlock()
 	interval := f.times.Apply / pollShare
 	if rank := f.rank(); rank > 0 {
 		interval += interval/2 + interval/4*time.Duration(min(rank, 4)-1)
 	}
-	return !ok || age >= interval
+	return !ok || newer || age >= interval
 }
 
+// readNewer reads the configuration from the VM of this zone that has reported a
+// newer one.
+func (f *Follower) readNewer(ctx context.Context) bool {
+	f.mu.Lock()
+	from := f.newerFrom
+	f.newerFrom = ""
+	f.mu.Unlock()
+	if from == "" {
+		return false
+	}
+	askedAt := f.now()
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	view, err := f.ask(ctx, from, ViewRequest{Kind: f.source.ConfigKind})
+	if err != nil || len(view.Objects) != 1 {
+		f.log.Debug().Err(err).Str("peer", string(from)).Msg("configuration not relayed")
+		return false
+	}
+	return f.takeConfiguration(view.Objects[0], askedAt-view.ProofAge)
+}
+
+// readConfiguration reads the configuration from the store.
 func (f *Follower) readConfiguration(ctx context.Context) bool {
 	sentAt := f.now()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	o, err := f.source.Store.Get(ctx, f.source.ConfigKind, f.source.ConfigName)
 	f.noteCall(err)
-	if err != nil {
-		return false
-	}
+	return err == nil && f.takeConfiguration(o, sentAt)
+}
+
+// takeConfiguration decodes a configuration that is proved to have been current at a
+// time, and puts it in force.
+func (f *Follower) takeConfiguration(o objectapi.Object, provedAt time.Duration) bool {
 	decoded, err := f.source.DecodeCatalog(o)
 	if err != nil {
 		f.log.Error().Err(err).Uint64("revision", uint64(o.Version)).Msg("configuration rejected")
 		return false
 	}
-	f.install(decoded, sentAt)
+	f.install(decoded, o, provedAt)
 	return true
 }
 
 // install puts a configuration in force unless a newer one is known.
-func (f *Follower) install(c *catalog.Catalog, sentAt time.Duration) {
+func (f *Follower) install(c *catalog.Catalog, o objectapi.Object, provedAt time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.readAt = 0
 	if f.catalog != nil && c.Version < f.catalog.Version {
 		f.log.Warn().Uint64("version", uint64(c.Version)).Uint64("in_force", uint64(f.catalog.Version)).Msg("older configuration ignored")
 		return
 	}
 	changed := f.catalog == nil || c.Version > f.catalog.Version
-	f.proved, f.verified = true, max(f.verified, sentAt)
+	f.proved, f.verified = true, max(f.verified, provedAt)
 	if !changed {
 		return
 	}
 	f.catalog = c
+	f.views[f.source.ConfigKind].replace([]objectapi.Object{o}, o.Version)
 	f.log.Info().Uint64("version", uint64(c.Version)).Int("routes", len(c.Routes)).Int("organisations", len(c.Organisations)).Msg("configuration in force")
 	f.publish()
 }
@@ -339,7 +412,7 @@
 func (f *Follower) publish() {
 	s := &State{Catalog: f.catalog, Upstreams: catalog.Upstreams{}, Leaving: maps.Clone(f.leaving),
 		Gone: map[ident.UpstreamName]time.Duration{}, Evacuated: maps.Clone(f.evacuated),
-		ColdUntil: map[ident.UpstreamName]time.Duration{}}
+		ColdUntil: map[ident.UpstreamName]time.Duration{}, digest: f.digest()}
 	if s.Catalog == nil {
 		s.Catalog = &catalog.Catalog{}
 	}
@@ -370,6 +443,9 @@
 	}
 	if lost == f.available {
 		f.available = !lost
+		for _, v := range f.views {
+			v.wake()
+		}
 		if lost {
 			f.log.Warn().Err(err).Str("dependency", "store").Msg("dependency lost")
 		} else {
--- a/internal/controller/following/follower_test.go
+++ b/internal/controller/following/follower_test.go
@@ -28,6 +28,7 @@
 	fail     error
 	delay    time.Duration
 	gets     int
+	lists    int
 }
 
 func newStore() *fakeStore {
@@ -55,6 +56,7 @@
 func (s *fakeStore) List(_ context.Context, kind objectapi.Kind) (objectapi.Changes, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.lists++
 	all := objectapi.Changes{Version: s.revision}
 	if kind == "zones" {
 		for _, zone := range s.zones {
@@ -84,13 +86,18 @@
 	store *fakeStore
 	rank  atomic.Int64
 	start time.Time
+	// relayLost lets questions to the relay end without an answer.
+	relayLost atomic.Bool
 }
 
 func (f *testFollower) elapsed() time.Duration { return time.Since(f.start) }
 
-func newFollower(store *fakeStore) *testFollower {
+func newFollower(store *fakeStore) *testFollower { return newRelayedFollower(store, nil) }
+
+// newRelayedFollower returns a follower that another one tells what it has read.
+func newRelayedFollower(store *fakeStore, relay *testFollower) *testFollower {
 	f := &testFollower{store: store, start: time.Now()}
-	f.Follower = New(Options{
+	options := Options{
 		Source: Source{
 			Store: store, ConfigKind: "config", ConfigName: "main", UpstreamsKind: "upstreams", EvacuationsKind: "zones",
 			DecodeCatalog: func(o objectapi.Object) (*catalog.Catalog, error) {
@@ -104,7 +111,18 @@
 		},
 		Times: Times{Apply: 3 * time.Second, Revoke: 5 * time.Second, Return: 2500 * time.Millisecond},
 		Now:   f.elapsed, Log: zerolog.Nop(), Rank: func() int { return int(f.rank.Load()) },
-	})
+	}
+	if relay != nil {
+		options.Relay = func() (ident.VMName, bool) { return "relay", true }
+		options.Ask = func(ctx context.Context, _ ident.VMName, r ViewRequest) (View, error) {
+			if f.relayLost.Load() {
+				<-ctx.Done()
+				return View{}, ctx.Err()
+			}
+			return relay.View(ctx, r), nil
+		}
+	}
+	f.Follower = New(options)
 	return f
 }
 
@@ -136,11 +154,11 @@
 		store.change(func() { store.fail = resultcode.New(resultcode.PlatformDown, "down") })
 		time.Sleep(5 * time.Second)
 		assert.Assert(t, !f.Fresh())
-		f.Relayed(f.elapsed()-time.Second, 1, 3*time.Second)
+		f.Relayed(f.elapsed()-time.Second, "vm-2", true, 1, 3*time.Second)
 		assert.Assert(t, f.Fresh(), "4 s old by the time of the question")
 		time.Sleep(600 * time.Millisecond)
 		assert.Assert(t, !f.Fresh())
-		f.Relayed(f.elapsed(), 2, 0)
+		f.Relayed(f.elapsed(), "vm-2", false, 2, 0)
 		assert.Assert(t, !f.Fresh(), "a proof of another version proves nothing")
 	})
 }
@@ -160,11 +178,11 @@
 		f.rank.Store(3)
 		for range 20 {
 			time.Sleep(500 * time.Millisecond)
-			f.Relayed(f.elapsed(), 1, 900*time.Millisecond)
+			f.Relayed(f.elapsed(), "vm-2", false, 1, 900*time.Millisecond)
 		}
 		assert.Equal(t, store.gets, 1)
 		store.change(func() { store.version = 2 })
-		f.Relayed(f.elapsed(), 2, 0)
+		f.Relayed(f.elapsed(), "vm-2", false, 2, 0)
 		time.Sleep(10 * time.Millisecond)
 		assert.Equal(t, f.State().Catalog.Version, ident.ConfigurationVersion(2), "a peer's newer version is read at once")
 	})
--- a/internal/controller/following/lists.go
+++ b/internal/controller/following/lists.go
@@ -11,14 +11,16 @@
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
-// followKind lists the objects of a kind and watches their changes.
+// followKind follows the objects of a kind over another VM of the zone, or lists them
+// at the store and watches their changes.
 func (f *Follower) followKind(ctx context.Context, kind objectapi.Kind, replace func([]objectapi.Object), change func(objectapi.Changes)) {
 	retry := firstRetry
 	for ctx.Err() == nil {
+		f.followRelay(ctx, kind, replace)
 		version, err := f.list(ctx, kind, replace)
 		if err != nil {
 			clock.Sleep(ctx, retry)
-			retry = min(2*retry, lastRetry)
+			retry = f.nextRetry(retry)
 			continue
 		}
 		retry = firstRetry
@@ -42,6 +44,7 @@
 	f.loaded[kind] = true
 	replace(all.Objects)
 	f.publish()
+	f.views[kind].replace(all.Objects, all.Version)
 	return all.Version, nil
 }
 
@@ -57,7 +60,7 @@
 		}
 	}()
 	interval := otherRelist
-	if f.rank() == 0 {
+	if _, relayed := f.relay(); relayed || f.rank() == 0 {
 		interval = firstRelist
 	}
 	until := f.now() + interval
@@ -75,6 +78,9 @@
 			return
 		}
 		version = max(version, changes.Version)
+		f.mu.Lock()
+		f.views[kind].change(changes)
+		f.mu.Unlock()
 		if len(changes.Objects)+len(changes.Deleted) > 0 {
 			f.mu.Lock()
 			change(changes)
--- /dev/null
+++ b/internal/controller/following/view.go
@@ -0,0 +1,188 @@
+package following
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
+)
+
+// Each call of the store is priced, and each event ends the watches of all VMs that
+// wait for it. In each zone one VM follows the store; the others wait for changes
+// there with a standing question. A VM that cannot follow in this way, or whose view
+// differs from that of others, turns to the store itself.
+
+const (
+	// viewWait is the time that a question for changes waits for one.
+	viewWait = 10 * time.Second
+	// viewTimeout is added to it for the way there and back.
+	viewTimeout = 500 * time.Millisecond
+)
+
+// ViewRequest asks a VM for the objects of a kind that it follows at the store.
+type ViewRequest struct {
+	Kind objectapi.Kind `cbor:"1,keyasint"`
+	// After is the version that the asker knows; the answer comes when a newer one is
+	// known, or unchanged after Wait.
+	After objectapi.Version `cbor:"2,keyasint,omitempty"`
+	Wait  time.Duration     `cbor:"3,keyasint,omitempty"`
+}
+
+// View answers a ViewRequest.
+type View struct {
+	// Followed says that the VM follows the store; without it the rest is void.
+	Followed bool `cbor:"1,keyasint,omitempty"`
+	// Version is the store's version of the objects.
+	Version objectapi.Version `cbor:"2,keyasint,omitempty"`
+	// Unchanged says that Objects are those of the request's After.
+	Unchanged bool               `cbor:"3,keyasint,omitempty"`
+	Objects   []objectapi.Object `cbor:"4,keyasint,omitempty"`
+	// ProofAge is the age of the proof of a configuration.
+	ProofAge time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+// storeView holds the objects of a kind as the store gave them.
+type storeView struct {
+	objects map[string]objectapi.Object
+	version objectapi.Version
+	changed chan struct{} // closed at the next change
+	// relayed says that they came from another VM.
+	relayed bool
+}
+
+func newStoreView() *storeView {
+	return &storeView{objects: map[string]objectapi.Object{}, changed: make(chan struct{})}
+}
+
+// replace takes a full list of the store.
+func (v *storeView) replace(objects []objectapi.Object, version objectapi.Version) {
+	next := make(map[string]objectapi.Object, len(objects))
+	for _, o := range objects {
+		next[o.Name] = o
+	}
+	same := maps.EqualFunc(v.objects, next, func(a, b objectapi.Object) bool { return a.Version == b.Version })
+	v.objects, v.relayed = next, false
+	v.advance(version, same)
+}
+
+// change takes the events of a watch.
+func (v *storeView) change(c objectapi.Changes) {
+	for _, o := range c.Deleted {
+		delete(v.objects, o.Name)
+	}
+	for _, o := range c.Objects {
+		v.objects[o.Name] = o
+	}
+	v.advance(c.Version, len(c.Objects)+len(c.Deleted) == 0)
+}
+
+// advance sets the version; without a change those who wait go on waiting.
+func (v *storeView) advance(version objectapi.Version, same bool) {
+	if same {
+		return
+	}
+	v.version = max(v.version+1, version)
+	v.wake()
+}
+
+// wake lets those who wait for a change look again.
+func (v *storeView) wake() {
+	close(v.changed)
+	v.changed = make(chan struct{})
+}
+
+// View answers another VM. A VM that does not follow the store itself, or whose last
+// call of it failed, says so.
+func (f *Follower) View(ctx context.Context, r ViewRequest) View {
+	wait := time.NewTimer(min(r.Wait, viewWait))
+	defer wait.Stop()
+	for {
+		f.mu.Lock()
+		v, known := f.views[r.Kind]
+		if !known || !f.follows(r.Kind, v) {
+			f.mu.Unlock()
+			return View{}
+		}
+		answer := View{Followed: true, Version: v.version, ProofAge: f.now() - f.verified}
+		changed := v.changed
+		if v.version != r.After {
+			answer.Objects = slices.Collect(maps.Values(v.objects))
+		}
+		f.mu.Unlock()
+		if answer.Version != r.After || r.Wait == 0 {
+			return answer
+		}
+		answer.Unchanged = true
+		select {
+		case <-changed:
+		case <-wait.C:
+			return answer
+		case <-ctx.Done():
+			return View{}
+		}
+	}
+}
+
+// follows reports whether this VM's view of a kind may be relayed; f.mu is held.
+func (f *Follower) follows(kind objectapi.Kind, v *storeView) bool {
+	if kind == f.source.ConfigKind {
+		return f.proved
+	}
+	return f.loaded[kind] && f.available && !v.relayed
+}
+
+var errNotFollowed = errors.New("the other VM does not follow the store")
+
+// followRelay follows a kind over another VM until that fails, or until another VM's
+// view differs.
+func (f *Follower) followRelay(ctx context.Context, kind objectapi.Kind, replace func([]objectapi.Object)) {
+	from, ok := f.relay()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		select {
+		case <-f.relist[kind]:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	var version objectapi.Version
+	for ctx.Err() == nil {
+		call, done := context.WithTimeout(ctx, viewWait+viewTimeout)
+		view, err := f.ask(call, from, ViewRequest{Kind: kind, After: version, Wait: viewWait})
+		done()
+		if err == nil && !view.Followed {
+			err = errNotFollowed
+		}
+		if err != nil {
+			f.log.Debug().Err(err).Str("peer", string(from)).Str("kind", string(kind)).Msg("view not relayed")
+			return
+		}
+		if !view.Unchanged {
+			f.takeView(kind, view, replace)
+			version = view.Version
+		}
+		if now, ok := f.relay(); !ok || now != from {
+			return
+		}
+	}
+}
+
+func (f *Follower) takeView(kind objectapi.Kind, view View, replace func([]objectapi.Object)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.loaded[kind] && kind == f.source.UpstreamsKind {
+		f.listedAt = f.now()
+	}
+	f.loaded[kind] = true
+	replace(view.Objects)
+	f.publish()
+	f.views[kind].relayed = true
+}
--- a/internal/controller/limits/limits.go
+++ b/internal/controller/limits/limits.go
@@ -36,9 +36,13 @@
 	Peers Asker
 	Store Store
 	State func() *following.State
-	Live  func() []placement.VM
+	// Holders are the VMs that hold the rates; the others ask one of them for each
+	// operation.
+	Holders func() []placement.VM
 	// Address returns the address of a VM that answers.
 	Address func(ident.VMName) (string, bool)
+	// Watch asks for probes of VMs beside the hubs.
+	Watch func([]ident.VMName)
 	// Unique returns a text that no other write of any VM has.
 	Unique func() string
 	Now    func() time.Duration
@@ -59,23 +63,21 @@
 	mu     sync.Mutex
 	holder *parts.Holder
 	hinted time.Duration // last reading because of a hint
+	// silent holds the VMs that did not answer in time, and until when they are passed
+	// over.
+	silent map[ident.VMName]time.Duration
 }
 
 // New returns a controller.
 func New(cfg Config) *Controller {
 	c := &Controller{
-		cfg: cfg, escrow: shares.NewEscrow(cfg.FirstID),
+		cfg: cfg, escrow: shares.NewEscrow(cfg.FirstID), silent: map[ident.VMName]time.Duration{},
 		holder: parts.NewHolder(parts.Key{VM: cfg.Self.VM, Address: cfg.Self.Address}),
 	}
 	c.taker = ratewait.New(c.escrow, cfg.Now, c.send)
 	return c
 }
 
-// Take implements proxy.Limiter.
-func (c *Controller) Take(ctx context.Context, organisation ident.OrganisationName) error {
-	return c.taker.Take(ctx, organisation, 1)
-}
-
 // Run keeps the buckets until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	var table sync.WaitGroup
@@ -94,7 +96,7 @@
 	}
 }
 
-// refresh passes the configuration and the live VMs to the escrow.
+// refresh passes the configuration and the VMs that hold rates to the escrow.
 func (c *Controller) refresh() {
 	state := c.cfg.State()
 	names := make([]ident.OrganisationName, 0, len(state.Catalog.Organisations))
@@ -102,8 +104,7 @@
 		names = append(names, name)
 	}
 	var near, far []ident.VMName
-	live := c.cfg.Live()
-	for _, vm := range live {
+	for _, vm := range c.cfg.Holders() {
 		switch {
 		case vm.Name == c.cfg.Self.VM:
 		case vm.Zone == c.cfg.Self.Zone:
--- a/internal/controller/limits/table.go
+++ b/internal/controller/limits/table.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/core/parts"
 	"github.com/rosemarywall/rosemarywall/internal/core/placement"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
@@ -38,6 +40,9 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.holder.Relayed(askedAt, version, age)
+	if !c.holder.Interested() {
+		return
+	}
 	if _, known := c.holder.Table(); version > known && c.cfg.Now() >= c.hinted+hintPause {
 		c.hinted = c.cfg.Now()
 		c.holder.Doubt()
@@ -74,8 +79,12 @@
 }
 
 func (c *Controller) stepTable(ctx context.Context) error {
+	serving := c.serving()
+	own := slices.ContainsFunc(serving, func(k parts.Key) bool { return k.VM == c.cfg.Self.VM })
+	rank := c.rank()
 	c.mu.Lock()
-	due := c.holder.Due(c.cfg.Now(), c.rank())
+	c.holder.SetServing(c.cfg.Now(), own)
+	due := c.holder.Due(c.cfg.Now(), rank)
 	c.mu.Unlock()
 	if due {
 		if err := c.readTable(ctx); err != nil {
@@ -83,8 +92,13 @@
 		}
 	}
 	c.mu.Lock()
-	next, base, ok := c.holder.Next(c.cfg.Now(), c.alive, c.rank() == 0)
+	next, base, ok := c.holder.Next(c.cfg.Now(), parts.View{Alive: c.alive, Serving: serving, First: rank == 0})
+	var table parts.Table
+	if c.holder.Interested() {
+		table, _ = c.holder.Table()
+	}
 	c.mu.Unlock()
+	c.watchRows(table)
 	if !ok {
 		return nil
 	}
@@ -156,7 +170,31 @@
 	return ok && address == k.Address
 }
 
-// rank returns this VM's place among the live ones.
+// rank returns this VM's place among those that hold rates.
 func (c *Controller) rank() int {
-	return max(0, placement.Index(c.cfg.Live(), c.cfg.Self.VM))
+	return placement.Place(c.cfg.Holders(), "rates", c.cfg.Self.VM)
+}
+
+// serving returns the keys of the VMs that are to hold rates.
+func (c *Controller) serving() []parts.Key {
+	var keys []parts.Key
+	for _, vm := range c.cfg.Holders() {
+		if vm.Name == c.cfg.Self.VM {
+			keys = append(keys, parts.Key{VM: vm.Name, Address: c.cfg.Self.Address})
+		} else if address, ok := c.cfg.Address(vm.Name); ok {
+			keys = append(keys, parts.Key{VM: vm.Name, Address: address})
+		}
+	}
+	return keys
+}
+
+// watchRows has the VMs that hold parts probed, so that those of a dead one return.
+func (c *Controller) watchRows(t parts.Table) {
+	var names []ident.VMName
+	for _, r := range t.Rows {
+		if r.VM != c.cfg.Self.VM {
+			names = append(names, r.VM)
+		}
+	}
+	c.cfg.Watch(names)
 }
--- a/internal/controller/peers/peers.go
+++ b/internal/controller/peers/peers.go
@@ -24,6 +24,10 @@
 	KindBorrow
 	// KindReach asks whether a VM reaches an upstream.
 	KindReach
+	// KindView asks for what a VM has read in the store.
+	KindView
+	// KindTake asks a VM that holds rates to spend an operation.
+	KindTake
 )
 
 // KindVM is the kind of the store's objects in which VMs register; the name is that
@@ -54,6 +58,7 @@
 type Store interface {
 	List(ctx context.Context, kind objectapi.Kind) (objectapi.Changes, error)
 	Put(ctx context.Context, kind objectapi.Kind, name string, value any, ifVersion objectapi.Version) (objectapi.Object, error)
+	Delete(ctx context.Context, kind objectapi.Kind, name string, ifVersion objectapi.Version) error
 }
 
 const (
@@ -68,16 +73,29 @@
 	// not be reached when they started.
 	relistEvery = time.Minute
 	retryEvery  = 300 * time.Millisecond
+	// probeOn is the time for which a VM that is no hub any more is still probed. Without
+	// probes it would close the connection and roll back what is open over it.
+	probeOn = 20 * time.Second
+	// goneAfter is the time without an answer after which a VM's registration is
+	// removed. It exceeds the usual partitions.
+	goneAfter = 5 * time.Minute
 )
 
 // peer is another VM.
 type peer struct {
 	identity relay.Identity
 	client   *relay.Client
-	alive    bool
-	leaving  bool
-	wake     chan struct{}
-	cancel   context.CancelFunc
+	// alive says that it answers, dead that it does not; neither holds before it was
+	// asked.
+	alive, dead bool
+	leaving     bool
+	deadSince   time.Duration
+	version     objectapi.Version // of its registration; zero if it was not read there
+	wake        chan struct{}
+	// stop ends the probes; nil while it is not probed.
+	stop context.CancelFunc
+	// unwanted is the time since which it need not be probed; zero while it must.
+	unwanted time.Duration
 }
 
 // Config sets up Peers.
@@ -90,7 +108,7 @@
 	// Dial opens a TCP connection.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// OnPulse is told each answer and when the question was sent.
-	OnPulse func(askedAt time.Duration, from ident.VMName, p Pulse)
+	OnPulse func(askedAt time.Duration, from placement.VM, p Pulse)
 }
 
 // Peers knows the other VMs. It is safe for concurrent use.
@@ -100,7 +118,9 @@
 
 	mu    sync.Mutex
 	peers map[ident.VMName]*peer
-	live  []placement.VM
+	hubs  []placement.VM
+	// watched are VMs to probe beside the hubs.
+	watched []ident.VMName
 	// leaving says that this VM stops and executes for itself only without another VM.
 	leaving bool
 }
@@ -108,15 +128,15 @@
 // New returns Peers that knows only this VM.
 func New(cfg Config) *Peers {
 	p := &Peers{cfg: cfg, peers: map[ident.VMName]*peer{}}
-	p.live = []placement.VM{p.self()}
+	p.hubs = []placement.VM{placementOf(cfg.Self)}
 	return p
 }
 
-func (p *Peers) self() placement.VM {
-	return placement.VM{Name: p.cfg.Self.VM, Zone: p.cfg.Self.Zone, Region: p.cfg.Self.Region}
+func placementOf(i relay.Identity) placement.VM {
+	return placement.VM{Name: i.VM, Zone: i.Zone, Region: i.Region, Cores: i.Cores}
 }
 
-// Run registers this VM and probes the others until ctx ends.
+// Run registers this VM and probes the hubs until ctx ends.
 func (p *Peers) Run(ctx context.Context) {
 	p.mu.Lock()
 	p.ctx = ctx
@@ -143,6 +163,8 @@
 	Address string                 `json:"address"`
 	Zone    ident.AvailabilityZone `json:"zone"`
 	Region  ident.Region           `json:"region"`
+	// Cores is the processor capacity.
+	Cores float64 `json:"cores"`
 }
 
 // register writes this VM's registration if it is missing or differs, and learns of
@@ -151,7 +173,8 @@
 func (p *Peers) register(ctx context.Context) bool {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	mine := registration{Address: p.cfg.Self.Address, Zone: p.cfg.Self.Zone, Region: p.cfg.Self.Region}
+	self := p.cfg.Self
+	mine := registration{Address: self.Address, Zone: self.Zone, Region: self.Region, Cores: self.Cores}
 	for range 2 {
 		all, err := p.cfg.Store.List(ctx, KindVM)
 		if err != nil {
@@ -160,6 +183,7 @@
 		}
 		present, version := p.learn(all.Objects)
 		if present == mine {
+			p.forgetGone(ctx)
 			return true
 		}
 		if _, err := p.cfg.Store.Put(ctx, KindVM, string(p.cfg.Self.VM), mine, version); err != nil {
@@ -174,6 +198,9 @@
 func (p *Peers) learn(objects []objectapi.Object) (registration, objectapi.Version) {
 	var own registration
 	var version objectapi.Version
+	listed := map[ident.VMName]bool{}
+	p.mu.Lock()
+	defer p.mu.Unlock()
 	for _, o := range objects {
 		var r registration
 		if err := o.Decode(&r); err != nil {
@@ -184,40 +211,80 @@
 			own, version = r, o.Version
 			continue
 		}
-		p.meet(relay.Identity{VM: ident.VMName(o.Name), Zone: r.Zone, Region: r.Region, Address: r.Address})
+		name := ident.VMName(o.Name)
+		listed[name] = true
+		p.meet(relay.Identity{VM: name, Zone: r.Zone, Region: r.Region, Address: r.Address, Cores: r.Cores})
+		if q := p.peers[name]; q != nil {
+			q.version = o.Version
+		}
 	}
+	for name, q := range p.peers {
+		if !listed[name] && q.dead {
+			p.drop(q)
+		}
+	}
+	p.rebuild()
 	return own, version
 }
 
 // Meet learns of a VM from its question.
 func (p *Peers) Meet(identity relay.Identity) {
-	if identity.VM != p.cfg.Self.VM && identity.Address != "" {
-		p.meet(identity)
+	if identity.VM == p.cfg.Self.VM || identity.Address == "" {
+		return
 	}
-}
-
-func (p *Peers) meet(identity relay.Identity) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.meet(identity) {
+		p.rebuild()
+	}
+}
+
+// meet records a VM and reports whether it was new; p.mu is held.
+func (p *Peers) meet(identity relay.Identity) bool {
 	known, ok := p.peers[identity.VM]
 	if ok && known.identity.Address == identity.Address {
-		if !known.alive {
+		if known.dead {
 			nudge(known.wake) // it has just asked, so it lives
 		}
-		return
+		return false
 	}
 	if ok {
-		known.cancel()
-		known.client.Reset()
+		p.drop(known)
 	}
 	if p.ctx == nil {
-		return
+		return false
 	}
-	ctx, cancel := context.WithCancel(p.ctx)
-	q := &peer{identity: identity, wake: make(chan struct{}, 1), cancel: cancel,
+	p.peers[identity.VM] = &peer{identity: identity, wake: make(chan struct{}, 1),
 		client: relay.NewClient(p.cfg.Self, identity.Address, p.cfg.Dial)}
-	p.peers[identity.VM] = q
-	go p.probe(ctx, q)
+	return true
+}
+
+// drop forgets a VM; p.mu is held.
+func (p *Peers) drop(q *peer) {
+	if q.stop != nil {
+		q.stop()
+	}
+	q.client.Reset()
+	delete(p.peers, q.identity.VM)
+}
+
+// forgetGone removes the registrations of VMs that have not answered for long, so
+// that VMs which were taken out of service are not probed for ever. One that lives
+// after all registers again.
+func (p *Peers) forgetGone(ctx context.Context) {
+	p.mu.Lock()
+	first := placement.Place(p.hubs, "registrations", p.cfg.Self.VM) == 0
+	gone := map[ident.VMName]objectapi.Version{}
+	for name, q := range p.peers {
+		if first && q.dead && q.version > 0 && p.cfg.Now() >= q.deadSince+goneAfter {
+			gone[name] = q.version
+		}
+	}
+	p.mu.Unlock()
+	for name, version := range gone {
+		err := p.cfg.Store.Delete(ctx, KindVM, string(name), version)
+		p.cfg.Log.Info().Err(err).Str("peer", string(name)).Msg("registration of a gone VM removed")
+	}
 }
 
 func nudge(c chan struct{}) {
@@ -229,7 +296,7 @@
 
 // probe asks a VM again and again until ctx ends.
 func (p *Peers) probe(ctx context.Context, q *peer) {
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && !p.ended(q) {
 		askedAt := p.cfg.Now()
 		pulse, err := p.ask(ctx, q)
 		if ctx.Err() != nil {
@@ -238,7 +305,7 @@
 		p.mark(q, err == nil, pulse.Leaving)
 		wait := deadInterval
 		if err == nil {
-			p.cfg.OnPulse(askedAt, q.identity.VM, pulse)
+			p.cfg.OnPulse(askedAt, placementOf(q.identity), pulse)
 			wait = p.cfg.ProbeInterval
 		}
 		select {
@@ -264,12 +331,15 @@
 func (p *Peers) mark(q *peer, alive, leaving bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	changed := q.alive != alive || q.leaving != leaving
-	q.alive, q.leaving = alive, leaving
-	if changed {
-		p.cfg.Log.Info().Str("peer", string(q.identity.VM)).Bool("alive", alive).Bool("leaving", leaving).Msg("peer changed")
-		p.rebuild()
+	if p.peers[q.identity.VM] != q || q.alive == alive && q.dead == !alive && q.leaving == leaving {
+		return
+	}
+	if !alive && !q.dead {
+		q.deadSince = p.cfg.Now()
 	}
+	q.alive, q.dead, q.leaving = alive, !alive, leaving
+	p.cfg.Log.Info().Str("peer", string(q.identity.VM)).Bool("alive", alive).Bool("leaving", leaving).Msg("peer changed")
+	p.rebuild()
 }
 
 // suspect stops the use of a VM whose connection failed until it answers a probe.
@@ -278,26 +348,67 @@
 	nudge(q.wake)
 }
 
+// rebuild chooses the hubs, and starts and ends probes accordingly; p.mu is held.
 func (p *Peers) rebuild() {
-	var live []placement.VM
+	candidates := []placement.Candidate{{VM: placementOf(p.cfg.Self), Leaving: p.leaving}}
 	for _, q := range p.peers {
-		if q.alive && !q.leaving {
-			live = append(live, placement.VM{Name: q.identity.VM, Zone: q.identity.Zone, Region: q.identity.Region})
+		candidates = append(candidates, placement.Candidate{VM: placementOf(q.identity), Dead: q.dead, Leaving: q.leaving})
+	}
+	chosen, names := placement.Hubs(candidates)
+	var hubs []placement.VM
+	for _, v := range chosen {
+		if q := p.peers[v.Name]; q == nil || q.alive {
+			hubs = append(hubs, v)
 		}
 	}
-	if !p.leaving || len(live) == 0 {
-		live = append(live, p.self())
+	p.hubs = hubs
+	p.probeOnly(append(names, p.watched...))
+}
+
+// probeOnly probes the named VMs and no others; p.mu is held.
+func (p *Peers) probeOnly(names []ident.VMName) {
+	wanted := map[ident.VMName]bool{}
+	for _, name := range names {
+		wanted[name] = true
 	}
-	slices.SortFunc(live, func(a, b placement.VM) int {
-		if a.Name < b.Name {
-			return -1
+	for name, q := range p.peers {
+		switch {
+		case wanted[name]:
+			q.unwanted = 0
+			if q.stop == nil {
+				var ctx context.Context
+				ctx, q.stop = context.WithCancel(p.ctx)
+				go p.probe(ctx, q)
+			}
+		case q.stop != nil && q.unwanted == 0:
+			q.unwanted = p.cfg.Now()
 		}
-		return 1
-	})
-	p.live = live
+	}
 }
 
-// Leave takes this VM out of the live ones that it knows.
+// ended ends the probes of a VM that has been unwanted for long enough.
+func (p *Peers) ended(q *peer) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if q.unwanted == 0 || p.cfg.Now() < q.unwanted+probeOn {
+		return false
+	}
+	q.stop()
+	q.stop, q.alive, q.dead, q.unwanted = nil, false, false, 0
+	return true
+}
+
+// Watch probes VMs beside the hubs, because what they hold matters.
+func (p *Peers) Watch(names []ident.VMName) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !slices.Equal(names, p.watched) {
+		p.watched = slices.Clone(names)
+		p.rebuild()
+	}
+}
+
+// Leave takes this VM out of the hubs that it knows.
 func (p *Peers) Leave() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -305,11 +416,20 @@
 	p.rebuild()
 }
 
-// Live returns the live VMs, this one included unless it leaves, ordered by name.
-func (p *Peers) Live() []placement.VM {
+// Hubs returns the hubs that answer, ordered by name; this VM is among them if it is
+// a hub.
+func (p *Peers) Hubs() []placement.VM {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.hubs
+}
+
+// Population returns the number of VMs of the fleet, this one included. VMs that do
+// not answer count, because they may only be cut off from this one.
+func (p *Peers) Population() int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.live
+	return len(p.peers) + 1
 }
 
 // Address returns the address of a VM that answers; a VM that leaves is included.
--- a/internal/controller/peers/peers_test.go
+++ b/internal/controller/peers/peers_test.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math"
 	"net"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -13,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"github.com/rosemarywall/rosemarywall/internal/core/placement"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/relay"
@@ -70,6 +73,16 @@
 	return o, err
 }
 
+func (r *registry) Delete(_ context.Context, _ objectapi.Kind, name string, ifVersion objectapi.Version) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.objects[name].Version != ifVersion {
+		return resultcode.New(resultcode.PlatformConflict, "another version")
+	}
+	delete(r.objects, name)
+	return nil
+}
+
 // node is a VM with its relay server.
 type node struct {
 	*Peers
@@ -103,7 +116,7 @@
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
 		},
-		OnPulse: func(time.Duration, ident.VMName, Pulse) {},
+		OnPulse: func(time.Duration, placement.VM, Pulse) {},
 	})
 	n.server = relay.NewServer(n)
 	go func() { _ = n.server.Serve(l) }()
@@ -134,7 +147,7 @@
 	all := func(n int, nodes ...*node) func() bool {
 		return func() bool {
 			for _, node := range nodes {
-				if len(node.Live()) != n {
+				if len(node.Hubs()) != n {
 					return false
 				}
 			}
@@ -154,11 +167,64 @@
 	second.silent, second.leave = false, true
 	second.mu.Unlock()
 	time.Sleep(50 * time.Millisecond)
-	assert.Equal(t, len(first.Live()), 1, "a VM that leaves is not used")
+	assert.Equal(t, len(first.Hubs()), 1, "a VM that leaves is not used")
 	second.mu.Lock()
 	second.leave = false
 	second.mu.Unlock()
 	eventually(t, "the VM is used again", all(2, first))
 	first.Leave()
-	assert.Equal(t, len(first.Live()), 1, "a VM that leaves executes on the others")
+	assert.Equal(t, len(first.Hubs()), 1, "a VM that leaves executes on the others")
+}
+
+// Guards against probes of all VMs by all, whose number grows with the square of the
+// fleet: in a zone of many equal VMs only the hubs are connected to.
+func TestOnlyHubsAreProbed(t *testing.T) {
+	store := &registry{objects: map[string]objectapi.Object{}}
+	var nodes []*node
+	for i := range 12 {
+		nodes = append(nodes, startNode(t, store, fmt.Sprintf("vm-%d", i), "a"))
+	}
+	hubs := func() []placement.VM { return nodes[0].Hubs() }
+	eventually(t, "all agree about the hubs", func() bool {
+		for _, n := range nodes {
+			if n.Population() < len(nodes) || !slices.Equal(n.Hubs(), hubs()) {
+				n.register(context.Background()) // instead of the regular reading
+				return false
+			}
+		}
+		return true
+	})
+	assert.Equal(t, len(hubs()), 5, "two fifths of twelve equal VMs")
+	plain := 0
+	for _, n := range nodes {
+		if placement.Index(hubs(), n.cfg.Self.VM) < 0 {
+			n.mu.Lock()
+			n.silent = true // nobody may notice
+			n.mu.Unlock()
+			plain++
+		}
+	}
+	assert.Equal(t, plain, 7)
+	before := slices.Clone(hubs())
+	time.Sleep(200 * time.Millisecond)
+	assert.DeepEqual(t, hubs(), before)
+	first := before[0].Name
+	for _, n := range nodes {
+		if n.cfg.Self.VM == first {
+			n.cancel()
+			n.server.Close()
+		} else {
+			n.mu.Lock()
+			n.silent = false
+			n.mu.Unlock()
+		}
+	}
+	eventually(t, "another VM takes the place of a dead hub", func() bool {
+		for _, n := range nodes {
+			if n.cfg.Self.VM != first && (placement.Index(n.Hubs(), first) >= 0 || len(n.Hubs()) < 5) {
+				return false
+			}
+		}
+		return true
+	})
 }
--- a/internal/controller/steering/router.go
+++ b/internal/controller/steering/router.go
@@ -47,10 +47,12 @@
 	Self    placement.VM
 	Regions map[ident.AvailabilityZone]ident.Region
 	State   func() *following.State
-	Live    func() []placement.VM
-	Local   execution.Executor
-	Remote  func(ident.VMName) execution.Executor
-	Now     func() time.Duration
+	// Hubs are the VMs that execute; Population is the number of VMs of the fleet.
+	Hubs       func() []placement.VM
+	Population func() int
+	Local      execution.Executor
+	Remote     func(ident.VMName) execution.Executor
+	Now        func() time.Duration
 	// Drain and Evacuate are the times after which nothing may reach an upstream that
 	// leaves or whose zone is to be left.
 	Drain, Evacuate time.Duration
@@ -180,7 +182,7 @@
 }
 
 // warm reports whether a statement may go to an upstream, which it always may unless
-// the upstream is cold. Each live VM may use an equal part of the cold rate; with
+// the upstream is cold. Each VM may use an equal part of the cold rate; with
 // spend set the statement uses it.
 func (r *Router) warm(state *following.State, need proxy.Need, u catalog.Upstream, now time.Duration, spend bool) bool {
 	until, cold := state.ColdUntil[u.Name]
@@ -188,7 +190,7 @@
 		delete(r.warming, u.Name)
 		return true
 	}
-	part := rate.Limit(need.Grant.Group.ColdRate / float64(max(1, len(r.cfg.Live()))))
+	part := rate.Limit(need.Grant.Group.ColdRate / float64(max(1, r.cfg.Population())))
 	limiter, ok := r.warming[u.Name]
 	if !ok {
 		limiter = rate.NewLimiter(part, 1)
--- a/internal/controller/steering/seat.go
+++ b/internal/controller/steering/seat.go
@@ -14,24 +14,28 @@
 // seat chooses the VM that executes at an upstream.
 func (r *Router) seat(need proxy.Need, u catalog.Upstream, now time.Duration) proxy.Choice {
 	region := r.cfg.Regions[u.Zone]
-	live := r.cfg.Live()
-	near := placement.Near(live, u.Zone, region)
+	hubs := r.cfg.Hubs()
+	near := placement.Near(hubs, u.Zone, region)
+	if len(near) == 0 {
+		near = []placement.VM{r.cfg.Self} // no hub answers
+	}
 	homes := len(need.Grant.Route.Homes)+len(need.Grant.Organisation.Homes) > 0
-	if homes && (len(near) == 0 || near[0].Region != region) {
+	if homes && near[0].Region != region {
 		near = []placement.VM{r.cfg.Self} // no other region may see the statement
 	}
-	key := string(need.Grant.Organisation.Name)
-	connections := placement.Connections(need.Grant.Group.MaxConnections, len(near))
+	key := string(need.Grant.Organisation.Name) + "/" + string(u.Name)
 	chosen, ok := r.open(placement.Rank(near, key), u.Name, now)
 	if !ok && !homes {
 		// The near VMs may be cut off from the upstream while others reach it.
-		if far, found := r.open(placement.Rank(live, key), u.Name, now); found && r.unreached(near, u.Name, now) {
+		if far, found := r.open(placement.Rank(hubs, key), u.Name, now); found && r.unreached(near, u.Name, now) {
 			chosen = far
-			if placement.Index(near, far.Name) < 0 {
-				connections = placement.SpareConnections(need.Grant.Group.MaxConnections, len(live))
-			}
 		}
 	}
+	limit := need.Grant.Group.MaxConnections
+	connections := placement.SpareConnections(limit, r.cfg.Population())
+	if placement.Index(hubs, chosen.Name) >= 0 && placement.Index(near, chosen.Name) >= 0 {
+		connections = placement.Connections(limit, near, chosen.Name)
+	}
 	executor := r.cfg.Local
 	if chosen.Name != r.cfg.Self.Name {
 		executor = r.cfg.Remote(chosen.Name)
@@ -44,6 +48,9 @@
 // open returns the first VM that is not known to fail at the upstream; false with
 // the first one when there is none.
 func (r *Router) open(ranked []placement.VM, u ident.UpstreamName, now time.Duration) (placement.VM, bool) {
+	if len(ranked) == 0 {
+		return placement.VM{}, false
+	}
 	for _, vm := range ranked {
 		s := seat{vm.Name, u}
 		if now >= r.saturated[s] && now >= r.unreachable[s] {
--- a/internal/controller/takeover/controller.go
+++ b/internal/controller/takeover/controller.go
@@ -73,7 +73,8 @@
 	// Settled reports whether the registrations can be trusted to be complete. Before
 	// that a missing primary may live, and a missing replica may hold a commit.
 	Settled func() bool
-	Live    func() []placement.VM
+	// Hubs are the VMs that replace primaries; others do so after all of them.
+	Hubs func() []placement.VM
 	// HolderTime is the shortest time between two holders of a group; zero sets none.
 	HolderTime time.Duration
 	// MissingFor is the time for which no primary must be registered before one is made.
@@ -201,9 +202,9 @@
 	}
 }
 
-// rank returns this VM's place among the live ones for a group.
+// rank returns this VM's place among the hubs for a group.
 func (c *Controller) rank(name ident.GroupName) int {
-	return max(0, placement.Index(placement.Rank(c.cfg.Live(), "group/"+string(name)), c.cfg.Self))
+	return placement.Place(c.cfg.Hubs(), "group/"+string(name), c.cfg.Self)
 }
 
 // Reasons for a change.
--- a/internal/controller/takeover/controller_test.go
+++ b/internal/controller/takeover/controller_test.go
@@ -15,7 +15,7 @@
 
 func newController(now *time.Duration) *Controller {
 	return New(Config{Self: "vm-1", Now: func() time.Duration { return *now }, Log: zerolog.Nop(),
-		Live: func() []placement.VM { return []placement.VM{{Name: "vm-1"}, {Name: "vm-2"}} }})
+		Hubs: func() []placement.VM { return []placement.VM{{Name: "vm-1"}, {Name: "vm-2"}} }})
 }
 
 // Guards against takeovers that follow one another without end: a primary that has
--- a/internal/controller/takeover/doc.go
+++ b/internal/controller/takeover/doc.go
@@ -3,7 +3,7 @@
 //
 // # Protocol
 //
-// The live VMs are ranked for each group by hash; a VM of rank r acts r times
+// The hubs are ranked for each group by hash; a VM of rank r acts r times
 // rankDelay after it first sees the reason. It
 //
 //	check    asks the primary itself, and lets a VM of another zone ask, unless the
--- a/internal/controller/takeover/record.go
+++ b/internal/controller/takeover/record.go
@@ -71,7 +71,7 @@
 // is taken for an old one.
 func (c *Controller) respected(seen seenRecord) bool {
 	now := c.cfg.Now()
-	alive := placement.Index(c.cfg.Live(), seen.Holder) >= 0
+	alive := placement.Index(c.cfg.Hubs(), seen.Holder) >= 0
 	return now < seen.at+c.cfg.HolderTime || alive && !seen.old && now < seen.at+claimTime
 }
 
--- a/internal/core/parts/parts.go
+++ b/internal/core/parts/parts.go
@@ -12,6 +12,9 @@
 //   - A row whose VM is gone is first marked as revoked. Its parts become free when
 //     the mark has been known for Lease + Guard. The VM itself may take the mark away
 //     as long as the row is there, because nobody else uses the parts.
+//   - Only serving VMs have rows. The first one writes the first table, with a row for
+//     each. A VM that does not serve any more marks its own row as revoked and, once
+//     its loans have ended, takes it out.
 //   - All writes are conditional updates. A write whose result is unknown counts as
 //     stored wherever that is the careful choice, until the table has been read again.
 //
@@ -48,6 +51,14 @@
 	maxRank   = 3
 	// goneAfter is the time after which the row of a VM that does not answer is revoked.
 	goneAfter = 10 * time.Second
+	// servingFor is the time for which a VM must serve before it takes a row, or not
+	// serve before it gives its row up. A VM that restarts is back within it.
+	servingFor = 5 * time.Second
+	// firstTableAfter is the time after which the first VM writes the first table; VMs
+	// that start together have found each other by then. After firstTableFor the others
+	// do not wait for it any more.
+	firstTableAfter = 500 * time.Millisecond
+	firstTableFor   = 2 * time.Second
 	// tolerance is the difference from the equal part that is not worth a write.
 	tolerance = Total / 256
 )
@@ -120,6 +131,32 @@
 	heldSince time.Duration
 	goneSince map[Key]time.Duration
 	revoked   map[Key]time.Duration // since when the mark is known
+	serving   bool
+	since     time.Duration // since when serving has its value
+}
+
+// View is what a VM knows about the others.
+type View struct {
+	// Alive reports whether the VM of a row answers.
+	Alive func(Key) bool
+	// Serving are the keys of the VMs that are to have rows, this one included if it is
+	// one of them.
+	Serving []Key
+	// First says that this VM cleans up after others.
+	First bool
+}
+
+// SetServing tells whether this VM is to have a row.
+func (h *Holder) SetServing(now time.Duration, serving bool) {
+	if h.serving != serving {
+		h.serving, h.since = serving, now
+	}
+}
+
+// Interested reports whether the table matters to this VM: it serves or has a row.
+func (h *Holder) Interested() bool {
+	_, ok := h.table.find(h.self)
+	return ok || h.serving
 }
 
 // NewHolder returns the holder of a VM that has just started.
@@ -186,6 +223,9 @@
 	if !h.loaded || h.doubt {
 		return true
 	}
+	if !h.Interested() {
+		return false
+	}
 	return now >= h.readAt+ReadEvery+time.Duration(min(rank, maxRank))*rankDelay
 }
 
@@ -201,31 +241,47 @@
 }
 
 // Next returns the table to write in place of the version that was read last; false
-// when there is nothing to write. alive says which VMs answer, and first whether
-// this VM cleans up after others.
-func (h *Holder) Next(now time.Duration, alive func(Key) bool, first bool) (Table, uint64, bool) {
+// when there is nothing to write.
+func (h *Holder) Next(now time.Duration, v View) (Table, uint64, bool) {
 	if !h.loaded || h.doubt {
 		return Table{}, 0, false
 	}
-	if t, ok := h.ownRow(now); ok {
+	if t, ok := h.ownRow(now, v); ok {
 		return t, h.version, true
 	}
-	if first {
-		if t, ok := h.cleanUp(now, alive); ok {
+	if v.First {
+		if t, ok := h.cleanUp(now, v.Alive); ok {
 			return t, h.version, true
 		}
 	}
 	return Table{}, 0, false
 }
 
+// firstTable gives each VM an equal part.
+func firstTable(serving []Key) Table {
+	var t Table
+	for _, k := range serving {
+		t = t.with(Row{Key: k, Parts: uint32(Total / len(serving))})
+	}
+	return t
+}
+
 // ownRow changes this VM's row.
-func (h *Holder) ownRow(now time.Duration) (Table, bool) {
+func (h *Holder) ownRow(now time.Duration, v View) (Table, bool) {
+	settled, empty := now >= h.since+servingFor, len(h.table.Rows) == 0
 	i, ok := h.table.find(h.self)
-	if !ok {
+	switch {
+	case empty && h.serving && v.First && now >= h.since+firstTableAfter:
+		return firstTable(v.Serving), true
+	case !ok && h.serving && (settled || empty && now >= h.since+firstTableFor):
 		// A new row counts in the equal part at once, so that the others give.
 		t := h.table.with(Row{Key: h.self})
 		fair := int64(Total / max(1, len(t.Rows)))
 		return h.table.with(Row{Key: h.self, Parts: uint32(min(h.table.Free(), fair))}), true
+	case !ok:
+		return Table{}, false
+	case !h.serving && settled:
+		return h.resign(now, i)
 	}
 	own := h.table.Rows[i]
 	if own.Revoked {
@@ -244,6 +300,20 @@
 	return Table{}, false
 }
 
+// resign marks this VM's row as revoked, and takes it out once all loans have ended.
+func (h *Holder) resign(now time.Duration, i int) (Table, bool) {
+	own := h.table.Rows[i]
+	if !own.Revoked {
+		h.hold(now, own.Parts)
+		own.Revoked = true
+		return h.table.with(own), true
+	}
+	if now < h.revoked[h.self]+shares.LoanHold {
+		return Table{}, false
+	}
+	return Table{Rows: slices.Delete(slices.Clone(h.table.Rows), i, i+1)}, true
+}
+
 // surplus returns the parts that this VM has to give away.
 func (h *Holder) surplus() uint32 {
 	i, ok := h.table.find(h.self)
@@ -273,7 +343,7 @@
 // cleanUp revokes rows of VMs that are gone, and frees revoked rows after their time.
 func (h *Holder) cleanUp(now time.Duration, alive func(Key) bool) (Table, bool) {
 	for _, r := range h.table.Rows {
-		if r.Key == h.self || alive(r.Key) {
+		if r.Key == h.self || alive(r.Key) && !r.Revoked {
 			delete(h.goneSince, r.Key)
 			continue
 		}
--- a/internal/core/parts/parts_test.go
+++ b/internal/core/parts/parts_test.go
@@ -38,6 +38,7 @@
 	holders []*Holder
 	dead    []bool
 	cut     []bool // lives, but the others see it as gone
+	plain   []bool // does not serve
 	late    []lateWrite
 }
 
@@ -46,7 +47,7 @@
 }
 
 func newWorld(n int) *world {
-	w := &world{now: time.Second, dead: make([]bool, n), cut: make([]bool, n)}
+	w := &world{now: time.Second, dead: make([]bool, n), cut: make([]bool, n), plain: make([]bool, n)}
 	for i := range n {
 		w.holders = append(w.holders, NewHolder(key(i)))
 	}
@@ -79,7 +80,14 @@
 		}
 		return false
 	}
-	t, base, ok := w.holders[i].Next(w.now, alive, w.first(i))
+	w.holders[i].SetServing(w.now, !w.plain[i])
+	var serving []Key
+	for j := range w.holders {
+		if !w.plain[j] && !w.dead[j] {
+			serving = append(serving, key(j))
+		}
+	}
+	t, base, ok := w.holders[i].Next(w.now, View{Alive: alive, Serving: serving, First: w.first(i)})
 	if !ok {
 		return
 	}
@@ -133,7 +141,9 @@
 		w := newWorld(n)
 		for range rapid.IntRange(1, 300).Draw(t, "steps") {
 			i := rapid.IntRange(0, n-1).Draw(t, "vm")
-			switch rapid.IntRange(0, 12).Draw(t, "step") {
+			switch rapid.IntRange(0, 13).Draw(t, "step") {
+			case 13:
+				w.plain[i] = !w.plain[i]
 			case 12:
 				if j := rapid.IntRange(0, n-1).Draw(t, "to"); j != i && !w.dead[i] && !w.dead[j] {
 					w.relay(i, j, time.Duration(rapid.IntRange(0, 9000).Draw(t, "delay ms"))*time.Millisecond)
@@ -193,10 +203,56 @@
 	run(goneAfter + Lease + Guard + 20*time.Second)
 	assert.Assert(t, share(0) > 0.49 && share(1) > 0.49, "%v %v", share(0), share(1))
 	w.dead[2], w.holders[2] = false, NewHolder(key(2))
-	run(20 * time.Second)
+	run(servingFor + 20*time.Second) // it takes a row once it has served for servingFor
 	assert.Assert(t, share(2) > 0.32, "%v", share(2))
 }
 
+// Guards against parts that stay with a VM that does not serve any more, against a
+// serving VM without parts, and against rates that are lost meanwhile.
+func TestPartsFollowTheServingVMs(t *testing.T) {
+	w := newWorld(4)
+	w.plain[3] = true
+	run := func(d time.Duration) {
+		for end := w.now + d; w.now < end; w.now += 200 * time.Millisecond {
+			for i := range w.holders {
+				w.read(i)
+				w.write(i, false, false)
+			}
+		}
+	}
+	run(time.Second)
+	assert.Equal(t, len(w.store.table.Rows), 3)
+	assert.Equal(t, w.store.version, uint64(1), "the first VM writes the rows of all")
+	w.plain[0], w.plain[3] = true, false
+	run(servingFor + 15*time.Second)
+	assert.Equal(t, len(w.store.table.Rows), 3, "%+v", w.store.table)
+	_, kept := w.store.table.find(key(0))
+	assert.Assert(t, !kept)
+	assert.Assert(t, w.usable() > Total-Total/100, "%d of %d parts in use", w.usable(), Total)
+}
+
+// Guards against a VM that gives its row up for a short time without service, and
+// against one that takes a row for the time of another one's restart.
+func TestShortChangesMoveNoParts(t *testing.T) {
+	w := newWorld(3)
+	w.plain[2] = true
+	step := func(d time.Duration) {
+		for end := w.now + d; w.now < end; w.now += 200 * time.Millisecond {
+			for i := range w.holders {
+				w.read(i)
+				w.write(i, false, false)
+			}
+		}
+	}
+	step(20 * time.Second)
+	version := w.store.version
+	w.plain[0], w.plain[2] = true, false
+	step(servingFor - time.Second)
+	w.plain[0], w.plain[2] = false, true
+	step(20 * time.Second)
+	assert.Equal(t, w.store.version, version)
+}
+
 // Guards against a VM that stays without parts after a restart of the whole fleet:
 // its row is its own again with the first reading.
 func TestRestartTakesTheRowOver(t *testing.T) {
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -1,24 +1,41 @@
-// Package placement decides which VM executes for an organisation at an upstream.
+// Package placement decides which VMs are hubs, and which hub executes for an
+// organisation at an upstream.
 //
-// The VMs in an upstream's availability zone share its connections. Each
-// organisation has a home among them by rendezvous hash, so that its connections are
-// used again instead of being closed for another organisation's. Without a live VM
-// in the zone, the VMs of the same region and then all VMs take the zone's place.
+// Hubs are the largest VMs of each availability zone. They hold what is scarce or
+// priced for each holder: connections to upstreams, parts of the rates, and watches
+// at the platform's store. All VMs accept callers and use the hubs; a fleet that is
+// small enough consists of hubs only.
+//
+// The hubs in an upstream's zone share its connections. Each organisation has a home
+// among them by rendezvous hash, weighted by processor capacity, so that its
+// connections are used again instead of being closed for another organisation's.
+// Without a live hub in the zone, the hubs of the same region and then all hubs take
+// the zone's place.
 package placement
 
 import (
 	"cmp"
 	"hash/fnv"
+	"math"
 	"slices"
 
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 )
 
-// VM is a live VM.
+// VM is a VM of the fleet.
 type VM struct {
 	Name   ident.VMName
 	Zone   ident.AvailabilityZone
 	Region ident.Region
+	// Cores is the processor capacity; zero means unknown and counts as one core.
+	Cores float64
+}
+
+func (v VM) capacity() float64 {
+	if v.Cores <= 0 {
+		return 1
+	}
+	return v.Cores
 }
 
 // Near returns the VMs that share the connections of an upstream.
@@ -49,18 +66,46 @@
 	return slices.IndexFunc(vms, func(v VM) bool { return v.Name == name })
 }
 
-// Rank orders VMs by preference for a key; the order of the others does not change
-// when one leaves.
+// Rank orders VMs by preference for a key; a VM comes first for a share of the keys
+// that is proportional to its capacity. The order of the others does not change when
+// one leaves.
 func Rank(vms []VM, key string) []VM {
-	out := slices.Clone(vms)
-	slices.SortStableFunc(out, func(a, b VM) int {
-		return cmp.Or(cmp.Compare(weight(b.Name, key), weight(a.Name, key)), cmp.Compare(a.Name, b.Name))
+	type weighted struct {
+		VM
+		weight float64
+	}
+	list := make([]weighted, len(vms))
+	for i, v := range vms {
+		list[i] = weighted{v, weight(v, key)}
+	}
+	slices.SortFunc(list, func(a, b weighted) int {
+		return cmp.Or(cmp.Compare(b.weight, a.weight), cmp.Compare(a.Name, b.Name))
 	})
+	out := make([]VM, len(list))
+	for i, w := range list {
+		out[i] = w.VM
+	}
 	return out
 }
 
-// weight is the rendezvous weight of a VM for a key.
-func weight(name ident.VMName, key string) uint64 {
+// Place returns the place of a VM in the order for a key; a VM that is not in the
+// list comes after all others.
+func Place(vms []VM, key string, name ident.VMName) int {
+	if i := Index(Rank(vms, key), name); i >= 0 {
+		return i
+	}
+	return len(vms)
+}
+
+// weight is the weight of a VM for a key in weighted rendezvous hashing: capacity
+// over the negative logarithm of a uniform hash.
+func weight(v VM, key string) float64 {
+	uniform := (float64(hash(v.Name, key)>>11) + 0.5) / (1 << 53)
+	return v.capacity() / -math.Log(uniform)
+}
+
+// hash mixes a key with a VM's name.
+func hash(name ident.VMName, key string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(key))
 	_, _ = h.Write([]byte{0})
@@ -80,15 +125,26 @@
 // the upstream's status.
 const usableShare = 60
 
-// Connections returns the number of an upstream's connections that each of the
-// sharing VMs may hold.
-func Connections(limit, sharing int) int {
-	return max(1, limit*usableShare/100/max(1, sharing))
+// Connections returns the number of an upstream's connections that a VM may hold: its
+// part of the usable ones by capacity among the VMs that share them. A VM that is not
+// among them may hold none.
+func Connections(limit int, sharing []VM, name ident.VMName) int {
+	total, own := 0.0, 0.0
+	for _, v := range sharing {
+		total += v.capacity()
+		if v.Name == name {
+			own = v.capacity()
+		}
+	}
+	if own == 0 {
+		return 0
+	}
+	return max(1, int(float64(limit*usableShare/100)*own/total))
 }
 
 // SpareConnections returns the number of connections that a VM which does not share
 // the upstream's connections may hold for a while, because those that do cannot
-// reach it. live is the number of live VMs.
-func SpareConnections(limit, live int) int {
-	return max(1, limit*(100-usableShare)/100/max(1, live))
+// reach it. vms is the number of VMs in the fleet.
+func SpareConnections(limit, vms int) int {
+	return max(1, limit*(100-usableShare)/100/max(1, vms))
 }
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -13,7 +13,7 @@
 	var out []VM
 	for zone, n := range zones {
 		for i := range n {
-			out = append(out, VM{ident.VMName(fmt.Sprintf("%s-%d", zone, i)), ident.AvailabilityZone(zone), ident.Region("r-" + zone)})
+			out = append(out, VM{Name: ident.VMName(fmt.Sprintf("%s-%d", zone, i)), Zone: ident.AvailabilityZone(zone), Region: ident.Region("r-" + zone)})
 		}
 	}
 	return out
@@ -51,16 +51,43 @@
 	}
 }
 
+// Guards against small VMs that get as much of the work as large ones.
+func TestRankFollowsCapacity(t *testing.T) {
+	all := vms(map[string]int{"a": 3})
+	all[0].Cores, all[1].Cores, all[2].Cores = 0.8, 0.8, 0.2
+	first := map[ident.VMName]int{}
+	for i := range 3000 {
+		first[Rank(all, fmt.Sprintf("key-%d", i))[0].Name]++
+	}
+	small := first[all[2].Name]
+	assert.Assert(t, small > 200 && small < 500, "the small VM comes first for %d of 3000 keys", small)
+}
+
+// Guards against VMs outside the list that act as if they came first.
+func TestPlaceOfAVMOutsideTheList(t *testing.T) {
+	all := vms(map[string]int{"a": 3})
+	assert.Equal(t, Place(all, "key", "other"), 3)
+	assert.Equal(t, Place(all, "key", Rank(all, "key")[1].Name), 1)
+	assert.Equal(t, Place(nil, "key", "other"), 0)
+}
+
 // Guards against VMs that together open more connections than the upstream accepts.
 func TestConnectionsStayWithinTheLimit(t *testing.T) {
 	for limit := 1; limit <= 64; limit++ {
 		for sharing := 1; sharing <= 10; sharing++ {
-			n := Connections(limit, sharing)
-			assert.Assert(t, n >= 1)
-			assert.Assert(t, n*sharing <= max(limit, sharing), "limit %d, %d VMs, %d each", limit, sharing, n)
+			all := vms(map[string]int{"a": sharing})
+			all[0].Cores = 4
+			sum := 0
+			for _, v := range all {
+				n := Connections(limit, all, v.Name)
+				assert.Assert(t, n >= 1)
+				sum += n
+			}
+			assert.Assert(t, sum <= max(limit, sharing), "limit %d, %d VMs, %d in total", limit, sharing, sum)
 			if spare := SpareConnections(limit, sharing); limit >= 4*sharing {
-				assert.Assert(t, (n+spare)*sharing <= limit, "limit %d, %d VMs, %d and %d each", limit, sharing, n, spare)
+				assert.Assert(t, sum+spare*sharing <= limit, "limit %d, %d VMs, %d in total, %d spare each", limit, sharing, sum, spare)
 			}
 		}
 	}
+	assert.Equal(t, Connections(16, vms(map[string]int{"a": 2}), "other"), 0)
 }
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -30,6 +30,8 @@
 	Region      ident.Region           `cbor:"5,keyasint" json:"region"`
 	// Address is the relay address, IP:port.
 	Address string `cbor:"6,keyasint" json:"address"`
+	// Cores is the processor capacity.
+	Cores float64 `cbor:"7,keyasint,omitempty" json:"cores"`
 }
 
 // maxFrame is the largest frame in bytes: a caller's message of at most 1 MiB and
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -12,8 +12,14 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// helloTimeout bounds the time to the first message of a connection.
-const helloTimeout = 2 * time.Second
+const (
+	// helloTimeout bounds the time to the first message of a connection.
+	helloTimeout = 2 * time.Second
+	// idleTimeout is the time without a question after which a connection is closed. A VM
+	// probes at least once a second over it, so one that is silent for longer has lost
+	// power or is cut off, and its open transactions hold connections of upstreams.
+	idleTimeout = 4 * time.Second
+)
 
 // Caller is the VM at the other end of a connection.
 type Caller struct {
@@ -75,7 +81,7 @@
 	defer cancel()
 	defer s.handler.Closed(from)
 	for {
-		_, message, err := socket.Read(ctx)
+		message, err := readWithin(ctx, socket, idleTimeout)
 		if err != nil {
 			return
 		}
@@ -87,11 +93,17 @@
 	}
 }
 
-func (s *Server) hello(socket *websocket.Conn) (Caller, bool) {
-	ctx, cancel := context.WithTimeout(s.ctx, helloTimeout)
+// readWithin reads one message; the connection is of no use after an error.
+func readWithin(ctx context.Context, socket *websocket.Conn, limit time.Duration) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	var from Caller
 	_, message, err := socket.Read(ctx)
+	return message, err
+}
+
+func (s *Server) hello(socket *websocket.Conn) (Caller, bool) {
+	var from Caller
+	message, err := readWithin(s.ctx, socket, helloTimeout)
 	if err != nil || Decode(message, &from.Identity) != nil {
 		return from, false
 	}
--- a/internal/service/answer.go
+++ b/internal/service/answer.go
@@ -6,6 +6,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/rosemarywall/rosemarywall/internal/controller/following"
+	"github.com/rosemarywall/rosemarywall/internal/controller/limits"
 	"github.com/rosemarywall/rosemarywall/internal/controller/peers"
 	"github.com/rosemarywall/rosemarywall/internal/core/placement"
 	"github.com/rosemarywall/rosemarywall/internal/core/shares"
@@ -36,6 +38,16 @@
 		if v.decode(from, body, &target) {
 			return v.takeover.Reachable(ctx, target)
 		}
+	case peers.KindView:
+		var r following.ViewRequest
+		if v.decode(from, body, &r) {
+			return v.follower.View(ctx, r)
+		}
+	case peers.KindTake:
+		var r limits.TakeRequest
+		if v.decode(from, body, &r) {
+			return v.limits.TakeFor(ctx, r)
+		}
 	case peers.KindBorrow:
 		var ask shares.AskMessage
 		if v.decode(from, body, &ask) {
@@ -88,7 +100,7 @@
 // of them reaches the upstream.
 func (v *VM) confirmSilent(ctx context.Context, target execution.Target) bool {
 	var others []placement.VM
-	for _, vm := range placement.Rank(v.peers.Live(), string(target.Upstream)) {
+	for _, vm := range placement.Rank(v.peers.Hubs(), string(target.Upstream)) {
 		if vm.Zone != v.settings.Zone {
 			others = append(others, vm)
 		}
--- a/internal/service/observe.go
+++ b/internal/service/observe.go
@@ -75,7 +75,7 @@
 // newMetricsServer returns the server of the metrics and of the state dump.
 func (v *VM) newMetricsServer() *http.Server {
 	v.adapter.Metrics.Gauges(servicemetrics.State{
-		Callers: v.server.Callers, Peers: func() int { return max(0, len(v.peers.Live())-1) }, Connections: v.local.Connections,
+		Callers: v.server.Callers, Peers: func() int { return v.peers.Population() - 1 }, Connections: v.local.Connections,
 		ProofAge: func() (time.Duration, bool) { _, age, ok := v.follower.Proof(); return age, ok },
 		Version:  func() uint64 { return uint64(v.follower.State().Catalog.Version) },
 		RateParts: func() float64 {
@@ -100,7 +100,7 @@
 	Reason    string            `json:"reason,omitempty"`
 	Version   uint64            `json:"version"`
 	ProofAge  time.Duration     `json:"proof_age_ns"`
-	LiveVMs   []string          `json:"live_vms"`
+	Hubs      []string          `json:"hubs"`
 	Upstreams catalog.Upstreams `json:"upstreams"`
 	Parts     parts.Table       `json:"rate_parts"`
 	RateShare float64           `json:"rate_share"`
@@ -118,8 +118,8 @@
 		VM: string(v.settings.VM), Ready: ready, Reason: reason, Version: uint64(version), ProofAge: age,
 		Upstreams: v.follower.State().Upstreams, Callers: v.server.Callers(), Transactions: v.local.Transactions(),
 	}
-	for _, vm := range v.peers.Live() {
-		d.LiveVMs = append(d.LiveVMs, string(vm.Name))
+	for _, vm := range v.peers.Hubs() {
+		d.Hubs = append(d.Hubs, string(vm.Name))
 	}
 	d.Parts, d.Rates = v.limits.Table(), v.limits.Levels()
 	own, _ := v.limits.Parts()
--- a/internal/service/remote.go
+++ b/internal/service/remote.go
@@ -1,11 +1,38 @@
 package service
 
 import (
+	"context"
 	"sync"
 
+	"github.com/rosemarywall/rosemarywall/internal/controller/following"
+	"github.com/rosemarywall/rosemarywall/internal/controller/peers"
+	"github.com/rosemarywall/rosemarywall/internal/core/placement"
 	"github.com/rosemarywall/rosemarywall/internal/execution"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
 )
 
+// storeRelay returns the hub of this VM's zone that follows the store for the others;
+// false if that is this VM, or if the zone has no hub.
+func (v *VM) storeRelay() (ident.VMName, bool) {
+	var near []placement.VM
+	for _, hub := range v.peers.Hubs() {
+		if hub.Zone == v.settings.Zone {
+			near = append(near, hub)
+		}
+	}
+	if placement.Place(near, "store", v.settings.VM) == 0 {
+		return "", false
+	}
+	return placement.Rank(near, "store")[0].Name, true
+}
+
+// askView asks a VM for what it has read in the store.
+func (v *VM) askView(ctx context.Context, vm ident.VMName, request following.ViewRequest) (following.View, error) {
+	var view following.View
+	err := v.peers.Ask(ctx, vm, peers.KindView, request, &view)
+	return view, err
+}
+
 // remoteTransactions are the transactions that other VMs have opened here, by the
 // connection that they came over.
 type remoteTransactions struct {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -106,7 +106,7 @@
 	}
 	v.self = relay.Identity{
 		Version: relay.ProtocolVersion, VM: settings.VM, Incarnation: ident.Incarnation(time.Now().UnixNano()),
-		Zone: settings.Zone, Region: settings.Region, Address: net.JoinHostPort(settings.IP, strconv.Itoa(int(settings.RelayPort))),
+		Zone: settings.Zone, Region: settings.Region, Cores: settings.Cores, Address: net.JoinHostPort(settings.IP, strconv.Itoa(int(settings.RelayPort))),
 	}
 	v.grace.Store(int64(settings.Bounds.Grace))
 	ctx, cancel := context.WithCancel(context.Background())
@@ -136,20 +136,21 @@
 	v.local = execution.NewLocal(v.adapter.Dial, now)
 	v.peers = peers.New(peers.Config{
 		Self: v.self, Store: v.adapter.Store, ProbeInterval: s.Bounds.Apply / probeShare, Now: now, Log: v.log, Dial: dialPeer,
-		OnPulse: func(askedAt time.Duration, _ ident.VMName, p peers.Pulse) {
+		OnPulse: func(askedAt time.Duration, from placement.VM, p peers.Pulse) {
 			v.limits.Hint(askedAt, p.PartsVersion, p.PartsAge)
 			v.follower.RelayedDigest(p.Digest)
 			if p.Proved {
-				v.follower.Relayed(askedAt, p.Version, p.ProofAge)
+				v.follower.Relayed(askedAt, from.Name, from.Zone == s.Zone, p.Version, p.ProofAge)
 			}
 		},
 	})
 	v.follower = following.New(following.Options{
-		Source: v.adapter.Source, Now: now, Log: v.log, Rank: v.rank,
+		Source: v.adapter.Source, Now: now, Log: v.log, Rank: v.rank, Relay: v.storeRelay, Ask: v.askView,
 		Times: following.Times{Apply: s.Bounds.Apply, Revoke: s.Bounds.Revoke, Return: returnTime},
 	})
 	v.router = steering.New(steering.Config{
-		Self: place, Regions: s.Regions, State: v.follower.State, Live: v.peers.Live, Local: v.local,
+		Self: place, Regions: s.Regions, State: v.follower.State, Hubs: v.peers.Hubs, Population: v.peers.Population,
+		Local:  v.local,
 		Remote: func(name ident.VMName) execution.Executor { return v.peers.Remote(name) },
 		Now:    now, Drain: s.Bounds.Drain, Evacuate: s.Bounds.Evacuate,
 		OnPrimary: func(t execution.Target, writes bool, result execution.Result) { v.takeover.Observe(t, writes, result) },
@@ -157,12 +158,13 @@
 	})
 	v.takeover = takeover.New(takeover.Config{
 		Self: s.VM, Zone: s.Zone, Store: v.adapter.Store, Promoter: v.adapter.Promoter, Dial: v.adapter.Dial,
-		State: v.follower.State, Settled: v.follower.Settled, Live: v.peers.Live,
+		State: v.follower.State, Settled: v.follower.Settled, Hubs: v.peers.Hubs,
 		HolderTime: s.Bounds.Lease, MissingFor: missedRegistrations * s.RegistrationInterval, Confirm: v.confirmSilent, Now: now, Log: v.log, Unique: v.unique,
 	})
 	v.limits = limits.New(limits.Config{
-		Self: v.self, Peers: v.peers, Store: v.adapter.Store, State: v.follower.State, Live: v.peers.Live,
-		Address: v.peers.Address, Unique: v.unique, Excess: s.Bounds.Excess, Now: now, Log: v.log,
+		Self: v.self, Peers: v.peers, Store: v.adapter.Store, State: v.follower.State,
+		Holders: func() []placement.VM { return placement.RateHolders(v.peers.Hubs()) },
+		Address: v.peers.Address, Watch: v.peers.Watch, Unique: v.unique, Excess: s.Bounds.Excess, Now: now, Log: v.log,
 		FirstID: uint64(v.self.Incarnation) >> 8,
 	})
 	v.server = proxy.NewServer(&proxy.Services{
@@ -177,10 +179,8 @@
 // a VM, so that a change spreads within a fraction of the bound.
 const probeShare = 6
 
-// rank returns this VM's place among the live ones in an order by hash.
-func (v *VM) rank() int {
-	return max(0, placement.Index(placement.Rank(v.peers.Live(), "configuration"), v.settings.VM))
-}
+// rank returns this VM's place among the hubs in an order by hash.
+func (v *VM) rank() int { return placement.Place(v.peers.Hubs(), "configuration", v.settings.VM) }
 
 // unique returns a text that no other life of any VM has used.
 func (v *VM) unique() string {
@@ -243,11 +243,9 @@
 	state := v.follower.State()
 	for _, u := range state.Upstreams[t.Group] {
 		if u.Name == t.Upstream && u.Address == t.Address {
-			near := placement.Near(v.peers.Live(), u.Zone, v.settings.Regions[u.Zone])
-			if placement.Index(near, v.settings.VM) < 0 {
-				return 0, true // idle connections are those of the VMs near the upstream
-			}
-			return placement.Connections(state.Catalog.Groups[t.Group].MaxConnections, len(near)), true
+			// Idle connections are those of the hubs near the upstream.
+			near := placement.Near(v.peers.Hubs(), u.Zone, v.settings.Regions[u.Zone])
+			return placement.Connections(state.Catalog.Groups[t.Group].MaxConnections, near, v.settings.VM), true
 		}
 	}
 	return 0, false
--- a/internal/service/settings.go
+++ b/internal/service/settings.go
@@ -21,6 +21,8 @@
 	RelayPort uint16
 	// MemoryBytes limits the process; zero means unknown.
 	MemoryBytes int64
+	// Cores is the processor capacity in cores of usual speed; zero means unknown.
+	Cores float64
 	// RegistrationInterval is the time between the reports of upstreams.
 	RegistrationInterval time.Duration
 	Bounds               Bounds
