Turn to the relay of the zone as soon as it is known

Cause: at the start of the fleet the hubs are not known yet, and every VM stayed at its own watch for 4 s. The registrations of 24 members ended the watches of 68 VMs each time. Ruled out: regular reads, 3 a second for the fleet.

Change: a watch ends at its first event once a relay is known; a relay that fails or differs from others is left for 4 s. The duplicate of the context that ends with a full list is gone.

--- a/internal/controller/following/follower.go
+++ b/internal/controller/following/follower.go
@@ -128,10 +128,12 @@
 	// has reported; zero without one. newerFrom is that VM if it stands in this zone.
 	readAt    time.Duration
 	newerFrom ident.VMName
-	listedAt  time.Duration // first list of the upstreams
-	lostSince time.Duration // last failed call of the store
-	differs   time.Duration // since when digests of other VMs differ; zero while they agree
-	available bool
+	// mistrustUntil is the time until which this VM turns to the store itself.
+	mistrustUntil time.Duration
+	listedAt      time.Duration // first list of the upstreams
+	lostSince     time.Duration // last failed call of the store
+	differs       time.Duration // since when digests of other VMs differ; zero while they agree
+	available     bool
 }
 
 // Options connect a Follower.
@@ -289,7 +291,7 @@
 	case f.differs == 0:
 		f.differs = f.now()
 	case f.now() >= f.differs+differsFor:
-		f.differs = 0
+		f.differs, f.mistrustUntil = 0, f.now()+firstRelist
 		for _, c := range f.relist {
 			select {
 			case c <- struct{}{}:
--- a/internal/controller/following/lists.go
+++ b/internal/controller/following/lists.go
@@ -50,22 +50,15 @@
 
 // watch follows changes until the next full list is due or the watch fails.
 func (f *Follower) watch(ctx context.Context, kind objectapi.Kind, version objectapi.Version, change func(objectapi.Changes)) {
-	ctx, cancel := context.WithCancel(ctx)
+	ctx, cancel := f.untilRelist(ctx, kind)
 	defer cancel()
-	go func() {
-		select {
-		case <-f.relist[kind]:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
 	interval := otherRelist
-	if _, relayed := f.relay(); relayed || f.rank() == 0 {
+	if f.rank() == 0 {
 		interval = firstRelist
 	}
 	until := f.now() + interval
 	for ctx.Err() == nil && f.now() < until {
-		changes, err := f.watchOnce(ctx, kind, version, min(watchTime, until-f.now()))
+		changes, err := f.watchOnce(ctx, kind, version, min(f.watchFor(), until-f.now()))
 		if ctx.Err() != nil {
 			return
 		}
@@ -87,7 +80,32 @@
 			f.publish()
 			f.mu.Unlock()
 		}
+		if _, relayed := f.relayed(); relayed {
+			return
+		}
+	}
+}
+
+// untilRelist returns a context that ends when a full list is asked for.
+func (f *Follower) untilRelist(ctx context.Context, kind objectapi.Kind) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-f.relist[kind]:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
+}
+
+// watchFor is the time that a watch waits: a VM that may soon follow another one
+// looks again sooner.
+func (f *Follower) watchFor() time.Duration {
+	if _, relay := f.relay(); relay {
+		return firstRelist
 	}
+	return watchTime
 }
 
 func (f *Follower) watchOnce(ctx context.Context, kind objectapi.Kind, version objectapi.Version, wait time.Duration) (objectapi.Changes, error) {
--- a/internal/controller/following/view.go
+++ b/internal/controller/following/view.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 )
 
@@ -137,42 +138,54 @@
 
 var errNotFollowed = errors.New("the other VM does not follow the store")
 
+// relayed returns the VM to follow, unless it has failed a short while ago.
+func (f *Follower) relayed() (ident.VMName, bool) {
+	f.mu.Lock()
+	trusted := f.now() >= f.mistrustUntil
+	f.mu.Unlock()
+	from, ok := f.relay()
+	return from, ok && trusted
+}
+
+// mistrust turns this VM to the store for a while.
+func (f *Follower) mistrust() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.mistrustUntil = f.now() + firstRelist
+}
+
 // followRelay follows a kind over another VM until that fails, or until another VM's
 // view differs.
 func (f *Follower) followRelay(ctx context.Context, kind objectapi.Kind, replace func([]objectapi.Object)) {
-	from, ok := f.relay()
-	if !ok {
-		return
-	}
-	ctx, cancel := context.WithCancel(ctx)
+	from, ok := f.relayed()
+	relist, cancel := f.untilRelist(ctx, kind)
 	defer cancel()
-	go func() {
-		select {
-		case <-f.relist[kind]:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
 	var version objectapi.Version
-	for ctx.Err() == nil {
-		call, done := context.WithTimeout(ctx, viewWait+viewTimeout)
-		view, err := f.ask(call, from, ViewRequest{Kind: kind, After: version, Wait: viewWait})
-		done()
-		if err == nil && !view.Followed {
-			err = errNotFollowed
-		}
+	for ok && relist.Err() == nil {
+		view, err := f.askRelay(relist, from, ViewRequest{Kind: kind, After: version, Wait: viewWait})
 		if err != nil {
 			f.log.Debug().Err(err).Str("peer", string(from)).Str("kind", string(kind)).Msg("view not relayed")
+			f.mistrust()
 			return
 		}
 		if !view.Unchanged {
 			f.takeView(kind, view, replace)
 			version = view.Version
 		}
-		if now, ok := f.relay(); !ok || now != from {
-			return
-		}
+		var now ident.VMName
+		now, ok = f.relayed()
+		ok = ok && now == from
+	}
+}
+
+func (f *Follower) askRelay(ctx context.Context, from ident.VMName, r ViewRequest) (View, error) {
+	ctx, cancel := context.WithTimeout(ctx, viewWait+viewTimeout)
+	defer cancel()
+	view, err := f.ask(ctx, from, r)
+	if err == nil && !view.Followed {
+		err = errNotFollowed
 	}
+	return view, err
 }
 
 func (f *Follower) takeView(kind objectapi.Kind, view View, replace func([]objectapi.Object)) {
