--- a/internal/controller/peers/peers.go
+++ b/internal/controller/peers/peers.go
@@ -432,6 +432,19 @@
 	return len(p.peers) + 1
 }
 
+// Alive returns the number of other VMs that answer probes.
+func (p *Peers) Alive() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, q := range p.peers {
+		if q.alive {
+			n++
+		}
+	}
+	return n
+}
+
 // Address returns the address of a VM that answers; a VM that leaves is included.
 func (p *Peers) Address(name ident.VMName) (string, bool) {
 	p.mu.Lock()
--- a/internal/service/observe.go
+++ b/internal/service/observe.go
@@ -75,7 +75,7 @@
 // newMetricsServer returns the server of the metrics and of the state dump.
 func (v *VM) newMetricsServer() *http.Server {
 	v.adapter.Metrics.Gauges(servicemetrics.State{
-		Callers: v.server.Callers, Peers: func() int { return v.peers.Population() - 1 }, Connections: v.local.Connections,
+		Callers: v.server.Callers, Peers: v.peers.Alive, Connections: v.local.Connections,
 		ProofAge: func() (time.Duration, bool) { _, age, ok := v.follower.Proof(); return age, ok },
 		Version:  func() uint64 { return uint64(v.follower.State().Catalog.Version) },
 		RateParts: func() float64 {
