Add a fault soak of separate processes

It checks acknowledged writes, writes that take effect twice, promises, the three kinds of reads, session values, withdrawn keys, rates and recovery. The stand-in of the upstreams gains a log, so that lost commits show.

Finding, seeds 24 and 44 of the first 24: a VM ended by itself. Cause, from its log: the soak started a VM while it was still stopping after SIGTERM; the end counted as unexpected.

--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,82 @@
+package soak
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Kind is a kind of fault.
+type Kind string
+
+// Kinds of faults.
+const (
+	KillVM        Kind = "kill-vm"
+	StopVM        Kind = "stop-vm" // SIGTERM, and SIGKILL after the grace time
+	PauseVM       Kind = "pause-vm"
+	KillAll       Kind = "kill-all"
+	StoreDown     Kind = "store-down"
+	StoreLoses    Kind = "store-loses" // answers of writes
+	StoreForgets  Kind = "store-forgets"
+	CutStore      Kind = "cut-store" // of one VM
+	CutUpstream   Kind = "cut-upstream"
+	CrashUpstream Kind = "crash-upstream"
+	CrashPrimary  Kind = "crash-primary"
+	DeafReplica   Kind = "deaf-replica"
+	LagReplica    Kind = "lag-replica"
+	LoseAnswers   Kind = "lose-answers"
+	LosePromotion Kind = "lose-promotion"
+	Reconfigure   Kind = "reconfigure"
+	WithdrawKey   Kind = "withdraw-key"
+)
+
+var kinds = []Kind{
+	KillVM, StopVM, PauseVM, KillAll, StoreDown, StoreLoses, StoreForgets, CutStore, CutUpstream, CrashUpstream,
+	CrashPrimary, DeafReplica, LagReplica, LoseAnswers, LosePromotion, Reconfigure, WithdrawKey,
+}
+
+// Fault is one planned fault.
+type Fault struct {
+	At   time.Duration
+	For  time.Duration
+	Kind Kind
+	// Target picks the VM or the upstream; the runner takes it modulo their number.
+	Target int
+	// Mode is what a cut does.
+	Mode Mode
+}
+
+const (
+	// firstFault leaves the fleet time to start.
+	firstFault = time.Second
+	// longest bounds a fault, so that several end within a short run.
+	longest = 3 * time.Second
+	// seriesShare is the part of the faults that are followed by another one of the same
+	// kind and target.
+	seriesShare = 0.3
+)
+
+// NewPlan returns the faults of a seed for a run, in order. On average one begins in
+// each second; a series may repeat one while it lasts.
+func NewPlan(seed uint64, length time.Duration) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 1))
+	var plan []Fault
+	for at := firstFault; at < length; at += between(rng, 300*time.Millisecond, 1700*time.Millisecond) {
+		f := Fault{
+			At: at, For: between(rng, 200*time.Millisecond, longest), Kind: kinds[rng.IntN(len(kinds))],
+			Target: rng.IntN(1 << 16), Mode: modes[rng.IntN(len(modes))],
+		}
+		plan = append(plan, f)
+		for next := f; rng.Float64() < seriesShare; {
+			next.At += between(rng, 50*time.Millisecond, 800*time.Millisecond)
+			plan = append(plan, next)
+		}
+	}
+	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
+	return plan
+}
+
+func between(rng *rand.Rand, least, most time.Duration) time.Duration {
+	return least + time.Duration(rng.Int64N(int64(most-least)))
+}
--- /dev/null
+++ b/internal/soak/soak.go
@@ -0,0 +1,329 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/rosemarywall/rosemarywall/platform/platformtest"
+)
+
+// Options of a run.
+type Options struct {
+	Seed   uint64
+	Length time.Duration
+	// VMs is the number of processes; they stand in three zones.
+	VMs int
+	// Program is the path of rosemarywall-platform.
+	Program string
+	// Directory holds settings and logs.
+	Directory string
+	// Recovery is the time within which every VM must serve writes after its start and
+	// after the last fault.
+	Recovery time.Duration
+}
+
+// DefaultRecovery is the bound of the users' deployments.
+const DefaultRecovery = 12 * time.Second
+
+// Report is the result of a run.
+type Report struct {
+	Faults, Reads, Writes int
+	// Violations are broken promises; none is expected.
+	Violations []string
+}
+
+const (
+	workers = 12
+	mainKey = "key-main"
+	// smallRate and smallBurst are those of the organisation whose rate is checked.
+	smallRate, smallBurst = 20, 20
+	// temporary is the number of organisations whose keys can be withdrawn.
+	temporary = 16
+)
+
+// fleet is a run.
+type fleet struct {
+	options Options
+	store   *platformtest.Store
+	group   *platformtest.Group
+	duties  *platformtest.Duties
+	vms     []*vm
+	members map[string]*proxy
+	history *history
+	probes  atomic.Int64
+
+	mu        sync.Mutex
+	version   int
+	withdrawn []time.Time // by temporary organisation; in the order of withdrawal
+}
+
+// Run plays one seed. The error says that the run could not be made.
+func Run(ctx context.Context, o Options) (Report, error) {
+	f, err := newFleet(o)
+	if err != nil {
+		return Report{}, err
+	}
+	defer f.close()
+	for _, v := range f.vms {
+		if err := v.start(); err != nil {
+			return Report{}, errors.Wrap(err, "cannot start the program")
+		}
+	}
+	if !f.serving(o.Recovery) {
+		return Report{}, errors.New("the fleet does not start")
+	}
+	work, stop := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	for n := range workers {
+		w := &worker{fleet: f, n: n, rng: rand.New(rand.NewPCG(o.Seed, uint64(n)+2))}
+		running.Go(func() { w.run(work) })
+	}
+	running.Go(func() { f.spend(work) })
+	running.Go(func() { f.useTemporary(work) })
+	plan := NewPlan(o.Seed, o.Length)
+	f.inject(plan)
+	if !f.serving(o.Recovery) {
+		f.history.violate("not every VM serves writes %v after the last fault", o.Recovery)
+	}
+	stop()
+	running.Wait()
+	return f.judge(len(plan)), ctx.Err()
+}
+
+func newFleet(o Options) (*fleet, error) {
+	f := &fleet{options: o, store: platformtest.NewStore(), history: newHistory(), members: map[string]*proxy{}}
+	f.group = platformtest.NewGroup(f.store, "g1", "a", "b", "c")
+	f.duties = platformtest.NewDuties(f.group)
+	for _, id := range f.group.Members() {
+		var address string
+		f.group.With(id, func(m *platformtest.Member) { address = m.Address; m.Limit(64) })
+		p, err := newProxy(address)
+		if err != nil {
+			return nil, err
+		}
+		f.members[id] = p
+		f.group.SetAddress(id, p.address())
+	}
+	f.configure()
+	zones := map[string]string{"a": "r-a", "b": "r-b", "c": "r-c"}
+	for n := range o.VMs {
+		v, err := newVM(o.Directory, o.Program, n, string(rune('a'+n%3)), zones, f.store.Address(), f.duties.Address())
+		if err != nil {
+			return nil, err
+		}
+		f.vms = append(f.vms, v)
+	}
+	return f, nil
+}
+
+func (f *fleet) close() {
+	for _, v := range f.vms {
+		v.close()
+	}
+	for _, p := range f.members {
+		p.close()
+	}
+	f.group.Close()
+	f.duties.Close()
+	f.store.Close()
+}
+
+func (f *fleet) front(n int) string { return f.vms[n%len(f.vms)].front() }
+
+// configure writes the next version of the configuration.
+func (f *fleet) configure() {
+	f.version += 1 + f.version%3
+	route := func(host, kind string) map[string]any {
+		return map[string]any{"name": "r-" + host, "host": host, "type": kind, "timeout_ms": callTimeout.Milliseconds() / 2,
+			"slo_ms": 800, "upstream": "g1", "max_staleness_ms": boundedAge.Milliseconds(), "public": false}
+	}
+	tenants := []any{
+		map[string]any{"name": "main", "api_keys": []string{mainKey}, "rate_per_s": 5000, "burst": 5000},
+		map[string]any{"name": "small", "api_keys": []string{"key-small"}, "rate_per_s": smallRate, "burst": smallBurst},
+	}
+	for n := range temporary {
+		keys := []string{}
+		if n >= len(f.withdrawn) {
+			keys = append(keys, temporaryName(n))
+		}
+		tenants = append(tenants, map[string]any{"name": temporaryName(n), "api_keys": keys, "rate_per_s": 500, "burst": 500})
+	}
+	f.store.Set("config", "main", map[string]any{
+		"version":   f.version,
+		"routes":    []any{route(primaryRoute, "primary"), route(boundedRoute, "bounded_staleness"), route(sessionRoute, "read_your_writes")},
+		"upstreams": []any{map[string]any{"name": "g1", "max_conns": 64, "sync_replicas": 1}},
+		"limits":    map[string]any{"tx_idle_ms": 3000}, "tenants": tenants,
+	})
+}
+
+func temporaryName(n int) string { return "temporary-" + strconv.Itoa(n) }
+
+// withdraw takes the key of the next temporary organisation away.
+func (f *fleet) withdraw(count int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := len(f.withdrawn) + count
+	for len(f.withdrawn) < min(n, temporary-1) {
+		f.withdrawn = append(f.withdrawn, time.Time{})
+	}
+	f.configure()
+	for i := range f.withdrawn {
+		if f.withdrawn[i].IsZero() {
+			f.withdrawn[i] = time.Now()
+		}
+	}
+}
+
+// spend asks for more than the small organisation's rate.
+func (f *fleet) spend(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		f.ask(n, boundedRoute, "key-small", "READ i0")
+		time.Sleep(8 * time.Millisecond)
+	}
+}
+
+// useTemporary keeps using keys, also those that were withdrawn.
+func (f *fleet) useTemporary(ctx context.Context) {
+	for n := 0; ctx.Err() == nil; n++ {
+		f.mu.Lock()
+		newest := len(f.withdrawn)
+		f.mu.Unlock()
+		f.ask(n, boundedRoute, temporaryName(max(0, newest-n%3)), "READ i0")
+		time.Sleep(10 * time.Millisecond)
+	}
+}
+
+// serving waits until every VM serves a write.
+func (f *fleet) serving(limit time.Duration) bool {
+	deadline := time.Now().Add(limit)
+	for n := range f.vms {
+		for !f.ask(n, primaryRoute, mainKey, "WRITE probe "+strconv.Itoa(n)) {
+			if time.Now().After(deadline) {
+				return false
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return true
+}
+
+// inject plays the plan and returns when the last fault has ended.
+func (f *fleet) inject(plan []Fault) {
+	started := time.Now()
+	var running sync.WaitGroup
+	for _, fault := range plan {
+		time.Sleep(time.Until(started.Add(fault.At)))
+		running.Go(func() { f.apply(fault) })
+	}
+	running.Wait()
+	for _, v := range f.vms {
+		v.signal(syscall.SIGCONT, false)
+		if err := v.start(); err != nil {
+			f.history.violate("%s cannot be started: %v", v.name, err)
+		}
+	}
+}
+
+func (f *fleet) apply(fault Fault) {
+	v := f.vms[fault.Target%len(f.vms)]
+	ids := f.group.Members()
+	id := ids[fault.Target%len(ids)]
+	hold := func() { time.Sleep(fault.For) }
+	member := func(change func(m *platformtest.Member, on bool)) {
+		f.group.With(id, func(m *platformtest.Member) { change(m, true) })
+		hold()
+		f.group.With(id, func(m *platformtest.Member) { change(m, false) })
+	}
+	switch fault.Kind {
+	case KillVM:
+		v.kill()
+		hold()
+		f.restart(v)
+	case StopVM:
+		v.stop()
+		f.restart(v)
+	case PauseVM:
+		v.signal(syscall.SIGSTOP, false)
+		hold()
+		v.signal(syscall.SIGCONT, false)
+	case KillAll:
+		for _, v := range f.vms {
+			v.kill()
+		}
+		time.Sleep(fault.For / 4)
+		for _, v := range f.vms {
+			f.restart(v)
+		}
+	case StoreDown:
+		f.store.SetDown(true)
+		hold()
+		f.store.SetDown(false)
+	case StoreLoses:
+		f.store.LoseAnswers(1 + fault.Target%5)
+	case StoreForgets:
+		f.store.Forget()
+	case CutStore:
+		v.store.set(fault.Mode)
+		hold()
+		v.store.set(Pass)
+	case CutUpstream:
+		f.members[id].set(fault.Mode)
+		hold()
+		f.members[id].set(Pass)
+	case CrashPrimary:
+		id = f.group.Leader()
+		member((*platformtest.Member).Down)
+	case CrashUpstream:
+		member((*platformtest.Member).Down)
+	case DeafReplica:
+		member((*platformtest.Member).Deaf)
+	case LagReplica:
+		member((*platformtest.Member).Lag)
+	case LoseAnswers:
+		f.group.With(id, func(m *platformtest.Member) { m.LoseAnswers(1 + fault.Target%4) })
+	case LosePromotion:
+		f.duties.LoseCalls(1)
+	case Reconfigure:
+		f.withdraw(0)
+	case WithdrawKey:
+		f.withdraw(1)
+	}
+}
+
+func (f *fleet) restart(v *vm) {
+	if err := v.start(); err != nil {
+		f.history.violate("%s cannot be started: %v", v.name, err)
+	}
+}
+
+// judge makes the checks that need the whole run.
+func (f *fleet) judge(faults int) Report {
+	for _, v := range f.vms {
+		if n := v.ownExits(); n > 0 {
+			f.history.violate("%s ended by itself %d times", v.name, n)
+		}
+	}
+	f.history.check(f.group.Committed())
+	f.history.checkRate("small", smallRate, smallBurst, f.group.Arrivals("small"))
+	for n, at := range f.withdrawn {
+		f.history.checkRevoked(temporaryName(n), at, f.group.Arrivals(temporaryName(n)))
+	}
+	return Report{Faults: faults, Reads: f.history.reads, Writes: f.history.succeeded,
+		Violations: append(f.history.violations, f.group.Violations()...)}
+}
+
+// NewDirectory returns a directory for the settings and logs of a seed.
+func NewDirectory(parent string, seed uint64) (string, error) {
+	directory := filepath.Join(parent, fmt.Sprintf("seed-%d", seed))
+	return directory, os.MkdirAll(directory, 0o700)
+}
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,160 @@
+package soak
+
+import (
+	"context"
+	"io"
+	"net"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rosemarywall/rosemarywall/platform/platformtest"
+)
+
+// program builds the program that is run.
+func program(t *testing.T) string {
+	file := filepath.Join(t.TempDir(), "rosemarywall-platform")
+	out, err := exec.Command("go", "build", "-o", file, "github.com/rosemarywall/rosemarywall/cmd/rosemarywall-platform").CombinedOutput()
+	assert.NilError(t, err, "%s", out)
+	return file
+}
+
+// regressions are seeds that have shown a fault, with its cause:
+//
+//	24, 44: the soak started a VM that was about to end after SIGTERM, counted its end
+//	as one of its own, and left it stopped.
+var regressions = []uint64{24, 44}
+
+// patience replaces the bound of the recovery, which depends on the load of the
+// machine.
+const patience = time.Minute
+
+// Guards against broken promises under faults injected from outside: a short run of
+// fixed seeds. Longer ones are made with cmd/rosemarywall-soak.
+func TestShortSoak(t *testing.T) {
+	file := program(t)
+	for _, seed := range append([]uint64{1}, regressions...) {
+		directory, err := NewDirectory(t.TempDir(), seed)
+		assert.NilError(t, err)
+		report, err := Run(context.Background(), Options{Seed: seed, Length: 6 * time.Second, VMs: 6, Program: file, Directory: directory,
+			Recovery: patience})
+		assert.NilError(t, err)
+		t.Logf("seed %d: %d faults, %d reads, %d writes", seed, report.Faults, report.Reads, report.Writes)
+		assert.DeepEqual(t, report.Violations, []string(nil))
+		assert.Assert(t, report.Reads > 0 && report.Writes > 0)
+	}
+}
+
+// Guards against a seed that does not repeat, and against plans that leave kinds of
+// faults out.
+func TestPlanFollowsFromTheSeed(t *testing.T) {
+	assert.DeepEqual(t, NewPlan(7, time.Minute), NewPlan(7, time.Minute))
+	seen := map[Kind]bool{}
+	series := false
+	for seed := range uint64(20) {
+		plan := NewPlan(seed, time.Minute)
+		for i, f := range plan {
+			seen[f.Kind] = true
+			series = series || i > 0 && f.Kind == plan[i-1].Kind && f.Target == plan[i-1].Target
+		}
+	}
+	assert.Equal(t, len(seen), len(kinds))
+	assert.Assert(t, series)
+}
+
+// Guards against proxies that forward what they should lose, and against connections
+// that go on with a gap after a cut.
+func TestProxyModes(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	go func() { // echoes
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() { _, _ = io.Copy(conn, conn) }()
+		}
+	}()
+	p, err := newProxy(l.Addr().String())
+	assert.NilError(t, err)
+	defer p.close()
+	echo := func(conn net.Conn) bool {
+		_ = conn.SetDeadline(time.Now().Add(time.Second))
+		if _, err := conn.Write([]byte("x")); err != nil {
+			return false
+		}
+		_, err := io.ReadFull(conn, make([]byte, 1))
+		return err == nil
+	}
+	dial := func() net.Conn {
+		conn, err := net.Dial("tcp4", p.address())
+		assert.NilError(t, err)
+		return conn
+	}
+	conn := dial()
+	assert.Assert(t, echo(conn))
+	for _, mode := range []Mode{CutRequests, CutAnswers, Silence} {
+		p.set(mode)
+		assert.Assert(t, !echo(conn), "%v", mode)
+		p.set(Pass)
+		assert.Assert(t, !echo(conn), "a connection that lost bytes goes on after %v", mode)
+		conn = dial()
+		assert.Assert(t, echo(conn))
+	}
+	p.set(Reset)
+	assert.Assert(t, !echo(conn))
+}
+
+// Guards against checks that pass whatever happens: each broken promise is found.
+func TestHistoryFindsBrokenPromises(t *testing.T) {
+	h := newHistory()
+	h.wrote("a", "i", 1, platformtest.Reply{}, nil)
+	h.wrote("b", "i", 2, platformtest.Reply{Code: "BUSY"}, nil)
+	h.wrote("c", "i", 3, platformtest.Reply{Code: "INDOUBT"}, nil)
+	h.check(map[string]int{"a": 1, "c": 1})
+	assert.Equal(t, len(h.violations), 0)
+	h.check(map[string]int{"b": 1})
+	assert.Equal(t, len(h.violations), 2)
+	assert.Equal(t, h.least("i", 0), 1)
+	assert.Equal(t, h.least("i", time.Minute), 0)
+	now := time.Now()
+	h.checkRevoked("t", now, []time.Time{now.Add(revokeBound / 2)})
+	assert.Equal(t, len(h.violations), 2)
+	h.checkRevoked("t", now, []time.Time{now.Add(2 * revokeBound)})
+	assert.Equal(t, len(h.violations), 3)
+	var arrivals []time.Time
+	for n := range 200 {
+		arrivals = append(arrivals, now.Add(time.Duration(n)*50*time.Millisecond))
+	}
+	h.checkRate("t", 20, 20, arrivals)
+	assert.Equal(t, len(h.violations), 3, "20 a second are allowed")
+	h.checkRate("t", 5, 5, arrivals)
+	assert.Equal(t, len(h.violations), 4)
+}
+
+// Guards against a stand-in that hides a lost commit: the group reports a member that
+// is promoted without an acknowledged one.
+func TestStandInFindsLostCommits(t *testing.T) {
+	store := platformtest.NewStore()
+	defer store.Close()
+	group := platformtest.NewGroup(store, "g1", "a", "b", "c")
+	defer group.Close()
+	behind := group.Members()[2]
+	group.With(behind, func(m *platformtest.Member) { m.Deaf(true) })
+	var address string
+	group.With(group.Leader(), func(m *platformtest.Member) { address = m.Address })
+	c, _, err := platformtest.DialCaller(address, "g1", "acme", time.Second)
+	assert.NilError(t, err)
+	defer c.Close()
+	reply, err := c.Ask("w1", "WRITE item x")
+	assert.NilError(t, err)
+	assert.Equal(t, reply.Code, "")
+	assert.Equal(t, len(group.Violations()), 0)
+	assert.Assert(t, group.Promote(behind))
+	assert.Equal(t, len(group.Violations()), 1)
+}
