--- a/internal/execution/pool.go
+++ b/internal/execution/pool.go
@@ -13,16 +13,12 @@
 )
 
 const (
-	// minDial is the least time that a request waits for the opening of a connection,
-	// also when the wait for a free place has used the time of the request.
+	// minDial is the least time for the opening of a connection, also when the wait for
+	// a free place has used the time of the request.
 	minDial = 100 * time.Millisecond
 	// dialTimeout bounds the opening of a connection. Opening takes some tens of
-	// milliseconds of an upstream's time; after a restart of the fleet the connections of
-	// all VMs wait for each other for some hundred more.
-	dialTimeout = time.Second
-	// aliveTime is the time for which an upstream that has opened or served a connection
-	// counts as reached although another one is not open yet.
-	aliveTime = 500 * time.Millisecond
+	// milliseconds of an upstream's time; a busy upstream makes it wait.
+	dialTimeout = 500 * time.Millisecond
 	// refusalPause is the time for which a pool opens no connection after the
 	// upstream refused one for its limit.
 	refusalPause = 100 * time.Millisecond
@@ -48,9 +44,6 @@
 	idle   []*pooled // last used at the end
 	open   int       // idle, in use and being opened
 	paused time.Duration
-	// servedAt is the time at which a connection was last opened or given back in order;
-	// zero before the first.
-	servedAt time.Duration
 	// retired says that connections are not kept.
 	retired bool
 }
@@ -62,9 +55,6 @@
 // errNoConnection means that the wait for a connection ended.
 var errNoConnection = errors.New("no connection became free in time")
 
-// errNotOpened means that the upstream has answered no attempt to open a connection.
-var errNotOpened = errors.New("no connection could be opened in time")
-
 // acquire returns a connection of the organisation for exclusive use. Each
 // connection given out holds a slot of the queue until release.
 func (p *pool) acquire(ctx context.Context, r Request) (*pooled, error) {
@@ -81,7 +71,7 @@
 		p.queue.Release()
 		return nil, errNoConnection
 	}
-	return p.connect(ctx, r.Organisation, max(minDial, r.Wait-(p.now()-began)))
+	return p.connect(ctx, r.Organisation, max(minDial, min(dialTimeout, r.Wait-(p.now()-began))))
 }
 
 // take returns an idle connection of the organisation, or makes room for a new one.
@@ -115,55 +105,14 @@
 	p.open--
 }
 
-// opened is the result of a dial.
-type opened struct {
-	conn *pooled
-	err  error
-}
-
-// connect opens a connection. A dial goes on when the request stops waiting for it,
-// because the upstream spends its time on it all the same; its connection is then kept
-// for the next request.
-func (p *pool) connect(ctx context.Context, organisation ident.OrganisationName, wait time.Duration) (*pooled, error) {
-	results, left := make(chan opened), make(chan struct{})
-	go func() {
-		o := p.dialOnce(organisation)
-		select {
-		case results <- o:
-		case <-left:
-			if o.err == nil {
-				p.release(o.conn, true)
-			}
-		}
-	}()
-	patience := time.NewTimer(wait)
-	defer patience.Stop()
-	select {
-	case o := <-results:
-		return o.conn, o.err
-	case <-patience.C:
-	case <-ctx.Done():
-	}
-	close(left)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.servedAt > 0 && p.now() < p.servedAt+aliveTime {
-		return nil, errNoConnection
-	}
-	return nil, errNotOpened
-}
-
-// dialOnce dials once and accounts for a failure.
-func (p *pool) dialOnce(organisation ident.OrganisationName) opened {
-	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
+func (p *pool) connect(ctx context.Context, organisation ident.OrganisationName, timeout time.Duration) (*pooled, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	conn, err := p.dial(ctx, p.target, organisation)
-	p.mu.Lock()
 	if err == nil {
-		p.servedAt = p.now()
-		p.mu.Unlock()
-		return opened{conn: &pooled{conn: conn, organisation: organisation, prepared: map[string]string{}}}
+		return &pooled{conn: conn, organisation: organisation, prepared: map[string]string{}}, nil
 	}
+	p.mu.Lock()
 	p.open--
 	var refused *RefusedError
 	if errors.As(err, &refused) && refused.Code == statement.TooManyConnections {
@@ -171,15 +120,12 @@
 	}
 	p.mu.Unlock()
 	p.queue.Release()
-	return opened{err: err}
+	return nil, err
 }
 
 // release gives a connection back; a connection that is not reusable is closed.
 func (p *pool) release(c *pooled, reusable bool) {
 	p.mu.Lock()
-	if reusable {
-		p.servedAt = p.now()
-	}
 	if reusable && !p.retired && p.open <= p.limit && c.conn.Alive() {
 		p.idle = append(p.idle, c)
 	} else {
