Name the holder that refused an operation

Cause: a VM that holds no rates logged RW1008 without the VM whose bucket was empty, so that the way from the request to the state dump that explains it was missing. Measured: tests of the package pass.

--- a/internal/controller/limits/take.go
+++ b/internal/controller/limits/take.go
@@ -57,7 +57,7 @@
 			continue
 		}
 		if !spent {
-			return resultcode.New(resultcode.RateExceeded, "organisation %q has used its rate and burst", organisation)
+			return resultcode.New(resultcode.RateExceeded, "organisation %q has used its rate and burst, says VM %q", organisation, vm.Name)
 		}
 		return nil
 	}
