--- a/internal/controller/following/lists.go
+++ b/internal/controller/following/lists.go
@@ -38,14 +38,19 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.takeList(kind, all.Objects, replace)
+	f.views[kind].replace(all.Objects, all.Version)
+	return all.Version, nil
+}
+
+// takeList takes all objects of a kind; f.mu is held.
+func (f *Follower) takeList(kind objectapi.Kind, objects []objectapi.Object, replace func([]objectapi.Object)) {
 	if kind == f.source.UpstreamsKind && !f.loaded[kind] {
 		f.listedAt = f.now()
 	}
 	f.loaded[kind] = true
-	replace(all.Objects)
+	replace(objects)
 	f.publish()
-	f.views[kind].replace(all.Objects, all.Version)
-	return all.Version, nil
 }
 
 // watch follows changes until the next full list is due or the watch fails.
@@ -71,11 +76,9 @@
 			return
 		}
 		version = max(version, changes.Version)
-		f.mu.Lock()
-		f.views[kind].change(changes)
-		f.mu.Unlock()
 		if len(changes.Objects)+len(changes.Deleted) > 0 {
 			f.mu.Lock()
+			f.views[kind].change(changes)
 			change(changes)
 			f.publish()
 			f.mu.Unlock()
--- a/internal/controller/following/view.go
+++ b/internal/controller/following/view.go
@@ -67,10 +67,12 @@
 	}
 	same := maps.EqualFunc(v.objects, next, func(a, b objectapi.Object) bool { return a.Version == b.Version })
 	v.objects, v.relayed = next, false
-	v.advance(version, same)
+	if !same { // those who wait for a change go on waiting
+		v.advance(version)
+	}
 }
 
-// change takes the events of a watch.
+// change takes the events of a watch, of which there is at least one.
 func (v *storeView) change(c objectapi.Changes) {
 	for _, o := range c.Deleted {
 		delete(v.objects, o.Name)
@@ -78,14 +80,11 @@
 	for _, o := range c.Objects {
 		v.objects[o.Name] = o
 	}
-	v.advance(c.Version, len(c.Objects)+len(c.Deleted) == 0)
+	v.advance(c.Version)
 }
 
-// advance sets the version; without a change those who wait go on waiting.
-func (v *storeView) advance(version objectapi.Version, same bool) {
-	if same {
-		return
-	}
+// advance sets the version after a change.
+func (v *storeView) advance(version objectapi.Version) {
 	v.version = max(v.version+1, version)
 	v.wake()
 }
@@ -191,11 +190,6 @@
 func (f *Follower) takeView(kind objectapi.Kind, view View, replace func([]objectapi.Object)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.loaded[kind] && kind == f.source.UpstreamsKind {
-		f.listedAt = f.now()
-	}
-	f.loaded[kind] = true
-	replace(view.Objects)
-	f.publish()
+	f.takeList(kind, view.Objects, replace)
 	f.views[kind].relayed = true
 }
--- a/internal/core/parts/parts_test.go
+++ b/internal/core/parts/parts_test.go
@@ -132,6 +132,18 @@
 	}
 }
 
+// run lets all VMs that live work every 200 ms for a while.
+func (w *world) run(d time.Duration) {
+	for end := w.now + d; w.now < end; w.now += 200 * time.Millisecond {
+		for i := range w.holders {
+			if !w.dead[i] {
+				w.read(i)
+				w.write(i, false, false)
+			}
+		}
+	}
+}
+
 // Guards against rates that are spent twice: VMs die, restart, lose answers, and
 // have writes stored late, in any order. All VMs together never use more than all
 // parts.
@@ -181,29 +193,19 @@
 // Guards against VMs without parts, and against parts of a dead VM that never return.
 func TestPartsSettleEquallyAndReturn(t *testing.T) {
 	w := newWorld(3)
-	run := func(d time.Duration) {
-		for end := w.now + d; w.now < end; w.now += 200 * time.Millisecond {
-			for i := range w.holders {
-				if !w.dead[i] {
-					w.read(i)
-					w.write(i, false, false)
-				}
-			}
-		}
-	}
 	share := func(i int) float64 {
 		n, _ := w.holders[i].Parts()
 		return float64(n) / Total
 	}
-	run(20 * time.Second)
+	w.run(20 * time.Second)
 	for i := range w.holders {
 		assert.Assert(t, share(i) > 0.32 && share(i) < 0.35, "VM %d has %v", i, share(i))
 	}
 	w.dead[2] = true
-	run(goneAfter + Lease + Guard + 20*time.Second)
+	w.run(goneAfter + Lease + Guard + 20*time.Second)
 	assert.Assert(t, share(0) > 0.49 && share(1) > 0.49, "%v %v", share(0), share(1))
 	w.dead[2], w.holders[2] = false, NewHolder(key(2))
-	run(servingFor + 20*time.Second) // it takes a row once it has served for servingFor
+	w.run(servingFor + 20*time.Second) // it takes a row once it has served for servingFor
 	assert.Assert(t, share(2) > 0.32, "%v", share(2))
 }
 
@@ -212,19 +214,11 @@
 func TestPartsFollowTheServingVMs(t *testing.T) {
 	w := newWorld(4)
 	w.plain[3] = true
-	run := func(d time.Duration) {
-		for end := w.now + d; w.now < end; w.now += 200 * time.Millisecond {
-			for i := range w.holders {
-				w.read(i)
-				w.write(i, false, false)
-			}
-		}
-	}
-	run(time.Second)
+	w.run(time.Second)
 	assert.Equal(t, len(w.store.table.Rows), 3)
 	assert.Equal(t, w.store.version, uint64(1), "the first VM writes the rows of all")
 	w.plain[0], w.plain[3] = true, false
-	run(servingFor + 15*time.Second)
+	w.run(servingFor + 15*time.Second)
 	assert.Equal(t, len(w.store.table.Rows), 3, "%+v", w.store.table)
 	_, kept := w.store.table.find(key(0))
 	assert.Assert(t, !kept)
@@ -236,20 +230,12 @@
 func TestShortChangesMoveNoParts(t *testing.T) {
 	w := newWorld(3)
 	w.plain[2] = true
-	step := func(d time.Duration) {
-		for end := w.now + d; w.now < end; w.now += 200 * time.Millisecond {
-			for i := range w.holders {
-				w.read(i)
-				w.write(i, false, false)
-			}
-		}
-	}
-	step(20 * time.Second)
+	w.run(20 * time.Second)
 	version := w.store.version
 	w.plain[0], w.plain[2] = true, false
-	step(servingFor - time.Second)
+	w.run(servingFor - time.Second)
 	w.plain[0], w.plain[2] = false, true
-	step(20 * time.Second)
+	w.run(20 * time.Second)
 	assert.Equal(t, w.store.version, version)
 }
 
--- a/internal/service/remote.go
+++ b/internal/service/remote.go
@@ -20,10 +20,11 @@
 			near = append(near, hub)
 		}
 	}
-	if placement.Place(near, "store", v.settings.VM) == 0 {
+	if len(near) == 0 {
 		return "", false
 	}
-	return placement.Rank(near, "store")[0].Name, true
+	first := placement.Rank(near, "store")[0].Name
+	return first, first != v.settings.VM
 }
 
 // askView asks a VM for what it has read in the store.
