Read what is known of a VM under the lock when a statement on it fails

A statement whose connection to the executing VM fails marks that VM as suspect, and read whether it is leaving outside the lock, while a probe of the same VM wrote it. The effect is a VM that counts as leaving, or not, until its next probe. Ruled out: the stand-ins and the test, which neither side of the trace names.

Change: the read and the mark are one step under the lock.

Measured: TestFailedStatementsAndProbesAgreeOnAVM reports the race before the change and passes after it.

--- a/internal/controller/peers/peers_test.go
+++ b/internal/controller/peers/peers_test.go
@@ -228,3 +228,27 @@
 		return true
 	})
 }
+
+// Guards against a failed statement that reads what is known of a VM while a probe of
+// it changes that, which the race detector reports.
+func TestFailedStatementsAndProbesAgreeOnAVM(t *testing.T) {
+	n := startNode(t, &registry{objects: map[string]objectapi.Object{}}, "vm-1", "a")
+	eventually(t, "the VM is registered", func() bool {
+		n.Meet(relay.Identity{VM: "vm-2", Zone: "a", Address: "127.0.0.1:1"})
+		_, ok := n.get("vm-2")
+		return ok
+	})
+	q, _ := n.get("vm-2")
+	var ends sync.WaitGroup
+	ends.Go(func() {
+		for i := range 200 {
+			n.mark(q, true, i%2 == 0)
+		}
+	})
+	ends.Go(func() {
+		for range 200 {
+			n.suspect(q)
+		}
+	})
+	ends.Wait()
+}
--- a/internal/controller/peers/probe.go
+++ b/internal/controller/peers/probe.go
@@ -53,6 +53,11 @@
 func (p *Peers) mark(q *peer, alive, leaving bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.markLocked(q, alive, leaving)
+}
+
+// markLocked is mark; p.mu is held.
+func (p *Peers) markLocked(q *peer, alive, leaving bool) {
 	if p.peers[q.identity.VM] != q || q.alive == alive && q.dead == !alive && q.leaving == leaving {
 		return
 	}
@@ -66,7 +71,9 @@
 
 // suspect stops the use of a VM whose connection failed until it answers a probe.
 func (p *Peers) suspect(q *peer) {
-	p.mark(q, false, q.leaving)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.markLocked(q, false, q.leaving)
 	nudge(q.wake)
 }
 
