Announce orders to resume, and give none while a call may take effect

Cause: orders to members and calls of the platform may be carried out seconds after they were given up. A model of the takeover, written first, found two ways in which that loses an acknowledged commit: an attempt that fails resumed replicas while an earlier call still relied on their pause, and an order to resume that comes late voided the pause that another VM's attempt had verified. Reading the code for the model showed two more: the time for which an attempt is bound to a candidate counted from the first call and not from the newest one, and with two VMs that take turns it never ended; and a call could follow its announcement after any delay. Ruled out: the promotion token, which the platform compares only with calls that it has answered.

Change: the group's object numbers calls and orders to resume. No order is given while a call may take effect; a pause proves nothing while an order to resume may be carried out, but such a replica can be the candidate; a candidate is not announced if a replica was resumed since the claim; a call that is not made within 0.7 s of its announcement is not made. Only replicas that have confirmed a pause are resumed by the attempt; the others are left to the search for forgotten pauses.

--- a/internal/controller/takeover/attempt.go
+++ b/internal/controller/takeover/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"maps"
 	"slices"
 	"sync"
 
@@ -61,7 +60,7 @@
 	t.log(c.cfg.Log.Info()).Uint64("generation", generation).Msg("takeover claimed")
 	candidate, ok := t.prepare(ctx)
 	if !ok {
-		t.resume(ctx)
+		t.giveUp(ctx)
 		c.done(t.group, attemptPause, false)
 		return
 	}
@@ -188,7 +187,8 @@
 				return
 			}
 			reports[i].Reached, reports[i].Received = true, status.Received
-			reports[i].Paused = status.PausedTerm > 0 && !t.mayResume(u.Name)
+			_, reports[i].Resuming = t.record.Resuming[u.Name]
+			reports[i].Paused = status.PausedTerm > 0 && !reports[i].Resuming
 			t.term = max(t.term, status.Term, status.Received.Term)
 		})
 	}
@@ -231,7 +231,6 @@
 			continue
 		}
 		rest = append(rest, u)
-		t.markPaused(u)
 	}
 	// The lowest term that is accepted: a pause that is carried out late, after the
 	// promotion, is refused.
@@ -239,6 +238,7 @@
 	reports := t.ask(ctx, rest, func(catalog.Upstream) statement.Command {
 		return statement.Command{Kind: statement.PauseCommand, Term: term}
 	})
+	t.markPaused(rest, reports)
 	replicas := len(members)
 	deadline := t.controller.cfg.Now() + catchUpTime
 	for {
@@ -258,51 +258,21 @@
 	}
 }
 
-func (t *attempt) markPaused(u catalog.Upstream) {
-	t.controller.mu.Lock()
-	defer t.controller.mu.Unlock()
-	t.group.paused[u.Name] = execution.TargetOf(u)
-}
-
-// resume lets the paused replicas receive again. One without an answer may be
-// carried out later, so that a pause of the replica proves nothing for a while.
-func (t *attempt) resume(ctx context.Context) {
-	c := t.controller
-	c.mu.Lock()
-	paused := maps.Clone(t.group.paused)
-	c.mu.Unlock()
-	for name, target := range paused {
-		_, err := t.status(ctx, target, statement.Command{Kind: statement.ResumeCommand})
-		c.mu.Lock()
-		if err == nil {
-			delete(t.group.paused, name)
-		} else {
-			t.group.resuming[name] = c.cfg.Now() + lateOrder
-		}
-		c.mu.Unlock()
-		if err != nil {
-			t.log(c.cfg.Log.Warn()).Err(err).Str("upstream", string(name)).Msg("replica not resumed")
-		}
-	}
-}
-
-// mayResume reports whether a resume without an answer may still be carried out.
-func (t *attempt) mayResume(name ident.UpstreamName) bool {
-	c := t.controller
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.cfg.Now() < t.group.resuming[name]
-}
-
 // promote calls the platform. While the outcome of a call is unknown the replicas
 // stay paused and the next attempt claims a higher generation.
 func (t *attempt) promote(ctx context.Context, generation uint64, candidate ident.UpstreamName) {
 	c := t.controller
-	if err := t.announce(ctx, generation, candidate); err != nil {
+	start := c.cfg.Now()
+	if err := t.announce(ctx, candidate); err != nil {
 		t.log(c.cfg.Log.Info()).Err(err).Msg("candidate not announced")
 		c.done(t.group, attemptPause, false)
 		return
 	}
+	if took := c.cfg.Now() - start; took > announcedFor {
+		t.log(c.cfg.Log.Warn()).Dur("took_ms", took).Msg("promotion not called; its announcement took too long")
+		c.done(t.group, lostCallPause, false)
+		return
+	}
 	call, cancel := context.WithTimeout(ctx, promoteTimeout)
 	defer cancel()
 	err := c.cfg.Promoter.Promote(call, c.cfg.Self, generation, t.group.name, candidate)
@@ -310,14 +280,14 @@
 	switch {
 	case err == nil:
 		t.settle(ctx, candidate)
-		t.finish(ctx, generation, candidate)
+		t.finish(ctx, candidate)
 		c.mu.Lock()
 		clear(t.group.paused) // a promotion lets all members receive again
 		c.mu.Unlock()
 		c.done(t.group, attemptPause, true)
 	case resultcode.Is(err, resultcode.PlatformConflict), resultcode.Is(err, resultcode.PlatformQuota),
 		resultcode.Is(err, resultcode.PlatformUnavailable):
-		t.resume(ctx)
+		t.giveUp(ctx)
 		c.done(t.group, attemptPause, false)
 	default:
 		c.done(t.group, lostCallPause, false)
--- a/internal/controller/takeover/controller.go
+++ b/internal/controller/takeover/controller.go
@@ -43,6 +43,9 @@
 	// lateOrder is the time after which an order without an answer is not carried out any
 	// more; the platform names 12 s.
 	lateOrder = 13 * time.Second
+	// announcedFor is the time after the begin of its announcement within which an order
+	// is sent. With the delay that the platform names it stays below lateOrder.
+	announcedFor = 700 * time.Millisecond
 	// catchUpTime bounds the wait for a candidate that lacks what a paused replica has.
 	catchUpTime = time.Second
 	catchUpPoll = 30 * time.Millisecond
@@ -105,9 +108,6 @@
 	since  time.Duration
 	reason string
 	next   time.Duration // earliest time of the next attempt
-	// resuming holds the replicas for which a resume got no answer, and until when it may
-	// still be carried out.
-	resuming map[ident.UpstreamName]time.Duration
 	// lagging holds the replicas that refuse reads because they lag, and since when.
 	lagging map[ident.UpstreamName]time.Duration
 	// nextResume is the earliest time of the next look at replicas that lag.
@@ -143,7 +143,7 @@
 	g, ok := c.groups[name]
 	if !ok {
 		g = &group{name: name, evidence: map[ident.UpstreamName]*core.Evidence{}, paused: map[ident.UpstreamName]execution.Target{},
-			lagging: map[ident.UpstreamName]time.Duration{}, resuming: map[ident.UpstreamName]time.Duration{}}
+			lagging: map[ident.UpstreamName]time.Duration{}}
 		c.groups[name] = g
 	}
 	return g
--- a/internal/controller/takeover/doc.go
+++ b/internal/controller/takeover/doc.go
@@ -18,10 +18,19 @@
 //
 // # Safety
 //
-// Each generation has one holder. A call whose answer is lost may still take effect
-// later; replicas stay paused until a call with a higher generation has been
-// answered, which makes the platform refuse the older one. Until then, and as long as
-// calls may be late, every attempt is bound to the same candidate: another member that
-// was verified before the first one leads would lack what that one commits. The choice
-// of the candidate is safe whether or not the old primary still runs.
+// Each generation has one holder. Orders to members and calls of the platform may have
+// no answer and be carried out seconds later, so each call and each order to resume is
+// first announced in the object, by conditional update:
+//
+//   - While a call may take effect, every attempt is bound to its candidate: another
+//     member that was verified before the first one leads would lack what that one
+//     commits. No replica is ordered to resume meanwhile, because the call relies on the
+//     pauses. A call with a higher generation that has been answered makes the platform
+//     refuse the older ones.
+//   - While an order to resume may be carried out, a pause of that replica proves
+//     nothing. The replica can be the candidate, which need not be paused.
+//   - A candidate is not announced if a replica was ordered to resume since the claim.
+//
+// The choice of the candidate is safe whether or not the old primary still runs.
+// specs/takeover.pml is the model of these rules.
 package takeover
--- /dev/null
+++ b/internal/controller/takeover/fake_test.go
@@ -0,0 +1,202 @@
+package takeover
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
+
+	"github.com/rosemarywall/rosemarywall/internal/controller/following"
+	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
+	"github.com/rosemarywall/rosemarywall/internal/core/placement"
+	"github.com/rosemarywall/rosemarywall/internal/execution"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	"github.com/rosemarywall/rosemarywall/internal/statement"
+)
+
+// world is a store, a group of a primary u1 and replicas u2 and u3, and the platform's
+// promotion.
+type world struct {
+	t       *testing.T
+	start   time.Time
+	mu      sync.Mutex
+	object  *objectapi.Object
+	slow    time.Duration // time that a write of the store takes
+	members map[ident.UpstreamName]*member
+	calls   []ident.UpstreamName
+	// answers are the errors of the next calls of the promotion; nil promotes.
+	answers []error
+	unique  int
+}
+
+// member is an upstream.
+type member struct {
+	received ident.LogPoint
+	paused   ident.Term
+	primary  bool
+	silent   bool
+	// loseResume lets orders to resume go unanswered and not be carried out yet.
+	loseResume bool
+	resumes    int // orders to resume that were sent
+}
+
+func newWorld(t *testing.T) *world {
+	w := &world{t: t, start: time.Now(), members: map[ident.UpstreamName]*member{}}
+	for _, name := range []ident.UpstreamName{"u1", "u2", "u3"} {
+		w.members[name] = &member{received: ident.LogPoint{Term: 1, Position: 5}, primary: name == "u1"}
+	}
+	return w
+}
+
+// controller returns the controller of a VM in the world.
+func (w *world) controller(name ident.VMName) *Controller {
+	return New(Config{
+		Self: name, Store: w, Promoter: w, Dial: w.dial, State: w.state, Settled: func() bool { return true },
+		Hubs: func() []placement.VM { return nil }, Confirm: func(context.Context, execution.Target) bool { return true },
+		Now: func() time.Duration { return time.Since(w.start) + time.Minute }, Log: zerolog.Nop(),
+		Unique: func() string {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.unique++
+			return string(name) + string(rune('a'+w.unique))
+		},
+	})
+}
+
+// replace runs one attempt of a VM to replace u1, which leaves.
+func (w *world) replace(c *Controller) {
+	state := w.state()
+	primary := state.Upstreams["g1"][0]
+	c.mu.Lock()
+	g := c.group("g1")
+	c.mu.Unlock()
+	(&attempt{controller: c, group: g, spec: state.Catalog.Groups["g1"], state: state, reason: reasonLeaving, primary: &primary}).run(w.t.Context())
+}
+
+func (w *world) state() *following.State {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var members []catalog.Upstream
+	for _, name := range []ident.UpstreamName{"u1", "u2", "u3"} {
+		members = append(members, catalog.Upstream{Name: name, Group: "g1", Address: string(name), State: catalog.Ready, Primary: w.members[name].primary})
+	}
+	return &following.State{
+		Catalog:   &catalog.Catalog{Groups: map[ident.GroupName]catalog.Group{"g1": {SyncReplicas: 1}}},
+		Upstreams: catalog.Upstreams{"g1": members},
+	}
+}
+
+// with changes a member.
+func (w *world) with(name ident.UpstreamName, f func(*member)) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	f(w.members[name])
+}
+
+func (w *world) record() record {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var r record
+	assert.NilError(w.t, w.object.Decode(&r))
+	return r
+}
+
+// Get implements Store.
+func (w *world) Get(context.Context, objectapi.Kind, string) (objectapi.Object, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.object == nil {
+		return objectapi.Object{}, resultcode.New(resultcode.PlatformNotFound, "no object")
+	}
+	return *w.object, nil
+}
+
+// Put implements Store.
+func (w *world) Put(_ context.Context, kind objectapi.Kind, name string, value any, ifVersion objectapi.Version) (objectapi.Object, error) {
+	w.mu.Lock()
+	slow := w.slow
+	w.mu.Unlock()
+	time.Sleep(slow)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var version objectapi.Version
+	if w.object != nil {
+		version = w.object.Version
+	}
+	if version != ifVersion {
+		return objectapi.Object{}, resultcode.New(resultcode.PlatformConflict, "another version")
+	}
+	raw, err := json.Marshal(value)
+	w.object = &objectapi.Object{Kind: kind, Name: name, Version: version + 1, Value: raw}
+	return *w.object, err
+}
+
+// Promote implements Promoter.
+func (w *world) Promote(_ context.Context, _ ident.VMName, _ uint64, _ ident.GroupName, upstream ident.UpstreamName) error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.calls = append(w.calls, upstream)
+	if len(w.answers) > 0 {
+		err := w.answers[0]
+		w.answers = w.answers[1:]
+		if err != nil {
+			return err
+		}
+	}
+	for name, m := range w.members {
+		m.primary, m.paused = name == upstream, 0
+	}
+	return nil
+}
+
+// errLost is the answer of a call that got none.
+var errLost = resultcode.New(resultcode.PlatformDown, "no answer")
+
+func (w *world) dial(_ context.Context, target execution.Target, _ ident.OrganisationName) (execution.Conn, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.members[target.Upstream].silent {
+		return nil, errors.New("connection timed out")
+	}
+	return &conn{w: w, name: target.Upstream}, nil
+}
+
+// conn is a connection to a member.
+type conn struct {
+	w    *world
+	name ident.UpstreamName
+}
+
+func (c *conn) Exchange(context.Context, ...statement.Command) ([]statement.Reply, error) {
+	return nil, errors.New("not used")
+}
+
+func (c *conn) Status(_ context.Context, command statement.Command) (statement.Status, statement.Reply, error) {
+	c.w.mu.Lock()
+	defer c.w.mu.Unlock()
+	m := c.w.members[c.name]
+	if m.silent {
+		return statement.Status{}, statement.Reply{}, errors.New("connection reset")
+	}
+	switch command.Kind {
+	case statement.PauseCommand:
+		m.paused = command.Term
+	case statement.ResumeCommand:
+		m.resumes++
+		if m.loseResume {
+			return statement.Status{}, statement.Reply{}, errors.New("no answer")
+		}
+		m.paused = 0
+	}
+	return statement.Status{Primary: m.primary, Term: m.received.Term, PausedTerm: m.paused, Received: m.received}, statement.Reply{}, nil
+}
+
+func (c *conn) Alive() bool { return true }
+func (c *conn) Close()      {}
--- /dev/null
+++ b/internal/controller/takeover/orders_test.go
@@ -0,0 +1,122 @@
+package takeover
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+// Guards against a replica that receives, and confirms a commit, while a call that
+// relies on its pause may still promote a candidate without that commit. The call has
+// no answer, and the next attempt fails because its candidate does not answer.
+func TestNoReplicaIsResumedUnderALateCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		first, second := w.controller("vm-1"), w.controller("vm-2")
+		w.answers = []error{errLost}
+		w.replace(first)
+		assert.DeepEqual(t, w.calls, []ident.UpstreamName{"u2"})
+		assert.Equal(t, w.members["u3"].paused, ident.Term(2))
+		w.with("u2", func(m *member) { m.silent = true })
+		for _, c := range []*Controller{first, second, first} {
+			w.replace(c)
+			assert.Equal(t, w.members["u3"].resumes, 0)
+		}
+		c := second
+		members := w.state().Upstreams["g1"]
+		upkeep := &attempt{controller: c, group: c.group("g1"), state: w.state(), reason: "replica lags", primary: &members[0]}
+		time.Sleep(claimTime + time.Second)
+		upkeep.resumePaused(t.Context(), members[2:])
+		assert.Equal(t, w.members["u3"].resumes, 0, "the call may still be late")
+		time.Sleep(lateOrder)
+		upkeep.resumePaused(t.Context(), members[2:])
+		assert.Equal(t, w.members["u3"].resumes, 1)
+		assert.Equal(t, w.members["u3"].paused, ident.Term(0))
+	})
+}
+
+// Guards against a pause that counts as proof although an order of another VM to
+// resume the replica has no answer and may be carried out at any moment.
+func TestResumeOfAnotherVMVoidsThePause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		first, second := w.controller("vm-1"), w.controller("vm-2")
+		w.with("u3", func(m *member) { m.loseResume = true })
+		w.answers = []error{resultcode.New(resultcode.PlatformUnavailable, "status 503")}
+		w.replace(first)
+		assert.Equal(t, w.members["u3"].resumes, 1)
+		w.with("u2", func(m *member) { m.received.Position = 9 })
+		w.replace(second)
+		assert.Equal(t, len(w.calls), 1, "u3 may receive again, and lacks what u2 holds")
+		w.with("u3", func(m *member) { m.received.Position = 9 })
+		w.replace(second)
+		assert.DeepEqual(t, w.calls, []ident.UpstreamName{"u2", "u3"}) // the candidate need not be paused
+	})
+}
+
+// Guards against a proof that a resume has voided between pause and call, which no
+// trace but the group's object shows once the resume has been answered.
+func TestReplicaThatWasResumedMeanwhile(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		c, other := w.controller("vm-1"), w.controller("vm-2")
+		state := w.state()
+		claimed := &attempt{controller: c, group: c.group("g1"), spec: state.Catalog.Groups["g1"], state: state, reason: reasonLeaving, primary: &state.Upstreams["g1"][0]}
+		generation, err := claimed.claim(t.Context())
+		assert.NilError(t, err)
+		candidate, ok := claimed.prepare(t.Context())
+		assert.Assert(t, ok)
+		time.Sleep(claimTime)
+		upkeep := &attempt{controller: other, group: other.group("g1"), state: state, reason: "replica lags", primary: &state.Upstreams["g1"][0]}
+		upkeep.resumePaused(t.Context(), state.Upstreams["g1"][2:])
+		time.Sleep(claimTime)
+		upkeep.resumePaused(t.Context(), state.Upstreams["g1"][2:])
+		assert.Equal(t, w.members["u3"].resumes, 1)
+		claimed.promote(t.Context(), generation, candidate)
+		assert.Equal(t, len(w.calls), 0)
+	})
+}
+
+// Guards against another candidate while the newest call for the first one may still
+// take effect, and against one that stays bound for ever because VMs take turns.
+func TestCandidateIsBoundUntilTheNewestCallIsOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		first, second := w.controller("vm-1"), w.controller("vm-2")
+		w.answers = []error{errLost, errLost}
+		w.replace(first)
+		time.Sleep(lateOrder - time.Second)
+		w.replace(first)
+		assert.Equal(t, len(w.calls), 2)
+		w.with("u2", func(m *member) { m.silent = true })
+		time.Sleep(2 * time.Second)
+		w.with("u3", func(m *member) { m.received.Position = 9 })
+		w.replace(first)
+		assert.Equal(t, len(w.calls), 2, "the second call may still take effect")
+		for range 6 {
+			time.Sleep(claimTime)
+			w.replace(second)
+			w.replace(first)
+		}
+		w.with("u2", func(m *member) { m.silent = false })
+		w.replace(first)
+		assert.DeepEqual(t, w.calls[2:], []ident.UpstreamName{"u3"})
+	})
+}
+
+// Guards against a call that is made long after it was announced, when other VMs take
+// it for over.
+func TestCallFollowsItsAnnouncementOrIsNotMade(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t)
+		w.slow = announcedFor + 10*time.Millisecond
+		w.replace(w.controller("vm-1"))
+		assert.Equal(t, len(w.calls), 0)
+		assert.Equal(t, w.record().Candidate, ident.UpstreamName("u2"))
+	})
+}
--- a/internal/controller/takeover/record.go
+++ b/internal/controller/takeover/record.go
@@ -22,6 +22,13 @@
 	// Candidate is the member that the holder asks the platform to promote. It is written
 	// before the call, and stays while the call may still take effect.
 	Candidate ident.UpstreamName `json:"candidate,omitempty"`
+	// Orders counts the announcements of calls and resumes, each of which is written
+	// before it is sent. Called is the number of the newest call.
+	Orders uint64 `json:"orders,omitempty"`
+	Called uint64 `json:"called,omitempty"`
+	// Resuming holds the replicas that were ordered to resume and have not answered, with
+	// the number of the order.
+	Resuming map[ident.UpstreamName]uint64 `json:"resuming,omitempty"`
 	// Primary is the newest known primary.
 	Primary ident.UpstreamName `json:"primary"`
 	// Holders are the addresses of the upstreams, the primary included, that may hold
@@ -39,9 +46,51 @@
 	at      time.Duration
 	// old says that it was done when this VM first looked.
 	old bool
+	// calledAt and resumingAt are the times at which this VM first saw the orders. Other
+	// changes of the record don't move them, else VMs that take turns would wait for ever.
+	calledAt   time.Duration
+	resumingAt map[ident.UpstreamName]time.Duration
 }
 
-var errClaimed = errors.New("another VM replaces the primary")
+// follow returns a newer record as seen at now.
+func (s seenRecord) follow(r record, version objectapi.Version, now time.Duration) seenRecord {
+	next := seenRecord{record: r, version: version, at: now, old: r.Done && s.at == 0, calledAt: now, resumingAt: map[ident.UpstreamName]time.Duration{}}
+	if s.at > 0 && r.Called == s.Called {
+		next.calledAt = s.calledAt
+	}
+	for name, order := range r.Resuming {
+		next.resumingAt[name] = now
+		if at, known := s.resumingAt[name]; known && s.Resuming[name] == order {
+			next.resumingAt[name] = at
+		}
+	}
+	return next
+}
+
+// pending returns the candidate of a call that may still take effect.
+func (s seenRecord) pending(now time.Duration) ident.UpstreamName {
+	if s.Done || now >= s.calledAt+lateOrder {
+		return ""
+	}
+	return s.Candidate
+}
+
+// unanswered returns the resumes that may still be carried out.
+func (s seenRecord) unanswered(now time.Duration) map[ident.UpstreamName]uint64 {
+	out := map[ident.UpstreamName]uint64{}
+	for name, order := range s.Resuming {
+		if now < s.resumingAt[name]+lateOrder {
+			out[name] = order
+		}
+	}
+	return out
+}
+
+var (
+	errClaimed = errors.New("another VM replaces the primary")
+	errResumed = errors.New("a replica was ordered to resume meanwhile")
+	errPending = errors.New("an earlier call may still take effect")
+)
 
 // claim raises the generation and returns it.
 func (t *attempt) claim(ctx context.Context) (uint64, error) {
@@ -53,14 +102,12 @@
 	if seen.Generation > 0 && seen.Holder != c.cfg.Self && c.respected(seen) {
 		return 0, errClaimed
 	}
-	if !seen.Done && seen.Candidate != "" && c.cfg.Now() < seen.at+lateOrder {
-		// The call of an earlier generation may take effect at any moment. A promotion of
-		// another member that was verified before would lose what is committed after it.
-		t.bound = seen.Candidate
-	}
+	// The call of an earlier generation may take effect at any moment. A promotion of
+	// another member that was verified before would lose what is committed after it.
+	t.bound = seen.pending(c.cfg.Now())
 	next := seen.record
 	next.Generation, next.Holder, next.Done, next.Writer = seen.Generation+1, c.cfg.Self, false, c.cfg.Unique()
-	next.Candidate = t.bound
+	next.Candidate, next.Resuming = t.bound, seen.unanswered(c.cfg.Now())
 	t.record = next
 	return next.Generation, t.write(ctx, next, seen.version)
 }
@@ -95,7 +142,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if t.group.record.version != o.Version || t.group.record.at == 0 {
-		t.group.record = seenRecord{record: r, version: o.Version, at: c.cfg.Now(), old: r.Done && t.group.record.at == 0}
+		t.group.record = t.group.record.follow(r, o.Version, c.cfg.Now())
 	}
 	return t.group.record, nil
 }
@@ -109,11 +156,7 @@
 	o, err := c.cfg.Store.Put(call, KindGroup, string(t.group.name), r, base)
 	if err == nil {
 		c.mu.Lock()
-		at := c.cfg.Now()
-		if r.Candidate != "" && r.Candidate == t.group.record.Candidate {
-			at = t.group.record.at // counts from the first call
-		}
-		t.group.record = seenRecord{record: r, version: o.Version, at: at}
+		t.group.record = t.group.record.follow(r, o.Version, c.cfg.Now())
 		c.mu.Unlock()
 	}
 	if err == nil || !resultcode.Is(err, resultcode.PlatformDown) {
@@ -126,24 +169,34 @@
 	return errors.CombineErrors(err, readErr)
 }
 
-// announce records the candidate before the platform is asked to promote it.
-func (t *attempt) announce(ctx context.Context, generation uint64, candidate ident.UpstreamName) error {
+// own reads the record and returns it if this attempt is the newest one.
+func (t *attempt) own(ctx context.Context) (seenRecord, error) {
 	seen, err := t.read(ctx)
+	if err == nil && (seen.Generation != t.record.Generation || seen.Holder != t.controller.cfg.Self) {
+		err = errClaimed
+	}
+	return seen, err
+}
+
+// announce records the candidate before the platform is asked to promote it.
+func (t *attempt) announce(ctx context.Context, candidate ident.UpstreamName) error {
+	seen, err := t.own(ctx)
 	if err != nil {
 		return err
 	}
-	if seen.Generation != generation || seen.Holder != t.controller.cfg.Self {
-		return errClaimed
+	if seen.Orders != t.record.Orders {
+		return errResumed // which voids the proof that the candidate holds every commit
 	}
 	r := seen.record
-	r.Candidate, r.Writer = candidate, t.controller.cfg.Unique()
+	r.Orders++
+	r.Called, r.Candidate, r.Writer = r.Orders, candidate, t.controller.cfg.Unique()
 	return t.write(ctx, r, seen.version)
 }
 
 // finish marks the change as done, so that the next one need not wait.
-func (t *attempt) finish(ctx context.Context, generation uint64, primary ident.UpstreamName) {
-	seen, err := t.read(ctx)
-	if err == nil && seen.Generation == generation && seen.Holder == t.controller.cfg.Self {
+func (t *attempt) finish(ctx context.Context, primary ident.UpstreamName) {
+	seen, err := t.own(ctx)
+	if err == nil {
 		r := seen.record
 		r.Done, r.Primary, r.Candidate, r.Writer = true, primary, "", t.controller.cfg.Unique()
 		err = t.write(ctx, r, seen.version)
--- a/internal/core/takeover/takeover.go
+++ b/internal/core/takeover/takeover.go
@@ -24,6 +24,9 @@
 	// Paused says that it receives nothing until it is promoted or resumed.
 	Paused   bool
 	Received ident.LogPoint
+	// Resuming says that an order to resume may still be carried out, so that a pause of
+	// the replica proves nothing.
+	Resuming bool
 	// Fit says that it may become the primary.
 	Fit bool
 	// Near prefers a replica among equals.
@@ -31,7 +34,8 @@
 }
 
 // Candidate returns the replica to promote: the fit one that has received most.
-// Among equals a near one is preferred, then the order of the list counts.
+// Among equals a near one is preferred, then the order of the list counts. One that
+// may resume goes first, because the candidate alone need not be paused.
 func Candidate(reports []Report) (ident.UpstreamName, bool) {
 	best := -1
 	for i, r := range reports {
@@ -42,8 +46,7 @@
 			best = i
 			continue
 		}
-		c := r.Received.Compare(reports[best].Received)
-		if c > 0 || c == 0 && r.Near && !reports[best].Near {
+		if better(r, reports[best]) {
 			best = i
 		}
 	}
@@ -53,6 +56,14 @@
 	return reports[best].Name, true
 }
 
+func better(a, b Report) bool {
+	if a.Resuming != b.Resuming {
+		return a.Resuming
+	}
+	c := a.Received.Compare(b.Received)
+	return c > 0 || c == 0 && a.Near && !b.Near
+}
+
 // Verdict says whether a promotion is safe.
 type Verdict uint8
 
--- a/internal/core/takeover/takeover_test.go
+++ b/internal/core/takeover/takeover_test.go
@@ -107,6 +107,18 @@
 	assert.Equal(t, Check(nil, "a", 3, 0), Uncovered)
 }
 
+// Guards against a candidate whose only rival may receive again at any moment, which
+// could not be verified.
+func TestReplicaThatMayResumeIsTheCandidate(t *testing.T) {
+	at := func(p int) ident.LogPoint { return ident.LogPoint{Term: 1, Position: ident.Position(p)} }
+	reports := []Report{{Name: "a", Reached: true, Fit: true, Received: at(6)}, {Name: "b", Reached: true, Fit: true, Resuming: true, Received: at(5)}}
+	name, _ := Candidate(reports)
+	assert.Equal(t, name, ident.UpstreamName("b"))
+	reports[1].Fit = false
+	name, _ = Candidate(reports)
+	assert.Equal(t, name, ident.UpstreamName("a"))
+}
+
 // Guards against a change of primary after a single lost answer, and against one that
 // never comes while reads still succeed on a primary that cannot commit.
 func TestEvidence(t *testing.T) {
