Let a stuck primary step down, and check for members that have joined

The primary was cut off from its replicas, which a takeover had paused and verified; while the promotion was carried out the cut ended and a new member joined, received what the primary had, and so confirmed commits that the candidate lacked.

Change: a primary that completes no write is told to step down after the verification and has to confirm it. A member that has joined, or restarted under its id, since the verification voids it.

--- a/internal/controller/takeover/attempt.go
+++ b/internal/controller/takeover/attempt.go
@@ -31,6 +31,8 @@
 	// still take effect; empty leaves the choice.
 	bound ident.UpstreamName
 	term  ident.Term // newest term that any member has reported
+	// members are the replicas that the verification covers.
+	members []catalog.Upstream
 
 	mu    sync.Mutex
 	conns map[execution.Target]execution.Conn
@@ -204,6 +206,7 @@
 // holds every acknowledged commit.
 func (t *attempt) prepare(ctx context.Context) (ident.UpstreamName, bool) {
 	members := t.withHolders(t.others())
+	t.members = members
 	asked := members
 	if t.primary != nil && !t.silent {
 		asked = append(slices.Clone(members), *t.primary) // for its term
@@ -220,7 +223,41 @@
 	if t.spec.SyncReplicas <= 0 {
 		return candidate, true
 	}
-	return t.verify(ctx, members, candidate)
+	candidate, ok = t.verify(ctx, members, candidate)
+	return candidate, ok && (t.reason != reasonStuck || t.stepDown(ctx))
+}
+
+// stepDown lets a primary that completes no write confirm nothing more. It may reach
+// its replicas again at any moment, and also a member that joins and that the
+// verification does not cover. A primary that leaves is not asked to: it goes on
+// writing until the promotion.
+func (t *attempt) stepDown(ctx context.Context) bool {
+	term := t.term + 1
+	status, err := t.status(ctx, execution.TargetOf(*t.primary), statement.Command{Kind: statement.StepDownCommand, Term: term})
+	t.log(t.controller.cfg.Log.Info()).Err(err).Uint64("term", uint64(term)).Stringer("position", status.Received).Msg("primary told to step down")
+	if err != nil {
+		return false
+	}
+	t.controller.mu.Lock()
+	t.group.steppedDown = true
+	t.controller.mu.Unlock()
+	return clock.Sleep(ctx, joinTime)
+}
+
+// joined returns a member that has joined since the verification; it may be alone in
+// holding a commit.
+func (t *attempt) joined() (ident.UpstreamName, bool) {
+	state := t.controller.cfg.State()
+	for _, u := range state.Upstreams[t.group.name] {
+		if _, gone := state.Gone[u.Name]; gone {
+			continue // what it holds, the ledger answers for
+		}
+		same := func(known catalog.Upstream) bool { return known.Name == u.Name && known.Born == u.Born }
+		if !slices.ContainsFunc(t.members, same) && (t.primary == nil || u.Name != t.primary.Name) {
+			return u.Name, true
+		}
+	}
+	return "", false
 }
 
 func (t *attempt) verify(ctx context.Context, members []catalog.Upstream, candidate ident.UpstreamName) (ident.UpstreamName, bool) {
@@ -268,9 +305,11 @@
 		c.done(t.group, attemptPause, false)
 		return
 	}
-	if took := c.cfg.Now() - start; took > announcedFor {
-		t.log(c.cfg.Log.Warn()).Dur("took_ms", took).Msg("promotion not called; its announcement took too long")
-		c.done(t.group, lostCallPause, false)
+	joined, found := t.joined()
+	if took := c.cfg.Now() - start; found || took > announcedFor {
+		t.log(c.cfg.Log.Warn()).Dur("took_ms", took).Str("joined", string(joined)).Msg("promotion not called")
+		t.giveUp(ctx)
+		c.done(t.group, attemptPause, false)
 		return
 	}
 	call, cancel := context.WithTimeout(ctx, promoteTimeout)
--- a/internal/controller/takeover/controller.go
+++ b/internal/controller/takeover/controller.go
@@ -46,6 +46,9 @@
 	// announcedFor is the time after the begin of its announcement within which an order
 	// is sent. With the delay that the platform names it stays below lateOrder.
 	announcedFor = 700 * time.Millisecond
+	// joinTime is the time within which a member that has joined is known here. It
+	// registers at its start, and the watches tell of it within milliseconds.
+	joinTime = 150 * time.Millisecond
 	// catchUpTime bounds the wait for a candidate that lacks what a paused replica has.
 	catchUpTime = time.Second
 	catchUpPoll = 30 * time.Millisecond
@@ -116,6 +119,8 @@
 	nextLedger time.Duration
 	busy       bool
 	record     seenRecord
+	// steppedDown says that this VM has told the primary to step down.
+	steppedDown bool
 	// paused are the replicas that this VM has paused and not resumed.
 	paused map[ident.UpstreamName]execution.Target
 }
@@ -182,7 +187,7 @@
 		members := state.Upstreams[name]
 		reason, primary := c.reason(state, g, members, now)
 		if reason == "" {
-			g.since, g.reason = 0, ""
+			g.since, g.reason, g.steppedDown = 0, "", false
 			c.keepLedger(ctx, g, spec, state, primary, now)
 			c.resumeForgotten(ctx, g, spec, state, primary, now)
 			continue
@@ -190,7 +195,7 @@
 		if g.reason != reason {
 			g.since, g.reason = now, reason
 		}
-		if reason == reasonMissing && now < g.since+c.cfg.MissingFor {
+		if reason == reasonMissing && !g.steppedDown && now < g.since+c.cfg.MissingFor {
 			continue
 		}
 		if g.busy || now < g.next || now < g.since+time.Duration(c.rank(name))*rankDelay {
--- a/internal/controller/takeover/doc.go
+++ b/internal/controller/takeover/doc.go
@@ -12,6 +12,7 @@
 //	         update; the generation is its fencing token
 //	pause    stops all replicas but the candidate from receiving
 //	verify   reads the candidate's position; see internal/core/takeover
+//	depose   tells a primary that completes no write to step down
 //	announce writes the candidate into the object
 //	promote  calls the platform with its token
 //	finish   marks the object as done
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -78,6 +78,8 @@
 	PauseCommand
 	// ResumeCommand lets a paused replica receive again.
 	ResumeCommand
+	// StepDownCommand makes the primary of a lower term a replica, which confirms nothing.
+	StepDownCommand
 )
 
 // Command is one command to an upstream.
@@ -90,7 +92,7 @@
 	// Lagging where the upstream's log lacks the point.
 	MinPosition ident.LogPoint
 	Name, Value string
-	// Term belongs to PauseCommand.
+	// Term belongs to PauseCommand and StepDownCommand.
 	Term ident.Term
 }
 
