Bound the hubs of large fleets, and let new VMs wait for others

Two fifths of a zone's equal VMs are hubs, which all VMs probe, so probes grow with the square of the fleet; VMs that start together take for hubs those that have registered first, connect to them and probe them for 20 s. A profile of 100 VMs on loopback showed probes as half of the time at rest, ranks by hash as a sixth.

Change: at most 40 hubs, but three a zone. VMs that are new to the store connect after 0.7 s, when the others have registered, and are not ready before. Above 18 hubs those of other zones are probed less often. Ranks are computed only where a decision depends on them.

TestHubsAreBounded, TestNewVMsWaitForOthers and TestManyHubsOfOtherZonesAreProbedLessOften are new.

--- a/internal/controller/following/configuration.go
+++ b/internal/controller/following/configuration.go
@@ -79,10 +79,13 @@
 	newer := f.readAt > 0 && f.now() >= f.readAt
 	f.mu.Unlock()
 	interval := f.times.Apply / pollShare
+	if !ok || newer || age < interval {
+		return !ok || newer
+	}
 	if rank := f.rank(); rank > 0 {
 		interval += interval/2 + interval/4*time.Duration(min(rank, 4)-1)
 	}
-	return !ok || newer || age >= interval
+	return age >= interval
 }
 
 // readNewer reads the configuration from the VM of this zone that has reported a
--- a/internal/controller/limits/table.go
+++ b/internal/controller/limits/table.go
@@ -80,6 +80,9 @@
 
 func (c *Controller) stepTable(ctx context.Context) error {
 	serving := c.serving()
+	if len(serving) == 0 {
+		return nil // the hubs are not known yet
+	}
 	own := slices.ContainsFunc(serving, func(k parts.Key) bool { return k.VM == c.cfg.Self.VM })
 	rank := c.rank()
 	c.mu.Lock()
--- a/internal/controller/peers/peers.go
+++ b/internal/controller/peers/peers.go
@@ -71,6 +71,16 @@
 	// not be reached when they started.
 	relistEvery = time.Minute
 	retryEvery  = 300 * time.Millisecond
+	// settleTime is the time for which a VM that is new to the store waits for others to
+	// register before it connects to any. VMs of a fleet that starts do so within 0.3 s of
+	// each other, and which of them are hubs is known only when all have.
+	settleTime = 700 * time.Millisecond
+	// manyHubs is the number of hubs above which those of other zones are probed less
+	// often, so that a VM sends no more probes in a larger fleet.
+	manyHubs = 18
+	// slowestProbe bounds the time between probes. A connection without a question for
+	// 4 s is closed by the VM that is asked.
+	slowestProbe = 2500 * time.Millisecond
 	// probeOn is the time for which a VM that is no hub any more is still probed. Without
 	// probes it would close the connection and roll back what is open over it.
 	probeOn = 20 * time.Second
@@ -121,6 +131,8 @@
 	watched []ident.VMName
 	// leaving says that this VM stops and executes for itself only without another VM.
 	leaving bool
+	// settling says that the VM connects to no other yet.
+	settling bool
 }
 
 // New returns Peers that knows only this VM.
@@ -156,8 +168,15 @@
 	}
 }
 
+// Settling reports whether the VM is so new that it does not know the others.
+func (p *Peers) Settling() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.settling
+}
+
 // Hubs returns the hubs that answer, ordered by name; this VM is among them if it is
-// a hub.
+// a hub. There are none while it settles.
 func (p *Peers) Hubs() []placement.VM {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/controller/peers/peers_test.go
+++ b/internal/controller/peers/peers_test.go
@@ -187,7 +187,7 @@
 	hubs := func() []placement.VM { return nodes[0].Hubs() }
 	eventually(t, "all agree about the hubs", func() bool {
 		for _, n := range nodes {
-			if n.Population() < len(nodes) || !slices.Equal(n.Hubs(), hubs()) {
+			if n.Settling() || n.Population() < len(nodes) || !slices.Equal(n.Hubs(), hubs()) {
 				n.register(context.Background()) // instead of the regular reading
 				return false
 			}
@@ -229,6 +229,42 @@
 	})
 }
 
+// Guards against connections to VMs that look like hubs only because the others of a
+// fleet that starts have not registered yet, and against a VM that waits for others
+// after a restart.
+func TestNewVMsWaitForOthers(t *testing.T) {
+	store := &registry{objects: map[string]objectapi.Object{}}
+	first := startNode(t, store, "vm-1", "a")
+	eventually(t, "the first VM waits", first.Settling)
+	second := startNode(t, store, "vm-2", "a")
+	eventually(t, "the first VM knows the second one", func() bool { return len(first.Hubs()) == 2 })
+	second.cancel()
+	second.server.Close()
+	store.mu.Lock()
+	again := store.objects["vm-1"]
+	store.mu.Unlock()
+	var known registration
+	assert.NilError(t, again.Decode(&known))
+	first.cancel()
+	eventually(t, "the VM returns at its address", func() bool {
+		restarted := New(first.cfg)
+		restarted.ctx = t.Context()
+		return restarted.register(t.Context()) && !restarted.Settling()
+	})
+}
+
+// Guards against probes that grow with the number of hubs of other zones, and against
+// connections that are closed for want of questions.
+func TestManyHubsOfOtherZonesAreProbedLessOften(t *testing.T) {
+	p := New(Config{Self: relay.Identity{VM: "vm-1", Zone: "a"}, ProbeInterval: 800 * time.Millisecond})
+	near, far := &peer{identity: relay.Identity{Zone: "a"}}, &peer{identity: relay.Identity{Zone: "b"}}
+	for n, want := range map[int]time.Duration{1: 800, manyHubs: 800, 2 * manyHubs: 1600, 20 * manyHubs: 2500} {
+		p.hubs = make([]placement.VM, n)
+		assert.Equal(t, p.interval(far), want*time.Millisecond, "%d hubs", n)
+		assert.Equal(t, p.interval(near), 800*time.Millisecond)
+	}
+}
+
 // Guards against a failed statement that reads what is known of a VM while a probe of
 // it changes that, which the race detector reports.
 func TestFailedStatementsAndProbesAgreeOnAVM(t *testing.T) {
--- a/internal/controller/peers/probe.go
+++ b/internal/controller/peers/probe.go
@@ -28,7 +28,7 @@
 		wait := deadInterval
 		if err == nil {
 			p.cfg.OnPulse(askedAt, placementOf(q.identity), pulse)
-			wait = p.cfg.ProbeInterval
+			wait = p.interval(q)
 		}
 		select {
 		case <-ctx.Done():
@@ -38,6 +38,17 @@
 	}
 }
 
+// interval returns the time between probes of a VM that answers.
+func (p *Peers) interval(q *peer) time.Duration {
+	base := p.cfg.ProbeInterval
+	if q.identity.Zone == p.cfg.Self.Zone {
+		return base
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return max(base, min(slowestProbe, base*time.Duration(len(p.hubs))/manyHubs))
+}
+
 func (p *Peers) ask(ctx context.Context, q *peer) (Pulse, error) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
@@ -79,6 +90,10 @@
 
 // rebuild chooses the hubs, and starts and ends probes accordingly; p.mu is held.
 func (p *Peers) rebuild() {
+	if p.settling {
+		p.hubs = nil
+		return
+	}
 	candidates := []placement.Candidate{{VM: placementOf(p.cfg.Self), Leaving: p.leaving}}
 	for _, q := range p.peers {
 		candidates = append(candidates, placement.Candidate{VM: placementOf(q.identity), Dead: q.dead, Leaving: q.leaving})
--- a/internal/controller/peers/registry.go
+++ b/internal/controller/peers/registry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/core/placement"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
@@ -23,12 +24,10 @@
 // the others. Registrations are read after the write, so that of two VMs that start
 // together at least one sees the other.
 func (p *Peers) register(ctx context.Context) bool {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
-	defer cancel()
 	self := p.cfg.Self
 	mine := registration{Address: self.Address, Zone: self.Zone, Region: self.Region, Cores: self.Cores}
 	for range 2 {
-		all, err := p.cfg.Store.List(ctx, KindVM)
+		all, err := p.list(ctx)
 		if err != nil {
 			p.cfg.Log.Debug().Err(err).Msg("registrations of VMs not read")
 			return false
@@ -38,14 +37,43 @@
 			p.forgetGone(ctx)
 			return true
 		}
-		if _, err := p.cfg.Store.Put(ctx, KindVM, string(p.cfg.Self.VM), mine, version); err != nil {
+		if err := p.put(ctx, mine, version); err != nil {
 			p.cfg.Log.Warn().Err(err).Bool("conflict", resultcode.Is(err, resultcode.PlatformConflict)).Msg("VM not registered")
 			return false
 		}
+		if version == 0 {
+			p.settle(ctx)
+		}
 	}
 	return true
 }
 
+func (p *Peers) list(ctx context.Context) (objectapi.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	return p.cfg.Store.List(ctx, KindVM)
+}
+
+func (p *Peers) put(ctx context.Context, mine registration, version objectapi.Version) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	_, err := p.cfg.Store.Put(ctx, KindVM, string(p.cfg.Self.VM), mine, version)
+	return err
+}
+
+// settle waits for the other VMs of a fleet that starts.
+func (p *Peers) settle(ctx context.Context) {
+	set := func(settling bool) {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		p.settling = settling
+		p.rebuild()
+	}
+	set(true)
+	clock.Sleep(ctx, settleTime)
+	set(false)
+}
+
 // learn takes a list of registrations and returns this VM's own.
 func (p *Peers) learn(objects []objectapi.Object) (registration, objectapi.Version) {
 	var own registration
--- a/internal/controller/takeover/ledger.go
+++ b/internal/controller/takeover/ledger.go
@@ -34,13 +34,17 @@
 // keepLedger starts the upkeep of a ledger that differs from the registrations; c.mu
 // is held.
 func (c *Controller) keepLedger(ctx context.Context, g *group, spec catalog.Group, state *following.State, primary *catalog.Upstream, now time.Duration) {
-	if g.busy || primary == nil || now < g.nextLedger || c.rank(g.name) > 0 {
+	if g.busy || primary == nil || now < g.nextLedger {
 		return
 	}
 	unmarked := !g.record.Done && g.record.Candidate == primary.Name
 	if g.record.at > 0 && g.record.Primary == primary.Name && !unmarked && !g.differs(state, now) {
 		return
 	}
+	if c.rank(g.name) > 0 {
+		g.nextLedger = now + ledgerPause
+		return
+	}
 	g.busy, g.nextLedger = true, now+ledgerPause
 	t := &attempt{controller: c, group: g, spec: spec, state: state, reason: "ledger", primary: primary}
 	go t.upkeep(func() { t.updateLedger(ctx) })
--- a/internal/controller/takeover/paused.go
+++ b/internal/controller/takeover/paused.go
@@ -51,7 +51,7 @@
 // resumeForgotten looks for replicas that lag because they are paused although no
 // takeover runs; c.mu is held.
 func (c *Controller) resumeForgotten(ctx context.Context, g *group, spec catalog.Group, state *following.State, primary *catalog.Upstream, now time.Duration) {
-	if g.busy || primary == nil || now < g.nextResume || c.rank(g.name) > 0 {
+	if g.busy || primary == nil || now < g.nextResume || len(g.lagging) == 0 {
 		return
 	}
 	var lagging []catalog.Upstream
@@ -60,7 +60,7 @@
 			lagging = append(lagging, u)
 		}
 	}
-	if len(lagging) == 0 {
+	if len(lagging) == 0 || c.rank(g.name) > 0 {
 		return
 	}
 	g.busy, g.nextResume = true, now+laggingPause
--- a/internal/core/placement/hubs.go
+++ b/internal/core/placement/hubs.go
@@ -15,6 +15,9 @@
 	// third of the zone's work, and a second loss leaves one while another VM is made a
 	// hub.
 	minHubs = 3
+	// maxHubs bounds the hubs of all zones, but for minHubs of each: every VM probes all
+	// of them. Forty equal VMs of a fifth of a core execute some 8,000 statements a second.
+	maxHubs = 40
 	// maxPassed is the number of dead VMs of a zone that are passed over in search of
 	// live hubs. A zone in which more are dead is probably cut off, and probing all of
 	// its VMs would find out no sooner.
@@ -39,8 +42,9 @@
 	for _, v := range vms {
 		zones[v.Zone] = append(zones[v.Zone], v)
 	}
+	most := max(minHubs, maxHubs/max(1, len(zones)))
 	for _, zone := range zones {
-		h, p := zoneHubs(zone)
+		h, p := zoneHubs(zone, most)
 		hubs, probe = append(hubs, h...), append(probe, p...)
 	}
 	slices.SortFunc(hubs, func(a, b VM) int { return cmp.Compare(a.Name, b.Name) })
@@ -79,7 +83,8 @@
 	return cmp.Or(cmp.Compare(b.capacity(), a.capacity()), cmp.Compare(hash(b.Name, "hub"), hash(a.Name, "hub")))
 }
 
-func zoneHubs(zone []Candidate) (hubs []VM, probe []ident.VMName) {
+// zoneHubs returns the hubs of a zone, at most as many as most.
+func zoneHubs(zone []Candidate, most int) (hubs []VM, probe []ident.VMName) {
 	total := 0.0
 	for _, v := range zone {
 		total += v.capacity()
@@ -88,7 +93,7 @@
 	enough := hubShare*total - rounding
 	have, passed := 0.0, 0
 	for _, v := range zone {
-		if len(hubs) >= minHubs && have >= enough || passed >= maxPassed {
+		if len(hubs) >= minHubs && have >= enough || len(hubs) >= most || passed >= maxPassed {
 			break
 		}
 		probe = append(probe, v.Name)
--- a/internal/core/placement/hubs_test.go
+++ b/internal/core/placement/hubs_test.go
@@ -39,6 +39,26 @@
 	assert.Equal(t, len(hubs), 8, "equal VMs share the work among more of them")
 }
 
+// Guards against hubs whose number grows with the fleet, all of which every VM probes.
+func TestHubsAreBounded(t *testing.T) {
+	var all []Candidate
+	for _, v := range vms(map[string]int{"a": 50, "b": 50, "c": 50, "d": 50, "e": 50, "f": 50}) {
+		all = append(all, Candidate{VM: v})
+	}
+	hubs, _ := Hubs(all)
+	assert.Assert(t, len(hubs) <= maxHubs && len(hubs) >= 6*minHubs, "%d hubs", len(hubs))
+	all = nil
+	zones := map[string]int{}
+	for i := range 24 {
+		zones[string(rune('a'+i))] = 10
+	}
+	for _, v := range vms(zones) {
+		all = append(all, Candidate{VM: v})
+	}
+	hubs, _ = Hubs(all)
+	assert.Equal(t, len(hubs), 24*minHubs)
+}
+
 // Guards against probes of every VM by every other one, and against dead hubs whose
 // return nobody notices.
 func TestProbedVMs(t *testing.T) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -16,8 +16,8 @@
 	// helloTimeout bounds the time to the first message of a connection.
 	helloTimeout = 2 * time.Second
 	// idleTimeout is the time without a question after which a connection is closed. A VM
-	// probes at least once a second over it, so one that is silent for longer has lost
-	// power or is cut off, and its open transactions hold connections of upstreams.
+	// probes at least every 2.5 s over it, so one that is silent for longer has lost power
+	// or is cut off, and its open transactions hold connections of upstreams.
 	idleTimeout = 4 * time.Second
 )
 
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -222,6 +222,9 @@
 	if v.leaving.Load() {
 		return false, "stopping"
 	}
+	if v.peers.Settling() {
+		return false, "waiting for other VMs to register"
+	}
 	return v.follower.Ready()
 }
 
