Look less often at rates and groups on VMs that do not act on them

Cause: at rest a VM woke 20 times a second for the buckets of all organisations and 20 times for all groups. VMs that hold no parts of the rates do not use their buckets, and VMs that are no hubs replace a primary only after all hubs. The holders were sorted anew at each look and each operation.

Change: such VMs look twice a second. The holders are computed when the hubs change.

--- a/internal/controller/limits/limits.go
+++ b/internal/controller/limits/limits.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/controller/following"
 	"github.com/rosemarywall/rosemarywall/internal/controller/peers"
 	"github.com/rosemarywall/rosemarywall/internal/core/parts"
@@ -22,8 +23,13 @@
 // start, so that three starts within one window stay within it.
 const startShare = 3
 
-// tickEvery is the time between looks at the buckets.
-const tickEvery = 50 * time.Millisecond
+const (
+	// tickEvery is the time between looks at the buckets.
+	tickEvery = 50 * time.Millisecond
+	// idleEvery is the same for a VM that holds no parts and is not to hold any. The
+	// table of parts makes it a holder only after seconds.
+	idleEvery = 500 * time.Millisecond
+)
 
 // Asker sends questions to other VMs.
 type Asker interface {
@@ -83,15 +89,15 @@
 	var table sync.WaitGroup
 	table.Go(func() { c.keepTable(ctx) })
 	defer table.Wait()
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
 	for {
 		c.refresh()
 		c.send(ctx, c.escrow.Asks(c.cfg.Now()))
-		select {
-		case <-ctx.Done():
+		wait := tickEvery
+		if !c.holds() && placement.Index(c.cfg.Holders(), c.cfg.Self.VM) < 0 {
+			wait = idleEvery
+		}
+		if !clock.Sleep(ctx, wait) {
 			return
-		case <-ticker.C:
 		}
 	}
 }
--- a/internal/controller/peers/peers.go
+++ b/internal/controller/peers/peers.go
@@ -127,6 +127,8 @@
 	mu    sync.Mutex
 	peers map[ident.VMName]*peer
 	hubs  []placement.VM
+	// holders are the hubs that hold parts of the rates.
+	holders []placement.VM
 	// watched are VMs to probe beside the hubs.
 	watched []ident.VMName
 	// leaving says that this VM stops and executes for itself only without another VM.
@@ -138,7 +140,7 @@
 // New returns Peers that knows only this VM.
 func New(cfg Config) *Peers {
 	p := &Peers{cfg: cfg, peers: map[ident.VMName]*peer{}}
-	p.hubs = []placement.VM{placementOf(cfg.Self)}
+	p.setHubs([]placement.VM{placementOf(cfg.Self)})
 	return p
 }
 
@@ -183,6 +185,18 @@
 	return p.hubs
 }
 
+// RateHolders returns those of the hubs that hold parts of the rates, ordered by name.
+func (p *Peers) RateHolders() []placement.VM {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.holders
+}
+
+// setHubs records the hubs that answer; p.mu is held.
+func (p *Peers) setHubs(hubs []placement.VM) {
+	p.hubs, p.holders = hubs, placement.RateHolders(hubs)
+}
+
 // Population returns the number of VMs of the fleet, this one included. VMs that do
 // not answer count, because they may only be cut off from this one.
 func (p *Peers) Population() int {
--- a/internal/controller/peers/probe.go
+++ b/internal/controller/peers/probe.go
@@ -91,7 +91,7 @@
 // rebuild chooses the hubs, and starts and ends probes accordingly; p.mu is held.
 func (p *Peers) rebuild() {
 	if p.settling {
-		p.hubs = nil
+		p.setHubs(nil)
 		return
 	}
 	candidates := []placement.Candidate{{VM: placementOf(p.cfg.Self), Leaving: p.leaving}}
@@ -105,7 +105,7 @@
 			hubs = append(hubs, v)
 		}
 	}
-	p.hubs = hubs
+	p.setHubs(hubs)
 	p.probeOnly(append(names, p.watched...))
 }
 
--- a/internal/controller/takeover/controller.go
+++ b/internal/controller/takeover/controller.go
@@ -8,6 +8,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/controller/following"
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/core/placement"
@@ -19,8 +20,10 @@
 )
 
 const (
-	// tickEvery is the time between looks at the groups.
+	// tickEvery is the time between looks at the groups, and idleEvery that of a VM that is
+	// no hub and acts only after all hubs.
 	tickEvery = 50 * time.Millisecond
+	idleEvery = 500 * time.Millisecond
 	// rankDelay separates the attempts of the VMs. It exceeds the time in which the
 	// first one claims the group.
 	rankDelay = 400 * time.Millisecond
@@ -132,14 +135,12 @@
 
 // Run watches the groups until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			c.look(ctx)
+	wait := tickEvery
+	for clock.Sleep(ctx, wait) {
+		c.look(ctx)
+		wait = tickEvery
+		if placement.Index(c.cfg.Hubs(), c.cfg.Self) < 0 {
+			wait = idleEvery
 		}
 	}
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -163,7 +163,7 @@
 	})
 	v.limits = limits.New(limits.Config{
 		Self: v.self, Peers: v.peers, Store: v.adapter.Store, State: v.follower.State,
-		Holders: func() []placement.VM { return placement.RateHolders(v.peers.Hubs()) },
+		Holders: v.peers.RateHolders,
 		Address: v.peers.Address, Watch: v.peers.Watch, Unique: v.unique, Excess: s.Bounds.Excess, Now: now, Log: v.log,
 		FirstID: uint64(v.self.Incarnation) >> 8,
 	})
