Format log lines without reflection

Each line was decoded into a map by reflection and each field once more. Ruled out: the number of writes; a trial that wrote the lines of 50 ms together measured 16.5 s and is not kept.

Change: the fields are read with gjson and sorted in place.

--- a/internal/logging/pairs.go
+++ b/internal/logging/pairs.go
@@ -1,11 +1,13 @@
 package logging
 
 import (
-	"bytes"
-	"encoding/json"
+	"cmp"
 	"io"
 	"slices"
 	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/tidwall/gjson"
 )
 
 // Names of the fields that open every line, in this order.
@@ -32,44 +34,53 @@
 	return len(event), nil
 }
 
+// pair is a field of a line.
+type pair struct {
+	name, value string
+	rank        int
+}
+
 func formatPairs(event []byte) ([]byte, error) {
-	var fields map[string]json.RawMessage
-	if err := json.Unmarshal(event, &fields); err != nil {
-		return nil, err
+	if !gjson.ValidBytes(event) {
+		return nil, errors.Newf("not a JSON object: %q", event)
 	}
-	names := make([]string, 0, len(fields))
-	for name := range fields {
-		names = append(names, name)
-	}
-	slices.SortFunc(names, func(a, b string) int {
-		if ra, rb := fieldRank(a), fieldRank(b); ra != rb {
-			return ra - rb
+	pairs := make([]pair, 0, usualFields)
+	size := 0
+	gjson.ParseBytes(event).ForEach(func(name, value gjson.Result) bool {
+		p := pair{name: name.Str, value: value.Raw, rank: fieldRank(name.Str)}
+		if value.Type == gjson.String {
+			p.value = value.Str
 		}
-		return strings.Compare(a, b)
+		pairs = append(pairs, p)
+		size += len(p.name) + len(p.value) + len(` =""`)
+		return true
+	})
+	slices.SortFunc(pairs, func(a, b pair) int {
+		return cmp.Or(a.rank-b.rank, strings.Compare(a.name, b.name))
 	})
-	var line bytes.Buffer
-	for i, name := range names {
+	line := make([]byte, 0, size)
+	for i, p := range pairs {
 		if i > 0 {
-			line.WriteByte(' ')
+			line = append(line, ' ')
 		}
-		line.WriteString(name + "=" + quote(plain(fields[name])))
+		line = append(append(append(line, p.name...), '='), quote(p.value)...)
 	}
-	line.WriteByte('\n')
-	return line.Bytes(), nil
+	return append(line, '\n'), nil
 }
 
-func fieldRank(name string) int {
-	if rank := slices.Index([]string{fieldTime, fieldLevel, fieldEvent, fieldError}, name); rank >= 0 {
-		return rank
-	}
-	return len(fieldError)
-}
+// usualFields is the capacity for the fields of a line; more are possible.
+const usualFields = 24
 
-// plain returns the text of a string, and the JSON of any other value.
-func plain(value json.RawMessage) string {
-	var text string
-	if json.Unmarshal(value, &text) == nil {
-		return text
+func fieldRank(name string) int {
+	switch name {
+	case fieldTime:
+		return 0
+	case fieldLevel:
+		return 1
+	case fieldEvent:
+		return 2
+	case fieldError:
+		return 3
 	}
-	return string(value)
+	return 4
 }
