Open few connections at once, and use the rates at once after a start

Callers of all organisations return at once, each hub opens a connection for each of them at the same time, and members, which spend 27 ms of a slot on each, answer after the request has gone: up to 240 lines `reason=unreachable` in a quarter of a second.

Change: a pool admits the opening of connections through a fair queue, as many at once as the VM's part of the upstream's slots and at least two; a request whose turn comes takes a connection that has become free meanwhile. Until the hubs are known rates are looked at every 10 ms, and at once when the parts of the VM change.

TestFewConnectionsOpenAtOnce and TestOpeningsShareTheSlots are new.

--- a/internal/controller/limits/limits.go
+++ b/internal/controller/limits/limits.go
@@ -8,7 +8,6 @@
 
 	"github.com/rs/zerolog"
 
-	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/controller/following"
 	"github.com/rosemarywall/rosemarywall/internal/controller/peers"
 	"github.com/rosemarywall/rosemarywall/internal/core/parts"
@@ -29,6 +28,10 @@
 	// idleEvery is the same for a VM that holds no parts and is not to hold any. The
 	// table of parts makes it a holder only after seconds.
 	idleEvery = 500 * time.Millisecond
+	// startEvery is the same for both and for the table of parts until the holders are
+	// known, for startFor: after a loss of all VMs all callers return at once.
+	startEvery = 10 * time.Millisecond
+	startFor   = 2 * time.Second
 )
 
 // Asker sends questions to other VMs.
@@ -66,6 +69,9 @@
 	escrow *shares.Escrow
 	taker  *ratewait.Taker
 
+	started time.Duration
+	changed chan struct{} // the parts of this VM have changed
+
 	mu     sync.Mutex
 	holder *parts.Holder
 	hinted time.Duration // last reading because of a hint
@@ -77,7 +83,7 @@
 // New returns a controller.
 func New(cfg Config) *Controller {
 	c := &Controller{
-		cfg: cfg, escrow: shares.NewEscrow(cfg.FirstID), silent: map[ident.VMName]time.Duration{},
+		cfg: cfg, started: cfg.Now(), changed: make(chan struct{}, 1), escrow: shares.NewEscrow(cfg.FirstID), silent: map[ident.VMName]time.Duration{},
 		holder: parts.NewHolder(parts.Key{VM: cfg.Self.VM, Address: cfg.Self.Address}),
 	}
 	c.taker = ratewait.New(c.escrow, cfg.Now, c.send)
@@ -96,12 +102,26 @@
 		if !c.holds() && placement.Index(c.cfg.Holders(), c.cfg.Self.VM) < 0 {
 			wait = idleEvery
 		}
-		if !clock.Sleep(ctx, wait) {
+		timer := time.NewTimer(c.pause(wait))
+		select {
+		case <-ctx.Done():
+			timer.Stop()
 			return
+		case <-c.changed: // callers may wait for the parts
+			timer.Stop()
+		case <-timer.C:
 		}
 	}
 }
 
+// pause returns the time to wait between two looks; it is short after a start.
+func (c *Controller) pause(usual time.Duration) time.Duration {
+	if len(c.cfg.Holders()) == 0 && c.cfg.Now() < c.started+startFor {
+		return startEvery
+	}
+	return usual
+}
+
 // refresh passes the configuration and the VMs that hold rates to the escrow.
 func (c *Controller) refresh() {
 	state := c.cfg.State()
--- a/internal/controller/limits/table.go
+++ b/internal/controller/limits/table.go
@@ -64,17 +64,12 @@
 
 // keepTable reads and writes the table of parts until ctx ends.
 func (c *Controller) keepTable(ctx context.Context) {
-	ticker := time.NewTicker(tableTick)
-	defer ticker.Stop()
 	for ctx.Err() == nil {
 		if err := c.stepTable(ctx); err != nil {
 			c.cfg.Log.Debug().Err(err).Msg("table of parts not reached")
 			clock.Sleep(ctx, tableRetry)
 		}
-		select {
-		case <-ctx.Done():
-		case <-ticker.C:
-		}
+		clock.Sleep(ctx, c.pause(tableTick))
 	}
 }
 
@@ -142,6 +137,10 @@
 		return
 	}
 	if after, _ := c.holder.Parts(); after != before {
+		select {
+		case c.changed <- struct{}{}:
+		default:
+		}
 		c.cfg.Log.Info().Uint32("parts", after).Uint32("before", before).Int("rows", len(t.Rows)).Uint64("revision", version).Msg("rate parts changed")
 	}
 }
--- a/internal/controller/steering/seat.go
+++ b/internal/controller/steering/seat.go
@@ -42,6 +42,7 @@
 	}
 	return proxy.Choice{
 		Target: execution.TargetOf(u), Executor: executor, Via: chosen.Name, Connections: connections,
+		Openings: placement.Openings(u.Slots, near, chosen.Name),
 	}
 }
 
--- a/internal/core/placement/placement.go
+++ b/internal/core/placement/placement.go
@@ -129,6 +129,16 @@
 // part of the usable ones by capacity among the VMs that share them. A VM that is not
 // among them may hold none.
 func Connections(limit int, sharing []VM, name ident.VMName) int {
+	part := share(sharing, name)
+	if part == 0 {
+		return 0
+	}
+	return max(1, int(float64(limit*usableShare/100)*part))
+}
+
+// share returns a VM's part of the capacity of those that share an upstream; zero for
+// one that is not among them.
+func share(sharing []VM, name ident.VMName) float64 {
 	total, own := 0.0, 0.0
 	for _, v := range sharing {
 		total += v.capacity()
@@ -136,10 +146,17 @@
 			own = v.capacity()
 		}
 	}
-	if own == 0 {
-		return 0
-	}
-	return max(1, int(float64(limit*usableShare/100)*own/total))
+	return own / max(total, math.SmallestNonzeroFloat64)
+}
+
+// minOpenings lets a VM open a connection while another one waits for a busy slot.
+const minOpenings = 2
+
+// Openings returns the number of connections to an upstream that a VM may open at the
+// same time: its part of the upstream's slots among the VMs that share its connections,
+// and at least minOpenings. Each takes a slot for some time.
+func Openings(slots int, sharing []VM, name ident.VMName) int {
+	return max(minOpenings, int(float64(slots)*share(sharing, name)))
 }
 
 // SpareConnections returns the number of connections that a VM which does not share
--- a/internal/core/placement/placement_test.go
+++ b/internal/core/placement/placement_test.go
@@ -91,3 +91,13 @@
 	}
 	assert.Equal(t, Connections(16, vms(map[string]int{"a": 2}), "other"), 0)
 }
+
+// Guards against VMs that together open many more connections at once than an upstream
+// has slots, and against one that may open none.
+func TestOpeningsShareTheSlots(t *testing.T) {
+	near := []VM{{Name: "a", Cores: 0.8}, {Name: "b", Cores: 0.8}, {Name: "c", Cores: 0.2}}
+	assert.Equal(t, Openings(12, near, "a"), 5)
+	assert.Equal(t, Openings(12, near, "c"), minOpenings)
+	assert.Equal(t, Openings(12, near, "elsewhere"), minOpenings)
+	assert.Equal(t, Openings(0, nil, "a"), minOpenings)
+}
--- a/internal/execution/execution.go
+++ b/internal/execution/execution.go
@@ -107,6 +107,8 @@
 	Wait time.Duration `cbor:"14,keyasint"`
 	// Timeout bounds the statement once it is sent.
 	Timeout time.Duration `cbor:"15,keyasint"`
+	// Openings is the number of connections to the target that may be opened at once.
+	Openings int `cbor:"17,keyasint,omitempty"`
 }
 
 // Outcome is what is known about a statement.
--- a/internal/execution/local_test.go
+++ b/internal/execution/local_test.go
@@ -159,6 +159,45 @@
 	return NewLocal(u.dial, func() time.Duration { return time.Since(start) })
 }
 
+// Guards against an upstream that is asked for so many connections at once that each
+// comes after its request has gone, and against a request that goes on waiting for its
+// turn while a connection of its organisation is free.
+func TestFewConnectionsOpenAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		u := &fakeUpstream{}
+		start := time.Now()
+		opening, most := 0, 0
+		l := NewLocal(func(ctx context.Context, target Target, organisation ident.OrganisationName) (Conn, error) {
+			u.mu.Lock()
+			opening++
+			most = max(most, opening)
+			busy := time.Duration(opening) * 30 * time.Millisecond
+			u.mu.Unlock()
+			time.Sleep(busy)
+			u.mu.Lock()
+			opening--
+			u.mu.Unlock()
+			return u.dial(ctx, target, organisation)
+		}, func() time.Duration { return time.Since(start) })
+		var done sync.WaitGroup
+		results := make([]Result, 12)
+		for i := range results {
+			done.Go(func() {
+				results[i] = l.Execute(t.Context(), Request{
+					Target: Target{Upstream: "u1"}, Connections: 20, Openings: 2, Organisation: "acme", Weight: 1, Mode: Single,
+					ID: fmt.Sprint(i), Text: "x", Wait: 100 * time.Millisecond, Timeout: time.Second,
+				})
+			})
+		}
+		done.Wait()
+		assert.Equal(t, most, 2)
+		for _, r := range results {
+			assert.Equal(t, r.Outcome, Done)
+		}
+		assert.Assert(t, u.dialled < len(results), "%d connections for one organisation", u.dialled)
+	})
+}
+
 // Guards against statements on a connection with another caller's organisation,
 // values, prepared statement or transaction, in any interleaving of sessions.
 func TestConnectionsServeOneSessionAtATime(t *testing.T) {
--- a/internal/execution/pool.go
+++ b/internal/execution/pool.go
@@ -38,6 +38,10 @@
 	dial   Dial
 	now    func() time.Duration
 	queue  *fairqueue.Queue
+	// opening admits the opening of connections. An upstream that is asked for many at
+	// once answers so late that requests have gone by then, and its slots are spent on
+	// connections that nobody uses.
+	opening *fairqueue.Queue
 
 	mu     sync.Mutex
 	limit  int
@@ -49,7 +53,7 @@
 }
 
 func newPool(target Target, limit int, dial Dial, now func() time.Duration) *pool {
-	return &pool{target: target, dial: dial, now: now, limit: limit, queue: fairqueue.New(now, limit)}
+	return &pool{target: target, dial: dial, now: now, limit: limit, queue: fairqueue.New(now, limit), opening: fairqueue.New(now, 1)}
 }
 
 // errNoConnection means that the wait for a connection ended.
@@ -71,7 +75,7 @@
 		p.queue.Release()
 		return nil, errNoConnection
 	}
-	return p.connect(ctx, r.Organisation, max(minDial, min(dialTimeout, r.Wait-(p.now()-began))))
+	return p.connect(ctx, r, began+r.Wait)
 }
 
 // take returns an idle connection of the organisation, or makes room for a new one.
@@ -79,14 +83,8 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.limit = limit
-	for i := len(p.idle) - 1; i >= 0; i-- {
-		if c := p.idle[i]; c.organisation == organisation {
-			p.idle = append(p.idle[:i], p.idle[i+1:]...)
-			if c.conn.Alive() {
-				return c, false
-			}
-			p.drop(c)
-		}
+	if c := p.takeIdle(organisation); c != nil {
+		return c, false
 	}
 	if p.now() < p.paused {
 		return nil, false
@@ -99,28 +97,68 @@
 	return nil, true
 }
 
+// takeIdle returns an idle connection of the organisation, or nil; p.mu is held.
+func (p *pool) takeIdle(organisation ident.OrganisationName) *pooled {
+	for i := len(p.idle) - 1; i >= 0; i-- {
+		if c := p.idle[i]; c.organisation == organisation {
+			p.idle = append(p.idle[:i], p.idle[i+1:]...)
+			if c.conn.Alive() {
+				return c
+			}
+			p.drop(c)
+		}
+	}
+	return nil
+}
+
 // drop closes a connection; p.mu is held.
 func (p *pool) drop(c *pooled) {
 	c.conn.Close()
 	p.open--
 }
 
-func (p *pool) connect(ctx context.Context, organisation ident.OrganisationName, timeout time.Duration) (*pooled, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+// connect opens a connection in a place that take has reserved. While it waits for its
+// turn a connection of the organisation may become free.
+func (p *pool) connect(ctx context.Context, r Request, deadline time.Duration) (*pooled, error) {
+	if !p.opening.Enter(ctx, max(1, r.Openings), r.Organisation, r.Weight, deadline) {
+		p.giveUp(false)
+		return nil, errNoConnection
+	}
+	defer p.opening.Release()
+	if c := p.instead(r.Organisation); c != nil {
+		return c, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, max(minDial, min(dialTimeout, deadline-p.now())))
 	defer cancel()
-	conn, err := p.dial(ctx, p.target, organisation)
-	if err == nil {
-		return &pooled{conn: conn, organisation: organisation, prepared: map[string]string{}}, nil
+	conn, err := p.dial(ctx, p.target, r.Organisation)
+	if err != nil {
+		var refused *RefusedError
+		p.giveUp(errors.As(err, &refused) && refused.Code == statement.TooManyConnections)
+		return nil, err
+	}
+	return &pooled{conn: conn, organisation: r.Organisation, prepared: map[string]string{}}, nil
+}
+
+// instead returns an idle connection for a place that was reserved for a new one.
+func (p *pool) instead(organisation ident.OrganisationName) *pooled {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.takeIdle(organisation)
+	if c != nil {
+		p.open--
 	}
+	return c
+}
+
+// giveUp frees a reserved place. A full upstream is asked for no connection for a while.
+func (p *pool) giveUp(full bool) {
 	p.mu.Lock()
 	p.open--
-	var refused *RefusedError
-	if errors.As(err, &refused) && refused.Code == statement.TooManyConnections {
+	if full {
 		p.paused = p.now() + refusalPause
 	}
 	p.mu.Unlock()
 	p.queue.Release()
-	return nil, err
 }
 
 // release gives a connection back; a connection that is not reusable is closed.
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -78,7 +78,8 @@
 
 func (a *attempt) execute(ctx context.Context, choice Choice, wait, left time.Duration) execution.Result {
 	r := a.request
-	r.Target, r.Connections, r.MinPosition = choice.Target, choice.Connections, choice.MinPosition
+	r.Target, r.MinPosition = choice.Target, choice.MinPosition
+	r.Connections, r.Openings = choice.Connections, choice.Openings
 	r.Wait, r.Timeout = min(wait, left), left
 	if r.Mode == execution.Single && a.leader && choice.Leader {
 		r.Mode = execution.Leader
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -53,6 +53,8 @@
 	Target      execution.Target
 	Executor    execution.Executor
 	Connections int
+	// Openings is the number of them that may be opened at the same time.
+	Openings    int
 	MinPosition ident.LogPoint
 	// Leader says that freshness must be proved by the upstream's leadership.
 	Leader bool
