--- a/internal/controller/takeover/attempt.go
+++ b/internal/controller/takeover/attempt.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 
 	"github.com/rs/zerolog"
@@ -205,99 +204,6 @@
 	return statement.Command{Kind: statement.StatusCommand}
 }
 
-// prepare chooses the candidate, pauses the others and verifies that the candidate
-// holds every acknowledged commit.
-func (t *attempt) prepare(ctx context.Context) (ident.UpstreamName, bool) {
-	members := t.withHolders(t.others())
-	t.members = members
-	asked := members
-	if t.primary != nil && !t.silent {
-		asked = append(slices.Clone(members), *t.primary) // for its term
-	}
-	reports := t.ask(ctx, asked, statusCommand)[:len(members)]
-	if t.bound != "" {
-		reports = slices.DeleteFunc(reports, func(r core.Report) bool { return r.Name != t.bound })
-	}
-	candidate, ok := core.Candidate(reports)
-	if !ok {
-		t.log(t.controller.cfg.Log.Warn()).Msg("no member can become primary")
-		return "", false
-	}
-	if t.spec.SyncReplicas <= 0 {
-		return candidate, true
-	}
-	candidate, ok = t.verify(ctx, members, candidate)
-	return candidate, ok && (t.reason != reasonStuck || t.stepDown(ctx))
-}
-
-// stepDown lets a primary that completes no write confirm nothing more. It may reach
-// its replicas again at any moment, and also a member that joins and that the
-// verification does not cover. A primary that leaves is not asked to: it goes on
-// writing until the promotion.
-func (t *attempt) stepDown(ctx context.Context) bool {
-	term := t.term + 1
-	status, err := t.status(ctx, execution.TargetOf(*t.primary), statement.Command{Kind: statement.StepDownCommand, Term: term})
-	t.log(t.controller.cfg.Log.Info()).Err(err).Uint64("term", uint64(term)).Stringer("position", status.Received).Msg("primary told to step down")
-	if err != nil {
-		return false
-	}
-	t.controller.mu.Lock()
-	t.group.steppedDown = true
-	t.controller.mu.Unlock()
-	return clock.Sleep(ctx, joinTime)
-}
-
-// joined returns a member that has joined since the verification; it may be alone in
-// holding a commit.
-func (t *attempt) joined() (ident.UpstreamName, bool) {
-	state := t.controller.cfg.State()
-	for _, u := range state.Upstreams[t.group.name] {
-		if _, gone := state.Gone[u.Name]; gone {
-			continue // what it holds, the ledger answers for
-		}
-		same := func(known catalog.Upstream) bool { return known.Name == u.Name && known.Born == u.Born }
-		if !slices.ContainsFunc(t.members, same) && (t.primary == nil || u.Name != t.primary.Name) {
-			return u.Name, true
-		}
-	}
-	return "", false
-}
-
-func (t *attempt) verify(ctx context.Context, members []catalog.Upstream, candidate ident.UpstreamName) (ident.UpstreamName, bool) {
-	var rest, chosen []catalog.Upstream
-	for _, u := range members {
-		if u.Name == candidate {
-			chosen = append(chosen, u)
-			continue
-		}
-		rest = append(rest, u)
-	}
-	// The lowest term that is accepted: a pause that is carried out late, after the
-	// promotion, is refused.
-	term := t.term + 1
-	reports := t.ask(ctx, rest, func(catalog.Upstream) statement.Command {
-		return statement.Command{Kind: statement.PauseCommand, Term: term}
-	})
-	t.markPaused(rest, reports)
-	replicas := len(members)
-	deadline := t.controller.cfg.Now() + catchUpTime
-	for {
-		all := append(t.ask(ctx, chosen, statusCommand), reports...)
-		verdict := core.Check(all, candidate, replicas, t.spec.SyncReplicas)
-		t.log(t.controller.cfg.Log.Info()).Str("candidate", string(candidate)).Uint8("verdict", uint8(verdict)).
-			Int("replicas", replicas).Uint64("term", uint64(term)).Interface("reports", all).Msg("takeover verified")
-		switch {
-		case verdict == core.Safe:
-			return candidate, true
-		case verdict == core.Uncovered, t.controller.cfg.Now() >= deadline:
-			return "", false
-		}
-		if !clock.Sleep(ctx, catchUpPoll) {
-			return "", false
-		}
-	}
-}
-
 // promote calls the platform. While the outcome of a call is unknown the replicas
 // stay paused and the next attempt claims a higher generation.
 func (t *attempt) promote(ctx context.Context, generation uint64, candidate ident.UpstreamName) {
--- a/internal/controller/takeover/controller.go
+++ b/internal/controller/takeover/controller.go
@@ -16,7 +16,6 @@
 	"github.com/rosemarywall/rosemarywall/internal/execution"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
-	"github.com/rosemarywall/rosemarywall/internal/statement"
 )
 
 const (
@@ -160,21 +159,6 @@
 	return g
 }
 
-// Observe takes the result of a statement that was meant for the primary.
-func (c *Controller) Observe(target execution.Target, writes bool, result execution.Result) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	e := c.evidence(c.group(target.Group), target.Upstream)
-	switch {
-	case result.Reason == execution.Unreachable,
-		result.Outcome == execution.Unknown && result.Reason != execution.PeerLost,
-		result.Outcome == execution.Failed && result.Code == statement.Timeout:
-		e.Failure(c.cfg.Now(), writes)
-	case result.Outcome == execution.Done:
-		e.Success(writes)
-	}
-}
-
 // look starts the changes that are due.
 func (c *Controller) look(ctx context.Context) {
 	if !c.cfg.Settled() {
@@ -211,51 +195,6 @@
 	}
 }
 
-const (
-	// told is the number of VMs that are told of a suspicion, those that act first.
-	told = 2
-	// trustFor is the time after an answer of a primary for which the suspicions of
-	// others are ignored. They may be cut off from it.
-	trustFor = 3 * time.Second
-)
-
-// tell tells the VMs that act first for a group that its primary does not answer. In a
-// large fleet they send it few statements themselves. c.mu is held.
-func (c *Controller) tell(g *group, primary catalog.Upstream, now time.Duration) {
-	if now < g.nextTell {
-		return
-	}
-	g.nextTell = now + rankDelay
-	order := placement.Rank(c.cfg.Hubs(), rankKey(g.name))
-	for _, vm := range order[:min(told, len(order))] {
-		if vm.Name == c.cfg.Self {
-			return // those after this VM act only if it does not
-		}
-		c.cfg.Tell(vm.Name, execution.TargetOf(primary))
-	}
-}
-
-// Suspect takes the suspicion of another VM that a primary does not answer. This VM
-// asks the primary itself before it acts.
-func (c *Controller) Suspect(target execution.Target) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	g, now := c.group(target.Group), c.cfg.Now()
-	if now >= g.trusted {
-		c.evidence(g, target.Upstream).Hint(now)
-	}
-}
-
-// evidence returns what is known about a primary; c.mu is held.
-func (c *Controller) evidence(g *group, name ident.UpstreamName) *core.Evidence {
-	e, ok := g.evidence[name]
-	if !ok {
-		e = &core.Evidence{}
-		g.evidence[name] = e
-	}
-	return e
-}
-
 func rankKey(name ident.GroupName) string { return "group/" + string(name) }
 
 // rank returns this VM's place among the hubs for a group.
