Run tests in virtual time on one thread

The timers of a synctest bubble share one context of the detector; a channel timer that is due when a goroutine looks at it runs on that goroutine's thread, so two threads use the context at once. Ruled out: the code under test, none of which is on the crashing stack.

Change: tests enter bubbles through internal/virtualtime, which sets one thread for their time. No test, bound or check has changed. The detector judges by synchronisation, not by time, so races within a bubble are still found.

--- a/internal/controller/configuration/fake_test.go
+++ b/internal/controller/configuration/fake_test.go
@@ -7,7 +7,6 @@
 	"slices"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -20,6 +19,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
 )
 
 // latency is the one-way latency between VMs and to the platform.
@@ -257,7 +257,7 @@
 
 // runFleet runs a test in virtual time on a fleet whose share tables exist.
 func runFleet(t *testing.T, test func(*testFleet)) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := &testFleet{t: t,
 			store: &fakeStore{objects: map[string]objectapi.Object{}, changed: make(chan struct{})},
 			network: &fakeNetwork{vms: map[ident.VMName]*testVM{}, cut: map[ident.AvailabilityZone]bool{},
--- a/internal/controller/following/follower_test.go
+++ b/internal/controller/following/follower_test.go
@@ -6,7 +6,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -16,6 +15,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
 )
 
 // fakeStore is a store in memory.
@@ -135,7 +135,7 @@
 
 // run runs the follower for a test in virtual time.
 func run(t *testing.T, test func(f *testFollower, store *fakeStore)) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		store := newStore()
 		f := newFollower(store)
 		ctx, cancel := context.WithCancel(context.Background())
--- a/internal/controller/following/view_test.go
+++ b/internal/controller/following/view_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -12,12 +11,13 @@
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
 )
 
 // runRelayed runs a VM that follows the store and one that follows the former, which
 // reaches the same contents through a store of its own.
 func runRelayed(t *testing.T, test func(first, second *testFollower)) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		first := newFollower(newStore())
 		second := newRelayedFollower(newStore(), first)
 		second.rank.Store(3)
--- a/internal/controller/groups/follow_test.go
+++ b/internal/controller/groups/follow_test.go
@@ -16,6 +16,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
+	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
 )
 
 // followFleet starts six VMs in three zones that follow groups on demand. The
@@ -69,7 +70,7 @@
 // cannot serve a group that it did not follow, and against streams that are kept
 // after the last request or dropped while requests come.
 func TestFollowOnDemand(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		followFleet(t, newFakeGroup(), func(fleet []*Controller) {
 			vms, zones := following(fleet)
 			assert.Equal(t, len(vms), standingFollowers)
@@ -97,7 +98,7 @@
 // twice, when only some VMs follow its group, and against a VM with requests that
 // does not learn the new one.
 func TestFailoverOnDemand(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFakeGroup()
 		followFleet(t, f, func(fleet []*Controller) {
 			c := other(fleet)
@@ -155,7 +156,7 @@
 // Guards against a proposer that opens a connection to every VM of a large fleet, and
 // against VMs of other zones that a record does not reach.
 func TestRecordsGoThroughWatchers(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		network := &fakeNetwork{}
 		const zones, perZone = 5, 8
 		for i := range zones * perZone {
--- a/internal/controller/groups/promote_test.go
+++ b/internal/controller/groups/promote_test.go
@@ -10,11 +10,12 @@
 	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/request"
+	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
 )
 
 // withFleet runs a test in virtual time against three VMs in three zones.
 func withFleet(t *testing.T, test func(t *testing.T, f *fakeGroup, s *fakeSource, fleet []*Controller)) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f, s := newFakeGroup(), &fakeSource{current: testConfiguration(nil)}
 		fleet := startControllers(f, s, map[ident.VMName]ident.AvailabilityZone{"vm1": "za", "vm2": "zb", "vm3": "zc"})
 		time.Sleep(time.Second)
--- a/internal/controller/groups/router_test.go
+++ b/internal/controller/groups/router_test.go
@@ -14,6 +14,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/request"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
 )
 
 func at(term ident.Term, position ident.Position) ident.LogPoint {
@@ -22,7 +23,7 @@
 
 // withRouter runs a test in virtual time against a started controller.
 func withRouter(t *testing.T, test func(t *testing.T, f *fakeGroup, s *fakeSource, c *Controller)) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f, s := newFakeGroup(), &fakeSource{current: testConfiguration(nil)}
 		c := startController(f, s)
 		defer c.Stop()
--- a/internal/controller/shares/controller_test.go
+++ b/internal/controller/shares/controller_test.go
@@ -5,7 +5,6 @@
 	"sync"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -15,6 +14,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/peer"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
 )
 
 // load sends requests of acme to one VM at a steady rate and counts refusals.
@@ -39,7 +39,7 @@
 // cannot get from idle ones, a rate that is exceeded, and parts that are lost when
 // VMs leave or die.
 func TestFleetSharesOneRate(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		defer w.stopAll()
 		w.start("vm-1", "a")
@@ -74,7 +74,7 @@
 // Guards against a write that is taken for failed, or repeated with an effect,
 // when its answer is lost.
 func TestLostAnswersAreReadBack(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		defer w.stopAll()
 		w.platform.loseAnswers = 5
@@ -89,7 +89,7 @@
 // Guards against a platform outage that stops service, and against tables that do
 // not reach VMs that cannot watch the platform.
 func TestOutageStopsNoService(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		defer w.stopAll()
 		w.start("vm-1", "a")
@@ -112,7 +112,7 @@
 // Guards against a zone out of service that keeps tokens for a demand that it does
 // not serve.
 func TestZoneOutLendsAll(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		defer w.stopAll()
 		out := w.start("vm-1", "a")
--- a/internal/controller/takeover/orders_test.go
+++ b/internal/controller/takeover/orders_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -12,13 +11,14 @@
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
 )
 
 // Guards against a replica that receives, and confirms a commit, while a call that
 // relies on its pause may still promote a candidate without that commit. The call has
 // no answer, and the next attempt fails because its candidate does not answer.
 func TestNoReplicaIsResumedUnderALateCall(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		first, second := w.controller("vm-1"), w.controller("vm-2")
 		w.answers = []error{errLost}
@@ -46,7 +46,7 @@
 // Guards against a pause that counts as proof although an order of another VM to
 // resume the replica has no answer and may be carried out at any moment.
 func TestResumeOfAnotherVMVoidsThePause(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		first, second := w.controller("vm-1"), w.controller("vm-2")
 		w.with("u3", func(m *member) { m.loseResume = true })
@@ -65,7 +65,7 @@
 // Guards against a proof that a resume has voided between pause and call, which no
 // trace but the group's object shows once the resume has been answered.
 func TestReplicaThatWasResumedMeanwhile(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		c, other := w.controller("vm-1"), w.controller("vm-2")
 		state := w.state()
@@ -88,7 +88,7 @@
 // Guards against another candidate while the newest call for the first one may still
 // take effect, and against one that stays bound for ever because VMs take turns.
 func TestCandidateIsBoundUntilTheNewestCallIsOver(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		first, second := w.controller("vm-1"), w.controller("vm-2")
 		w.answers = []error{errLost, errLost}
@@ -115,7 +115,7 @@
 // Guards against a call that is made long after it was announced, when other VMs take
 // it for over.
 func TestCallFollowsItsAnnouncementOrIsNotMade(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		w.slow = announcedFor + 10*time.Millisecond
 		w.replace(w.controller("vm-1"))
@@ -127,7 +127,7 @@
 // received, while the call that replaces it is carried out: the primary could not reach
 // its replicas, and the path to them returns.
 func TestStuckPrimaryStepsDownBeforeTheCall(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		c := w.controller("vm-1")
 		w.with("u1", func(m *member) { m.received.Position, m.loseStepDown = 9, true })
@@ -143,7 +143,7 @@
 // Guards against a verification that does not know of a member which has joined since
 // and may be alone in holding a commit.
 func TestMemberThatJoinsVoidsTheVerification(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		for _, reason := range []string{reasonLeaving, reasonStuck} {
 			w := newWorld(t)
 			w.slow = announcedFor / 2
@@ -165,7 +165,7 @@
 // Guards against takeovers that never call, because a member that has gone and is kept
 // in the view for a while looks like one that has joined.
 func TestGoneMemberHasNotJoined(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		w.members["u4"] = &member{silent: true}
 		w.gone = map[ident.UpstreamName]time.Duration{"u4": time.Second}
@@ -178,7 +178,7 @@
 // Guards against a dead primary that is replaced only once its registration has lapsed:
 // in a large fleet the VM that acts first sends it no statement.
 func TestVMsThatActAreToldOfASilentPrimary(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		w.with("u1", func(m *member) { m.silent = true })
 		target := execution.TargetOf(w.state().Upstreams["g1"][0])
@@ -205,7 +205,7 @@
 // Guards against a primary that is asked again and again because some VMs are cut off
 // from it.
 func TestSuspicionsOfOthersAreIgnoredAfterAnAnswer(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		w := newWorld(t)
 		c := w.controller("vm-1")
 		target := execution.TargetOf(w.state().Upstreams["g1"][0])
--- a/internal/execution/local_test.go
+++ b/internal/execution/local_test.go
@@ -16,6 +16,7 @@
 	_ "github.com/rosemarywall/rosemarywall/internal/fixedseed"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/statement"
+	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
 )
 
 // fakeUpstream counts connections and checks the state of each one.
@@ -163,7 +164,7 @@
 // comes after its request has gone, and against a request that goes on waiting for its
 // turn while a connection of its organisation is free.
 func TestFewConnectionsOpenAtOnce(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		u := &fakeUpstream{}
 		start := time.Now()
 		opening, most := 0, 0
@@ -307,7 +308,7 @@
 
 // Guards against requests that wait for a connection beyond their time.
 func TestWaitForAConnectionIsBounded(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		u := &fakeUpstream{slow: 10 * time.Second}
 		l := newLocal(u)
 		var wg sync.WaitGroup
@@ -327,7 +328,7 @@
 
 // Guards against a storm of connection attempts at an upstream that refuses more.
 func TestRefusedConnectionPausesTheDialling(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		u := &fakeUpstream{limit: 1}
 		l := newLocal(u)
 		first := request("o1", Open)
--- a/internal/logging/bounded_test.go
+++ b/internal/logging/bounded_test.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
 )
 
 // blockedWriter is an output that takes nothing until it is opened.
@@ -30,7 +32,7 @@
 // Guards against a full standard output that holds up requests, and against lines
 // that vanish without a count.
 func TestBlockedOutputDoesNotBlockLogging(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		w := &blockedWriter{open: make(chan struct{})}
 		log, sink, err := NewBounded(w, "info")
 		assert.NilError(t, err)
@@ -57,7 +59,7 @@
 // Guards against an unbounded volume, and against lost dependencies and refusals
 // that vanish among the lines of requests.
 func TestVolumeIsBoundedAndFailuresGoFirst(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		var out bytes.Buffer
 		log, sink, err := NewBounded(&out, "info")
 		assert.NilError(t, err)
--- a/internal/peer/network_test.go
+++ b/internal/peer/network_test.go
@@ -5,7 +5,6 @@
 	"os"
 	"sync/atomic"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/coder/websocket"
@@ -15,12 +14,13 @@
 	"github.com/rosemarywall/rosemarywall/internal/certfiles"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
 )
 
 // Guards against VMs that do not find each other, that do not notice a death, or
 // that take a planned stop for a failure.
 func TestFleetFindsMembersAndNoticesTheirEnd(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		zones := map[ident.VMName]ident.AvailabilityZone{"vm-1": "a", "vm-2": "a", "vm-3": "a", "vm-4": "b", "vm-5": "b"}
 		meshes := map[ident.VMName]*Network{}
@@ -64,7 +64,7 @@
 // Guards against messages that pass a cut link, or that never flow again after
 // the link is repaired.
 func TestCutAndRepairedLink(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		var got recorder[string]
 		one, two := f.vm("vm-1", "a", 1, nil), f.vm("vm-2", "a", 1, nil)
@@ -95,7 +95,7 @@
 // Guards against a process that takes part without a certificate of the peer
 // authority, under the name of another VM, or after its VM has restarted.
 func TestStrangersAreRefused(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		f := newFleet(t)
 		var refused recorder[resultcode.Code]
 		one := f.vm("vm-1", "a", 1, func(c *Config) {
@@ -158,7 +158,7 @@
 		{"detector", envelope(func(e *Envelope) { e.Kind = kindDetector }), resultcode.MessageMalformed},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
+			virtualtime.Test(t, func(t *testing.T) {
 				f := newFleet(t)
 				var refused recorder[resultcode.Code]
 				one := f.vm("vm-1", "a", 1, func(cfg *Config) {
@@ -185,7 +185,7 @@
 // Guards against a full queue that drops other kinds or the newest message, and
 // against stale messages that are sent after a long outage.
 func TestQueueDropsOldestOfTheKind(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		m := &Network{closed: true}
 		l := &link{network: m, wake: make(chan struct{}, 1)}
 		l.push(frame{kind: "other", queued: time.Now()})
@@ -212,7 +212,7 @@
 // Guards against certificates that take effect only after a restart, and against
 // a faulty file that disables the previous certificate.
 func TestCertificateFilesReload(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		a, dir := newAuthority(t), t.TempDir()
 		files := a.files(dir, a.issue("vm-1"))
 		faults := 0
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -16,6 +15,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/statement"
+	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
 )
 
 // world stands in for the services of a session.
@@ -84,7 +84,7 @@
 
 // Guards against requests that are held while no upstream can run them.
 func TestStatementThatNobodyWasOfferedIsRefusedEarly(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		w := newWorld()
 		s := w.session(t)
 		w.known = false
@@ -104,7 +104,7 @@
 
 // Guards against a refusal though the upstream had the statement and time was left.
 func TestOfferedStatementIsTriedUntilItsTimeout(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		w := newWorld()
 		s := w.session(t)
 		for range 12 {
@@ -120,7 +120,7 @@
 // Guards against a write that runs twice and against a read that fails though it can
 // be repeated.
 func TestUnansweredStatements(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		w := newWorld()
 		s := w.session(t)
 		w.results = []execution.Result{unknown}
@@ -138,7 +138,7 @@
 // Guards against a key or a rate that is not checked, and against a transaction that
 // counts for each of its statements.
 func TestEveryOperationIsAdmitted(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		w := newWorld()
 		s := w.session(t)
 		w.rate = resultcode.New(resultcode.RateExceeded, "no tokens")
--- a/internal/standin/platform/platform_test.go
+++ b/internal/standin/platform/platform_test.go
@@ -4,13 +4,13 @@
 	"context"
 	"strings"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	api "github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
 )
 
 func start(t *testing.T) (*Server, *api.HTTP) {
@@ -123,7 +123,7 @@
 // The list of VMs must lag behind announcements and removals, and drop VMs that
 // are silent.
 func TestVMListLags(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
 		list := newVMList(time.Now)
 		list.setLag(2*time.Second, 10*time.Second)
 		announce := func(state api.VMState) { list.record("vm-1", &api.VM{Name: "vm-1", State: state}) }
