Starting VMs get the store's contents from a hub of their zone

Cause: until it knew a hub that follows the store, each VM of a starting fleet read and watched the store itself, listed the registrations of all VMs twice, and read the table of share units that only holders use. All of this grows with the number of VMs, the lists with its square.

Change: a VM registers first, so that a conflict replaces one of the lists; it makes no further calls until the hubs of its zone have answered a probe or 0.3 s have passed; the relay answers a view request as soon as its own first read has ended; VMs that are not hubs ask a hub for the members every 10 s instead of listing the registrations each minute; VMs without a row don't read the table of share units, and the coordinator revokes the row of a VM that does not serve; events of a burst share watch calls. A relayed kind without objects has a version now, without which a VM that had a relay from the start never became ready.

--- a/internal/controller/peers/peers.go
+++ b/internal/controller/peers/peers.go
@@ -28,6 +28,8 @@
 	KindTake
 	// KindSuspect notifies a VM that a primary does not respond.
 	KindSuspect
+	// KindMembers requests the VMs that a hub knows.
+	KindMembers
 )
 
 // KindVM is the kind of the store objects by which VMs register. The name of an object
@@ -70,10 +72,15 @@
 	deadProbeInterval = time.Second
 	// storeTimeout limits a store call.
 	storeTimeout = time.Second
-	// relistInterval is the interval between reads of the registrations. They reveal VMs
+	// relistInterval is the interval at which hubs read the registrations. They reveal VMs
 	// that could not be reached when they started.
 	relistInterval = time.Minute
-	retryInterval  = 300 * time.Millisecond
+	// membersInterval is the interval at which other VMs request the members that a hub
+	// knows, and memberRelistInterval that at which they read the registrations themselves
+	// nevertheless. A registration that was removed is written again then.
+	membersInterval      = 10 * time.Second
+	memberRelistInterval = 10 * time.Minute
+	retryInterval        = 300 * time.Millisecond
 	// joinDelay is the time for which a VM without a registration waits for others to
 	// register before it connects to any. The VMs of a starting fleet register within
 	// 0.3 s of each other, and the hubs are known only once all have registered.
@@ -119,6 +126,10 @@
 	Log           zerolog.Logger
 	// Dial opens a TCP connection.
 	Dial func(ctx context.Context, address string) (net.Conn, error)
+	// Relay returns the hub of this zone from which members are requested. The result is
+	// false if this VM reads the registrations itself. A nil Relay is one that never
+	// returns a hub.
+	Relay func() (ident.VMName, bool)
 	// OnProbeResponse is called with each probe response and the time at which the request
 	// was sent.
 	OnProbeResponse func(sentAt time.Duration, from placement.VM, p ProbeResponse)
@@ -136,6 +147,12 @@
 	rateHolders []placement.VM
 	// extraTargets are VMs to probe in addition to the hubs.
 	extraTargets []ident.VMName
+	// registered is set once this VM's registration has been read, and listedAt is the time
+	// of the last read.
+	registered bool
+	listedAt   time.Duration
+	// joinedAt is the time at which joining ended.
+	joinedAt time.Duration
 	// leaving is set if this VM is shutting down. It is then no hub, and executes
 	// statements itself only if there is no other VM.
 	leaving bool
@@ -160,8 +177,11 @@
 	p.mu.Unlock()
 	for ctx.Err() == nil {
 		wait := retryInterval
-		if p.register(ctx) {
-			wait = relistInterval
+		switch {
+		case p.requestMembers(ctx):
+			wait = membersInterval
+		case p.register(ctx):
+			wait = p.nextRead()
 		}
 		p.finishJoining()
 		select {
@@ -182,11 +202,34 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.joining {
-		p.joining = false
+		p.joining, p.joinedAt = false, p.cfg.Now()
 		p.updateHubs()
 	}
 }
 
+// settleTime is the time after joining within which the hubs of this zone respond to
+// their first probe, or are restarting with this VM.
+const settleTime = 300 * time.Millisecond
+
+// Settling reports whether this VM does not know yet which hubs of its zone are alive. It
+// is false after settleTime.
+func (p *Peers) Settling() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.joining {
+		return true
+	}
+	if p.cfg.Now() >= p.joinedAt+settleTime {
+		return false
+	}
+	for _, q := range p.peers {
+		if q.stopProbes != nil && q.identity.Zone == p.cfg.Self.Zone && !q.alive && !q.dead {
+			return true
+		}
+	}
+	return false
+}
+
 // Joining reports whether this VM has just started and does not know the others yet.
 func (p *Peers) Joining() bool {
 	p.mu.Lock()
--- a/internal/controller/peers/peers_test.go
+++ b/internal/controller/peers/peers_test.go
@@ -47,11 +47,13 @@
 	objects map[string]objectapi.Object
 	version objectapi.Version
 	puts    int
+	lists   int
 }
 
 func (r *fakeStore) List(context.Context, objectapi.Kind) (objectapi.Changes, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.lists++
 	var all objectapi.Changes
 	for _, o := range r.objects {
 		all.Objects = append(all.Objects, o)
@@ -101,13 +103,20 @@
 	unresponsive  bool
 }
 
-func (n *node) Handle(_ context.Context, from relay.Peer, _ relay.Kind, _ cbor.RawMessage) any {
+func (n *node) Handle(_ context.Context, from relay.Peer, kind relay.Kind, body cbor.RawMessage) any {
 	n.Discover(from.Identity)
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.unresponsive {
+	unresponsive := n.unresponsive
+	n.mu.Unlock()
+	var members MembersRequest
+	switch {
+	case unresponsive:
 		return nil
+	case kind == KindMembers && relay.Decode(body, &members) == nil:
+		return n.ServeMembers(members)
 	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
 	return ProbeResponse{Leaving: n.reportLeaving}
 }
 
@@ -125,6 +134,14 @@
 			return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
 		},
 		OnProbeResponse: func(time.Duration, placement.VM, ProbeResponse) {},
+		Relay: func() (ident.VMName, bool) {
+			for _, hub := range n.Hubs() {
+				if hub.Name != ident.VMName(name) {
+					return hub.Name, true
+				}
+			}
+			return "", false
+		},
 	})
 	n.server = relay.NewServer(n)
 	go func() { _ = n.server.Serve(l) }()
@@ -237,6 +254,58 @@
 	})
 }
 
+// readMembers reads the members as Run does.
+func (n *node) readMembers(ctx context.Context) bool { return n.requestMembers(ctx) || n.register(ctx) }
+
+// Guards against lists of the registrations by every VM, which grow with the square of the
+// fleet: twice at the start and then once a minute. Guards also against VMs that learn of
+// an added VM only by such a list.
+func TestRegistrationsAreReadByHubs(t *testing.T) {
+	store := &fakeStore{objects: map[string]objectapi.Object{}}
+	var nodes []*node
+	for i := range 12 {
+		nodes = append(nodes, startNode(t, store, fmt.Sprintf("vm-%d", i), "a"))
+	}
+	eventually(t, "all VMs have joined", func() bool {
+		return !slices.ContainsFunc(nodes, func(n *node) bool { return n.Joining() || n.FleetSize() < len(nodes) || len(n.Hubs()) != 5 })
+	})
+	store.mu.Lock()
+	assert.Equal(t, store.lists, len(nodes))
+	store.mu.Unlock()
+	added := startNode(t, store, "vm-added", "a")
+	eventually(t, "the added VM uses the hubs", func() bool { return len(added.Hubs()) == 6 })
+	hubs := added.Hubs()
+	store.mu.Lock()
+	before := store.lists
+	store.mu.Unlock()
+	for _, n := range nodes {
+		if placement.Index(hubs, n.cfg.Self.VM) < 0 {
+			assert.Assert(t, n.readMembers(t.Context())) // as Run does after membersInterval
+			_, known := n.lookup("vm-added")
+			assert.Assert(t, known, "%s", n.cfg.Self.VM)
+		}
+	}
+	store.mu.Lock()
+	assert.Equal(t, store.lists, before)
+	store.mu.Unlock()
+}
+
+// Guards against a former address of a VM that replaces its present one, and against a
+// VM that is added again after it has left because a hub still lists it.
+func TestMembersOfHubDoNotReplaceNewerOnes(t *testing.T) {
+	p := New(Config{Self: relay.Identity{VM: "vm-1", Zone: "a"}, Now: func() time.Duration { return time.Minute }})
+	p.ctx = t.Context()
+	p.Discover(relay.Identity{VM: "vm-2", Zone: "a", Address: "10.0.0.2:1", Incarnation: 8})
+	p.applyMembers([]relay.Identity{{VM: "vm-1", Address: "10.0.0.1:1"}, {VM: "vm-2", Zone: "a", Address: "10.0.0.3:1", Incarnation: 7}})
+	q, _ := p.lookup("vm-2")
+	assert.Equal(t, q.identity.Address, "10.0.0.2:1")
+	assert.Equal(t, p.FleetSize(), 2, "a VM is not its own peer")
+	q.dead = true
+	p.applyMembers([]relay.Identity{{VM: "vm-1", Address: "10.0.0.1:1"}})
+	_, known := p.lookup("vm-2")
+	assert.Assert(t, !known)
+}
+
 // Guards against a VM of a starting fleet that takes others for hubs, or writes the first
 // rate share table, before the rest of the fleet has registered, and against a restarted
 // VM that waits although it is registered already.
--- a/internal/controller/peers/registry.go
+++ b/internal/controller/peers/registry.go
@@ -20,34 +20,45 @@
 	Cores float64 `json:"cores"`
 }
 
-// register reads the registrations of all VMs and writes this VM's own if it is missing
-// or differs. The registrations are read again after a write, so that of two VMs that
-// start concurrently at least one sees the other.
+// register writes this VM's registration if it is missing or differs, and reads those of
+// all VMs. It reads after it has written, so that of two VMs that start concurrently at
+// least one sees the other. A starting VM writes first: a conflict tells that it is
+// registered already, and the list that it would otherwise need beforehand grows with the
+// fleet.
 func (p *Peers) register(ctx context.Context) bool {
 	self := p.cfg.Self
 	own := registration{Address: self.Address, Zone: self.Zone, Region: self.Region, Cores: self.Cores}
-	for range 2 {
-		all, err := p.listRegistrations(ctx)
-		if err != nil {
-			p.cfg.Log.Debug().Err(err).Msg("reading VM registrations failed")
+	if !p.isRegistered() {
+		err := p.putRegistration(ctx, own, 0)
+		if err != nil && !resultcode.Is(err, resultcode.PlatformConflict) {
 			return false
 		}
-		registered, version := p.applyRegistrations(all.Objects)
-		if registered == own {
-			p.removeStaleRegistrations(ctx)
-			return true
-		}
-		if err := p.putRegistration(ctx, own, version); err != nil {
-			p.cfg.Log.Warn().Err(err).Bool("conflict", resultcode.Is(err, resultcode.PlatformConflict)).Msg("VM registration failed")
-			return false
-		}
-		if version == 0 {
+		if err == nil {
 			clock.Sleep(ctx, joinDelay)
 		}
 	}
+	all, err := p.listRegistrations(ctx)
+	if err != nil {
+		p.cfg.Log.Debug().Err(err).Msg("reading VM registrations failed")
+		return false
+	}
+	listed, version := p.applyRegistrations(all.Objects)
+	if listed != own && p.putRegistration(ctx, own, version) != nil {
+		return false
+	}
+	p.mu.Lock()
+	p.registered, p.listedAt = true, p.cfg.Now()
+	p.mu.Unlock()
+	p.removeStaleRegistrations(ctx)
 	return true
 }
 
+func (p *Peers) isRegistered() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.registered
+}
+
 func (p *Peers) listRegistrations(ctx context.Context) (objectapi.Changes, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -58,6 +69,9 @@
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
 	_, err := p.cfg.Store.Put(ctx, KindVM, string(p.cfg.Self.VM), own, version)
+	if err != nil && !(version == 0 && resultcode.Is(err, resultcode.PlatformConflict)) {
+		p.cfg.Log.Warn().Err(err).Msg("VM registration failed")
+	}
 	return err
 }
 
@@ -86,11 +100,7 @@
 			q.registrationVersion = o.Version
 		}
 	}
-	for name, q := range p.peers {
-		if !listed[name] && q.dead {
-			p.removePeer(q)
-		}
-	}
+	p.removeUnlisted(listed)
 	p.updateHubs()
 	return own, version
 }
--- a/internal/controller/storesync/configuration.go
+++ b/internal/controller/storesync/configuration.go
@@ -43,6 +43,11 @@
 // followConfiguration reads the configuration whenever its proof becomes old or another
 // VM reports a newer version.
 func (f *Follower) followConfiguration(ctx context.Context) {
+	if from, ok := f.relay(); ok {
+		f.mu.Lock()
+		f.newerFrom = from
+		f.mu.Unlock()
+	}
 	ticker := time.NewTicker(pollResolution)
 	defer ticker.Stop()
 	retry, next := minRetryDelay, time.Duration(0)
@@ -104,7 +109,7 @@
 	sentAt := f.now()
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	view, err := f.requestView(ctx, from, ViewRequest{Kind: f.source.ConfigKind})
+	view, err := f.requestView(ctx, from, ViewRequest{Kind: f.source.ConfigKind, Wait: viewLoadWait})
 	if err != nil || len(view.Objects) != 1 {
 		f.log.Debug().Err(err).Str("peer", string(from)).Msg("reading configuration from peer failed")
 		return false
--- a/internal/controller/storesync/follower.go
+++ b/internal/controller/storesync/follower.go
@@ -12,6 +12,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
@@ -65,6 +66,11 @@
 	callTimeout = 800 * time.Millisecond
 	// watchWait is the maximum time that a watch blocks at the store.
 	watchWait = 20 * time.Second
+	// watchInterval and watchBurst limit the calls of a watch, which each event ends. Single
+	// events, such as a new primary, arrive without delay, and those of many upstreams that
+	// register together share calls.
+	watchInterval = 200 * time.Millisecond
+	watchBurst    = 5
 	// firstRelistInterval and otherRelistInterval are the intervals between full lists in
 	// addition to the watch, for the first VM and for the others. They are needed because
 	// the store may lose a watch without notice. The others detect this earlier by the
@@ -81,6 +87,9 @@
 	maxRelayedRetryDelay = 3 * time.Second
 	// pollResolution is the interval at which the need to poll is checked.
 	pollResolution = 50 * time.Millisecond
+	// relayPendingResolution is the interval at which RelayPending is called. All VMs may
+	// be restarting, and clients wait.
+	relayPendingResolution = 5 * time.Millisecond
 )
 
 // Snapshot is an immutable view of the store's contents.
@@ -110,13 +119,15 @@
 
 // Follower maintains a Snapshot of the store's contents. It is safe for concurrent use.
 type Follower struct {
-	source      Source
-	times       Times
-	now         func() time.Duration
-	log         zerolog.Logger
-	rank        func() int
-	relay       func() (ident.VMName, bool)
-	requestView func(context.Context, ident.VMName, ViewRequest) (ViewResponse, error)
+	source Source
+	times  Times
+	now    func() time.Duration
+	log    zerolog.Logger
+	rank   func() int
+	relay  func() (ident.VMName, bool)
+	// relayPending reports whether it is not known yet whether there is a relay.
+	relayPending func() bool
+	requestView  func(context.Context, ident.VMName, ViewRequest) (ViewResponse, error)
 
 	state      atomic.Pointer[Snapshot]
 	configWake chan struct{}
@@ -162,6 +173,10 @@
 	// is false if this VM does so itself, or if no such VM is known. A nil Relay means that
 	// there are no other VMs.
 	Relay func() (ident.VMName, bool)
+	// RelayPending reports whether this VM has just started and does not know yet whether
+	// there is a relay. Store calls wait until it returns false. A nil RelayPending is one
+	// that always does.
+	RelayPending func() bool
 	// RequestView requests the view of a VM.
 	RequestView func(ctx context.Context, vm ident.VMName, request ViewRequest) (ViewResponse, error)
 }
@@ -173,7 +188,7 @@
 		configWake: make(chan struct{}, 1), upstreams: map[string]catalog.Upstream{}, deregistered: map[string]time.Duration{},
 		leaving: map[ident.UpstreamName]time.Duration{}, evacuated: map[ident.AvailabilityZone]time.Duration{},
 		slowStartUntil: map[ident.UpstreamName]time.Duration{},
-		loaded:         map[objectapi.Kind]bool{}, storeAvailable: true, relay: o.Relay, requestView: o.RequestView,
+		loaded:         map[objectapi.Kind]bool{}, storeAvailable: true, relay: o.Relay, relayPending: o.RelayPending, requestView: o.RequestView,
 		views: map[objectapi.Kind]*kindView{
 			o.Source.ConfigKind: newKindView(), o.Source.UpstreamsKind: newKindView(), o.Source.EvacuationsKind: newKindView(),
 		},
@@ -184,6 +199,9 @@
 	if f.relay == nil {
 		f.relay = func() (ident.VMName, bool) { return "", false }
 	}
+	if f.relayPending == nil {
+		f.relayPending = func() bool { return false }
+	}
 	f.state.Store(&Snapshot{Catalog: &catalog.Catalog{}, Upstreams: catalog.Upstreams{}})
 	return f
 }
@@ -193,6 +211,8 @@
 
 // Run follows the store until ctx is done.
 func (f *Follower) Run(ctx context.Context) {
+	for f.relayPending() && clock.Sleep(ctx, relayPendingResolution) {
+	}
 	var wg sync.WaitGroup
 	wg.Go(func() { f.followConfiguration(ctx) })
 	wg.Go(func() { f.followKind(ctx, f.source.UpstreamsKind, f.replaceUpstreams, f.changeUpstreams) })
--- a/internal/controller/storesync/lists.go
+++ b/internal/controller/storesync/lists.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
@@ -64,7 +66,11 @@
 		interval = firstRelistInterval
 	}
 	relistAt := f.now() + interval
+	calls := rate.NewLimiter(rate.Every(watchInterval), watchBurst)
 	for ctx.Err() == nil && f.now() < relistAt {
+		if calls.Wait(ctx) != nil {
+			return
+		}
 		changes, err := f.watchOnce(ctx, kind, version, min(f.watchWaitTime(), relistAt-f.now()))
 		if ctx.Err() != nil {
 			return
--- a/internal/controller/storesync/view.go
+++ b/internal/controller/storesync/view.go
@@ -20,6 +20,9 @@
 const (
 	// maxViewWait is the maximum time that a ViewRequest waits for a change.
 	maxViewWait = 10 * time.Second
+	// viewLoadWait is the time for which a ViewRequest waits while the VM that receives it
+	// has just started and has not read the store yet.
+	viewLoadWait = 300 * time.Millisecond
 	// viewTransitAllowance is added to maxViewWait to cover the network round trip.
 	viewTransitAllowance = 500 * time.Millisecond
 )
@@ -69,7 +72,7 @@
 	}
 	same := maps.EqualFunc(v.objects, next, func(a, b objectapi.Object) bool { return a.Version == b.Version })
 	v.objects, v.relayed = next, false
-	if !same { // otherwise waiting requests keep waiting
+	if !same || v.version == 0 { // otherwise waiting requests keep waiting
 		v.advance(version)
 	}
 }
@@ -102,10 +105,13 @@
 func (f *Follower) ServeView(ctx context.Context, r ViewRequest) ViewResponse {
 	wait := time.NewTimer(min(r.Wait, maxViewWait))
 	defer wait.Stop()
+	if !f.awaitLoad(ctx, r) {
+		return ViewResponse{}
+	}
 	for {
 		f.mu.Lock()
-		v, known := f.views[r.Kind]
-		if !known || !f.canServe(r.Kind, v) {
+		v := f.views[r.Kind]
+		if !f.canServe(r.Kind, v) {
 			f.mu.Unlock()
 			return ViewResponse{}
 		}
@@ -129,13 +135,48 @@
 	}
 }
 
+// awaitLoad waits up to viewLoadWait until the first read of a kind has ended, and reports
+// whether the kind is known.
+func (f *Follower) awaitLoad(ctx context.Context, r ViewRequest) bool {
+	timer := time.NewTimer(min(r.Wait, viewLoadWait))
+	defer timer.Stop()
+	for {
+		f.mu.Lock()
+		v, known := f.views[r.Kind]
+		loading := known && f.storeAvailable && !f.hasLoaded(r.Kind)
+		var changed chan struct{}
+		if loading {
+			changed = v.changed
+		}
+		f.mu.Unlock()
+		if !loading {
+			return known
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return true
+		case <-ctx.Done():
+			return true
+		}
+	}
+}
+
+// hasLoaded reports whether a kind has been read; f.mu must be held.
+func (f *Follower) hasLoaded(kind objectapi.Kind) bool {
+	if kind == f.source.ConfigKind {
+		return f.proved
+	}
+	return f.loaded[kind]
+}
+
 // canServe reports whether this VM's view of a kind may be served to other VMs; f.mu must
 // be held.
 func (f *Follower) canServe(kind objectapi.Kind, v *kindView) bool {
 	if kind == f.source.ConfigKind {
 		return f.proved
 	}
-	return f.loaded[kind] && f.storeAvailable && !v.relayed
+	return f.hasLoaded(kind) && f.storeAvailable && !v.relayed
 }
 
 var errNotAuthoritative = errors.New("peer does not follow the store")
@@ -195,4 +236,5 @@
 	defer f.mu.Unlock()
 	f.applyList(kind, view.Objects, replace)
 	f.views[kind].relayed = true
+	f.views[kind].notifyWaiters()
 }
--- a/internal/controller/storesync/view_test.go
+++ b/internal/controller/storesync/view_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
 	"testing"
 	"time"
@@ -10,6 +11,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
 )
@@ -128,3 +130,108 @@
 		assert.Equal(t, len(first.Snapshot().Upstreams["g1"]), 0)
 	})
 }
+
+// runStarting runs a test with a follower and a second one that starts together with it
+// and has it as its relay.
+func runStarting(t *testing.T, test func(first, second *testFollower, start func())) {
+	virtualtime.Test(t, func(t *testing.T) {
+		first := newFollower(newStore())
+		second := newRelayedFollower(newStore(), first)
+		second.rank.Store(3)
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		test(first, second, func() {
+			wg.Go(func() { first.Run(ctx) })
+			wg.Go(func() { second.Run(ctx) })
+		})
+		cancel()
+		wg.Wait()
+	})
+}
+
+// Guards against store calls of every VM that starts, which grow with the fleet, and
+// against a VM that never becomes ready because its relay follows a kind without objects.
+func TestStartingVMReadsFromRelay(t *testing.T) {
+	for _, delay := range []time.Duration{0, viewLoadWait / 2} {
+		runStarting(t, func(first, second *testFollower, start func()) {
+			pending := true
+			second.relayPending = func() bool { return pending }
+			first.store.delay = delay
+			first.store.upstream["u1"] = catalog.Upstream{Name: "u1", Group: "g1", Revision: 7}
+			start()
+			time.Sleep(20 * time.Millisecond)
+			gets, lists := second.store.calls()
+			assert.Equal(t, gets+lists, 0, "the relay is not known yet")
+			pending = false
+			time.Sleep(delay + 2*relayPendingResolution)
+			ready, reason := second.Ready()
+			assert.Assert(t, ready, reason)
+			assert.Equal(t, len(second.Snapshot().Upstreams["g1"]), 1)
+			gets, lists = second.store.calls()
+			assert.Equal(t, gets+lists, 0)
+		})
+	}
+}
+
+// Guards against a VM that waits for a relay that cannot read the store.
+func TestStartingVMReadsStoreIfRelayCannot(t *testing.T) {
+	runStarting(t, func(first, second *testFollower, start func()) {
+		first.store.fail = resultcode.New(resultcode.PlatformUnavailable, "down")
+		start()
+		time.Sleep(viewLoadWait + pollResolution)
+		ready, reason := second.Ready()
+		assert.Assert(t, ready, reason)
+	})
+}
+
+// busyStore is a store in which an upstream registers at each interval, and which responds
+// to a watch with the changes since the version that it was given.
+type busyStore struct {
+	*fakeStore
+	interval time.Duration
+	watches  int
+}
+
+func (s *busyStore) Watch(ctx context.Context, kinds []objectapi.Kind, after objectapi.Version, timeout time.Duration) (objectapi.Changes, error) {
+	s.mu.Lock()
+	s.watches++
+	s.mu.Unlock()
+	if kinds[0] != "upstreams" {
+		return s.fakeStore.Watch(ctx, kinds, after, timeout)
+	}
+	select {
+	case <-time.After(s.interval):
+	case <-ctx.Done():
+		return objectapi.Changes{}, ctx.Err()
+	}
+	var u catalog.Upstream
+	s.change(func() {
+		u = catalog.Upstream{Name: "u1", Group: "g1", Revision: uint64(s.revision)}
+		s.upstream["u1"] = u
+	})
+	value, err := json.Marshal(u)
+	return objectapi.Changes{Version: objectapi.Version(u.Revision), Objects: []objectapi.Object{{Name: "u1", Version: objectapi.Version(u.Revision), Value: value}}}, err
+}
+
+// Guards against a call for each event while many upstreams register together, and
+// against single events that arrive late.
+func TestWatchCallsAreBounded(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		store := &busyStore{fakeStore: newStore(), interval: 10 * time.Millisecond}
+		f := newFollower(store.fakeStore)
+		f.source.Store = store
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		wg.Go(func() { f.Run(ctx) })
+		time.Sleep(3*store.interval + store.interval/2)
+		members := f.Snapshot().Upstreams["g1"]
+		assert.Assert(t, len(members) == 1 && members[0].Revision == uint64(newStore().revision)+3, "three events arrive without delay: %+v", members)
+		time.Sleep(2 * time.Second)
+		store.mu.Lock()
+		watches := store.watches
+		store.mu.Unlock()
+		assert.Assert(t, watches <= 1+watchBurst+int(2*time.Second/watchInterval)+1, "%d calls in 2 s", watches)
+		cancel()
+		wg.Wait()
+	})
+}
--- a/internal/core/shareunits/shareunits.go
+++ b/internal/core/shareunits/shareunits.go
@@ -49,8 +49,8 @@
 	// maxRelayRank have the same delay.
 	relayDelayPerRank = 1500 * time.Millisecond
 	maxRelayRank      = 3
-	// revokeAfter is the time after which the row of a VM that does not respond is
-	// revoked.
+	// revokeAfter is the time after which the row of a VM that does not respond or serve
+	// is revoked. It exceeds servingSettleTime, after which such a VM gives its row up.
 	revokeAfter = 10 * time.Second
 	// servingSettleTime is the time for which a VM must serve before it adds its row, or
 	// not serve before it removes it. A restart of a VM takes less.
@@ -224,16 +224,18 @@
 // and the version.
 func (h *Holder) LastRead() (time.Duration, uint64) { return h.readAt, h.version }
 
-// ReadDue reports whether the table is to be read again. rank is the position of this
+// ReadDue reports whether the table is to be read. A VM that does not serve and knows of
+// no row of its own does not read it; if a former incarnation left a row, the coordinator
+// revokes it. rank is the position of this
 // VM among the live ones: the first one reads, and the others only when no VM relays a
 // read.
 func (h *Holder) ReadDue(now time.Duration, rank int) bool {
-	if !h.loaded || h.uncertain {
-		return true
-	}
 	if !h.NeedsTable() {
 		return false
 	}
+	if !h.loaded || h.uncertain {
+		return true
+	}
 	return now >= h.readAt+ReadInterval+time.Duration(min(rank, maxRelayRank))*relayDelayPerRank
 }
 
@@ -258,7 +260,7 @@
 		return t, h.version, true
 	}
 	if v.Coordinator {
-		if t, ok := h.revokeOrRemoveRows(now, v.Alive); ok {
+		if t, ok := h.revokeOrRemoveRows(now, v); ok {
 			return t, h.version, true
 		}
 	}
@@ -352,11 +354,11 @@
 	return h.table.with(own), true
 }
 
-// revokeOrRemoveRows revokes a row whose VM is gone for revokeAfter, or removes a row
-// that has been revoked for LeaseDuration + GuardInterval.
-func (h *Holder) revokeOrRemoveRows(now time.Duration, alive func(Key) bool) (Table, bool) {
+// revokeOrRemoveRows revokes a row whose VM is gone, or does not serve, for revokeAfter,
+// or removes a row that has been revoked for LeaseDuration + GuardInterval.
+func (h *Holder) revokeOrRemoveRows(now time.Duration, v View) (Table, bool) {
 	for _, r := range h.table.Rows {
-		if r.Key == h.self || alive(r.Key) && !r.Revoked {
+		if r.Key == h.self || v.Alive(r.Key) && slices.Contains(v.Serving, r.Key) && !r.Revoked {
 			delete(h.goneSince, r.Key)
 			continue
 		}
--- a/internal/core/shareunits/shareunits_test.go
+++ b/internal/core/shareunits/shareunits_test.go
@@ -241,6 +241,19 @@
 	assert.Equal(t, w.store.version, version)
 }
 
+// Guards against reads of the table by every VM that starts, and against share units that
+// stay with a VM that restarted and no longer serves. It does not know of its row.
+func TestRowOfVMThatDoesNotServeIsRevoked(t *testing.T) {
+	w := newWorld(3)
+	w.run(20 * time.Second)
+	w.holders[2], w.notServing[2] = NewHolder(key(2)), true
+	assert.Assert(t, !w.holders[2].ReadDue(w.now, 0))
+	w.run(revokeAfter + LeaseDuration + GuardInterval + 20*time.Second)
+	_, kept := w.store.table.find(key(2))
+	assert.Assert(t, !kept, "%+v", w.store.table)
+	assert.Assert(t, w.usableShareUnits() > Total-Total/100, "%d of %d share units in use", w.usableShareUnits(), Total)
+}
+
 // Guards against a VM that stays without share units after a restart of the whole
 // fleet: it takes over its row with the first read.
 func TestRestartedVMKeepsRow(t *testing.T) {
--- a/internal/service/handler.go
+++ b/internal/service/handler.go
@@ -51,6 +51,11 @@
 		if v.decode(from, body, &r) {
 			return v.follower.ServeView(ctx, r)
 		}
+	case peers.KindMembers:
+		var r peers.MembersRequest
+		if v.decode(from, body, &r) {
+			return v.peers.ServeMembers(r)
+		}
 	case peers.KindTake:
 		var r limits.TakeRequest
 		if v.decode(from, body, &r) {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -138,6 +138,7 @@
 	v.local = execution.NewLocal(v.adapter.Dial, now)
 	v.peers = peers.New(peers.Config{
 		Self: v.self, Store: v.adapter.Store, ProbeInterval: min(s.Bounds.ApplyTimeout/probesPerApplyTimeout, maxProbeInterval), Now: now, Log: v.log, Dial: dialPeer,
+		Relay: v.storeRelayVM,
 		OnProbeResponse: func(sentAt time.Duration, from placement.VM, p peers.ProbeResponse) {
 			v.limits.ObservePeerVersion(sentAt, p.ShareTableVersion, p.ShareTableAge)
 			v.follower.ObserveDigest(p.Digest)
@@ -147,7 +148,7 @@
 		},
 	})
 	v.follower = storesync.New(storesync.Options{
-		Source: v.adapter.Source, Now: now, Log: v.log, Rank: v.configurationRank, Relay: v.storeRelayVM, RequestView: v.requestView,
+		Source: v.adapter.Source, Now: now, Log: v.log, Rank: v.configurationRank, Relay: v.storeRelayVM, RelayPending: v.peers.Settling, RequestView: v.requestView,
 		Times: storesync.Times{Apply: s.Bounds.ApplyTimeout, Revoke: s.Bounds.RevocationTimeout, Reregister: reregistrationTime},
 	})
 	v.router = steering.New(steering.Config{
