A panic ends one session, request or step and not the process

Cause: in the platform product nothing recovered from a panic: sessions of clients, requests of other VMs, the reader of an upstream connection, loops of the controllers and the goroutines of a takeover. A request of a VM that could not be decoded got no response, and the number of concurrent requests of one connection had no bound.

Change: internal/recovery runs such work, counts a panic and logs its stack without the panic's value. A statement in which one occurs is answered as in doubt and its session ends; the connection, the queue slot and the transaction are released. The relay answers Failed (may have been handled in part), and Rejected for a body that cannot be decoded or above 2,048 concurrent requests. Loops start again after 1 s; a takeover ends and the next attempt waits. Locks around decoded input are released by deferred calls. Only the deferred end of an attempt makes its group idle, so that two attempts cannot overlap.

--- a/internal/controller/limits/limits.go
+++ b/internal/controller/limits/limits.go
@@ -15,6 +15,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/core/shareunits"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/ratelimit"
+	"github.com/rosemarywall/rosemarywall/internal/recovery"
 	"github.com/rosemarywall/rosemarywall/internal/relay"
 )
 
@@ -93,7 +94,7 @@
 // Run refreshes the buckets and the table until ctx ends.
 func (c *Controller) Run(ctx context.Context) {
 	var table sync.WaitGroup
-	table.Go(func() { c.runTable(ctx) })
+	table.Go(func() { recovery.Loop(ctx, c.cfg.Log, "share unit table", c.runTable) })
 	defer table.Wait()
 	for {
 		c.refreshEscrow()
@@ -159,7 +160,7 @@
 // sendBorrowRequests sends requests in the background.
 func (c *Controller) sendBorrowRequests(ctx context.Context, requests []shares.OutgoingRequest) {
 	for _, request := range requests {
-		go func() {
+		recovery.Go(c.cfg.Log, "borrow tokens", func() {
 			ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
 			defer cancel()
 			var response shares.BorrowResponse
@@ -167,7 +168,7 @@
 				return // a lost transfer only lowers the number of tokens
 			}
 			c.limiter.Wake(c.escrow.HandleBorrowResponse(c.cfg.Now(), request.To, response))
-		}()
+		})
 	}
 }
 
--- a/internal/controller/peers/peers_test.go
+++ b/internal/controller/peers/peers_test.go
@@ -103,7 +103,7 @@
 	unresponsive  bool
 }
 
-func (n *node) Handle(_ context.Context, from relay.Peer, kind relay.Kind, body cbor.RawMessage) any {
+func (n *node) Handle(ctx context.Context, from relay.Peer, kind relay.Kind, body cbor.RawMessage) any {
 	n.Discover(from.Identity)
 	n.mu.Lock()
 	unresponsive := n.unresponsive
@@ -111,6 +111,7 @@
 	var members MembersRequest
 	switch {
 	case unresponsive:
+		<-ctx.Done()
 		return nil
 	case kind == KindMembers && relay.Decode(body, &members) == nil:
 		return n.ServeMembers(members)
@@ -143,7 +144,7 @@
 			return "", false
 		},
 	})
-	n.server = relay.NewServer(n)
+	n.server = relay.NewServer(n, zerolog.Nop())
 	go func() { _ = n.server.Serve(l) }()
 	ctx, cancel := context.WithCancel(context.Background())
 	n.cancel = cancel
--- a/internal/controller/peers/probe.go
+++ b/internal/controller/peers/probe.go
@@ -7,6 +7,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/core/placement"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/recovery"
 )
 
 // notify signals a channel of capacity one without blocking.
@@ -138,7 +139,7 @@
 			if q.stopProbes == nil {
 				var ctx context.Context
 				ctx, q.stopProbes = context.WithCancel(p.ctx)
-				go p.probeLoop(ctx, q)
+				go recovery.Loop(ctx, p.cfg.Log, "probe peer", func(ctx context.Context) { p.probeLoop(ctx, q) })
 			}
 		case q.stopProbes != nil && q.unwantedSince == 0:
 			q.unwantedSince = p.cfg.Now()
--- a/internal/controller/peers/remote.go
+++ b/internal/controller/peers/remote.go
@@ -8,6 +8,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/execution"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/recovery"
 	"github.com/rosemarywall/rosemarywall/internal/relay"
 )
 
@@ -49,6 +50,9 @@
 	if err == nil {
 		return result
 	}
+	if errors.Is(err, relay.ErrRejected) {
+		return execution.Result{Outcome: execution.NotRun, Reason: execution.NoConnection}
+	}
 	if ctx.Err() == nil {
 		r.peers.markUnresponsive(q)
 	}
@@ -61,12 +65,12 @@
 // Rollback implements execution.Executor. The request is sent in the background. If it is
 // lost, the transaction ends with its connection.
 func (r *RemoteExecutor) Rollback(target execution.Target, transaction string) {
-	go func() {
+	recovery.Go(r.peers.cfg.Log, "rollback request", func() {
 		ctx, cancel := context.WithTimeout(context.Background(), rollbackTimeout)
 		defer cancel()
 		var ended bool
 		if err := r.peers.Call(ctx, r.name, KindRollback, RollbackRequest{target, transaction}, &ended); err != nil {
 			r.peers.cfg.Log.Debug().Err(err).Str("peer", string(r.name)).Msg("rollback request failed")
 		}
-	}()
+	})
 }
--- a/internal/controller/storesync/follower.go
+++ b/internal/controller/storesync/follower.go
@@ -16,6 +16,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
+	"github.com/rosemarywall/rosemarywall/internal/recovery"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
@@ -214,9 +215,16 @@
 	for f.relayPending() && clock.Sleep(ctx, relayPendingResolution) {
 	}
 	var wg sync.WaitGroup
-	wg.Go(func() { f.followConfiguration(ctx) })
-	wg.Go(func() { f.followKind(ctx, f.source.UpstreamsKind, f.replaceUpstreams, f.changeUpstreams) })
-	wg.Go(func() { f.followKind(ctx, f.source.EvacuationsKind, f.replaceEvacuations, f.changeEvacuations) })
+	follow := func(task string, run func(context.Context)) {
+		wg.Go(func() { recovery.Loop(ctx, f.log, task, run) })
+	}
+	follow("follow configuration", f.followConfiguration)
+	follow("follow upstreams", func(ctx context.Context) {
+		f.followKind(ctx, f.source.UpstreamsKind, f.replaceUpstreams, f.changeUpstreams)
+	})
+	follow("follow evacuations", func(ctx context.Context) {
+		f.followKind(ctx, f.source.EvacuationsKind, f.replaceEvacuations, f.changeEvacuations)
+	})
 	wg.Wait()
 }
 
--- a/internal/controller/storesync/lists.go
+++ b/internal/controller/storesync/lists.go
@@ -85,11 +85,7 @@
 		}
 		version = max(version, changes.Version)
 		if len(changes.Objects)+len(changes.Deleted) > 0 {
-			f.mu.Lock()
-			f.views[kind].applyChanges(changes)
-			change(changes)
-			f.publish()
-			f.mu.Unlock()
+			f.applyChanges(kind, changes, change)
 		}
 		if _, relayed := f.activeRelay(); relayed {
 			return
@@ -97,6 +93,15 @@
 	}
 }
 
+// applyChanges applies the events of a watch.
+func (f *Follower) applyChanges(kind objectapi.Kind, changes objectapi.Changes, change func(objectapi.Changes)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.views[kind].applyChanges(changes)
+	change(changes)
+	f.publish()
+}
+
 // relistContext returns a context that ends when a full list is requested.
 func (f *Follower) relistContext(ctx context.Context, kind objectapi.Kind) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
--- a/internal/controller/takeover/attempt.go
+++ b/internal/controller/takeover/attempt.go
@@ -12,6 +12,7 @@
 	core "github.com/rosemarywall/rosemarywall/internal/core/takeover"
 	"github.com/rosemarywall/rosemarywall/internal/execution"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/recovery"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/statement"
 )
@@ -46,8 +47,20 @@
 	return e
 }
 
+// start runs a step on a new goroutine. The group is busy until it ends.
+func (t *attempt) start(task string, step func()) {
+	c := t.controller
+	go func() {
+		defer c.setIdle(t.group)
+		defer t.close()
+		if recovery.Run(c.cfg.Log, task, step) {
+			c.endAttempt(t.group, attemptInterval, false)
+		}
+	}()
+}
+
+// run attempts a takeover.
 func (t *attempt) run(ctx context.Context) {
-	defer t.close()
 	c := t.controller
 	if t.needsConfirmation() && !t.confirmed(ctx) {
 		c.endAttempt(t.group, attemptInterval, true)
@@ -79,7 +92,11 @@
 	c := t.controller
 	target := execution.TargetOf(*t.primary)
 	others := make(chan bool, 1)
-	go func() { others <- c.cfg.Confirm(ctx, target) }()
+	go func() {
+		unresponsive := false
+		recovery.Run(c.cfg.Log, "confirm unresponsive primary", func() { unresponsive = c.cfg.Confirm(ctx, target) })
+		others <- unresponsive
+	}()
 	if _, err := t.status(ctx, target, statement.Command{Kind: statement.StatusCommand}); err == nil {
 		t.log(c.cfg.Log.Info()).Msg("primary responds; suspicion dropped")
 		c.mu.Lock()
@@ -184,11 +201,11 @@
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	for i, u := range members {
-		wg.Go(func() {
+		reports[i] = core.Report{Name: u.Name, Eligible: eligible(t.snapshot, u), SameZone: u.Zone == t.controller.cfg.Zone}
+		t.goRun(&wg, "member command", func() {
 			status, err := t.status(ctx, execution.TargetOf(u), command(u))
 			mu.Lock()
 			defer mu.Unlock()
-			reports[i] = core.Report{Name: u.Name, Eligible: eligible(t.snapshot, u), SameZone: u.Zone == t.controller.cfg.Zone}
 			if err != nil {
 				t.log(t.controller.cfg.Log.Info()).Err(err).Str("upstream", string(u.Name)).Msg("member does not respond")
 				return
@@ -203,6 +220,11 @@
 	return reports
 }
 
+// goRun calls f on a new goroutine of the group wg.
+func (t *attempt) goRun(wg *sync.WaitGroup, task string, f func()) {
+	wg.Go(func() { recovery.Run(t.controller.cfg.Log, task, f) })
+}
+
 func statusCommand(catalog.Upstream) statement.Command {
 	return statement.Command{Kind: statement.StatusCommand}
 }
--- a/internal/controller/takeover/controller.go
+++ b/internal/controller/takeover/controller.go
@@ -195,7 +195,7 @@
 		}
 		g.busy = true
 		t := &attempt{controller: c, group: g, spec: spec, snapshot: snapshot, reason: reason, primary: primary}
-		go t.run(ctx)
+		t.start("takeover", func() { t.run(ctx) })
 	}
 }
 
@@ -269,10 +269,16 @@
 func (c *Controller) endAttempt(g *group, delay time.Duration, cleared bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	g.busy = false
 	g.nextAttempt = c.cfg.Now() + delay
 	if cleared {
 		clear(g.detectors)
 		g.since, g.reason = 0, ""
 	}
 }
+
+// setIdle allows the next attempt.
+func (c *Controller) setIdle(g *group) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	g.busy = false
+}
--- a/internal/controller/takeover/controller_test.go
+++ b/internal/controller/takeover/controller_test.go
@@ -1,7 +1,9 @@
 package takeover
 
 import (
+	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -11,6 +13,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/core/placement"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
 )
 
 func newController(now *time.Duration) *Controller {
@@ -53,3 +56,40 @@
 	claim.Holder, claim.doneAtFirstRead = "vm-2", true
 	assert.Assert(t, !c.claimActive(claim), "the change was done before this VM first read the record")
 }
+
+// panickingPromoter panics at its first call.
+type panickingPromoter struct {
+	*fakePlatform
+	called bool
+}
+
+func (p *panickingPromoter) Promote(ctx context.Context, holder ident.VMName, token uint64, group ident.GroupName, upstream ident.UpstreamName) error {
+	if !p.called {
+		p.called = true
+		panic("fault")
+	}
+	return p.fakePlatform.Promote(ctx, holder, token, group, upstream)
+}
+
+// Guards against a panic in a takeover that ends the process, leaves the group without
+// further attempts, or is repeated without a delay.
+func TestPanicEndsOnlyTheAttempt(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		p := newFakePlatform(t)
+		c := p.controller("vm-1")
+		c.cfg.Promoter = &panickingPromoter{fakePlatform: p}
+		snapshot := p.snapshot()
+		snapshot.Leaving = map[ident.UpstreamName]time.Duration{"u1": 0}
+		c.cfg.Snapshot = func() *storesync.Snapshot { return snapshot }
+		p.hubs = []placement.VM{{Name: "vm-1"}}
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		go c.Run(ctx)
+		time.Sleep(attemptInterval)
+		assert.Equal(t, len(p.promotedMembers()), 0)
+		time.Sleep(claimTimeout + memberTimeout)
+		assert.Assert(t, len(p.promotedMembers()) > 0)
+		cancel()
+		synctest.Wait()
+	})
+}
--- a/internal/controller/takeover/fake_test.go
+++ b/internal/controller/takeover/fake_test.go
@@ -89,7 +89,9 @@
 	c.mu.Lock()
 	g := c.group("g1")
 	c.mu.Unlock()
-	(&attempt{controller: c, group: g, spec: snapshot.Catalog.Groups["g1"], snapshot: snapshot, reason: reason, primary: &primary}).run(p.t.Context())
+	t := &attempt{controller: c, group: g, spec: snapshot.Catalog.Groups["g1"], snapshot: snapshot, reason: reason, primary: &primary}
+	defer t.close()
+	t.run(p.t.Context())
 }
 
 func (p *fakePlatform) snapshot() *storesync.Snapshot {
--- a/internal/controller/takeover/holders.go
+++ b/internal/controller/takeover/holders.go
@@ -47,16 +47,7 @@
 	}
 	g.busy, g.nextHolders = true, now+holdersInterval
 	t := &attempt{controller: c, group: g, spec: spec, snapshot: snapshot, reason: "ledger", primary: primary}
-	go t.maintain(func() { t.updateHolders(ctx) })
-}
-
-// maintain runs a step that is not part of a takeover.
-func (t *attempt) maintain(step func()) {
-	defer t.close()
-	step()
-	t.controller.mu.Lock()
-	defer t.controller.mu.Unlock()
-	t.group.busy = false
+	t.start("update commit holders", func() { t.updateHolders(ctx) })
 }
 
 // holdersDiffer reports whether the commit holders lack a registered upstream or include
--- a/internal/controller/takeover/paused.go
+++ b/internal/controller/takeover/paused.go
@@ -59,7 +59,7 @@
 	}
 	g.busy, g.nextResume = true, now+lagCheckInterval
 	t := &attempt{controller: c, group: g, spec: spec, snapshot: snapshot, reason: "replica lags", primary: primary}
-	go t.maintain(func() { t.resumePaused(ctx, lagging) })
+	t.start("resume replicas", func() { t.resumePaused(ctx, lagging) })
 }
 
 // resumePaused resumes those of the replicas that are paused, unless the takeover of
--- a/internal/controller/takeover/resume.go
+++ b/internal/controller/takeover/resume.go
@@ -71,7 +71,7 @@
 	var mu sync.Mutex
 	var resumed []ident.UpstreamName
 	for name, target := range targets {
-		wg.Go(func() {
+		t.goRun(&wg, "resume command", func() {
 			if _, err := t.status(ctx, target, statement.Command{Kind: statement.ResumeCommand}); err != nil {
 				t.log(t.controller.cfg.Log.Warn()).Err(err).Str("upstream", string(name)).Msg("replica not resumed")
 				return
--- a/internal/execution/local.go
+++ b/internal/execution/local.go
@@ -69,8 +69,10 @@
 	if r.Mode == Begin {
 		return l.begin(ctx, p, c, r)
 	}
-	result, reusable := runSingle(ctx, c, r)
-	p.release(c, reusable)
+	reusable := false
+	defer func() { p.release(c, reusable) }()
+	var result Result
+	result, reusable = runSingle(ctx, c, r)
 	return result
 }
 
@@ -210,14 +212,20 @@
 
 // begin opens a client's transaction and runs its first statement.
 func (l *Local) begin(ctx context.Context, p *pool, c *pooledConn, r Request) Result {
+	opened, reusable := false, false
+	defer func() {
+		if !opened {
+			p.release(c, reusable)
+		}
+	}()
 	if failed, ok := syncSession(ctx, c, r); !ok {
-		p.release(c, false)
 		return failed
 	}
 	if failed, ok := beginTransaction(ctx, c, r, r.ReadOnly); !ok {
-		p.release(c, failed.Reason == Refused)
+		reusable = failed.Reason == Refused
 		return failed
 	}
+	opened = true
 	t := &transaction{pool: p, conn: c, readOnly: r.ReadOnly, busy: true}
 	l.mu.Lock()
 	l.transactions[r.TransactionID] = t
@@ -237,10 +245,6 @@
 	if !ok {
 		return Result{Outcome: NotRun, Reason: NoTransaction}
 	}
-	if failed, ok := t.syncSession(ctx, r); !ok {
-		l.closeTransaction(r.TransactionID, t, false)
-		return failed
-	}
 	return l.runInTransaction(ctx, t, r)
 }
 
@@ -255,9 +259,20 @@
 	return t.conn.sendSetup(ctx, commands, r)
 }
 
-// runInTransaction runs a statement. It closes the transaction if the upstream ended it
-// or the statement failed.
+// runInTransaction runs a statement. It closes the transaction if the upstream ended it,
+// the statement failed or a panic left its state uncertain.
 func (l *Local) runInTransaction(ctx context.Context, t *transaction, r Request) Result {
+	open, reusable := false, false
+	defer func() {
+		if !open {
+			l.closeTransaction(r.TransactionID, t, reusable)
+		}
+	}()
+	if r.Mode == Continue {
+		if failed, ok := t.syncSession(ctx, r); !ok {
+			return failed
+		}
+	}
 	result := runStatement(ctx, t.conn, r)
 	t.wrote = t.wrote || r.Writes
 	// A commit without writes doesn't verify leadership, because a replaced primary
@@ -265,24 +280,28 @@
 	result.LeadershipVerified = !t.readOnly && result.Outcome == Done && (!r.EndsTransaction || t.wrote)
 	retryable := result.Outcome == NotRun && result.Code == statement.Busy && result.TransactionOpen
 	if result.Outcome == Done && result.TransactionOpen || retryable {
-		l.mu.Lock()
-		t.busy = false
-		ended := t.rollbackRequested
-		l.mu.Unlock()
-		if ended {
-			l.closeTransaction(r.TransactionID, t, rollback(t.conn))
+		if open = l.endStatement(t); !open {
+			reusable = rollback(t.conn)
 		}
 		return result
 	}
-	reusable := result.Outcome != Unknown
+	reusable = result.Outcome != Unknown
 	if reusable && !(result.Outcome == Done && !result.TransactionOpen) {
 		reusable = rollback(t.conn)
 	}
 	result.TransactionOpen = false
-	l.closeTransaction(r.TransactionID, t, reusable)
 	return result
 }
 
+// endStatement allows the next statement of a transaction. It returns false if the
+// transaction is to be rolled back.
+func (l *Local) endStatement(t *transaction) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	t.busy = false
+	return !t.rollbackRequested
+}
+
 func (l *Local) closeTransaction(id string, t *transaction, reusable bool) {
 	l.mu.Lock()
 	delete(l.transactions, id)
--- a/internal/execution/local_test.go
+++ b/internal/execution/local_test.go
@@ -30,6 +30,7 @@
 	delay      time.Duration
 	nextError  error // returned by the next Exchange
 	replyTo    func(c statement.Command) statement.Reply
+	panicAt    statement.CommandKind // panics when it receives this command; zero for none
 }
 
 type fakeConn struct {
@@ -65,6 +66,9 @@
 	}
 	var replies []statement.Reply
 	for _, command := range commands {
+		if command.Kind == u.panicAt {
+			panic("fault")
+		}
 		reply := statement.Reply{}
 		if command.Kind == statement.RunCommand && u.replyTo != nil {
 			reply = u.replyTo(command)
--- a/internal/execution/pool.go
+++ b/internal/execution/pool.go
@@ -123,12 +123,18 @@
 // connect opens a connection in the place reserved by takeOrReserve. It uses an idle
 // connection of the organisation instead if one is released while it waits to dial.
 func (p *pool) connect(ctx context.Context, r Request, deadline time.Duration) (*pooledConn, error) {
+	used, full := false, false
+	defer func() {
+		if !used {
+			p.releaseReservation(full)
+		}
+	}()
 	if !p.dials.Acquire(ctx, max(1, r.DialLimit), r.Organisation, r.Weight, deadline) {
-		p.releaseReservation(false)
 		return nil, errNoConnection
 	}
 	defer p.dials.Release()
 	if c := p.exchangeReservation(r.Organisation); c != nil {
+		used = true
 		return c, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, max(minDialTimeout, min(dialTimeout, deadline-p.now())))
@@ -136,9 +142,10 @@
 	conn, err := p.dial(ctx, p.target, r.Organisation)
 	if err != nil {
 		var refused *RefusedError
-		p.releaseReservation(errors.As(err, &refused) && refused.Code == statement.TooManyConnections)
+		full = errors.As(err, &refused) && refused.Code == statement.TooManyConnections
 		return nil, err
 	}
+	used = true
 	return &pooledConn{conn: conn, organisation: r.Organisation, prepared: map[string]string{}}, nil
 }
 
--- a/internal/fairqueue/fairqueue.go
+++ b/internal/fairqueue/fairqueue.go
@@ -29,18 +29,10 @@
 // Acquire waits for a slot until the deadline, which is a time of the queue's clock, or
 // until ctx is done. It reports whether it acquired a slot.
 func (q *Queue) Acquire(ctx context.Context, slots int, organisation ident.OrganisationName, weight int, deadline time.Duration) bool {
-	q.mu.Lock()
-	q.core.SetSlots(slots)
-	if q.core.TryAcquire() {
-		q.mu.Unlock()
+	id, ready := q.enter(slots, queue.Entry{Organisation: organisation, Weight: weight, Deadline: deadline})
+	if ready == nil {
 		return true
 	}
-	q.lastID++
-	id, ready := q.lastID, make(chan bool, 1)
-	q.waiting[id] = ready
-	q.core.Add(queue.Entry{ID: id, Organisation: organisation, Weight: weight, Deadline: deadline})
-	q.dispatch(q.now())
-	q.mu.Unlock()
 	timer := time.NewTimer(max(0, deadline-q.now()))
 	defer timer.Stop()
 	select {
@@ -53,6 +45,24 @@
 	return false
 }
 
+// enter acquires a slot or queues the request. The channel, which receives whether the
+// request may run, is nil if it has a slot.
+func (q *Queue) enter(slots int, e queue.Entry) (queue.ID, chan bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.core.SetSlots(slots)
+	if q.core.TryAcquire() {
+		return 0, nil
+	}
+	q.lastID++
+	e.ID = q.lastID
+	ready := make(chan bool, 1)
+	q.waiting[e.ID] = ready
+	q.core.Add(e)
+	q.dispatch(q.now())
+	return e.ID, ready
+}
+
 // cancel removes a waiting request, or releases its slot if the request was granted one
 // at the same time.
 func (q *Queue) cancel(id queue.ID, ready chan bool) {
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarywall/rosemarywall/internal/recovery"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/statement"
 )
@@ -92,15 +93,20 @@
 		s.clients[conn] = struct{}{}
 		s.mu.Unlock()
 		s.running.Go(func() {
-			s.serve(conn)
-			s.mu.Lock()
-			delete(s.clients, conn)
-			s.mu.Unlock()
-			_ = conn.Close()
+			defer s.remove(conn)
+			recovery.Run(s.log, "client session", func() { s.serve(conn) })
 		})
 	}
 }
 
+// remove closes the connection of a client whose session has ended.
+func (s *Server) remove(conn net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.clients, conn)
+	_ = conn.Close()
+}
+
 // Clients returns the number of connected clients.
 func (s *Server) Clients() int {
 	s.mu.Lock()
@@ -142,16 +148,21 @@
 	}
 	started := s.services.Now()
 	a := Response{Err: err, State: session.State()}
+	failed := false
 	if err == nil {
 		if s.forcing.Load() && session.State() == statement.InTransaction {
 			session.RollbackTransaction()
 		}
-		a = session.Handle(context.Background(), st)
+		failed = recovery.Run(s.log, "statement", func() { a = session.Handle(context.Background(), st) })
+	}
+	if failed {
+		// The statement may have been sent, and the state of the session is uncertain.
+		a = Response{Err: resultcode.New(resultcode.OutcomeUnknown, "internal error"), State: statement.Idle}
 	}
 	_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	err = codec.WriteResponse(a)
 	s.observe(Record{Database: session.database, ID: st.ID, Kind: st.Kind, Response: a, Duration: s.services.Now() - started})
-	return err == nil
+	return err == nil && !failed
 }
 
 // readStatement waits for the next statement. It rolls back a transaction that exceeds
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -18,6 +18,9 @@
 // ErrNoResponse means that the request may have been handled, but no response arrived.
 var ErrNoResponse = errors.New("no response to request")
 
+// ErrRejected means that the other VM did not handle the request.
+var ErrRejected = errors.New("request rejected")
+
 const (
 	path = "/relay"
 	// dialTimeout limits the opening of a connection. A round trip between regions takes
@@ -50,11 +53,11 @@
 	socket  *websocket.Conn
 	mu      sync.Mutex
 	lastID  uint64
-	pending map[uint64]chan cbor.RawMessage
+	pending map[uint64]chan frame
 	closed  bool
 }
 
-// Call sends a request and decodes the response. The error is ErrNotSent or
+// Call sends a request and decodes the response. The error is ErrNotSent, ErrRejected or
 // ErrNoResponse, or that of the decoder.
 func (c *Client) Call(ctx context.Context, kind Kind, request, response any) error {
 	conn, err := c.connect(ctx)
@@ -66,7 +69,7 @@
 		return ErrNotSent
 	}
 	defer conn.unregister(id)
-	message, err := encode(id, kind, false, request)
+	message, err := encodeRequest(id, kind, request)
 	if err != nil {
 		return errors.Mark(err, ErrNotSent)
 	}
@@ -75,11 +78,14 @@
 		return errors.Mark(err, ErrNoResponse)
 	}
 	select {
-	case body, ok := <-result:
-		if !ok {
+	case f, ok := <-result:
+		switch {
+		case !ok || f.Failure == Failed:
 			return ErrNoResponse
+		case f.Failure == Rejected:
+			return ErrRejected
 		}
-		return Decode(body, response)
+		return Decode(f.Body, response)
 	case <-ctx.Done():
 		return errors.Mark(ctx.Err(), ErrNoResponse)
 	}
@@ -141,7 +147,7 @@
 	var conn *clientConn
 	if err == nil {
 		socket.SetReadLimit(maxFrameBytes)
-		conn = &clientConn{socket: socket, pending: map[uint64]chan cbor.RawMessage{}}
+		conn = &clientConn{socket: socket, pending: map[uint64]chan frame{}}
 		var identity []byte
 		if identity, err = cbor.Marshal(c.self); err == nil {
 			err = conn.write(identity)
@@ -185,14 +191,14 @@
 
 // register allocates a request ID and the channel for its response. The channel is nil
 // if the connection is closed.
-func (c *clientConn) register() (uint64, chan cbor.RawMessage) {
+func (c *clientConn) register() (uint64, chan frame) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
 		return 0, nil
 	}
 	c.lastID++
-	result := make(chan cbor.RawMessage, 1)
+	result := make(chan frame, 1)
 	c.pending[c.lastID] = result
 	return c.lastID, result
 }
@@ -208,7 +214,7 @@
 	defer c.mu.Unlock()
 	if result, ok := c.pending[f.ID]; ok {
 		delete(c.pending, f.ID)
-		result <- f.Body
+		result <- f
 	}
 }
 
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -19,8 +19,21 @@
 	Kind     Kind            `cbor:"2,keyasint,omitempty"`
 	Response bool            `cbor:"3,keyasint,omitempty"`
 	Body     cbor.RawMessage `cbor:"4,keyasint,omitempty"`
+	// Failure is set in a response without a body.
+	Failure Failure `cbor:"5,keyasint,omitempty"`
 }
 
+// Failure is the reason why a request has no result.
+type Failure uint8
+
+const (
+	// Rejected means that the request could not be decoded, or that the VM handles too many
+	// requests of the connection. It was not handled.
+	Rejected Failure = iota + 1
+	// Failed means that the handler failed. The request may have been handled in part.
+	Failed
+)
+
 // Identity describes a VM. It is the first message that a client sends on a connection.
 type Identity struct {
 	Version     int                    `cbor:"1,keyasint" json:"-"`
@@ -57,10 +70,22 @@
 	return nil
 }
 
-func encode(id uint64, kind Kind, response bool, body any) ([]byte, error) {
+func encodeRequest(id uint64, kind Kind, body any) ([]byte, error) {
+	raw, err := cbor.Marshal(body)
+	if err != nil {
+		return nil, err
+	}
+	return cbor.Marshal(frame{ID: id, Kind: kind, Body: raw})
+}
+
+// encodeResponse encodes a body, or a Failure as the body of the response.
+func encodeResponse(id uint64, body any) ([]byte, error) {
+	if failure, ok := body.(Failure); ok {
+		return cbor.Marshal(frame{ID: id, Response: true, Failure: failure})
+	}
 	raw, err := cbor.Marshal(body)
 	if err != nil {
 		return nil, err
 	}
-	return cbor.Marshal(frame{ID: id, Kind: kind, Response: response, Body: raw})
+	return cbor.Marshal(frame{ID: id, Response: true, Body: raw})
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -8,29 +8,36 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 )
 
 const (
 	kindEcho Kind = iota + 1
 	kindNoResponse
+	kindPanic
 )
 
-// echoHandler responds to kindEcho and to nothing else.
+// echoHandler responds to kindEcho, panics for kindPanic, and blocks for other kinds until
+// the connection ends.
 type echoHandler struct {
 	closed   chan Peer
 	received chan struct{}
 }
 
-func (e *echoHandler) Handle(_ context.Context, from Peer, kind Kind, body cbor.RawMessage) any {
+func (e *echoHandler) Handle(ctx context.Context, from Peer, kind Kind, body cbor.RawMessage) any {
 	var text string
 	if Decode(body, &text) != nil {
 		return nil
 	}
-	if kind == kindEcho {
+	switch kind {
+	case kindEcho:
 		return string(from.VM) + " " + text
+	case kindPanic:
+		panic(text)
 	}
 	e.received <- struct{}{}
+	<-ctx.Done()
 	return nil
 }
 
@@ -39,8 +46,8 @@
 func startPair(t *testing.T) (*echoHandler, *Server, *Client) {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
-	handler := &echoHandler{closed: make(chan Peer, 8), received: make(chan struct{}, 8)}
-	s := NewServer(handler)
+	handler := &echoHandler{closed: make(chan Peer, 8), received: make(chan struct{}, maxConcurrentRequests)}
+	s := NewServer(handler, zerolog.Nop())
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(s.Close)
 	dial := func(ctx context.Context, address string) (net.Conn, error) {
@@ -110,3 +117,49 @@
 	assert.Assert(t, c.Call(ctx, kindEcho, "x", &got) != nil)
 	assert.Equal(t, len(handler.received), 0)
 }
+
+// Guards against a panic in one request that ends the process or the connection, and
+// against one that is reported as not handled although it may have been in part.
+func TestPanicFailsOnlyItsRequest(t *testing.T) {
+	_, _, c := startPair(t)
+	var got string
+	err := c.Call(t.Context(), kindPanic, "x", &got)
+	assert.Assert(t, errors.Is(err, ErrNoResponse), "%v", err)
+	assert.NilError(t, c.Call(t.Context(), kindEcho, "y", &got))
+	assert.Equal(t, got, "vm-1 y")
+}
+
+// Guards against a caller that waits until its deadline for the response to a request that
+// the other VM cannot decode.
+func TestMalformedRequestIsRejected(t *testing.T) {
+	_, _, c := startPair(t)
+	var got string
+	err := c.Call(t.Context(), kindEcho, []int{1}, &got)
+	assert.Assert(t, errors.Is(err, ErrRejected), "%v", err)
+}
+
+// Guards against a peer whose requests use up the memory of this VM, and against requests
+// that are rejected after others have ended.
+func TestConcurrentRequestsAreBounded(t *testing.T) {
+	handler, _, c := startPair(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, maxConcurrentRequests)
+	for range maxConcurrentRequests {
+		go func() {
+			var got string
+			ended <- c.Call(ctx, kindNoResponse, "x", &got)
+		}()
+	}
+	for range maxConcurrentRequests {
+		<-handler.received
+	}
+	var got string
+	err := c.Call(t.Context(), kindEcho, "y", &got)
+	assert.Assert(t, errors.Is(err, ErrRejected), "%v", err)
+	c.Reset()
+	cancel()
+	for range maxConcurrentRequests {
+		assert.Assert(t, errors.Is(<-ended, ErrNoResponse))
+	}
+	assert.NilError(t, c.Call(t.Context(), kindEcho, "y", &got))
+}
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -3,13 +3,16 @@
 import (
 	"context"
 	"io"
-	"log"
+	stdlog "log"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
+	"github.com/rs/zerolog"
+
+	"github.com/rosemarywall/rosemarywall/internal/recovery"
 )
 
 const (
@@ -19,6 +22,10 @@
 	// sends a probe at least every 2.5 s. One that sends nothing for longer has lost power
 	// or its network, and its open transactions occupy upstream connections.
 	idleTimeout = 4 * time.Second
+	// maxConcurrentRequests limits the requests of one connection that are handled
+	// concurrently. Those of a busy VM are some hundreds; a peer that sends more does not
+	// wait for responses.
+	maxConcurrentRequests = 2048
 )
 
 // Peer is the VM at the other end of a connection.
@@ -30,8 +37,8 @@
 
 // Handler handles the requests of other VMs.
 type Handler interface {
-	// Handle returns the response to a request, or nil to send none. It is called on a
-	// new goroutine and may block.
+	// Handle returns the response to a request. A nil response stands for Rejected. It is
+	// called on a new goroutine and may block. If it panics, the response is Failed.
 	Handle(ctx context.Context, from Peer, kind Kind, body cbor.RawMessage) any
 	// Closed is called when a connection has closed.
 	Closed(from Peer)
@@ -40,6 +47,7 @@
 // Server accepts connections of other VMs and passes their requests to a Handler.
 type Server struct {
 	handler          Handler
+	log              zerolog.Logger
 	http             *http.Server
 	ctx              context.Context
 	cancel           context.CancelFunc
@@ -47,13 +55,13 @@
 }
 
 // NewServer returns a server that is started by Serve.
-func NewServer(handler Handler) *Server {
-	s := &Server{handler: handler, lastConnectionID: make(chan uint64, 1)}
+func NewServer(handler Handler, log zerolog.Logger) *Server {
+	s := &Server{handler: handler, log: log, lastConnectionID: make(chan uint64, 1)}
 	s.lastConnectionID <- 0
 	s.ctx, s.cancel = context.WithCancel(context.Background())
 	mux := http.NewServeMux()
 	mux.HandleFunc(path, s.serve)
-	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: identityTimeout, ErrorLog: log.New(io.Discard, "", 0)}
+	s.http = &http.Server{Handler: mux, ReadHeaderTimeout: identityTimeout, ErrorLog: stdlog.New(io.Discard, "", 0)}
 	return s
 }
 
@@ -80,6 +88,7 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	defer s.handler.Closed(from)
+	running := make(chan struct{}, maxConcurrentRequests)
 	for {
 		message, err := readMessage(ctx, socket, idleTimeout)
 		if err != nil {
@@ -89,8 +98,27 @@
 		if Decode(message, &f) != nil || f.Response {
 			return
 		}
-		go s.respond(ctx, socket, from, f)
+		select {
+		case running <- struct{}{}:
+			go func() {
+				defer func() { <-running }()
+				s.respond(ctx, socket, f.ID, s.handle(ctx, from, f))
+			}()
+		default:
+			s.respond(ctx, socket, f.ID, Rejected)
+		}
+	}
+}
+
+// handle returns the response to a request: a body or a Failure.
+func (s *Server) handle(ctx context.Context, from Peer, f frame) (body any) {
+	if recovery.Run(s.log, "peer request", func() { body = s.handler.Handle(ctx, from, f.Kind, f.Body) }) {
+		return Failed
 	}
+	if body == nil {
+		return Rejected
+	}
+	return body
 }
 
 // readMessage reads one message. After an error the connection cannot be used any more.
@@ -117,13 +145,10 @@
 	return from, true
 }
 
-func (s *Server) respond(ctx context.Context, socket *websocket.Conn, from Peer, f frame) {
-	body := s.handler.Handle(ctx, from, f.Kind, f.Body)
-	if body == nil {
-		return
-	}
-	message, err := encode(f.ID, 0, true, body)
+func (s *Server) respond(ctx context.Context, socket *websocket.Conn, id uint64, body any) {
+	message, err := encodeResponse(id, body)
 	if err != nil {
+		s.log.Error().Err(err).Msg("cannot encode response to peer")
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
--- a/internal/service/handler.go
+++ b/internal/service/handler.go
@@ -13,11 +13,12 @@
 	"github.com/rosemarywall/rosemarywall/internal/core/shares"
 	"github.com/rosemarywall/rosemarywall/internal/execution"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/recovery"
 	"github.com/rosemarywall/rosemarywall/internal/relay"
 )
 
-// Handle implements relay.Handler. It returns nil, and so sends no response, for a body
-// that cannot be decoded and for an unknown kind.
+// Handle implements relay.Handler. It returns nil for a body that cannot be decoded and
+// for an unknown kind.
 func (v *VM) Handle(ctx context.Context, from relay.Peer, kind relay.Kind, body cbor.RawMessage) any {
 	switch kind {
 	case peers.KindProbe:
@@ -129,11 +130,11 @@
 	results := make(chan bool, maxConfirmingVMs)
 	targets := others[:min(maxConfirmingVMs, len(others))]
 	for _, vm := range targets {
-		go func() {
+		recovery.Go(v.log, "request reachability", func() {
 			var reached bool
 			err := v.peers.Call(ctx, vm.Name, peers.KindReachability, target, &reached)
 			results <- err == nil && reached
-		}()
+		})
 	}
 	unresponsive := true
 	for range targets {
@@ -151,14 +152,14 @@
 // notifySuspicion notifies a VM, without waiting, that a primary does not respond to this
 // one.
 func (v *VM) notifySuspicion(vm ident.VMName, target execution.Target) {
-	go func() {
+	recovery.Go(v.log, "notify suspicion", func() {
 		ctx, cancel := context.WithTimeout(context.Background(), notifyTimeout)
 		defer cancel()
 		var accepted bool
 		if err := v.peers.Call(ctx, vm, peers.KindSuspect, target, &accepted); err != nil {
 			v.log.Debug().Err(err).Str("peer", string(vm)).Msg("cannot notify peer of an unresponsive primary")
 		}
-	}()
+	})
 }
 
 // Closed implements relay.Handler. It rolls back the transactions that were begun over
--- a/internal/service/observe.go
+++ b/internal/service/observe.go
@@ -13,6 +13,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/execution"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/proxy"
+	"github.com/rosemarywall/rosemarywall/internal/recovery"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/servicemetrics"
 )
@@ -84,7 +85,7 @@
 			own, _ := v.limits.ShareUnits()
 			return float64(own) / shareunits.Total
 		},
-		DroppedLogLines: v.adapter.DroppedLogLines,
+		DroppedLogLines: v.adapter.DroppedLogLines, Panics: recovery.Panics,
 	})
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", v.adapter.Metrics.Handler())
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -26,6 +26,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/proxy"
+	"github.com/rosemarywall/rosemarywall/internal/recovery"
 	"github.com/rosemarywall/rosemarywall/internal/relay"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/servicemetrics"
@@ -118,18 +119,18 @@
 		v.Close()
 		return nil, err
 	}
-	v.goRun(ctx, v.follower.Run)
-	v.goRun(ctx, v.peers.Run)
-	v.goRun(ctx, v.limits.Run)
-	v.goRun(ctx, v.applyConnectionLimits)
-	v.goRun(ctx, v.takeover.Run)
+	v.goRun(ctx, "follower", v.follower.Run)
+	v.goRun(ctx, "peers", v.peers.Run)
+	v.goRun(ctx, "limits", v.limits.Run)
+	v.goRun(ctx, "connection limits", v.applyConnectionLimits)
+	v.goRun(ctx, "takeover", v.takeover.Run)
 	log.Info().Str("callers", settings.Callers).Str("relay", v.self.Address).Str("metrics", adapter.MetricsAddress).
 		Str("zone", string(settings.Zone)).Uint64("incarnation", uint64(v.self.Incarnation)).Str("build", version.Version).Msg("started")
 	return v, nil
 }
 
-func (v *VM) goRun(ctx context.Context, f func(context.Context)) {
-	v.goroutines.Go(func() { f(ctx) })
+func (v *VM) goRun(ctx context.Context, task string, f func(context.Context)) {
+	v.goroutines.Go(func() { recovery.Loop(ctx, v.log, task, f) })
 }
 
 func (v *VM) assemble() {
@@ -175,7 +176,7 @@
 	v.server = proxy.NewServer(&proxy.Services{
 		Authoriser: v, Limiter: v.limits, Router: v.router, Now: now, NewTransactionID: v.newUniqueID,
 	}, v.adapter.NewCodec, v.log, v.observeStatement)
-	v.relay = relay.NewServer(v)
+	v.relay = relay.NewServer(v, v.log)
 	v.ready = v.adapter.NewReadinessServer(v.Ready)
 	v.metrics = v.newMetricsServer()
 }
--- a/internal/servicemetrics/metrics.go
+++ b/internal/servicemetrics/metrics.go
@@ -33,6 +33,7 @@
 	Version             func() uint64
 	RateShare           func() float64
 	DroppedLogLines     func() int64
+	Panics              func() int64
 }
 
 // New returns Metrics with all counters and histograms but no gauges, see RegisterGauges.
@@ -76,6 +77,8 @@
 	gauge("rosemarywall_rate_share", "Share of every organisation's rate that this VM holds, 0 to 1.", s.RateShare)
 	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "rosemarywall_log_lines_dropped_total",
 		Help: "Log lines that found the queue full."}, func() float64 { return float64(s.DroppedLogLines()) }))
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "rosemarywall_panics_total",
+		Help: "Sessions, requests and background tasks that failed by a panic."}, func() float64 { return float64(s.Panics()) }))
 }
 
 // Handler returns the HTTP handler that serves the metrics.
