Silent and stopping hubs are avoided at once, and VMs without share units decline

Cause: in a fleet with 36 hubs those of other zones are probed every 2 s, so that a hub that was cut off kept getting requests for up to 2.8 s. A hub that stops refused each statement until its next probe, and its upstream was avoided for it.

Change: a VM from which a request gets no response for 150 ms is probed at once and is suspect if that probe has no response within 250 ms. Nothing new is sent to it, reads that wait for it run elsewhere, and its connection stays open: whether it is dead is still for the regular probe to decide, so writes and transactions on a VM that was only silent get their responses. A VM without a row in a table with others declines a request for an operation, and another holder is asked. A hub that refuses a statement because it stops counts as leaving at once. The loss of the executing VM no longer excludes the upstream.

Tests: TestSilentHubIsSuspectedBeforeItIsDead, TestStoppingHubIsNotUsed, TestVMWithoutShareUnitsDeclines, TestReadIsRepeatedAfterLossOfExecutingVM.

--- a/internal/controller/limits/take.go
+++ b/internal/controller/limits/take.go
@@ -17,12 +17,15 @@
 	// takeTransitTime is added to the time for which a holder waits for tokens. It covers
 	// a round trip between regions.
 	takeTransitTime = 50 * time.Millisecond
-	// unresponsiveTime is the time for which a holder that did not respond is tried last.
+	// unresponsiveTime is the time for which a VM that did not respond or declined is tried
+	// last.
 	// A probe determines within a second whether it is alive.
 	unresponsiveTime = time.Second
-	// maxTakeRequests is the number of holders to which a request is sent for one
-	// operation. Only when a holder does not respond is the next one tried.
+	// maxTakeRequests is the number of holders that may fail to respond for one operation
+	// before it is refused, and maxDeclined the number of VMs that may respond that they
+	// hold no share units.
 	maxTakeRequests = 2
+	maxDeclined     = 2
 	// minBurstPerHolder is the share of a burst, in operations, that each holder must have
 	// for demand to be served at any of them. With less, transfers between holders leave
 	// fractions of tokens that expire.
@@ -37,26 +40,35 @@
 // TakeResponse is the response to a TakeRequest.
 type TakeResponse struct {
 	Spent bool `cbor:"1,keyasint"`
+	// Declined is set if the VM holds no share units, although others do. A VM that takes
+	// the place of a failed holder gets share units only after seconds.
+	Declined bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Take implements proxy.Limiter. A VM without share units sends a request to a holder,
 // that of its own zone first. The whole demand of an organisation with a small burst
 // is served by one holder, because each holder's share is less than a few operations.
 func (c *Controller) Take(ctx context.Context, organisation ident.OrganisationName) error {
-	requests := 0
+	failed, declined := 0, 0
 	for _, vm := range c.holderOrder(organisation) {
 		if vm.Name == c.cfg.Self.VM {
+			if c.excluded() {
+				continue
+			}
 			return c.limiter.Take(ctx, organisation, 1)
 		}
-		if requests == maxTakeRequests {
+		if failed == maxTakeRequests || declined == maxDeclined {
 			break
 		}
-		requests++
-		spent, err := c.requestTake(ctx, vm.Name, organisation)
-		if err != nil {
+		response, err := c.requestTake(ctx, vm.Name, organisation)
+		switch {
+		case err != nil:
+			failed++
 			continue
-		}
-		if !spent {
+		case response.Declined:
+			declined++
+			continue
+		case !response.Spent:
 			return resultcode.New(resultcode.RateExceeded, "organisation %q has used its rate and burst, according to VM %q", organisation, vm.Name)
 		}
 		return nil
@@ -108,21 +120,31 @@
 	return holders
 }
 
-func (c *Controller) requestTake(ctx context.Context, vm ident.VMName, organisation ident.OrganisationName) (bool, error) {
+// excluded reports whether this VM holds no share units, although others do.
+func (c *Controller) excluded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.holder.Excluded()
+}
+
+func (c *Controller) requestTake(ctx context.Context, vm ident.VMName, organisation ident.OrganisationName) (TakeResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, ratelimit.MaxWait+takeTransitTime)
 	defer cancel()
 	var response TakeResponse
 	err := c.cfg.Peers.Call(ctx, vm, peers.KindTake, TakeRequest{organisation}, &response)
-	if err != nil {
+	if err != nil || response.Declined {
 		c.mu.Lock()
 		c.unresponsiveUntil[vm] = c.cfg.Now() + unresponsiveTime
 		c.mu.Unlock()
-		c.cfg.Log.Debug().Err(err).Str("peer", string(vm)).Msg("take request failed")
+		c.cfg.Log.Debug().Err(err).Str("peer", string(vm)).Bool("declined", response.Declined).Msg("take request failed")
 	}
-	return response.Spent, err
+	return response, err
 }
 
 // HandleTake spends one operation for another VM.
 func (c *Controller) HandleTake(ctx context.Context, r TakeRequest) TakeResponse {
+	if c.excluded() {
+		return TakeResponse{Declined: true}
+	}
 	return TakeResponse{Spent: c.limiter.Take(ctx, r.Organisation, 1) == nil}
 }
--- a/internal/controller/limits/take_test.go
+++ b/internal/controller/limits/take_test.go
@@ -11,6 +11,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/controller/storesync"
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/core/placement"
+	"github.com/rosemarywall/rosemarywall/internal/core/shareunits"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/relay"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
@@ -21,6 +22,7 @@
 	requests     []ident.VMName
 	unresponsive map[ident.VMName]bool
 	exhausted    bool
+	declining    map[ident.VMName]bool
 }
 
 func (h *fakeHolders) Call(_ context.Context, to ident.VMName, _ relay.Kind, _, response any) error {
@@ -28,6 +30,10 @@
 	if h.unresponsive[to] {
 		return relay.ErrNoResponse
 	}
+	if h.declining[to] {
+		response.(*TakeResponse).Declined = true
+		return nil
+	}
 	response.(*TakeResponse).Spent = !h.exhausted
 	return nil
 }
@@ -93,3 +99,24 @@
 	assert.Equal(t, len(first), 3)
 	assert.Assert(t, first[0] == first[1] && first[1] == first[2], "%v", first)
 }
+
+// Guards against operations that are refused because the VM that has taken the place of a
+// failed holder has no share units yet, and against asking it each time.
+func TestVMWithoutShareUnitsDeclines(t *testing.T) {
+	now := time.Second
+	h := &fakeHolders{declining: map[ident.VMName]bool{"a1": true}}
+	vm := newVMWithoutShareUnits(h, &now)
+	assert.NilError(t, vm.Take(context.Background(), "acme"))
+	assert.NilError(t, vm.Take(context.Background(), "acme"))
+	assert.Equal(t, len(h.requests), 3)
+	assert.Equal(t, h.requests[0], ident.VMName("a1"))
+
+	table := shareunits.Table{Rows: []shareunits.Row{{Key: shareunits.Key{VM: "a1"}, ShareUnits: shareunits.Total}}}
+	assert.Assert(t, !vm.HandleTake(context.Background(), TakeRequest{"acme"}).Declined, "nothing is known of other holders")
+	vm.adoptTable(now, table, 7)
+	assert.Assert(t, vm.HandleTake(context.Background(), TakeRequest{"acme"}).Declined)
+	vm.cfg.Holders = func() []placement.VM { return []placement.VM{{Name: "b1", Zone: "b"}, {Name: "vm", Zone: "a"}} }
+	assert.NilError(t, vm.Take(context.Background(), "acme"), "another VM has share units")
+	vm.cfg.Holders = func() []placement.VM { return []placement.VM{{Name: "vm", Zone: "a"}} }
+	assert.Assert(t, resultcode.Is(vm.Take(context.Background(), "acme"), resultcode.RateExceeded))
+}
--- a/internal/controller/peers/peers.go
+++ b/internal/controller/peers/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -11,6 +12,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/core/placement"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
+	"github.com/rosemarywall/rosemarywall/internal/recovery"
 	"github.com/rosemarywall/rosemarywall/internal/relay"
 )
 
@@ -112,6 +114,14 @@
 	probeNow            chan struct{}
 	// stopProbes ends the probe loop; nil while the VM is not probed.
 	stopProbes context.CancelFunc
+	// lastResponse is the time of the last response, in nanoseconds of Config.Now.
+	lastResponse atomic.Int64
+	// suspect is set while the VM does not respond and is not known to be dead, and
+	// silenceProbe while a probe that may make it suspect is in progress; see silence.go.
+	suspect, silenceProbe bool
+	// trust ends when the VM becomes suspect.
+	trust    context.Context
+	endTrust context.CancelFunc
 	// unwantedSince is the time at which the VM stopped being a probe target; zero while
 	// it is one.
 	unwantedSince time.Duration
@@ -302,5 +312,22 @@
 	if !ok {
 		return relay.ErrNotSent
 	}
-	return q.client.Call(ctx, kind, request, response)
+	return p.call(ctx, q, kind, request, response)
 }
+
+func (p *Peers) call(ctx context.Context, q *peer, kind relay.Kind, request, response any) error {
+	if kind != KindView { // which waits for a change
+		defer p.watchSilence(q)()
+	}
+	err := q.client.Call(ctx, kind, request, response)
+	switch {
+	case err == nil:
+		p.noteResponse(q)
+	case ctx.Err() != nil && kind != KindView: // its time may be shorter than silenceLimit
+		recovery.Go(p.cfg.Log, "probe silent peer", func() { p.probeSilent(q) })
+	}
+	return err
+}
+
+// respondedAt returns the time of the last response.
+func (q *peer) respondedAt() time.Duration { return time.Duration(q.lastResponse.Load()) }
--- a/internal/controller/peers/peers_test.go
+++ b/internal/controller/peers/peers_test.go
@@ -16,6 +16,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/rosemarywall/rosemarywall/internal/core/placement"
+	"github.com/rosemarywall/rosemarywall/internal/execution"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/relay"
@@ -101,13 +102,32 @@
 	mu            sync.Mutex
 	reportLeaving bool
 	unresponsive  bool
+	silent        chan struct{} // responses are delayed until it is closed; nil for none
+	result        execution.Result
+}
+
+// setResult sets the result of the statements that a VM executes.
+func (n *node) setResult(r execution.Result) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.result = r
+}
+
+// setSilent delays the responses of a VM until resume is closed.
+func (n *node) setSilent(resume chan struct{}) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.silent = resume
 }
 
 func (n *node) Handle(ctx context.Context, from relay.Peer, kind relay.Kind, body cbor.RawMessage) any {
 	n.Discover(from.Identity)
 	n.mu.Lock()
-	unresponsive := n.unresponsive
+	unresponsive, silent, result := n.unresponsive, n.silent, n.result
 	n.mu.Unlock()
+	if silent != nil {
+		<-silent
+	}
 	var members MembersRequest
 	switch {
 	case unresponsive:
@@ -115,6 +135,8 @@
 		return nil
 	case kind == KindMembers && relay.Decode(body, &members) == nil:
 		return n.ServeMembers(members)
+	case kind == KindExecute:
+		return result
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -124,13 +146,17 @@
 func (n *node) Closed(relay.Peer) {}
 
 func startNode(t *testing.T, store Store, name, zone string) *node {
+	return startNodeProbing(t, store, name, zone, 20*time.Millisecond)
+}
+
+func startNodeProbing(t *testing.T, store Store, name, zone string, probeInterval time.Duration) *node {
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	start := time.Now()
-	n := &node{}
+	n := &node{result: execution.Result{Outcome: execution.Done}}
 	n.Peers = New(Config{
 		Self:  relay.Identity{Version: relay.ProtocolVersion, VM: ident.VMName(name), Zone: ident.AvailabilityZone(zone), Address: l.Addr().String()},
-		Store: store, ProbeInterval: 20 * time.Millisecond, Now: func() time.Duration { return time.Since(start) }, Log: zerolog.Nop(),
+		Store: store, ProbeInterval: probeInterval, Now: func() time.Duration { return time.Since(start) }, Log: zerolog.Nop(),
 		Dial: func(ctx context.Context, address string) (net.Conn, error) {
 			return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
 		},
@@ -307,6 +333,52 @@
 	assert.Assert(t, !known)
 }
 
+// Guards against requests that wait for a hub that has failed until the next regular probe
+// detects it, and against the loss of running work of a hub that is only silent for a
+// while: its connection stays open, and the response to a write still arrives.
+func TestSilentHubIsSuspectedBeforeItIsDead(t *testing.T) {
+	store := &fakeStore{objects: map[string]objectapi.Object{}}
+	// After the first one the regular probes come too late to detect the silence.
+	first, second := startNodeProbing(t, store, "vm-1", "a", time.Hour), startNode(t, store, "vm-2", "a")
+	eventually(t, "the VMs use each other", func() bool { return len(first.Hubs()) == 2 && len(second.Hubs()) == 2 })
+	resume := make(chan struct{})
+	second.setSilent(resume)
+	request := func(writes bool) chan execution.Result {
+		result := make(chan execution.Result, 1)
+		go func() {
+			result <- first.Executor("vm-2").Execute(t.Context(), execution.Request{Mode: execution.Single, Writes: writes, Timeout: time.Hour})
+		}()
+		return result
+	}
+	write, read := request(true), request(false)
+	select {
+	case result := <-read:
+		assert.Equal(t, result.Outcome, execution.Unknown)
+		assert.Equal(t, result.Reason, execution.PeerLost)
+	case <-time.After(30 * time.Second):
+		t.Fatal("the read waits for the silent hub")
+	}
+	assert.Equal(t, len(first.Hubs()), 1, "a suspect hub is used")
+	address, alive := first.Address("vm-2")
+	assert.Assert(t, alive, "%s is taken for dead", address)
+	assert.Equal(t, len(write), 0)
+	close(resume)
+	assert.Equal(t, (<-write).Outcome, execution.Done)
+	eventually(t, "the hub is used again", func() bool { return len(first.Hubs()) == 2 })
+}
+
+// Guards against further requests to a VM that has refused one because it is stopping,
+// until the next regular probe reports that it is leaving.
+func TestStoppingHubIsNotUsed(t *testing.T) {
+	store := &fakeStore{objects: map[string]objectapi.Object{}}
+	first, second := startNodeProbing(t, store, "vm-1", "a", time.Hour), startNode(t, store, "vm-2", "a")
+	eventually(t, "the VMs use each other", func() bool { return len(first.Hubs()) == 2 && len(second.Hubs()) == 2 })
+	second.setResult(execution.Result{Outcome: execution.NotRun, Reason: execution.Stopping})
+	result := first.Executor("vm-2").Execute(t.Context(), execution.Request{Mode: execution.Single, Timeout: time.Minute})
+	assert.Equal(t, result.Reason, execution.Stopping)
+	assert.Equal(t, len(first.Hubs()), 1)
+}
+
 // Guards against a VM of a starting fleet that takes others for hubs, or writes the first
 // rate share table, before the rest of the fleet has registered, and against a restarted
 // VM that waits although it is registered already.
--- a/internal/controller/peers/probe.go
+++ b/internal/controller/peers/probe.go
@@ -26,6 +26,9 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if err == nil {
+			p.noteResponse(q)
+		}
 		p.setHealth(q, err == nil, response.Leaving)
 		wait := deadProbeInterval
 		if err == nil {
@@ -96,6 +99,14 @@
 	}
 }
 
+// markLeaving marks a VM that has refused a request because it is shutting down, before
+// the next probe reports it.
+func (p *Peers) markLeaving(q *peer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.setHealthLocked(q, q.alive, true)
+}
+
 // markUnresponsive marks a VM whose connection failed as dead, so that it is not used
 // until it responds to a probe.
 func (p *Peers) markUnresponsive(q *peer) {
@@ -117,7 +128,7 @@
 	selected, targets := placement.Hubs(candidates)
 	var hubs []placement.VM
 	for _, v := range selected {
-		if q := p.peers[v.Name]; q == nil || q.alive {
+		if q := p.peers[v.Name]; q == nil || q.alive && !q.suspect {
 			hubs = append(hubs, v)
 		}
 	}
--- a/internal/controller/peers/registry.go
+++ b/internal/controller/peers/registry.go
@@ -133,8 +133,9 @@
 	if p.ctx == nil {
 		return false
 	}
-	p.peers[identity.VM] = &peer{identity: identity, probeNow: make(chan struct{}, 1),
-		client: relay.NewClient(p.cfg.Self, identity.Address, p.cfg.Dial)}
+	q := &peer{identity: identity, probeNow: make(chan struct{}, 1), client: relay.NewClient(p.cfg.Self, identity.Address, p.cfg.Dial)}
+	q.trust, q.endTrust = context.WithCancel(context.Background())
+	p.peers[identity.VM] = q
 	return true
 }
 
--- a/internal/controller/peers/remote.go
+++ b/internal/controller/peers/remote.go
@@ -45,9 +45,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, request.AcquireTimeout+request.Timeout+transitAllowance)
 	defer cancel()
+	if request.Repeatable() {
+		ctx, cancel = r.peers.untilSuspect(ctx, q)
+		defer cancel()
+	}
 	var result execution.Result
-	err := q.client.Call(ctx, KindExecute, request, &result)
+	err := r.peers.call(ctx, q, KindExecute, request, &result)
 	if err == nil {
+		if result.Reason == execution.Stopping {
+			r.peers.markLeaving(q)
+		}
 		return result
 	}
 	if errors.Is(err, relay.ErrRejected) {
--- a/internal/core/shareunits/shareunits.go
+++ b/internal/core/shareunits/shareunits.go
@@ -199,6 +199,15 @@
 	return true
 }
 
+// Excluded reports whether the table gives share units to other VMs and none to this one.
+func (h *Holder) Excluded() bool {
+	if !h.loaded || len(h.table.Rows) == 0 {
+		return false
+	}
+	i, ok := h.table.find(h.self)
+	return !ok || h.table.Rows[i].Revoked
+}
+
 // MarkUncertain records that a write had no response, or that another VM has written
 // the table. The table is read before the next write.
 func (h *Holder) MarkUncertain() { h.uncertain = true }
--- a/internal/execution/execution.go
+++ b/internal/execution/execution.go
@@ -112,6 +112,12 @@
 	DialLimit int `cbor:"17,keyasint,omitempty"`
 }
 
+// Repeatable reports whether the request may run more than once: a read outside a
+// transaction of the client.
+func (r Request) Repeatable() bool {
+	return !r.Writes && (r.Mode == Single || r.Mode == LeaderRead)
+}
+
 // Outcome is the known result of a statement.
 type Outcome uint8
 
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -61,7 +61,9 @@
 			if err := a.finalError(last); err != nil {
 				return last, choice, err
 			}
-			a.requirement.Exclude = append(a.requirement.Exclude, choice.Target.Upstream)
+			if last.Reason != execution.PeerLost && last.Reason != execution.Stopping { // faults of the executing VM
+				a.requirement.Exclude = append(a.requirement.Exclude, choice.Target.Upstream)
+			}
 			continue
 		}
 		a.requirement.Exclude = nil // every eligible upstream has been tried
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -106,6 +106,28 @@
 	})
 }
 
+// Guards against a statement that waits, or a read that fails or avoids its upstream,
+// because the VM that executed it has been lost or is stopping. Another VM runs it at once.
+func TestReadIsRepeatedAfterLossOfExecutingVM(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		f := newFakeServices()
+		s := f.session(t)
+		f.results = []execution.Result{{Outcome: execution.Unknown, Reason: execution.PeerLost}}
+		code, _ := f.handle(s, statement.Read)
+		assert.Equal(t, code, resultcode.Code(0))
+		assert.Equal(t, len(f.requests), 2)
+		assert.Equal(t, time.Since(f.start), time.Duration(0))
+		f.results = []execution.Result{{Outcome: execution.Unknown, Reason: execution.PeerLost}}
+		code, _ = f.handle(s, statement.Write)
+		assert.Equal(t, code, resultcode.OutcomeUnknown)
+		assert.Equal(t, len(f.requests), 3)
+		f.results = []execution.Result{{Outcome: execution.NotRun, Reason: execution.Stopping}}
+		code, _ = f.handle(s, statement.Write)
+		assert.Equal(t, code, resultcode.Code(0))
+		assert.Equal(t, time.Since(f.start), time.Duration(0))
+	})
+}
+
 // Guards against an error before the timeout for a statement that reached an upstream
 // whose queue was full.
 func TestSentStatementIsRetriedUntilItsTimeout(t *testing.T) {
