VMs share the positions of primaries, and reads that wait for a suspect hub are repeated

Cause: a read on a replica needs a position that a primary reported within the maximum staleness. Reads that were given up on a suspect hub were not repeated, because the time to send them had passed; VMs that took the place of a holder refused operations before they knew that they did. Hubs that restart waited 0.3 s for each other.

Change: steering.FollowPositions; an unknown result counts as sent; such a VM declines; a hub that was registered already does not wait; a VM must serve, or not serve, for 8 s before its row of share units changes (5 s: the holders changed in a cut of 7 s and a quarter of the units was in transit for 6 s).

--- a/internal/controller/limits/take.go
+++ b/internal/controller/limits/take.go
@@ -120,11 +120,15 @@
 	return holders
 }
 
-// excluded reports whether this VM holds no share units, although others do.
+// excluded reports whether this VM holds no share units, although others do. A VM that
+// takes the place of a holder may be asked before it knows of that itself, and has not read
+// the table then.
 func (c *Controller) excluded() bool {
+	holders := c.cfg.Holders()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.holder.Excluded()
+	replaced := len(holders) > 0 && placement.Index(holders, c.cfg.Self.VM) < 0 && !c.holder.NeedsTable()
+	return replaced || c.holder.Excluded()
 }
 
 func (c *Controller) requestTake(ctx context.Context, vm ident.VMName, organisation ident.OrganisationName) (TakeResponse, error) {
--- a/internal/controller/limits/take_test.go
+++ b/internal/controller/limits/take_test.go
@@ -112,7 +112,12 @@
 	assert.Equal(t, h.requests[0], ident.VMName("a1"))
 
 	table := shareunits.Table{Rows: []shareunits.Row{{Key: shareunits.Key{VM: "a1"}, ShareUnits: shareunits.Total}}}
+	assert.Assert(t, vm.HandleTake(context.Background(), TakeRequest{"acme"}).Declined, "others are to hold share units")
+	holders := vm.cfg.Holders
+	vm.cfg.Holders = func() []placement.VM { return nil }
 	assert.Assert(t, !vm.HandleTake(context.Background(), TakeRequest{"acme"}).Declined, "nothing is known of other holders")
+	vm.cfg.Holders = func() []placement.VM { return append(holders(), placement.VM{Name: "vm", Zone: "a"}) }
+	assert.Assert(t, !vm.HandleTake(context.Background(), TakeRequest{"acme"}).Declined, "the table is not known yet")
 	vm.adoptTable(now, table, 7)
 	assert.Assert(t, vm.HandleTake(context.Background(), TakeRequest{"acme"}).Declined)
 	vm.cfg.Holders = func() []placement.VM { return []placement.VM{{Name: "b1", Zone: "b"}, {Name: "vm", Zone: "a"}} }
--- a/internal/controller/peers/peers.go
+++ b/internal/controller/peers/peers.go
@@ -32,6 +32,8 @@
 	KindSuspect
 	// KindMembers requests the VMs that a hub knows.
 	KindMembers
+	// KindPositions requests positions that primaries have reported.
+	KindPositions
 )
 
 // KindVM is the kind of the store objects by which VMs register. The name of an object
@@ -161,6 +163,8 @@
 	// of the last read.
 	registered bool
 	listedAt   time.Duration
+	// restarted is set if this VM was registered before it started.
+	restarted bool
 	// joinedAt is the time at which joining ended.
 	joinedAt time.Duration
 	// leaving is set if this VM is shutting down. It is then no hub, and executes
@@ -222,14 +226,16 @@
 const settleTime = 300 * time.Millisecond
 
 // Settling reports whether this VM does not know yet which hubs of its zone are alive. It
-// is false after settleTime.
+// is false after settleTime. A hub that was registered already does not wait: after the
+// loss of a zone the hubs restart together, and the other VMs wait for them.
 func (p *Peers) Settling() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.joining {
 		return true
 	}
-	if p.cfg.Now() >= p.joinedAt+settleTime {
+	isHub := placement.Index(p.hubs, p.cfg.Self.VM) >= 0
+	if p.cfg.Now() >= p.joinedAt+settleTime || p.restarted && isHub {
 		return false
 	}
 	for _, q := range p.peers {
--- a/internal/controller/peers/registry.go
+++ b/internal/controller/peers/registry.go
@@ -33,6 +33,7 @@
 		if err != nil && !resultcode.Is(err, resultcode.PlatformConflict) {
 			return false
 		}
+		p.setRestarted(err != nil)
 		if err == nil {
 			clock.Sleep(ctx, joinDelay)
 		}
@@ -53,6 +54,12 @@
 	return true
 }
 
+func (p *Peers) setRestarted(restarted bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.restarted = restarted
+}
+
 func (p *Peers) isRegistered() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/controller/steering/read.go
+++ b/internal/controller/steering/read.go
@@ -62,6 +62,7 @@
 // minReadPosition returns the position that a read must see, or false if none is known.
 func (r *Router) minReadPosition(requirement proxy.Requirement, now time.Duration) (ident.LogPoint, bool) {
 	route := requirement.Grant.Route
+	r.readAt[route.Group] = now
 	samples := r.samples[route.Group]
 	if samples == nil {
 		return ident.LogPoint{}, false
--- a/internal/controller/steering/router.go
+++ b/internal/controller/steering/router.go
@@ -4,10 +4,12 @@
 package steering
 
 import (
+	"context"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
 	"github.com/rosemarywall/rosemarywall/internal/controller/storesync"
@@ -61,6 +63,12 @@
 	OnPrimaryResult func(target execution.Target, writes bool, result execution.Result)
 	// OnReplicaResult receives the results of all other statements.
 	OnReplicaResult func(target execution.Target, result execution.Result)
+	// Relay returns the hub of this zone from which positions are requested. The result is
+	// false if this VM requests them from the hubs near the primaries.
+	Relay func() (ident.VMName, bool)
+	// RequestPositions sends a request to a VM.
+	RequestPositions func(ctx context.Context, vm ident.VMName, request PositionsRequest) (PositionsResponse, error)
+	Log              zerolog.Logger
 }
 
 // upstreamState is the state of an upstream, as derived from its results.
@@ -88,6 +96,9 @@
 	mu        sync.Mutex
 	upstreams map[ident.UpstreamName]*upstreamState
 	samples   map[ident.GroupName]*staleness.Samples
+	// readAt holds the time of the last read that needed a position, of this VM or of one
+	// that requests positions from it.
+	readAt map[ident.GroupName]time.Duration
 	// slowStartLimiters limit the rate of statements from this VM to upstreams in slow
 	// start.
 	slowStartLimiters map[ident.UpstreamName]*rate.Limiter
@@ -100,6 +111,7 @@
 func New(cfg Config) *Router {
 	return &Router{
 		cfg: cfg, upstreams: map[ident.UpstreamName]*upstreamState{}, samples: map[ident.GroupName]*staleness.Samples{},
+		readAt:            map[ident.GroupName]time.Duration{},
 		slowStartLimiters: map[ident.UpstreamName]*rate.Limiter{},
 		saturated:         map[vmUpstream]time.Duration{}, unreachable: map[vmUpstream]time.Duration{},
 	}
@@ -233,12 +245,7 @@
 		s.applied, s.appliedAt = result.Position, now
 	}
 	if result.LeadershipVerified {
-		samples := r.samples[choice.Target.Group]
-		if samples == nil {
-			samples = &staleness.Samples{}
-			r.samples[choice.Target.Group] = samples
-		}
-		samples.Add(sentAt, result.Position)
+		r.groupSamples(choice.Target.Group).Add(sentAt, result.Position)
 	}
 	switch {
 	case result.Outcome == execution.Done:
--- a/internal/core/shareunits/shareunits.go
+++ b/internal/core/shareunits/shareunits.go
@@ -53,8 +53,8 @@
 	// is revoked. It exceeds servingSettleTime, after which such a VM gives its row up.
 	revokeAfter = 10 * time.Second
 	// servingSettleTime is the time for which a VM must serve before it adds its row, or
-	// not serve before it removes it. A restart of a VM takes less.
-	servingSettleTime = 5 * time.Second
+	// not serve before it removes it. Restarts and short cuts of a VM take less.
+	servingSettleTime = 8 * time.Second
 	// initialTableDelay is the time after which the coordinator writes the initial table;
 	// VMs that start together have discovered each other by then. After
 	// initialTableTimeout the others no longer wait for it.
--- a/internal/core/staleness/staleness.go
+++ b/internal/core/staleness/staleness.go
@@ -49,6 +49,15 @@
 	s.list = append(s.list, sample{sentAt, point})
 }
 
+// Newest returns the newest recorded position with its time, or false if there is none.
+func (s *Samples) Newest() (sentAt time.Duration, point ident.LogPoint, ok bool) {
+	if len(s.list) == 0 {
+		return 0, ident.LogPoint{}, false
+	}
+	last := s.list[len(s.list)-1]
+	return last.sentAt, last.point, true
+}
+
 // OldestWithin returns the oldest recorded position that is fresh enough for a read that
 // starts at now. The result is false if there is none.
 func (s *Samples) OldestWithin(now, maxAge time.Duration) (ident.LogPoint, bool) {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -36,7 +36,7 @@
 	hasEffect bool
 	// allowLeaderRead permits execution.LeaderRead for a read without a known position.
 	allowLeaderRead bool
-	// sent is set once the statement has been sent to an upstream.
+	// sent is set once the statement has, or may have, been sent to an upstream.
 	sent  bool
 	trace Trace
 }
@@ -54,7 +54,7 @@
 		choice, ok := a.session.services.Router.Choose(a.requirement)
 		if ok {
 			last = a.execute(ctx, choice, max(minAcquireTimeout, sendDeadline-now()), deadline-now())
-			a.sent = a.sent || last.Sent
+			a.sent = a.sent || last.Sent || last.Outcome == execution.Unknown
 			if last.Outcome == execution.Done {
 				return last, choice, nil
 			}
--- a/internal/service/handler.go
+++ b/internal/service/handler.go
@@ -8,6 +8,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/controller/limits"
 	"github.com/rosemarywall/rosemarywall/internal/controller/peers"
+	"github.com/rosemarywall/rosemarywall/internal/controller/steering"
 	"github.com/rosemarywall/rosemarywall/internal/controller/storesync"
 	"github.com/rosemarywall/rosemarywall/internal/core/placement"
 	"github.com/rosemarywall/rosemarywall/internal/core/shares"
@@ -57,6 +58,11 @@
 		if v.decode(from, body, &r) {
 			return v.peers.ServeMembers(r)
 		}
+	case peers.KindPositions:
+		var r steering.PositionsRequest
+		if v.decode(from, body, &r) {
+			return v.router.ServePositions(r)
+		}
 	case peers.KindTake:
 		var r limits.TakeRequest
 		if v.decode(from, body, &r) {
@@ -95,7 +101,11 @@
 	if r.Mode == execution.Begin {
 		v.remote.add(from.ConnectionID, r.TransactionID, r.Target)
 	}
+	sentAt := v.clock.Now()
 	result := v.local.Execute(ctx, r)
+	if result.LeadershipVerified {
+		v.router.RecordPosition(r.Target.Group, sentAt, result.Position)
+	}
 	v.logFailedExecution(from.VM, r, result)
 	if v.follower.Snapshot().IsPrimary(r.Target.Group, r.Target.Upstream) {
 		// In a large fleet the executing VMs detect the failure of a primary first.
--- a/internal/service/remote.go
+++ b/internal/service/remote.go
@@ -5,6 +5,7 @@
 	"sync"
 
 	"github.com/rosemarywall/rosemarywall/internal/controller/peers"
+	"github.com/rosemarywall/rosemarywall/internal/controller/steering"
 	"github.com/rosemarywall/rosemarywall/internal/controller/storesync"
 	"github.com/rosemarywall/rosemarywall/internal/core/placement"
 	"github.com/rosemarywall/rosemarywall/internal/execution"
@@ -34,6 +35,13 @@
 	return view, err
 }
 
+// requestPositions requests positions that primaries have reported to a VM.
+func (v *VM) requestPositions(ctx context.Context, vm ident.VMName, request steering.PositionsRequest) (steering.PositionsResponse, error) {
+	var response steering.PositionsResponse
+	err := v.peers.Call(ctx, vm, peers.KindPositions, request, &response)
+	return response, err
+}
+
 // remoteTransactions tracks the open transactions that other VMs have begun on this one,
 // so that they can be rolled back when the connection closes.
 type remoteTransactions struct {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -124,6 +124,7 @@
 	v.goRun(ctx, "limits", v.limits.Run)
 	v.goRun(ctx, "connection limits", v.applyConnectionLimits)
 	v.goRun(ctx, "takeover", v.takeover.Run)
+	v.goRun(ctx, "positions", v.router.FollowPositions)
 	log.Info().Str("callers", settings.Callers).Str("relay", v.self.Address).Str("metrics", adapter.MetricsAddress).
 		Str("zone", string(settings.Zone)).Uint64("incarnation", uint64(v.self.Incarnation)).Str("build", version.Version).Msg("started")
 	return v, nil
@@ -161,6 +162,7 @@
 			v.takeover.ObservePrimary(t, writes, result)
 		},
 		OnReplicaResult: func(t execution.Target, result execution.Result) { v.takeover.ObserveReplica(t, result) },
+		Relay:           v.storeRelayVM, RequestPositions: v.requestPositions, Log: v.log,
 	})
 	v.takeover = takeover.New(takeover.Config{
 		Self: s.VM, Zone: s.Zone, Store: v.adapter.Store, Promoter: v.adapter.Promoter, Dial: v.adapter.Dial,
