A released connection goes to the next statement of its organisation

Cause: on a saturated upstream the fair queue gave each released connection to another organisation, in strict turns.

Change: ReleaseFor in internal/core/queue starts a waiting statement of the same organisation in advance of its turns, at most four, and passes the organisation over as often afterwards.

--- a/internal/core/queue/queue.go
+++ b/internal/core/queue/queue.go
@@ -36,12 +36,18 @@
 	running int
 	waiting map[ID]*item
 	flows   map[ident.OrganisationName]*flow
+	// preferred is the organisation that ReleaseFor has named since the last Dispatch.
+	preferred ident.OrganisationName
 	// ring lists the flows with waiting entries in round-robin order. The first is
 	// served next.
 	ring      []*flow
 	deadlines deadlineHeap
 }
 
+// maxAdvance is the number of requests that an organisation may start in advance of its
+// turns. While it does, the others wait; with it a new connection serves several requests.
+const maxAdvance = 4
+
 // item is a queued entry.
 type item struct {
 	Entry
@@ -54,6 +60,7 @@
 	organisation ident.OrganisationName
 	weight       int
 	deficit      int
+	advance      int // requests started in advance
 	items        []*item
 	waiting      int
 }
@@ -116,6 +123,13 @@
 // Release frees the slot of an entry that has finished.
 func (q *Queue) Release() { q.running-- }
 
+// ReleaseFor is Release for a slot that a request of an organisation can use at less cost
+// than others.
+func (q *Queue) ReleaseFor(organisation ident.OrganisationName) {
+	q.running--
+	q.preferred = organisation
+}
+
 // NextDeadline returns the earliest deadline of the waiting entries, or false if none
 // waits.
 func (q *Queue) NextDeadline() (time.Duration, bool) {
@@ -134,7 +148,10 @@
 		d.Expired = append(d.Expired, it.ID)
 	}
 	for q.running < q.slots && len(q.waiting) > 0 {
-		it := q.next()
+		it := q.nextPreferred()
+		if it == nil {
+			it = q.next()
+		}
 		heap.Remove(&q.deadlines, it.index)
 		q.remove(it)
 		q.running++
@@ -143,24 +160,51 @@
 	return d
 }
 
+// nextPreferred returns the first entry of the preferred organisation, or nil if none is
+// waiting or the organisation has used its advance.
+func (q *Queue) nextPreferred() *item {
+	f := q.flows[q.preferred]
+	q.preferred = ""
+	if f == nil || f.advance >= maxAdvance {
+		return nil
+	}
+	f.advance++
+	return q.first(f)
+}
+
+// first returns the first waiting entry of a flow that has one.
+func (q *Queue) first(f *flow) *item {
+	for q.waiting[f.items[0].ID] == nil {
+		f.items = f.items[1:]
+	}
+	return f.items[0]
+}
+
 // next returns the entry to start next. At least one must be waiting.
 func (q *Queue) next() *item {
+	for q.ring[0].advance > 0 && len(q.ring) > 1 {
+		q.ring[0].advance--
+		q.rotate()
+	}
 	f := q.ring[0]
 	if f.deficit == 0 {
 		f.deficit = f.weight
 	}
 	f.deficit--
-	for q.waiting[f.items[0].ID] == nil {
-		f.items = f.items[1:]
-	}
-	it := f.items[0]
+	it := q.first(f)
 	if f.deficit == 0 && len(q.ring) > 1 {
-		copy(q.ring, q.ring[1:])
-		q.ring[len(q.ring)-1] = f
+		q.rotate()
 	}
 	return it
 }
 
+// rotate moves the first flow of the ring to its end.
+func (q *Queue) rotate() {
+	f := q.ring[0]
+	copy(q.ring, q.ring[1:])
+	q.ring[len(q.ring)-1] = f
+}
+
 // remove removes an item from all structures except the deadline heap.
 func (q *Queue) remove(it *item) {
 	delete(q.waiting, it.ID)
--- a/internal/execution/pool.go
+++ b/internal/execution/pool.go
@@ -175,14 +175,23 @@
 
 // release returns a connection to the pool, or closes it if it is not reusable.
 func (p *pool) release(c *pooledConn, reusable bool) {
-	p.mu.Lock()
-	if reusable && !p.draining && p.open <= p.limit && c.conn.Alive() {
-		p.idle = append(p.idle, c)
+	if p.keep(c, reusable) {
+		p.queue.ReleaseFor(c.organisation)
 	} else {
+		p.queue.Release()
+	}
+}
+
+// keep adds a connection to the idle ones and reports whether it did.
+func (p *pool) keep(c *pooledConn, reusable bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !reusable || p.draining || p.open > p.limit || !c.conn.Alive() {
 		p.closeConn(c)
+		return false
 	}
-	p.mu.Unlock()
-	p.queue.Release()
+	p.idle = append(p.idle, c)
+	return true
 }
 
 // drain closes the idle connections now and the others when they are released.
--- a/internal/fairqueue/fairqueue.go
+++ b/internal/fairqueue/fairqueue.go
@@ -79,10 +79,18 @@
 }
 
 // Release returns a slot.
-func (q *Queue) Release() {
+func (q *Queue) Release() { q.release(q.core.Release) }
+
+// ReleaseFor returns a slot that a request of the organisation can use at less cost than
+// others; see internal/core/queue.
+func (q *Queue) ReleaseFor(organisation ident.OrganisationName) {
+	q.release(func() { q.core.ReleaseFor(organisation) })
+}
+
+func (q *Queue) release(release func()) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.core.Release()
+	release()
 	if q.core.Waiting() > 0 {
 		q.dispatch(q.now())
 	}
