A request counts as rejected only if its handler says so

TestUnansweredRequestReturnsErrNoResponse: a nil response stood for Rejected (not handled), so a handler that ended because the server closed could tell its caller that nothing had been done. In the product only undecodable requests gave nil, but the next handler could.

Change: handlers return Rejected, and nil stands for Failed (may have been handled in part).

--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -28,7 +28,7 @@
 func (e *echoHandler) Handle(ctx context.Context, from Peer, kind Kind, body cbor.RawMessage) any {
 	var text string
 	if Decode(body, &text) != nil {
-		return nil
+		return Rejected
 	}
 	switch kind {
 	case kindEcho:
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -37,8 +37,9 @@
 
 // Handler handles the requests of other VMs.
 type Handler interface {
-	// Handle returns the response to a request. A nil response stands for Rejected. It is
-	// called on a new goroutine and may block. If it panics, the response is Failed.
+	// Handle returns the response to a request, or Rejected for one that it did not handle.
+	// It is called on a new goroutine and may block. If it returns nil or panics, the
+	// response is Failed.
 	Handle(ctx context.Context, from Peer, kind Kind, body cbor.RawMessage) any
 	// Closed is called when a connection has closed.
 	Closed(from Peer)
@@ -112,12 +113,9 @@
 
 // handle returns the response to a request: a body or a Failure.
 func (s *Server) handle(ctx context.Context, from Peer, f frame) (body any) {
-	if recovery.Run(s.log, "peer request", func() { body = s.handler.Handle(ctx, from, f.Kind, f.Body) }) {
+	if recovery.Run(s.log, "peer request", func() { body = s.handler.Handle(ctx, from, f.Kind, f.Body) }) || body == nil {
 		return Failed
 	}
-	if body == nil {
-		return Rejected
-	}
 	return body
 }
 
--- a/internal/service/handler.go
+++ b/internal/service/handler.go
@@ -18,8 +18,8 @@
 	"github.com/rosemarywall/rosemarywall/internal/relay"
 )
 
-// Handle implements relay.Handler. It returns nil for a body that cannot be decoded and
-// for an unknown kind.
+// Handle implements relay.Handler. It rejects a body that cannot be decoded and an unknown
+// kind.
 func (v *VM) Handle(ctx context.Context, from relay.Peer, kind relay.Kind, body cbor.RawMessage) any {
 	switch kind {
 	case peers.KindProbe:
@@ -74,7 +74,7 @@
 			return v.limits.HandleBorrow(from.Identity, r)
 		}
 	}
-	return nil
+	return relay.Rejected
 }
 
 func (v *VM) decode(from relay.Peer, body cbor.RawMessage, into any) bool {
