--- a/internal/core/queue/load_test.go
+++ b/internal/core/queue/load_test.go
@@ -209,3 +209,18 @@
 		})
 	}
 }
+
+// Guards against an organisation that floods a saturated upstream and keeps its connections
+// at the cost of the others: these are served no less than in strict turns, and at least
+// nine tenths of what they ask for.
+func TestFloodOnKeptConnectionsLeavesOthersTheirShare(t *testing.T) {
+	strictTurns := func(q *Queue, _ ident.OrganisationName) { q.Release() }
+	l := upstreamLoad{slots: 3, connections: 6, weights: []float64{30, 1, 1, 1, 1}, perSecond: 300, work: 24 * time.Millisecond,
+		dial: 12 * time.Millisecond, patience: 200 * time.Millisecond, length: 40 * time.Second}
+	for seed := range uint64(3) {
+		before, after := l.play(seed, strictTurns), l.play(seed, (*Queue).ReleaseFor)
+		t.Logf("others %.3f -> %.3f, all %.3f -> %.3f", lowest(before.organisation[1:]), lowest(after.organisation[1:]), before.served, after.served)
+		assert.Assert(t, lowest(after.organisation[1:]) >= 0.9)
+		assert.Assert(t, after.served > before.served)
+	}
+}
