Revert: repeat only the calls for the configuration during an outage

While other VMs relay fresh proofs, a VM does not read the configuration, so that after it made no call for up to 5 s. The time of the last failure, from which registrations count as incomplete, then lay more than 2.5 s back during an outage: a takeover could have taken replicas whose registrations had expired for gone.

Change: is taken back with its test. TestRegistrationsStayIncompleteDuringOutage passes now and fails with it.

--- a/internal/controller/storesync/follower.go
+++ b/internal/controller/storesync/follower.go
@@ -86,9 +86,6 @@
 	minRetryDelay        = 150 * time.Millisecond
 	maxRetryDelay        = time.Second
 	maxRelayedRetryDelay = 3 * time.Second
-	// listRetryInterval is the longest time between lists of a kind while the store does not
-	// respond.
-	listRetryInterval = 5 * time.Second
 	// pollResolution is the interval at which the need to poll is checked.
 	pollResolution = 50 * time.Millisecond
 	// relayPendingResolution is the interval at which RelayPending is called. All VMs may
--- a/internal/controller/storesync/follower_test.go
+++ b/internal/controller/storesync/follower_test.go
@@ -237,6 +237,27 @@
 	})
 }
 
+// Guards against registrations that count as complete while the store does not respond, and
+// so against a takeover without the replicas whose registrations expire meanwhile. Other
+// VMs relay fresh proofs of the configuration, so that this VM does not read it itself.
+func TestRegistrationsStayIncompleteDuringOutage(t *testing.T) {
+	run(t, func(f *testFollower, store *fakeStore) {
+		time.Sleep(firstRelistInterval)
+		assert.Assert(t, f.RegistrationsComplete())
+		store.change(func() { store.fail = resultcode.New(resultcode.PlatformDown, "down") })
+		noticed := false
+		for range 80 {
+			time.Sleep(200 * time.Millisecond)
+			f.ObserveProof(f.elapsed(), "vm-2", true, 1, 0)
+			complete := f.RegistrationsComplete()
+			assert.Assert(t, !complete || !noticed, "registrations count as complete")
+			noticed = noticed || !complete
+		}
+		assert.Assert(t, noticed)
+		assert.Assert(t, f.Fresh())
+	})
+}
+
 // Guards against a draining upstream or an evacuated zone that continues to receive work,
 // and against an evacuation that never ends.
 func TestDrainingAndEvacuation(t *testing.T) {
--- a/internal/controller/storesync/lists.go
+++ b/internal/controller/storesync/lists.go
@@ -22,7 +22,6 @@
 		version, err := f.list(ctx, kind, replace)
 		if err != nil {
 			clock.Sleep(ctx, retry)
-			f.awaitStore(ctx, kind)
 			retry = f.nextRetryDelay(retry)
 			continue
 		}
@@ -31,30 +30,6 @@
 	}
 }
 
-// awaitStore waits while the store does not respond and there is no relay, at most for
-// listRetryInterval. Of the calls that would fail, only those for the configuration are
-// repeated sooner; one that succeeds ends the wait.
-func (f *Follower) awaitStore(ctx context.Context, kind objectapi.Kind) {
-	timer := time.NewTimer(listRetryInterval)
-	defer timer.Stop()
-	for {
-		_, relayed := f.activeRelay()
-		f.mu.Lock()
-		available, changed := f.storeAvailable, f.views[kind].changed
-		f.mu.Unlock()
-		if available || relayed {
-			return
-		}
-		select {
-		case <-changed:
-		case <-timer.C:
-			return
-		case <-ctx.Done():
-			return
-		}
-	}
-}
-
 // list reads all objects of a kind from the store and returns their version.
 func (f *Follower) list(ctx context.Context, kind objectapi.Kind, replace func([]objectapi.Object)) (objectapi.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
--- a/internal/controller/storesync/view_test.go
+++ b/internal/controller/storesync/view_test.go
@@ -262,26 +262,3 @@
 		wg.Wait()
 	})
 }
-
-// Guards against calls of every kind that a VM repeats while the store does not respond to
-// it, and against registrations that are read late once it does.
-func TestOneKindOfCallIsRepeatedDuringOutage(t *testing.T) {
-	run(t, func(f *testFollower, store *fakeStore) {
-		store.change(func() {
-			store.fail = resultcode.New(resultcode.PlatformDown, "down")
-			store.upstream["u1"] = drainingUpstream("u1", 7)
-		})
-		time.Sleep(2 * time.Second) // the loss is noticed
-		_, before := store.calls()
-		time.Sleep(10 * time.Second)
-		gets, lists := store.calls()
-		kinds := 2
-		assert.Assert(t, lists-before <= kinds*int(10*time.Second/listRetryInterval+1), "%d lists in 10 s", lists-before)
-		store.change(func() { store.fail = nil })
-		time.Sleep(maxRetryDelay + pollResolution)
-		after, _ := store.calls()
-		assert.Assert(t, after > gets, "the configuration is read at least every %v", maxRetryDelay)
-		_, leaving := f.Snapshot().Leaving["u1"]
-		assert.Assert(t, leaving)
-	})
-}
