--- a/Makefile
+++ b/Makefile
@@ -30,5 +30,11 @@
 		if go test -race -run "^$$name$$" "$$package" >/dev/null 2>&1; then echo "known red: $$name passed this time"; \
 		else echo "known red: $$name did not pass"; fi; done
 
+# Plays the quick score of each site file with the users' bench and prints one table a site:
+# make scores FLEETBENCH=PROGRAM SITES="FILE..." WHY=TEXT
+.PHONY: scores
+scores:
+	@for site in $(SITES); do $(FLEETBENCH) score $$site --quick --jobs 3 --why "$(WHY)" | grep -E '^(score|day |quiet|trouble|scale|GATE)' || exit 1; done
+
 bench:
 	go test -run '^$$' -bench . -benchmem ./...
--- a/internal/controller/peers/doc.go
+++ b/internal/controller/peers/doc.go
@@ -6,7 +6,8 @@
 // that the work of a probe round grows with the number of VMs and not with its square. A
 // VM that is not probed is neither alive nor dead.
 //
-// A hub is alive while it responds to probes in time. A failed probe closes the
-// connection, so that requests to an unresponsive VM fail early. A VM that is shutting
+// A hub is alive while it responds to probes in time. One that leaves a request without a
+// response is suspect until it responds or a probe decides; see silence.go. A failed probe
+// closes the connection, so that requests to an unresponsive VM fail early. A VM that is shutting
 // down reports so in its responses and is no longer used.
 package peers
--- a/internal/controller/storesync/view_test.go
+++ b/internal/controller/storesync/view_test.go
@@ -174,6 +174,32 @@
 	}
 }
 
+// Guards against a withdrawn key or an upstream that has left being used again by a VM that
+// restarts: its relay has been without the store and still has the former configuration.
+func TestStartingVMDoesNotTrustOldRelay(t *testing.T) {
+	runStarting(t, func(first, second *testFollower, _ func()) {
+		ctx, cancel := context.WithCancel(context.Background())
+		var wg sync.WaitGroup
+		first.store.upstream["u1"] = catalog.Upstream{Name: "u1", Group: "g1", Revision: 7}
+		wg.Go(func() { first.Run(ctx) })
+		time.Sleep(time.Second)
+		first.store.change(func() { first.store.fail = resultcode.New(resultcode.PlatformDown, "down") })
+		time.Sleep(first.times.Revoke)
+		assert.Assert(t, !first.Fresh())
+		second.store.change(func() { second.store.fail = resultcode.New(resultcode.PlatformDown, "down") })
+		wg.Go(func() { second.Run(ctx) })
+		time.Sleep(viewLoadWait + pollResolution)
+		ready, _ := second.Ready()
+		assert.Assert(t, !ready && !second.Fresh(), "the relayed configuration is older than a key may be used")
+		second.store.change(func() { second.store.fail, second.store.version = nil, 2 })
+		time.Sleep(maxRelayedRetryDelay + pollResolution)
+		assert.Equal(t, second.Snapshot().Catalog.Version, ident.ConfigurationVersion(2))
+		assert.Equal(t, len(second.Snapshot().Upstreams["g1"]), 0)
+		cancel()
+		wg.Wait()
+	})
+}
+
 // Guards against a VM that waits for a relay that cannot read the store.
 func TestStartingVMReadsStoreIfRelayCannot(t *testing.T) {
 	runStarting(t, func(first, second *testFollower, start func()) {
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -57,6 +57,8 @@
 		return h.next.Serve(ctx, r)
 	}
 	delay := minRetryDelay
+	// failed is the last failure of an upstream.
+	var failed *filter.RetryableError
 	for serializations := 0; ; {
 		if err := h.selectTarget(ctx, r); err != nil {
 			return rejection(ctx, r, err)
@@ -65,10 +67,18 @@
 		if err == nil {
 			return nil
 		}
+		if failed != nil && resultcode.Is(err, resultcode.QueueDeadline) {
+			// The deadline fell into the wait of a repeated attempt. That the upstreams fail is
+			// what the client has to know.
+			return rejection(ctx, r, failed)
+		}
 		var retry *filter.RetryableError
 		if !errors.As(err, &retry) {
 			return err
 		}
+		if retry.Reason != filter.ReasonSerialization {
+			failed = retry
+		}
 		h.cfg.Counters.Retries.Add(1)
 		if retry.Reason == filter.ReasonReadOnly && !r.Write {
 			r.Write = true
