--- a/internal/controller/storesync/follower.go
+++ b/internal/controller/storesync/follower.go
@@ -118,6 +118,16 @@
 	return slices.ContainsFunc(s.Upstreams[group], func(u catalog.Upstream) bool { return u.Name == name && u.Primary })
 }
 
+// ZoneOf returns the availability zone of an upstream. The result is false if the upstream
+// is not registered.
+func (s *Snapshot) ZoneOf(group ident.GroupName, name ident.UpstreamName) (ident.AvailabilityZone, bool) {
+	i := slices.IndexFunc(s.Upstreams[group], func(u catalog.Upstream) bool { return u.Name == name })
+	if i < 0 {
+		return "", false
+	}
+	return s.Upstreams[group][i].Zone, true
+}
+
 // Follower maintains a Snapshot of the store's contents. It is safe for concurrent use.
 type Follower struct {
 	source Source
--- a/internal/controller/storesync/lists.go
+++ b/internal/controller/storesync/lists.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/rs/zerolog"
 	"golang.org/x/time/rate"
 
 	"github.com/rosemarywall/rosemarywall/internal/clock"
@@ -13,9 +14,25 @@
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
+// Sources of a change in the log; a change that was read from another VM has its name.
+const (
+	sourceList  = "list"
+	sourceWatch = "watch"
+)
+
+// origin tells where a list or a change was read, and the store version of the response.
+type origin struct {
+	source  string
+	version objectapi.Version
+}
+
+func (o origin) addTo(line *zerolog.Event) *zerolog.Event {
+	return line.Str("source", o.source).Uint64("view_version", uint64(o.version))
+}
+
 // followKind follows the objects of a kind through the relay, or else lists and watches
 // them at the store.
-func (f *Follower) followKind(ctx context.Context, kind objectapi.Kind, replace func([]objectapi.Object), change func(objectapi.Changes)) {
+func (f *Follower) followKind(ctx context.Context, kind objectapi.Kind, replace func([]objectapi.Object, origin), change func(objectapi.Changes)) {
 	retry := minRetryDelay
 	for ctx.Err() == nil {
 		f.followRelay(ctx, kind, replace)
@@ -31,7 +48,7 @@
 }
 
 // list reads all objects of a kind from the store and returns their version.
-func (f *Follower) list(ctx context.Context, kind objectapi.Kind, replace func([]objectapi.Object)) (objectapi.Version, error) {
+func (f *Follower) list(ctx context.Context, kind objectapi.Kind, replace func([]objectapi.Object, origin)) (objectapi.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	all, err := f.source.Store.List(ctx, kind)
@@ -41,18 +58,18 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.applyList(kind, all.Objects, replace)
+	f.applyList(kind, all.Objects, origin{source: sourceList, version: all.Version}, replace)
 	f.views[kind].replace(all.Objects, all.Version)
 	return all.Version, nil
 }
 
 // applyList applies a full list of the objects of a kind; f.mu must be held.
-func (f *Follower) applyList(kind objectapi.Kind, objects []objectapi.Object, replace func([]objectapi.Object)) {
+func (f *Follower) applyList(kind objectapi.Kind, objects []objectapi.Object, from origin, replace func([]objectapi.Object, origin)) {
 	if kind == f.source.UpstreamsKind && !f.loaded[kind] {
 		f.firstListedAt = f.now()
 	}
 	f.loaded[kind] = true
-	replace(objects)
+	replace(objects, from)
 	f.publish()
 }
 
@@ -131,7 +148,7 @@
 }
 
 // replaceUpstreams applies a full list of the upstreams; f.mu must be held.
-func (f *Follower) replaceUpstreams(objects []objectapi.Object) {
+func (f *Follower) replaceUpstreams(objects []objectapi.Object, _ origin) {
 	listed := map[string]bool{}
 	for _, o := range objects {
 		listed[o.Name] = true
@@ -225,34 +242,35 @@
 }
 
 // replaceEvacuations applies a full list of the evacuations; f.mu must be held.
-func (f *Follower) replaceEvacuations(objects []objectapi.Object) {
+func (f *Follower) replaceEvacuations(objects []objectapi.Object, from origin) {
 	listed := map[ident.AvailabilityZone]bool{}
 	for _, o := range objects {
 		listed[ident.AvailabilityZone(o.Name)] = true
-		f.startEvacuation(o.Name)
+		f.startEvacuation(o, from)
 	}
 	for zone := range f.evacuated {
 		if !listed[zone] {
-			f.endEvacuation(zone)
+			f.endEvacuation(zone, from)
 		}
 	}
 }
 
 // changeEvacuations applies the events of a watch; f.mu must be held.
 func (f *Follower) changeEvacuations(changes objectapi.Changes) {
+	from := origin{source: sourceWatch, version: changes.Version}
 	for _, o := range changes.Objects {
-		f.startEvacuation(o.Name)
+		f.startEvacuation(o, from)
 	}
 	for _, o := range changes.Deleted {
-		f.endEvacuation(ident.AvailabilityZone(o.Name))
+		f.endEvacuation(ident.AvailabilityZone(o.Name), from)
 	}
 }
 
-func (f *Follower) startEvacuation(name string) {
-	zone := ident.AvailabilityZone(name)
+func (f *Follower) startEvacuation(o objectapi.Object, from origin) {
+	zone := ident.AvailabilityZone(o.Name)
 	if _, already := f.evacuated[zone]; !already {
 		f.evacuated[zone] = f.now()
-		f.log.Info().Str("zone", name).Msg("zone evacuation started")
+		from.addTo(f.log.Info()).Str("zone", o.Name).Uint64("revision", uint64(o.Version)).Msg("zone evacuation started")
 	}
 }
 
@@ -266,12 +284,12 @@
 
 // endEvacuation ends an evacuation and begins the slow start of the zone's upstreams,
 // since they may respond slowly again after the evacuation; f.mu must be held.
-func (f *Follower) endEvacuation(zone ident.AvailabilityZone) {
+func (f *Follower) endEvacuation(zone ident.AvailabilityZone, from origin) {
 	delete(f.evacuated, zone)
 	for _, u := range f.upstreams {
 		if u.Zone == zone && f.catalog != nil {
 			f.extendSlowStart(u.Name, f.catalog.Groups[u.Group].SlowStartDuration)
 		}
 	}
-	f.log.Info().Str("zone", string(zone)).Msg("zone evacuation ended")
+	from.addTo(f.log.Info()).Str("zone", string(zone)).Msg("zone evacuation ended")
 }
--- a/internal/controller/storesync/view.go
+++ b/internal/controller/storesync/view.go
@@ -199,7 +199,7 @@
 
 // followRelay follows a kind through the relay until a request fails, the relay changes or
 // a full list is requested.
-func (f *Follower) followRelay(ctx context.Context, kind objectapi.Kind, replace func([]objectapi.Object)) {
+func (f *Follower) followRelay(ctx context.Context, kind objectapi.Kind, replace func([]objectapi.Object, origin)) {
 	from, ok := f.activeRelay()
 	relist, cancel := f.relistContext(ctx, kind)
 	defer cancel()
@@ -212,7 +212,7 @@
 			return
 		}
 		if !view.Unchanged {
-			f.applyView(kind, view, replace)
+			f.applyView(kind, view, origin{source: string(from), version: view.Version}, replace)
 			version = view.Version
 		}
 		var current ident.VMName
@@ -231,10 +231,10 @@
 	return view, err
 }
 
-func (f *Follower) applyView(kind objectapi.Kind, view ViewResponse, replace func([]objectapi.Object)) {
+func (f *Follower) applyView(kind objectapi.Kind, view ViewResponse, from origin, replace func([]objectapi.Object, origin)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.applyList(kind, view.Objects, replace)
+	f.applyList(kind, view.Objects, from, replace)
 	f.views[kind].relayed = true
 	f.views[kind].notifyWaiters()
 }
--- a/internal/servicemetrics/metrics.go
+++ b/internal/servicemetrics/metrics.go
@@ -23,6 +23,7 @@
 	upstreamStatements *prometheus.CounterVec
 	platformCalls      *prometheus.CounterVec
 	upstreamConnects   *prometheus.CounterVec
+	evacuatedZone      *prometheus.CounterVec
 }
 
 // GaugeSources holds the functions that return the values of the gauges.
@@ -52,8 +53,13 @@
 			Help: "Calls of the platform by operation."}, []string{"operation"}),
 		upstreamConnects: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "rosemarywall_upstream_connects_total",
 			Help: "Connections opened to upstreams, by result."}, []string{"result"}),
+		evacuatedZone: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "rosemarywall_evacuated_zone_requests_total",
+			Help: "Requests sent to upstreams in evacuated zones, of clients or of the VM itself."}, []string{"origin"}),
 	}
-	m.registry.MustRegister(m.statements, m.latency, m.attempts, m.upstreamStatements, m.platformCalls, m.upstreamConnects)
+	for _, origin := range []string{originClient, originVM} {
+		m.evacuatedZone.WithLabelValues(origin)
+	}
+	m.registry.MustRegister(m.statements, m.latency, m.attempts, m.upstreamStatements, m.platformCalls, m.upstreamConnects, m.evacuatedZone)
 	return m
 }
 
@@ -111,6 +117,22 @@
 	m.platformCalls.WithLabelValues(operation).Inc()
 }
 
+// Values of the label origin.
+const (
+	originClient = "client"
+	originVM     = "vm"
+)
+
+// CountEvacuatedZoneRequest counts a request of a client or of the VM itself that was sent
+// to an upstream in an evacuated zone.
+func (m *Metrics) CountEvacuatedZoneRequest(ofClient bool) {
+	origin := originVM
+	if ofClient {
+		origin = originClient
+	}
+	m.evacuatedZone.WithLabelValues(origin).Inc()
+}
+
 // CountUpstreamConnect counts an attempt to open a connection to an upstream.
 func (m *Metrics) CountUpstreamConnect(err error) {
 	result := "opened"
