Date the use of an evacuated zone by the last proof that it was not evacuated

Callers' requests could reach a zone after the bound of its evacuation. A VM went on using the zone as a last resort for a quarter of the bound from the moment at which it learned of the evacuation.

The acknowledgement is not earlier than the latest read of the store that did not hold the evacuation. The zone is now usable until three quarters of the bound have passed since that read, and not at all without one (internal/core/withdrawal). Probes carry the proof of a view with its digest, dated by the sending of the request, so that all VMs have one. A view that differs counts only if its proof is newer; stale VMs that agreed with each other hid the difference before. A VM whose lists fail repeats them as soon as another VM shows a newer view. The first hub lists every 2 s instead of 4 s.

--- a/internal/controller/peers/peers.go
+++ b/internal/controller/peers/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarywall/rosemarywall/internal/controller/storesync"
 	"github.com/rosemarywall/rosemarywall/internal/core/placement"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
@@ -57,8 +58,8 @@
 	// ShareTableAge the time since it was read.
 	ShareTableVersion uint64        `cbor:"6,keyasint,omitempty"`
 	ShareTableAge     time.Duration `cbor:"8,keyasint,omitempty"`
-	// Digest identifies the upstream registrations and zone evacuations known to the VM.
-	Digest uint64 `cbor:"7,keyasint,omitempty"`
+	// View describes the upstream registrations and zone evacuations known to the VM.
+	View storesync.ViewProof `cbor:"8,keyasint,omitempty"`
 }
 
 // Store stores the registrations of VMs.
--- a/internal/controller/peers/peers_test.go
+++ b/internal/controller/peers/peers_test.go
@@ -15,6 +15,7 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"github.com/rosemarywall/rosemarywall/internal/controller/storesync"
 	"github.com/rosemarywall/rosemarywall/internal/core/placement"
 	"github.com/rosemarywall/rosemarywall/internal/execution"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
@@ -31,7 +32,7 @@
 	assert.NilError(t, err)
 	response, err := cbor.Marshal(ProbeResponse{
 		Version: 100000, ProofAge: time.Second, Proved: true, Incarnation: math.MaxUint64,
-		ShareTableVersion: 100000, ShareTableAge: 5 * time.Second, Digest: math.MaxUint64,
+		ShareTableVersion: 100000, ShareTableAge: 5 * time.Second, View: storesync.ViewProof{Digest: math.MaxUint64, Proved: true, Age: 5 * time.Second},
 	})
 	assert.NilError(t, err)
 	// The relay's framing of both messages, and the headers and the mask of WebSocket.
--- a/internal/controller/steering/router.go
+++ b/internal/controller/steering/router.go
@@ -37,11 +37,10 @@
 	// positionValidity is how long a replica whose last known position is below the
 	// required one is expected to lag still.
 	positionValidity = 100 * time.Millisecond
-	// drainDivisor and evacuationDivisor limit how long a leaving upstream is still used
-	// as a last resort, as a fraction of DrainTimeout and EvacuationTimeout. The
-	// remainder covers the delay until this VM learns of the change.
-	drainDivisor      = 3
-	evacuationDivisor = 4
+	// drainDivisor limits how long a leaving upstream is still used as a last resort, as a
+	// fraction of DrainTimeout. The remainder covers the delay until this VM learns of the
+	// change.
+	drainDivisor = 3
 )
 
 // Config holds the dependencies and settings of a Router.
@@ -56,9 +55,8 @@
 	Local     execution.Executor
 	Remote    func(ident.VMName) execution.Executor
 	Now       func() time.Duration
-	// DrainTimeout and EvacuationTimeout are the times after which no statement may reach
-	// a leaving upstream, or an upstream in a zone that is being evacuated.
-	DrainTimeout, EvacuationTimeout time.Duration
+	// DrainTimeout is the time after which no statement may reach a leaving upstream.
+	DrainTimeout time.Duration
 	// OnPrimaryResult receives the results of statements that required a primary.
 	OnPrimaryResult func(target execution.Target, writes bool, result execution.Result)
 	// OnReplicaResult receives the results of all other statements.
@@ -189,9 +187,9 @@
 			return unusable
 		}
 	}
-	if at, ok := snapshot.Evacuated[u.Zone]; ok {
+	if w, ok := snapshot.Evacuated[u.Zone]; ok {
 		level = leaving
-		if now > at+r.cfg.EvacuationTimeout/evacuationDivisor {
+		if !w.Usable(now) {
 			return unusable
 		}
 	}
--- a/internal/controller/steering/router_test.go
+++ b/internal/controller/steering/router_test.go
@@ -10,6 +10,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/controller/storesync"
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/core/placement"
+	"github.com/rosemarywall/rosemarywall/internal/core/withdrawal"
 	"github.com/rosemarywall/rosemarywall/internal/execution"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/proxy"
@@ -28,7 +29,7 @@
 	f := &fixture{now: time.Minute}
 	f.snapshot = &storesync.Snapshot{
 		Catalog: &catalog.Catalog{}, Leaving: map[ident.UpstreamName]time.Duration{}, SlowStartUntil: map[ident.UpstreamName]time.Duration{},
-		Evacuated: map[ident.AvailabilityZone]time.Duration{}, Upstreams: catalog.Upstreams{},
+		Evacuated: map[ident.AvailabilityZone]withdrawal.Withdrawal{}, Upstreams: catalog.Upstreams{},
 	}
 	regions := map[ident.AvailabilityZone]ident.Region{}
 	for i, zone := range []ident.AvailabilityZone{"a", "b", "c"} {
@@ -43,7 +44,7 @@
 		Self: f.live[2], Regions: regions, Snapshot: func() *storesync.Snapshot { return f.snapshot }, Hubs: func() []placement.VM { return f.live },
 		FleetSize: func() int { return len(f.live) },
 		Local:     nil, Remote: func(ident.VMName) execution.Executor { return nil }, Now: func() time.Duration { return f.now },
-		DrainTimeout: 6 * time.Second, EvacuationTimeout: 4 * time.Second, OnPrimaryResult: func(execution.Target, bool, execution.Result) {},
+		DrainTimeout: 6 * time.Second, OnPrimaryResult: func(execution.Target, bool, execution.Result) {},
 		OnReplicaResult: func(execution.Target, execution.Result) {},
 	})
 	return f
@@ -123,7 +124,7 @@
 func TestLeavingUpstreamsAndHomeRegions(t *testing.T) {
 	f := newFixture()
 	f.observePrimary(1, 7)
-	f.snapshot.Evacuated["b"] = f.now
+	f.snapshot.Evacuated["b"] = withdrawal.Withdrawal{LearnedAt: f.now, UsableUntil: f.now + time.Second}
 	c, _ := f.Choose(newRequirement(catalog.BoundedStaleness, false))
 	assert.Equal(t, c.Target.Upstream, ident.UpstreamName("u-c"))
 	f.snapshot.Leaving["u-a"] = f.now
--- /dev/null
+++ b/internal/controller/storesync/evacuation_test.go
@@ -0,0 +1,77 @@
+package storesync
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+)
+
+// Guards against an evacuated zone that is used beyond the bound by a VM that learns of the
+// evacuation late: after an outage, or because its watch was lost without notice.
+func TestLateEvacuationIsNotUsedBeyondBound(t *testing.T) {
+	for name, outage := range map[string]bool{"outage": true, "lost watch": false} {
+		t.Run(name, func(t *testing.T) {
+			run(t, func(f *testFollower, store *fakeStore) {
+				if !outage {
+					f.rank.Store(1)
+					time.Sleep(firstRelistInterval) // the next list was scheduled at rank 0
+				}
+				acknowledged := f.elapsed()
+				store.change(func() {
+					store.zones = []string{"a"}
+					if outage {
+						store.fail = resultcode.New(resultcode.PlatformDown, "down")
+					}
+				})
+				time.Sleep(f.times.Evacuate - time.Second)
+				store.change(func() { store.fail = nil })
+				for f.elapsed() < acknowledged+30*time.Second {
+					if w, known := f.Snapshot().Evacuated["a"]; known {
+						assert.Assert(t, !w.Usable(acknowledged+f.times.Evacuate), "learned at %v, usable until %v", w.LearnedAt-acknowledged, w.UsableUntil-acknowledged)
+						return
+					}
+					time.Sleep(50 * time.Millisecond)
+				}
+				t.Fatal("the evacuation is not learned")
+			})
+		})
+	}
+}
+
+// Guards against clients that are refused although the evacuation is new: a view that other
+// VMs have proved recently leaves time to replace the primary.
+func TestRelayedProofOfViewLeavesTimeForReplacement(t *testing.T) {
+	run(t, func(f *testFollower, store *fakeStore) {
+		f.rank.Store(1)
+		time.Sleep(2 * firstRelistInterval)
+		f.ObserveView(f.elapsed(), ViewProof{Digest: f.ViewProof().Digest, Proved: true, Age: 300 * time.Millisecond})
+		acknowledged := f.elapsed()
+		store.change(func() { store.zones = []string{"a"} })
+		f.relist["zones"] <- struct{}{}
+		time.Sleep(10 * time.Millisecond)
+		w := f.Snapshot().Evacuated["a"]
+		assert.Assert(t, w.Usable(acknowledged+f.times.Evacuate/2))
+		assert.Assert(t, !w.Usable(acknowledged+f.times.Evacuate))
+	})
+}
+
+// Guards against a proof that a VM takes over from one that knows something else, and
+// against lists at the store because of a VM whose view is older.
+func TestOnlyNewerViewsCauseLists(t *testing.T) {
+	run(t, func(f *testFollower, store *fakeStore) {
+		f.rank.Store(1)
+		time.Sleep(2 * firstRelistInterval)
+		before := f.ViewProof().Age
+		_, lists := store.calls()
+		for range 4 {
+			f.ObserveView(f.elapsed(), ViewProof{Digest: 4711, Proved: true, Age: f.ViewProof().Age + time.Second})
+			time.Sleep(digestMismatchLimit)
+		}
+		_, after := store.calls()
+		assert.Equal(t, after, lists)
+		assert.Assert(t, f.ViewProof().Age >= before+4*digestMismatchLimit, "a different view is no proof")
+	})
+}
--- a/internal/controller/storesync/follower.go
+++ b/internal/controller/storesync/follower.go
@@ -14,6 +14,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
+	"github.com/rosemarywall/rosemarywall/internal/core/withdrawal"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/recovery"
@@ -44,6 +45,8 @@
 	Apply time.Duration
 	// Revoke is the time after which a revoked key must be rejected.
 	Revoke time.Duration
+	// Evacuate is the time after which nothing may reach an evacuated zone.
+	Evacuate time.Duration
 	// Reregister is the time after an outage of the store within which live upstreams
 	// register again.
 	Reregister time.Duration
@@ -74,12 +77,16 @@
 	watchBurst    = 5
 	// firstRelistInterval and otherRelistInterval are the intervals between full lists in
 	// addition to the watch, for the first VM and for the others. They are needed because
-	// the store may lose a watch without notice. The others detect this earlier by the
-	// digest of the first VM.
-	firstRelistInterval = 4 * time.Second
+	// the store may lose a watch without notice. Each list also proves that nothing else is
+	// withdrawn, and the digest of the first VM passes this on to the others.
+	firstRelistInterval = 2 * time.Second
 	otherRelistInterval = 20 * time.Second
-	// digestMismatchLimit is the time for which another VM's digest must differ before
-	// this VM lists all objects again. Changes reach all watches within a fraction of it.
+	// relayBypassTime is the time for which a VM reads the store itself after its relay has
+	// failed.
+	relayBypassTime = 4 * time.Second
+	// digestMismatchLimit is the time for which the digest of a VM with a newer proof must
+	// differ before this VM lists all objects again. Changes reach all watches within a
+	// fraction of it.
 	digestMismatchLimit = 700 * time.Millisecond
 	// minRetryDelay and maxRetryDelay bound the delay after a failed call. The upper bound
 	// for a VM that has a relay is maxRelayedRetryDelay.
@@ -106,9 +113,8 @@
 	// SlowStartUntil holds the end of the slow start of upstreams that have started, or
 	// whose zone evacuation has ended, recently.
 	SlowStartUntil map[ident.UpstreamName]time.Duration
-	// Evacuated holds the evacuated zones with the time at which this VM learned of the
-	// evacuation.
-	Evacuated map[ident.AvailabilityZone]time.Duration
+	// Evacuated holds the evacuated zones.
+	Evacuated map[ident.AvailabilityZone]withdrawal.Withdrawal
 
 	digest uint64
 }
@@ -152,9 +158,12 @@
 	upstreams      map[string]catalog.Upstream
 	deregistered   map[string]time.Duration // removal times of upstream registrations
 	leaving        map[ident.UpstreamName]time.Duration
-	evacuated      map[ident.AvailabilityZone]time.Duration
+	evacuated      map[ident.AvailabilityZone]withdrawal.Withdrawal
 	slowStartUntil map[ident.UpstreamName]time.Duration
 	loaded         map[objectapi.Kind]bool
+	// viewProvedAt holds the sending time of the latest read of the store that has proved
+	// the view of a kind current. Relayed proofs count with their age.
+	viewProvedAt map[objectapi.Kind]time.Duration
 	// views are the views served to other VMs; see view.go.
 	views map[objectapi.Kind]*kindView
 	// readNewerAt is the time at which to read a newer configuration that another VM has
@@ -166,7 +175,8 @@
 	bypassRelayUntil time.Duration
 	firstListedAt    time.Duration // time of the first list of the upstreams
 	lastFailureAt    time.Duration // time of the last failed store call
-	mismatchSince    time.Duration // start of a digest mismatch; zero while digests agree
+	mismatchSince    time.Duration // start of a digest mismatch; zero without one
+	mismatchProof    time.Duration // time of the proof of the digest that differed
 	storeAvailable   bool
 }
 
@@ -197,9 +207,9 @@
 	f := &Follower{
 		source: o.Source, times: o.Times, now: o.Now, log: o.Log, rank: o.Rank,
 		configWake: make(chan struct{}, 1), upstreams: map[string]catalog.Upstream{}, deregistered: map[string]time.Duration{},
-		leaving: map[ident.UpstreamName]time.Duration{}, evacuated: map[ident.AvailabilityZone]time.Duration{},
+		leaving: map[ident.UpstreamName]time.Duration{}, evacuated: map[ident.AvailabilityZone]withdrawal.Withdrawal{},
 		slowStartUntil: map[ident.UpstreamName]time.Duration{},
-		loaded:         map[objectapi.Kind]bool{}, storeAvailable: true, relay: o.Relay, relayPending: o.RelayPending, requestView: o.RequestView,
+		loaded:         map[objectapi.Kind]bool{}, viewProvedAt: map[objectapi.Kind]time.Duration{}, storeAvailable: true, relay: o.Relay, relayPending: o.RelayPending, requestView: o.RequestView,
 		views: map[objectapi.Kind]*kindView{
 			o.Source.ConfigKind: newKindView(), o.Source.UpstreamsKind: newKindView(), o.Source.EvacuationsKind: newKindView(),
 		},
@@ -278,9 +288,37 @@
 	return true, ""
 }
 
-// Digest returns a value that is equal on VMs that know the same registrations and zone
-// evacuations.
-func (f *Follower) Digest() uint64 { return f.state.Load().digest }
+// ViewProof describes a view of the registrations and the zone evacuations.
+type ViewProof struct {
+	// Digest is equal on VMs that know the same registrations and evacuations.
+	Digest uint64 `cbor:"1,keyasint,omitempty"`
+	// Proved is set if the view has been proved current, and Age is the time since then.
+	Proved bool          `cbor:"2,keyasint,omitempty"`
+	Age    time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
+// ViewProof returns the digest of this VM's view and the age of its proof.
+func (f *Follower) ViewProof() ViewProof {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	at, proved := f.provedView()
+	return ViewProof{Digest: f.state.Load().digest, Proved: proved, Age: f.now() - at}
+}
+
+// provedView returns the time at which the views of both kinds were last proved current;
+// f.mu must be held.
+func (f *Follower) provedView() (time.Duration, bool) {
+	upstreams, ok := f.viewProvedAt[f.source.UpstreamsKind]
+	evacuations, alsoOK := f.viewProvedAt[f.source.EvacuationsKind]
+	return min(upstreams, evacuations), ok && alsoOK
+}
+
+// proveView records that the view of a kind was current at a time; f.mu must be held.
+func (f *Follower) proveView(kind objectapi.Kind, at time.Duration) {
+	if known, ok := f.viewProvedAt[kind]; !ok || at > known {
+		f.viewProvedAt[kind] = at
+	}
+}
 
 // digest computes the digest of the current view. It is called once per snapshot, because
 // probes compare the digest many times per second; f.mu must be held.
@@ -303,19 +341,30 @@
 	return h.Sum64()
 }
 
-// ObserveDigest records the digest of another VM. If digests differ for
-// digestMismatchLimit, one of the VMs has lost a watch, and this VM lists all objects at
-// the store.
-func (f *Follower) ObserveDigest(digest uint64) {
+// ObserveView records the view of another VM, which responded to a request sent at sentAt.
+// An equal view proves this VM's own. If a view with a newer proof differs for
+// digestMismatchLimit, this VM has lost a watch and lists all objects at the store.
+func (f *Follower) ObserveView(sentAt time.Duration, v ViewProof) {
+	if !v.Proved {
+		return
+	}
+	provedAt := sentAt - v.Age
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	switch {
-	case digest == f.state.Load().digest:
+	if v.Digest == f.state.Load().digest {
+		f.proveView(f.source.UpstreamsKind, provedAt)
+		f.proveView(f.source.EvacuationsKind, provedAt)
+	}
+	own, _ := f.provedView()
+	if own >= f.mismatchProof {
 		f.mismatchSince = 0
+	}
+	switch {
+	case provedAt <= own:
 	case f.mismatchSince == 0:
-		f.mismatchSince = f.now()
+		f.mismatchSince, f.mismatchProof = f.now(), provedAt
 	case f.now() >= f.mismatchSince+digestMismatchLimit:
-		f.mismatchSince, f.bypassRelayUntil = 0, f.now()+firstRelistInterval
+		f.mismatchSince, f.bypassRelayUntil = 0, f.now()+relayBypassTime
 		for _, c := range f.relist {
 			select {
 			case c <- struct{}{}:
--- a/internal/controller/storesync/follower_test.go
+++ b/internal/controller/storesync/follower_test.go
@@ -116,7 +116,7 @@
 				return u, err
 			},
 		},
-		Times: Times{Apply: 3 * time.Second, Revoke: 5 * time.Second, Reregister: 2500 * time.Millisecond},
+		Times: Times{Apply: 3 * time.Second, Revoke: 5 * time.Second, Evacuate: 5 * time.Second, Reregister: 2500 * time.Millisecond},
 		Now:   f.elapsed, Log: zerolog.Nop(), Rank: func() int { return int(f.rank.Load()) },
 	}
 	if relay != nil {
@@ -242,7 +242,7 @@
 // VMs relay fresh proofs of the configuration, so that this VM does not read it itself.
 func TestRegistrationsStayIncompleteDuringOutage(t *testing.T) {
 	run(t, func(f *testFollower, store *fakeStore) {
-		time.Sleep(firstRelistInterval)
+		time.Sleep(2 * firstRelistInterval)
 		assert.Assert(t, f.RegistrationsComplete())
 		store.change(func() { store.fail = resultcode.New(resultcode.PlatformDown, "down") })
 		noticed := false
@@ -284,13 +284,13 @@
 	run(t, func(f *testFollower, store *fakeStore) {
 		f.rank.Store(1)
 		time.Sleep(firstRelistInterval) // the next list was scheduled at rank 0
-		assert.Equal(t, f.Digest(), uint64(0))
+		assert.Equal(t, f.ViewProof().Digest, uint64(0))
 		store.change(func() { store.upstream["u1"] = catalog.Upstream{Name: "u1", Group: "g1", Revision: 7} })
 		for range 3 {
-			f.ObserveDigest(4711)
+			f.ObserveView(f.elapsed(), ViewProof{Digest: 4711, Proved: true})
 			time.Sleep(500 * time.Millisecond)
 		}
 		assert.Equal(t, len(f.Snapshot().Upstreams["g1"]), 1)
-		assert.Assert(t, f.Digest() != 0)
+		assert.Assert(t, f.ViewProof().Digest != 0)
 	})
 }
--- a/internal/controller/storesync/lists.go
+++ b/internal/controller/storesync/lists.go
@@ -9,6 +9,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
+	"github.com/rosemarywall/rosemarywall/internal/core/withdrawal"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
@@ -34,16 +35,27 @@
 // them at the store.
 func (f *Follower) followKind(ctx context.Context, kind objectapi.Kind, replace func([]objectapi.Object, origin), change func(objectapi.Changes)) {
 	retry := minRetryDelay
+	calls := rate.NewLimiter(rate.Every(watchInterval), watchBurst)
 	for ctx.Err() == nil {
 		f.followRelay(ctx, kind, replace)
 		version, err := f.list(ctx, kind, replace)
 		if err != nil {
-			clock.Sleep(ctx, retry)
+			f.awaitRetry(ctx, kind, retry)
 			retry = f.nextRetryDelay(retry)
 			continue
 		}
 		retry = minRetryDelay
-		f.watch(ctx, kind, version, change)
+		f.watch(ctx, kind, version, calls, change)
+	}
+}
+
+// awaitRetry waits before the next attempt to list a kind, or until a list is requested
+// because another VM knows more.
+func (f *Follower) awaitRetry(ctx context.Context, kind objectapi.Kind, delay time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-f.relist[kind]:
+	case <-time.After(delay):
 	}
 }
 
@@ -51,6 +63,7 @@
 func (f *Follower) list(ctx context.Context, kind objectapi.Kind, replace func([]objectapi.Object, origin)) (objectapi.Version, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	sentAt := f.now()
 	all, err := f.source.Store.List(ctx, kind)
 	f.recordCall(err)
 	if err != nil {
@@ -60,6 +73,7 @@
 	defer f.mu.Unlock()
 	f.applyList(kind, all.Objects, origin{source: sourceList, version: all.Version}, replace)
 	f.views[kind].replace(all.Objects, all.Version)
+	f.proveView(kind, sentAt)
 	return all.Version, nil
 }
 
@@ -74,8 +88,8 @@
 }
 
 // watch applies changes until the next full list is due, the watch fails or a relay
-// becomes available.
-func (f *Follower) watch(ctx context.Context, kind objectapi.Kind, version objectapi.Version, change func(objectapi.Changes)) {
+// becomes available. calls limits the watches of the kind.
+func (f *Follower) watch(ctx context.Context, kind objectapi.Kind, version objectapi.Version, calls *rate.Limiter, change func(objectapi.Changes)) {
 	ctx, cancel := f.relistContext(ctx, kind)
 	defer cancel()
 	interval := otherRelistInterval
@@ -83,7 +97,6 @@
 		interval = firstRelistInterval
 	}
 	relistAt := f.now() + interval
-	calls := rate.NewLimiter(rate.Every(watchInterval), watchBurst)
 	for ctx.Err() == nil && f.now() < relistAt {
 		if calls.Wait(ctx) != nil {
 			return
@@ -136,7 +149,7 @@
 // so that the VM soon returns to the relay.
 func (f *Follower) watchWaitTime() time.Duration {
 	if _, relayed := f.relay(); relayed {
-		return firstRelistInterval
+		return relayBypassTime
 	}
 	return watchWait
 }
@@ -269,8 +282,11 @@
 func (f *Follower) startEvacuation(o objectapi.Object, from origin) {
 	zone := ident.AvailabilityZone(o.Name)
 	if _, already := f.evacuated[zone]; !already {
-		f.evacuated[zone] = f.now()
-		from.addTo(f.log.Info()).Str("zone", o.Name).Uint64("revision", uint64(o.Version)).Msg("zone evacuation started")
+		absentAt, proved := f.viewProvedAt[f.source.EvacuationsKind]
+		w := withdrawal.New(f.now(), absentAt, proved, f.times.Evacuate)
+		f.evacuated[zone] = w
+		from.addTo(f.log.Info()).Str("zone", o.Name).Uint64("revision", uint64(o.Version)).
+			Dur("usable_for_ms", max(0, w.UsableUntil-w.LearnedAt)).Msg("zone evacuation started")
 	}
 }
 
--- a/internal/controller/storesync/view.go
+++ b/internal/controller/storesync/view.go
@@ -46,7 +46,7 @@
 	// Unchanged is set if Version equals the request's After; Objects is then empty.
 	Unchanged bool               `cbor:"3,keyasint,omitempty"`
 	Objects   []objectapi.Object `cbor:"4,keyasint,omitempty"`
-	// ProofAge is the age of the proof of a configuration.
+	// ProofAge is the age of the proof of the objects.
 	ProofAge time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
@@ -115,7 +115,7 @@
 			f.mu.Unlock()
 			return ViewResponse{}
 		}
-		response := ViewResponse{Authoritative: true, Version: v.version, ProofAge: f.now() - f.provedAt}
+		response := ViewResponse{Authoritative: true, Version: v.version, ProofAge: f.now() - f.viewProofTime(r.Kind)}
 		changed := v.changed
 		if v.version != r.After {
 			response.Objects = slices.Collect(maps.Values(v.objects))
@@ -135,6 +135,15 @@
 	}
 }
 
+// viewProofTime returns the time at which the view of a kind was proved current; f.mu must
+// be held.
+func (f *Follower) viewProofTime(kind objectapi.Kind) time.Duration {
+	if kind == f.source.ConfigKind {
+		return f.provedAt
+	}
+	return f.viewProvedAt[kind]
+}
+
 // awaitLoad waits up to viewLoadWait until the first read of a kind has ended, and reports
 // whether the kind is known.
 func (f *Follower) awaitLoad(ctx context.Context, r ViewRequest) bool {
@@ -190,11 +199,11 @@
 	return from, ok && enabled
 }
 
-// bypassRelay makes this VM read the store itself for firstRelistInterval.
+// bypassRelay makes this VM read the store itself for relayBypassTime.
 func (f *Follower) bypassRelay() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.bypassRelayUntil = f.now() + firstRelistInterval
+	f.bypassRelayUntil = f.now() + relayBypassTime
 }
 
 // followRelay follows a kind through the relay until a request fails, the relay changes or
@@ -205,6 +214,7 @@
 	defer cancel()
 	var version objectapi.Version
 	for ok && relist.Err() == nil {
+		sentAt := f.now()
 		view, err := f.requestFromRelay(relist, from, ViewRequest{Kind: kind, After: version, Wait: maxViewWait})
 		if err != nil {
 			f.log.Debug().Err(err).Str("peer", string(from)).Str("kind", string(kind)).Msg("reading view from relay failed")
@@ -215,6 +225,9 @@
 			f.applyView(kind, view, origin{source: string(from), version: view.Version}, replace)
 			version = view.Version
 		}
+		f.mu.Lock()
+		f.proveView(kind, sentAt-view.ProofAge)
+		f.mu.Unlock()
 		var current ident.VMName
 		current, ok = f.activeRelay()
 		ok = ok && current == from
--- a/internal/controller/storesync/view_test.go
+++ b/internal/controller/storesync/view_test.go
@@ -63,7 +63,7 @@
 		_, leaving := second.Snapshot().Leaving["u1"]
 		assert.Assert(t, leaving)
 		assert.Equal(t, second.Snapshot().Catalog.Version, ident.ConfigurationVersion(9))
-		assert.Equal(t, second.Digest(), first.Digest())
+		assert.Equal(t, second.ViewProof().Digest, first.ViewProof().Digest)
 		gets, lists := second.store.calls()
 		assert.Equal(t, lists, 0)
 		assert.Equal(t, gets, before)
@@ -123,7 +123,7 @@
 	runRelayed(t, func(first, second *testFollower) {
 		second.store.change(func() { second.store.upstream["u1"] = drainingUpstream("u1", 7) })
 		for range 3 {
-			second.ObserveDigest(4711)
+			second.ObserveView(second.elapsed(), ViewProof{Digest: 4711, Proved: true})
 			time.Sleep(500 * time.Millisecond)
 		}
 		_, leaving := second.Snapshot().Leaving["u1"]
--- a/internal/controller/takeover/controller_test.go
+++ b/internal/controller/takeover/controller_test.go
@@ -12,6 +12,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/controller/storesync"
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/core/placement"
+	"github.com/rosemarywall/rosemarywall/internal/core/withdrawal"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
 )
@@ -31,7 +32,7 @@
 	}
 	snapshot := &storesync.Snapshot{
 		Leaving: map[ident.UpstreamName]time.Duration{"u-deregistered": time.Second}, Deregistered: map[ident.UpstreamName]time.Duration{"u-deregistered": time.Second},
-		Evacuated: map[ident.AvailabilityZone]time.Duration{},
+		Evacuated: map[ident.AvailabilityZone]withdrawal.Withdrawal{},
 	}
 	reason, primary := c.changeReason(snapshot, c.group("g1"), members, now)
 	assert.Equal(t, reason, "")
--- a/internal/service/evacuation.go
+++ b/internal/service/evacuation.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"time"
 
+	"github.com/rosemarywall/rosemarywall/internal/core/withdrawal"
 	"github.com/rosemarywall/rosemarywall/internal/execution"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/statement"
@@ -40,7 +40,7 @@
 
 // report logs and counts a request if the zone of the upstream is evacuated.
 func (c *zoneConn) report(commands ...statement.Command) {
-	since, evacuated := c.evacuatedSince()
+	w, evacuated := c.evacuation()
 	if !evacuated {
 		return
 	}
@@ -52,19 +52,18 @@
 	}
 	c.vm.adapter.Metrics.CountEvacuatedZoneRequest(id != "")
 	c.vm.log.Info().Str("request", id).Str("upstream", string(c.target.Upstream)).Str("zone", string(c.zone)).
-		Dur("known_for_ms", c.vm.clock.Now()-since).Msg("statement sent to evacuated zone")
+		Dur("known_for_ms", c.vm.clock.Now()-w.LearnedAt).Msg("statement sent to evacuated zone")
 }
 
-// evacuatedSince returns the time at which this VM learned of the evacuation of the
-// upstream's zone.
-func (c *zoneConn) evacuatedSince() (time.Duration, bool) {
+// evacuation returns the evacuation of the upstream's zone, if there is one.
+func (c *zoneConn) evacuation() (withdrawal.Withdrawal, bool) {
 	snapshot := c.vm.follower.Snapshot()
 	if len(snapshot.Evacuated) == 0 {
-		return 0, false
+		return withdrawal.Withdrawal{}, false
 	}
 	if c.zone == "" {
 		c.zone, _ = snapshot.ZoneOf(c.target.Group, c.target.Upstream)
 	}
-	since, evacuated := snapshot.Evacuated[c.zone]
-	return since, evacuated
+	w, evacuated := snapshot.Evacuated[c.zone]
+	return w, evacuated
 }
--- a/internal/service/handler.go
+++ b/internal/service/handler.go
@@ -89,7 +89,7 @@
 	version, age, proved := v.follower.Proof()
 	table, tableAge := v.limits.TableVersion()
 	return peers.ProbeResponse{Version: version, ProofAge: age, Proved: proved, Leaving: v.stopping.Load(),
-		Incarnation: v.self.Incarnation, ShareTableVersion: table, ShareTableAge: tableAge, Digest: v.follower.Digest()}
+		Incarnation: v.self.Incarnation, ShareTableVersion: table, ShareTableAge: tableAge, View: v.follower.ViewProof()}
 }
 
 // executeRemote executes a statement for another VM and tracks the transaction that it
