--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -32,7 +32,7 @@
 	Value   json.RawMessage `json:"value"`
 }
 
-// Changes is the response to a list or a watch.
+// Changes is the response to a list or a watch. It has at most one change of each object.
 type Changes struct {
 	Objects []Object `json:"objects"`
 	Deleted []Object `json:"deleted"`
--- a/internal/service/observe.go
+++ b/internal/service/observe.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -98,15 +100,17 @@
 
 // Dump is the state of a VM as shown to operators. It contains no keys.
 type Dump struct {
-	VM         string            `json:"vm"`
-	Ready      bool              `json:"ready"`
-	Reason     string            `json:"reason,omitempty"`
-	Version    uint64            `json:"version"`
-	ProofAge   time.Duration     `json:"proof_age_ns"`
-	Hubs       []string          `json:"hubs"`
-	Upstreams  catalog.Upstreams `json:"upstreams"`
-	ShareUnits shareunits.Table  `json:"rate_parts"`
-	RateShare  float64           `json:"rate_share"`
+	VM        string            `json:"vm"`
+	Ready     bool              `json:"ready"`
+	Reason    string            `json:"reason,omitempty"`
+	Version   uint64            `json:"version"`
+	ProofAge  time.Duration     `json:"proof_age_ns"`
+	Hubs      []string          `json:"hubs"`
+	Upstreams catalog.Upstreams `json:"upstreams"`
+	// EvacuatedZones holds the evacuated zones in order.
+	EvacuatedZones []ident.AvailabilityZone `json:"evacuated_zones"`
+	ShareUnits     shareunits.Table         `json:"rate_parts"`
+	RateShare      float64                  `json:"rate_share"`
 	// Buckets holds the token bucket of each organisation.
 	Buckets          map[ident.OrganisationName]shares.BucketState `json:"rates"`
 	Clients          int                                           `json:"callers"`
@@ -121,6 +125,7 @@
 		VM: string(v.settings.VM), Ready: ready, Reason: reason, Version: uint64(version), ProofAge: age,
 		Upstreams: v.follower.Snapshot().Upstreams, Clients: v.server.Clients(), OpenTransactions: v.local.Transactions(),
 	}
+	d.EvacuatedZones = slices.Sorted(maps.Keys(v.follower.Snapshot().Evacuated))
 	for _, vm := range v.peers.Hubs() {
 		d.Hubs = append(d.Hubs, string(vm.Name))
 	}
