Ignore a relay's view that is older than what the VM knows

A VM that had listed the store itself, because its relay differed from other hubs, returned to the relay after 4 s and applied its view although it was older. An evacuation or a registration that the relay had missed ended there, statements reached the evacuated zone again, and the next list began the evacuation anew with a new time of use. Registrations were compared by revision; nothing compared views.

Each VM keeps the store version of its view of a kind. A view of a relay or the events of a watch apply only if they are not older, and a relay's proof counts only for the view that the VM has. Lists of its own always apply.

TestOlderViewOfRelayIsIgnored failed before: no zone was evacuated after the return to the relay.

--- a/internal/controller/storesync/evacuation_test.go
+++ b/internal/controller/storesync/evacuation_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
@@ -75,3 +76,33 @@
 		assert.Assert(t, f.ViewProof().Age >= before+4*digestMismatchLimit, "a different view is no proof")
 	})
 }
+
+// Guards against an evacuation that ends, or an upstream that counts as gone, because a VM
+// that has listed the store itself returns to a relay whose view is older.
+func TestOlderViewOfRelayIsIgnored(t *testing.T) {
+	runRelayed(t, func(first, second *testFollower) {
+		second.store.change(func() {
+			second.store.zones = []string{"a"}
+			second.store.upstream["u1"] = catalog.Upstream{Name: "u1", Group: "g1", Revision: 2}
+		})
+		for range 3 {
+			second.ObserveView(second.elapsed(), ViewProof{Digest: 4711, Proved: true})
+			time.Sleep(digestMismatchLimit)
+		}
+		known := func() {
+			assert.Equal(t, len(second.Snapshot().Evacuated), 1)
+			assert.Equal(t, len(second.Snapshot().Upstreams["g1"]), 1)
+			assert.Equal(t, len(second.Snapshot().Deregistered), 0)
+		}
+		known()
+		time.Sleep(2 * relayBypassTime)
+		known()
+		first.store.change(func() { first.store.revision = 10 })
+		time.Sleep(firstRelistInterval + 100*time.Millisecond)
+		known()
+		first.store.change(func() { first.store.zones = []string{"c"} })
+		time.Sleep(firstRelistInterval + 100*time.Millisecond)
+		_, ended := second.Snapshot().Evacuated["c"]
+		assert.Assert(t, ended && len(second.Snapshot().Evacuated) == 1, "a newer view applies")
+	})
+}
--- a/internal/controller/storesync/follower.go
+++ b/internal/controller/storesync/follower.go
@@ -161,6 +161,8 @@
 	evacuated      map[ident.AvailabilityZone]withdrawal.Withdrawal
 	slowStartUntil map[ident.UpstreamName]time.Duration
 	loaded         map[objectapi.Kind]bool
+	// viewVersion holds the store version up to which the view of a kind is complete.
+	viewVersion map[objectapi.Kind]objectapi.Version
 	// viewProvedAt holds the sending time of the latest read of the store that has proved
 	// the view of a kind current. Relayed proofs count with their age.
 	viewProvedAt map[objectapi.Kind]time.Duration
@@ -209,7 +211,8 @@
 		configWake: make(chan struct{}, 1), upstreams: map[string]catalog.Upstream{}, deregistered: map[string]time.Duration{},
 		leaving: map[ident.UpstreamName]time.Duration{}, evacuated: map[ident.AvailabilityZone]withdrawal.Withdrawal{},
 		slowStartUntil: map[ident.UpstreamName]time.Duration{},
-		loaded:         map[objectapi.Kind]bool{}, viewProvedAt: map[objectapi.Kind]time.Duration{}, storeAvailable: true, relay: o.Relay, relayPending: o.RelayPending, requestView: o.RequestView,
+		loaded:         map[objectapi.Kind]bool{}, viewVersion: map[objectapi.Kind]objectapi.Version{},
+		viewProvedAt: map[objectapi.Kind]time.Duration{}, storeAvailable: true, relay: o.Relay, relayPending: o.RelayPending, requestView: o.RequestView,
 		views: map[objectapi.Kind]*kindView{
 			o.Source.ConfigKind: newKindView(), o.Source.UpstreamsKind: newKindView(), o.Source.EvacuationsKind: newKindView(),
 		},
--- a/internal/controller/storesync/lists.go
+++ b/internal/controller/storesync/lists.go
@@ -83,6 +83,7 @@
 		f.firstListedAt = f.now()
 	}
 	f.loaded[kind] = true
+	f.viewVersion[kind] = from.version
 	replace(objects, from)
 	f.publish()
 }
@@ -123,10 +124,14 @@
 	}
 }
 
-// applyChanges applies the events of a watch.
+// applyChanges applies the events of a watch, unless a newer view has been applied.
 func (f *Follower) applyChanges(kind objectapi.Kind, changes objectapi.Changes, change func(objectapi.Changes)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if changes.Version < f.viewVersion[kind] {
+		return
+	}
+	f.viewVersion[kind] = changes.Version
 	f.views[kind].applyChanges(changes)
 	change(changes)
 	f.publish()
--- a/internal/controller/storesync/view.go
+++ b/internal/controller/storesync/view.go
@@ -225,9 +225,7 @@
 			f.applyView(kind, view, origin{source: string(from), version: view.Version}, replace)
 			version = view.Version
 		}
-		f.mu.Lock()
-		f.proveView(kind, sentAt-view.ProofAge)
-		f.mu.Unlock()
+		f.proveRelayedView(kind, view.Version, sentAt-view.ProofAge)
 		var current ident.VMName
 		current, ok = f.activeRelay()
 		ok = ok && current == from
@@ -244,10 +242,26 @@
 	return view, err
 }
 
+// applyView applies the view of a relay. It is ignored if this VM knows a newer one: the
+// relay may have lost its watch, and this VM may have read the store itself.
 func (f *Follower) applyView(kind objectapi.Kind, view ViewResponse, from origin, replace func([]objectapi.Object, origin)) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if view.Version < f.viewVersion[kind] {
+		f.log.Debug().Str("peer", from.source).Str("kind", string(kind)).Uint64("view_version", uint64(view.Version)).
+			Uint64("known_version", uint64(f.viewVersion[kind])).Msg("older view ignored")
+		return
+	}
 	f.applyList(kind, view.Objects, from, replace)
 	f.views[kind].relayed = true
 	f.views[kind].notifyWaiters()
 }
+
+// proveRelayedView records the proof of a relay's view if it is the one that this VM has.
+func (f *Follower) proveRelayedView(kind objectapi.Kind, version objectapi.Version, at time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if version == f.viewVersion[kind] {
+		f.proveView(kind, at)
+	}
+}
