Check the evacuation of a zone before each command to its upstreams

Statements reached an evacuated zone after the bound on two ways that the choice of the upstream does not see. A transaction that was open before the evacuation kept its upstream for as long as its client went on. And a VM that did not know of the evacuation yet had its statements executed by one that did: the executing VM looked at nothing.

Each connection for statements now refuses commands once the zone is no longer usable, as the executing VM sees it. A commit that was sent before keeps its answer.

--- a/internal/execution/execution.go
+++ b/internal/execution/execution.go
@@ -18,6 +18,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/statement"
@@ -54,6 +56,10 @@
 // RefusedError is returned by Dial when the upstream refuses the connection.
 type RefusedError struct{ Code statement.Code }
 
+// ErrWithdrawn is returned by a Conn that did not send a command, because nothing may reach
+// the upstream any more.
+var ErrWithdrawn = errors.New("the zone of the upstream is evacuated")
+
 // Error implements error.
 func (e *RefusedError) Error() string { return "upstream refused the connection: " + e.Code.String() }
 
@@ -157,9 +163,12 @@
 	PeerLost
 	// Stopping means that the executing VM is shutting down.
 	Stopping
+	// Withdrawn means that the executing VM sends nothing to the upstream, because its zone
+	// is evacuated.
+	Withdrawn
 )
 
-var reasonNames = [...]string{"none", "refused", "no_connection", "unreachable", "no_transaction", "peer_lost", "stopping"}
+var reasonNames = [...]string{"none", "refused", "no_connection", "unreachable", "no_transaction", "peer_lost", "stopping", "withdrawn"}
 
 // String returns the name used in log entries.
 func (r Reason) String() string { return reasonNames[r] }
--- a/internal/execution/local.go
+++ b/internal/execution/local.go
@@ -84,7 +84,17 @@
 	case errors.Is(err, errNoConnection):
 		return Result{Outcome: NotRun, Reason: NoConnection}
 	}
-	return Result{Outcome: NotRun, Reason: Unreachable, Detail: err.Error()}
+	return notSent(err)
+}
+
+// notSent returns the result of a statement before which a connection failed or refused a
+// command.
+func notSent(err error) Result {
+	reason := Unreachable
+	if errors.Is(err, ErrWithdrawn) {
+		reason = Withdrawn
+	}
+	return Result{Outcome: NotRun, Reason: reason, Detail: err.Error()}
 }
 
 // runSingle runs a statement outside a client transaction.
@@ -147,7 +157,7 @@
 		}
 	}
 	if err != nil {
-		return Result{Outcome: NotRun, Reason: Unreachable, Detail: err.Error()}, false
+		return notSent(err), false
 	}
 	c.values = maps.Clone(r.SessionValues)
 	if r.Prepared != nil {
@@ -166,7 +176,7 @@
 	defer cancel()
 	replies, err := c.conn.Exchange(ctx, command)
 	if err != nil {
-		return Result{Outcome: NotRun, Reason: Unreachable, Detail: err.Error()}, false
+		return notSent(err), false
 	}
 	if replies[0].Code != statement.OK {
 		return Result{Outcome: NotRun, Reason: Refused, Code: replies[0].Code, Detail: replies[0].Detail,
@@ -184,6 +194,9 @@
 	ctx, cancel := context.WithTimeout(ctx, r.Timeout)
 	defer cancel()
 	replies, err := c.conn.Exchange(ctx, command)
+	if errors.Is(err, ErrWithdrawn) {
+		return notSent(err)
+	}
 	if err != nil {
 		return Result{Outcome: Unknown, Detail: err.Error(), Sent: true}
 	}
--- a/internal/execution/local_test.go
+++ b/internal/execution/local_test.go
@@ -363,3 +363,43 @@
 	assert.Equal(t, l.Execute(context.Background(), r).Reason, NoTransaction)
 	assert.Equal(t, l.Transactions(), 0)
 }
+
+// Guards against the result "unknown" for a statement that was not sent because the zone of
+// the upstream is evacuated, and against a rollback that is sent there.
+func TestWithdrawnUpstreamEndsTransactionWithoutStatement(t *testing.T) {
+	u := &fakeUpstream{}
+	withdrawn, sent := false, 0
+	l := NewLocal(func(ctx context.Context, target Target, organisation ident.OrganisationName) (Conn, error) {
+		conn, err := u.dial(ctx, target, organisation)
+		return &withdrawnConn{Conn: conn, withdrawn: &withdrawn, sent: &sent}, err
+	}, func() time.Duration { return 0 })
+	r := request("acme", Begin)
+	r.TransactionID = "t1"
+	result := l.Execute(t.Context(), r)
+	assert.Assert(t, result.Outcome == Done && result.TransactionOpen)
+	withdrawn, sent = true, 0
+	r.Mode, r.EndsTransaction = Continue, true
+	result = l.Execute(t.Context(), r)
+	assert.Equal(t, result.Outcome, NotRun)
+	assert.Equal(t, result.Reason, Withdrawn)
+	assert.Assert(t, !result.TransactionOpen)
+	assert.Equal(t, sent, 0)
+	assert.Equal(t, l.Connections(), 0, "the connection is closed, which rolls the transaction back")
+	result = l.Execute(t.Context(), request("acme", Single))
+	assert.Equal(t, result.Outcome, NotRun)
+	assert.Equal(t, result.Reason, Withdrawn)
+}
+
+type withdrawnConn struct {
+	Conn
+	withdrawn *bool
+	sent      *int
+}
+
+func (c *withdrawnConn) Exchange(ctx context.Context, commands ...statement.Command) ([]statement.Reply, error) {
+	if *c.withdrawn {
+		return nil, ErrWithdrawn
+	}
+	*c.sent += len(commands)
+	return c.Conn.Exchange(ctx, commands...)
+}
--- a/internal/service/evacuation.go
+++ b/internal/service/evacuation.go
@@ -9,8 +9,24 @@
 	"github.com/rosemarywall/rosemarywall/internal/statement"
 )
 
-// dialUpstream opens a connection that reports each request to an evacuated zone.
-func (v *VM) dialUpstream(ctx context.Context, t execution.Target, organisation ident.OrganisationName) (execution.Conn, error) {
+// dialForStatements opens a connection for statements of clients. It sends nothing to an
+// evacuated zone that is no longer usable, whatever the VM knew that has chosen the upstream
+// or when a transaction began.
+func (v *VM) dialForStatements(ctx context.Context, t execution.Target, organisation ident.OrganisationName) (execution.Conn, error) {
+	c := &zoneConn{vm: v, target: t, guarded: true}
+	if c.withdrawn() {
+		return nil, execution.ErrWithdrawn
+	}
+	var err error
+	if c.Conn, err = v.adapter.Dial(ctx, t, organisation); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+// dialForTakeover opens a connection for the commands of a takeover, which decides by
+// itself what it sends to an evacuated zone.
+func (v *VM) dialForTakeover(ctx context.Context, t execution.Target, organisation ident.OrganisationName) (execution.Conn, error) {
 	conn, err := v.adapter.Dial(ctx, t, organisation)
 	if err != nil {
 		return nil, err
@@ -24,10 +40,21 @@
 	vm     *VM
 	target execution.Target
 	zone   ident.AvailabilityZone // empty until the registration of the upstream is known
+	// guarded connections refuse commands once the zone is no longer usable.
+	guarded bool
+}
+
+// withdrawn reports whether nothing may be sent over the connection.
+func (c *zoneConn) withdrawn() bool {
+	w, evacuated := c.evacuation()
+	return c.guarded && evacuated && !w.Usable(c.vm.clock.Now())
 }
 
 // Exchange implements execution.Conn.
 func (c *zoneConn) Exchange(ctx context.Context, commands ...statement.Command) ([]statement.Reply, error) {
+	if c.withdrawn() {
+		return nil, execution.ErrWithdrawn
+	}
 	c.report(commands...)
 	return c.Conn.Exchange(ctx, commands...)
 }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -137,7 +137,7 @@
 func (v *VM) assemble() {
 	s, now := v.settings, v.clock.Now
 	self := placement.VM{Name: s.VM, Zone: s.Zone, Region: s.Region}
-	v.local = execution.NewLocal(v.dialUpstream, now)
+	v.local = execution.NewLocal(v.dialForStatements, now)
 	v.peers = peers.New(peers.Config{
 		Self: v.self, Store: v.adapter.Store, ProbeInterval: min(s.Bounds.ApplyTimeout/probesPerApplyTimeout, maxProbeInterval), Now: now, Log: v.log, Dial: dialPeer,
 		Relay: v.storeRelayVM,
@@ -165,7 +165,7 @@
 		Relay:           v.storeRelayVM, RequestPositions: v.requestPositions, Log: v.log,
 	})
 	v.takeover = takeover.New(takeover.Config{
-		Self: s.VM, Zone: s.Zone, Store: v.adapter.Store, Promoter: v.adapter.Promoter, Dial: v.dialUpstream,
+		Self: s.VM, Zone: s.Zone, Store: v.adapter.Store, Promoter: v.adapter.Promoter, Dial: v.dialForTakeover,
 		Snapshot: v.follower.Snapshot, RegistrationsComplete: v.follower.RegistrationsComplete, Hubs: v.peers.Hubs,
 		MinHolderInterval: s.Bounds.MinHolderInterval, MissingPrimaryDelay: missedRegistrationLimit * s.RegistrationInterval, Confirm: v.confirmUnresponsive, Notify: v.notifySuspicion, Now: now, Log: v.log, UniqueID: v.newUniqueID,
 	})
