Send an evacuated zone no status queries of the takeover

Besides clients' statements the VMs' own queries reached an evacuated zone after the bound, for as long as their reason lasted: a status query to its primary with each attempt to replace it, every 0.7 s while a promotion does not succeed, and one every 3 s to a replica whose last reads lagged, because no read would clear the lag again.

The takeover leaves out the primary of a zone that is no longer usable, whose answer is not needed for safety, does not check lagging replicas of evacuated zones, does not query them for other VMs, and keeps the commit holders while the position of such a primary can't be read. Pauses of replicas remain, as docs/questions.md says: without them a candidate may lack an acknowledged commit.

--- a/internal/controller/takeover/attempt.go
+++ b/internal/controller/takeover/attempt.go
@@ -112,8 +112,12 @@
 	return true
 }
 
-// Reachable reports whether an upstream responds to this VM.
+// Reachable reports whether an upstream responds to this VM. One in an evacuated zone is
+// not asked and counts as unreachable.
 func (c *Controller) Reachable(ctx context.Context, target execution.Target) bool {
+	if zone, known := c.cfg.Snapshot().ZoneOf(target.Group, target.Upstream); known && c.withdrawn(zone) {
+		return false
+	}
 	_, err := c.status(ctx, target, statement.Command{Kind: statement.StatusCommand})
 	return err == nil
 }
--- a/internal/controller/takeover/controller.go
+++ b/internal/controller/takeover/controller.go
@@ -264,6 +264,13 @@
 	return !leaves && !evacuated && u.State == catalog.Ready
 }
 
+// withdrawn reports whether nothing may be sent to the upstreams of a zone any more. The commands of a verification are sent nevertheless, except to the primary:
+// without a pause of the replicas the candidate may lack an acknowledged commit.
+func (c *Controller) withdrawn(zone ident.AvailabilityZone) bool {
+	w, evacuated := c.cfg.Snapshot().Evacuated[zone]
+	return evacuated && !w.Usable(c.cfg.Now())
+}
+
 // endAttempt ends an attempt and sets the delay before the next one. If cleared is set it
 // also discards the suspicions and the reason.
 func (c *Controller) endAttempt(g *group, delay time.Duration, cleared bool) {
--- a/internal/controller/takeover/holders.go
+++ b/internal/controller/takeover/holders.go
@@ -104,6 +104,9 @@
 // removeCovered removes deregistered upstreams that do not respond, if another replica
 // has received everything that the primary has now.
 func (t *attempt) removeCovered(ctx context.Context, holders map[ident.UpstreamName]string, present map[ident.UpstreamName]bool) {
+	if t.controller.withdrawn(t.primary.Zone) {
+		return // its position cannot be read
+	}
 	var unreachable []ident.UpstreamName
 	for name, address := range holders {
 		if !present[name] && !t.controller.Reachable(ctx, execution.Target{Group: t.group.name, Upstream: name, Address: address}) {
--- a/internal/controller/takeover/paused.go
+++ b/internal/controller/takeover/paused.go
@@ -50,6 +50,9 @@
 	}
 	var lagging []catalog.Upstream
 	for _, u := range snapshot.Upstreams[g.name] {
+		if _, evacuated := snapshot.Evacuated[u.Zone]; evacuated {
+			delete(g.laggingSince, u.Name) // its reads run elsewhere
+		}
 		if since, ok := g.laggingSince[u.Name]; ok && now >= since+minLagDuration && u.Name != primary.Name {
 			lagging = append(lagging, u)
 		}
--- a/internal/controller/takeover/verify.go
+++ b/internal/controller/takeover/verify.go
@@ -18,7 +18,7 @@
 	members := t.withHolders(t.nonPrimaryMembers())
 	t.members = members
 	targets := members
-	if t.primary != nil && !t.unresponsive {
+	if t.primary != nil && !t.unresponsive && !t.controller.withdrawn(t.primary.Zone) {
 		targets = append(slices.Clone(members), *t.primary) // for its term
 	}
 	reports := t.sendCommand(ctx, targets, statusCommand)[:len(members)]
