Date the use of a leaving upstream by the last proof that it did not leave

The same cause as with evacuated zones: a VM that learned late that an upstream drains used it as a last resort for a third of the bound from that moment, up to 2.3 s beyond the bound after an outage of 6 s.

Leaving upstreams have a withdrawal like evacuated zones, dated by the last proof of the registrations. One whose registration is missing after an outage stays usable until live upstreams have registered again, 2.5 s after the last failed call.

TestLateDrainIsNotUsedBeyondBound failed before: usable until 9.3 s after the acknowledgement, the bound is 7 s.

--- a/internal/controller/steering/router.go
+++ b/internal/controller/steering/router.go
@@ -37,10 +37,6 @@
 	// positionValidity is how long a replica whose last known position is below the
 	// required one is expected to lag still.
 	positionValidity = 100 * time.Millisecond
-	// drainDivisor limits how long a leaving upstream is still used as a last resort, as a
-	// fraction of DrainTimeout. The remainder covers the delay until this VM learns of the
-	// change.
-	drainDivisor = 3
 )
 
 // Config holds the dependencies and settings of a Router.
@@ -55,8 +51,6 @@
 	Local     execution.Executor
 	Remote    func(ident.VMName) execution.Executor
 	Now       func() time.Duration
-	// DrainTimeout is the time after which no statement may reach a leaving upstream.
-	DrainTimeout time.Duration
 	// OnPrimaryResult receives the results of statements that required a primary.
 	OnPrimaryResult func(target execution.Target, writes bool, result execution.Result)
 	// OnReplicaResult receives the results of all other statements.
@@ -180,20 +174,15 @@
 	if !catalog.RegionAllowed(r.cfg.Regions[u.Zone], requirement.Grant.Route.HomeRegions, requirement.Grant.Organisation.HomeRegions) {
 		return unusable
 	}
-	level := available
-	if at, ok := snapshot.Leaving[u.Name]; ok {
-		level = leaving
-		if now > at+r.cfg.DrainTimeout/drainDivisor {
-			return unusable
-		}
+	leaves, isLeaving := snapshot.Leaving[u.Name]
+	evacuation, isEvacuated := snapshot.Evacuated[u.Zone]
+	if isLeaving && !leaves.Usable(now) || isEvacuated && !evacuation.Usable(now) {
+		return unusable
 	}
-	if w, ok := snapshot.Evacuated[u.Zone]; ok {
-		level = leaving
-		if !w.Usable(now) {
-			return unusable
-		}
+	if isLeaving || isEvacuated {
+		return leaving
 	}
-	return level
+	return available
 }
 
 // slowStartAllows reports whether a statement may go to an upstream. Only upstreams in
--- a/internal/controller/steering/router_test.go
+++ b/internal/controller/steering/router_test.go
@@ -28,7 +28,7 @@
 func newFixture() *fixture {
 	f := &fixture{now: time.Minute}
 	f.snapshot = &storesync.Snapshot{
-		Catalog: &catalog.Catalog{}, Leaving: map[ident.UpstreamName]time.Duration{}, SlowStartUntil: map[ident.UpstreamName]time.Duration{},
+		Catalog: &catalog.Catalog{}, Leaving: map[ident.UpstreamName]withdrawal.Withdrawal{}, SlowStartUntil: map[ident.UpstreamName]time.Duration{},
 		Evacuated: map[ident.AvailabilityZone]withdrawal.Withdrawal{}, Upstreams: catalog.Upstreams{},
 	}
 	regions := map[ident.AvailabilityZone]ident.Region{}
@@ -44,7 +44,7 @@
 		Self: f.live[2], Regions: regions, Snapshot: func() *storesync.Snapshot { return f.snapshot }, Hubs: func() []placement.VM { return f.live },
 		FleetSize: func() int { return len(f.live) },
 		Local:     nil, Remote: func(ident.VMName) execution.Executor { return nil }, Now: func() time.Duration { return f.now },
-		DrainTimeout: 6 * time.Second, OnPrimaryResult: func(execution.Target, bool, execution.Result) {},
+		OnPrimaryResult: func(execution.Target, bool, execution.Result) {},
 		OnReplicaResult: func(execution.Target, execution.Result) {},
 	})
 	return f
@@ -111,7 +111,7 @@
 	c, _ = f.Choose(newRequirement(catalog.Primary, true))
 	assert.Equal(t, c.Target.Upstream, ident.UpstreamName("u-a"))
 	members[1].Revision = 21
-	f.snapshot.Leaving["u-b"] = f.now
+	f.snapshot.Leaving["u-b"] = withdrawal.Withdrawal{LearnedAt: f.now, UsableUntil: f.now + 2*time.Second}
 	c, _ = f.Choose(newRequirement(catalog.Primary, true))
 	assert.Equal(t, c.Target.Upstream, ident.UpstreamName("u-a"), "a leaving primary does not take precedence over another")
 	delete(f.snapshot.Leaving, "u-b")
@@ -127,7 +127,7 @@
 	f.snapshot.Evacuated["b"] = withdrawal.Withdrawal{LearnedAt: f.now, UsableUntil: f.now + time.Second}
 	c, _ := f.Choose(newRequirement(catalog.BoundedStaleness, false))
 	assert.Equal(t, c.Target.Upstream, ident.UpstreamName("u-c"))
-	f.snapshot.Leaving["u-a"] = f.now
+	f.snapshot.Leaving["u-a"] = withdrawal.Withdrawal{LearnedAt: f.now, UsableUntil: f.now + 2*time.Second}
 	_, ok := f.Choose(newRequirement(catalog.Primary, true))
 	assert.Assert(t, ok, "a leaving primary is used until another one replaces it")
 	f.now += 2*time.Second + time.Millisecond
--- a/internal/controller/storesync/evacuation_test.go
+++ b/internal/controller/storesync/evacuation_test.go
@@ -106,3 +106,22 @@
 		assert.Assert(t, ended && len(second.Snapshot().Evacuated) == 1, "a newer view applies")
 	})
 }
+
+// Guards against a draining upstream that is used beyond the bound by a VM that learns of it
+// late, after an outage.
+func TestLateDrainIsNotUsedBeyondBound(t *testing.T) {
+	run(t, func(f *testFollower, store *fakeStore) {
+		store.change(func() { store.upstream["u1"] = catalog.Upstream{Name: "u1", Group: "g1", Revision: 7} })
+		time.Sleep(firstRelistInterval + time.Second)
+		acknowledged := f.elapsed()
+		store.change(func() {
+			store.upstream["u1"] = drainingUpstream("u1", 8)
+			store.fail = resultcode.New(resultcode.PlatformDown, "down")
+		})
+		time.Sleep(f.times.Drain - time.Second)
+		store.change(func() { store.fail = nil })
+		time.Sleep(maxRetryDelay + 100*time.Millisecond)
+		w, leaving := f.Snapshot().Leaving["u1"]
+		assert.Assert(t, leaving && !w.Usable(acknowledged+f.times.Drain), "usable until %v after the acknowledgement", w.UsableUntil-acknowledged)
+	})
+}
--- a/internal/controller/storesync/follower.go
+++ b/internal/controller/storesync/follower.go
@@ -45,8 +45,9 @@
 	Apply time.Duration
 	// Revoke is the time after which a revoked key must be rejected.
 	Revoke time.Duration
-	// Evacuate is the time after which nothing may reach an evacuated zone.
-	Evacuate time.Duration
+	// Drain and Evacuate are the times after which nothing may reach an upstream that leaves,
+	// or an evacuated zone.
+	Drain, Evacuate time.Duration
 	// Reregister is the time after an outage of the store within which live upstreams
 	// register again.
 	Reregister time.Duration
@@ -104,9 +105,8 @@
 type Snapshot struct {
 	Catalog   *catalog.Catalog
 	Upstreams catalog.Upstreams
-	// Leaving holds the time since process start from which an upstream is considered
-	// leaving, because it is draining or its registration was removed.
-	Leaving map[ident.UpstreamName]time.Duration
+	// Leaving holds the upstreams that are draining or whose registration was removed.
+	Leaving map[ident.UpstreamName]withdrawal.Withdrawal
 	// Deregistered holds the upstreams whose registration was removed, with the time at
 	// which this VM learned of it.
 	Deregistered map[ident.UpstreamName]time.Duration
@@ -157,7 +157,7 @@
 	proved         bool
 	upstreams      map[string]catalog.Upstream
 	deregistered   map[string]time.Duration // removal times of upstream registrations
-	leaving        map[ident.UpstreamName]time.Duration
+	leaving        map[ident.UpstreamName]withdrawal.Withdrawal
 	evacuated      map[ident.AvailabilityZone]withdrawal.Withdrawal
 	slowStartUntil map[ident.UpstreamName]time.Duration
 	loaded         map[objectapi.Kind]bool
@@ -209,7 +209,7 @@
 	f := &Follower{
 		source: o.Source, times: o.Times, now: o.Now, log: o.Log, rank: o.Rank,
 		configWake: make(chan struct{}, 1), upstreams: map[string]catalog.Upstream{}, deregistered: map[string]time.Duration{},
-		leaving: map[ident.UpstreamName]time.Duration{}, evacuated: map[ident.AvailabilityZone]withdrawal.Withdrawal{},
+		leaving: map[ident.UpstreamName]withdrawal.Withdrawal{}, evacuated: map[ident.AvailabilityZone]withdrawal.Withdrawal{},
 		slowStartUntil: map[ident.UpstreamName]time.Duration{},
 		loaded:         map[objectapi.Kind]bool{}, viewVersion: map[objectapi.Kind]objectapi.Version{},
 		viewProvedAt: map[objectapi.Kind]time.Duration{}, storeAvailable: true, relay: o.Relay, relayPending: o.RelayPending, requestView: o.RequestView,
--- a/internal/controller/storesync/follower_test.go
+++ b/internal/controller/storesync/follower_test.go
@@ -116,7 +116,7 @@
 				return u, err
 			},
 		},
-		Times: Times{Apply: 3 * time.Second, Revoke: 5 * time.Second, Evacuate: 5 * time.Second, Reregister: 2500 * time.Millisecond},
+		Times: Times{Apply: 3 * time.Second, Revoke: 5 * time.Second, Drain: 7 * time.Second, Evacuate: 5 * time.Second, Reregister: 2500 * time.Millisecond},
 		Now:   f.elapsed, Log: zerolog.Nop(), Rank: func() int { return int(f.rank.Load()) },
 	}
 	if relay != nil {
@@ -223,13 +223,13 @@
 		store.change(func() { store.fail = nil; delete(store.upstream, "u1") })
 		time.Sleep(1500 * time.Millisecond)
 		assert.Assert(t, !f.RegistrationsComplete())
-		if at, leaving := f.Snapshot().Leaving["u1"]; leaving {
-			assert.Assert(t, at > f.elapsed(), "upstream is considered leaving too early")
+		if w, leaving := f.Snapshot().Leaving["u1"]; leaving {
+			assert.Assert(t, w.LearnedAt > f.elapsed() && w.Usable(f.elapsed()), "upstream is considered leaving too early")
 		}
 		time.Sleep(2500 * time.Millisecond)
 		assert.Assert(t, f.RegistrationsComplete())
-		at, leaving := f.Snapshot().Leaving["u1"]
-		assert.Assert(t, leaving && at <= f.elapsed())
+		w, leaving := f.Snapshot().Leaving["u1"]
+		assert.Assert(t, leaving && w.LearnedAt <= f.elapsed())
 		store.change(func() { store.upstream["u1"] = u })
 		time.Sleep(firstRelistInterval + time.Second)
 		_, leaving = f.Snapshot().Leaving["u1"]
--- a/internal/controller/storesync/lists.go
+++ b/internal/controller/storesync/lists.go
@@ -215,7 +215,7 @@
 	f.extendSlowStart(u.Name, u.SlowStart)
 	if u.State == catalog.Draining {
 		if _, already := f.leaving[u.Name]; !already {
-			f.leaving[u.Name] = f.now()
+			f.leaving[u.Name] = f.newWithdrawal(f.source.UpstreamsKind, f.times.Drain)
 		}
 	} else {
 		delete(f.leaving, u.Name)
@@ -235,12 +235,12 @@
 	if _, already := f.leaving[u.Name]; already {
 		return
 	}
-	leavingAt := now
+	w := f.newWithdrawal(f.source.UpstreamsKind, f.times.Drain)
 	if f.lastFailureAt > 0 {
-		leavingAt = max(leavingAt, f.lastFailureAt+f.times.Reregister)
+		w = w.NotBefore(f.lastFailureAt + f.times.Reregister)
 	}
-	f.leaving[u.Name] = leavingAt
-	f.log.Info().Str("upstream", name).Str("group", string(u.Group)).Dur("counts_for_ms", leavingAt-now).Msg("upstream deregistered")
+	f.leaving[u.Name] = w
+	f.log.Info().Str("upstream", name).Str("group", string(u.Group)).Dur("counts_for_ms", w.LearnedAt-now).Msg("upstream deregistered")
 }
 
 // deregisteredRetention is the time for which an upstream whose registration was removed
@@ -287,14 +287,20 @@
 func (f *Follower) startEvacuation(o objectapi.Object, from origin) {
 	zone := ident.AvailabilityZone(o.Name)
 	if _, already := f.evacuated[zone]; !already {
-		absentAt, proved := f.viewProvedAt[f.source.EvacuationsKind]
-		w := withdrawal.New(f.now(), absentAt, proved, f.times.Evacuate)
+		w := f.newWithdrawal(f.source.EvacuationsKind, f.times.Evacuate)
 		f.evacuated[zone] = w
 		from.addTo(f.log.Info()).Str("zone", o.Name).Uint64("revision", uint64(o.Version)).
 			Dur("usable_for_ms", max(0, w.UsableUntil-w.LearnedAt)).Msg("zone evacuation started")
 	}
 }
 
+// newWithdrawal returns the withdrawal that this VM learns of now from objects of a kind;
+// f.mu must be held.
+func (f *Follower) newWithdrawal(kind objectapi.Kind, bound time.Duration) withdrawal.Withdrawal {
+	absentAt, proved := f.viewProvedAt[kind]
+	return withdrawal.New(f.now(), absentAt, proved, bound)
+}
+
 // extendSlowStart extends the slow start of an upstream to at least d from now; f.mu must
 // be held.
 func (f *Follower) extendSlowStart(name ident.UpstreamName, d time.Duration) {
--- a/internal/controller/takeover/controller.go
+++ b/internal/controller/takeover/controller.go
@@ -234,7 +234,7 @@
 		}
 		return reasonMissing, nil
 	}
-	if at, leaves := snapshot.Leaving[primary.Name]; leaves && now >= at {
+	if w, leaves := snapshot.Leaving[primary.Name]; leaves && now >= w.LearnedAt {
 		return reasonLeaving, primary
 	}
 	if _, leaves := snapshot.Evacuated[primary.Zone]; leaves && c.hasEligibleReplica(snapshot, members) {
--- a/internal/controller/takeover/controller_test.go
+++ b/internal/controller/takeover/controller_test.go
@@ -31,7 +31,7 @@
 		{Name: "u-deregistered", Group: "g1", Primary: true, Revision: 20}, {Name: "u-acting", Group: "g1", Primary: true, Revision: 10},
 	}
 	snapshot := &storesync.Snapshot{
-		Leaving: map[ident.UpstreamName]time.Duration{"u-deregistered": time.Second}, Deregistered: map[ident.UpstreamName]time.Duration{"u-deregistered": time.Second},
+		Leaving: map[ident.UpstreamName]withdrawal.Withdrawal{"u-deregistered": {LearnedAt: time.Second}}, Deregistered: map[ident.UpstreamName]time.Duration{"u-deregistered": time.Second},
 		Evacuated: map[ident.AvailabilityZone]withdrawal.Withdrawal{},
 	}
 	reason, primary := c.changeReason(snapshot, c.group("g1"), members, now)
@@ -80,7 +80,7 @@
 		c := p.controller("vm-1")
 		c.cfg.Promoter = &panickingPromoter{fakePlatform: p}
 		snapshot := p.snapshot()
-		snapshot.Leaving = map[ident.UpstreamName]time.Duration{"u1": 0}
+		snapshot.Leaving = map[ident.UpstreamName]withdrawal.Withdrawal{"u1": {}}
 		c.cfg.Snapshot = func() *storesync.Snapshot { return snapshot }
 		p.hubs = []placement.VM{{Name: "vm-1"}}
 		ctx, cancel := context.WithCancel(t.Context())
--- a/internal/core/withdrawal/withdrawal.go
+++ b/internal/core/withdrawal/withdrawal.go
@@ -17,7 +17,7 @@
 
 // Withdrawal is a withdrawal that is in force. Times are those since process start.
 type Withdrawal struct {
-	// LearnedAt is the time at which this VM learned of the withdrawal.
+	// LearnedAt is the time at which this VM learned of the withdrawal; it counts from then.
 	LearnedAt time.Duration
 	// UsableUntil is the end of the time in which the upstream may be used as a last resort.
 	UsableUntil time.Duration
@@ -34,5 +34,11 @@
 	return w
 }
 
+// NotBefore returns the withdrawal of an upstream that may register again until the given
+// time. It counts as leaving, and remains usable, at least until then.
+func (w Withdrawal) NotBefore(at time.Duration) Withdrawal {
+	return Withdrawal{LearnedAt: max(w.LearnedAt, at), UsableUntil: max(w.UsableUntil, at)}
+}
+
 // Usable reports whether the upstream may be used as a last resort.
 func (w Withdrawal) Usable(now time.Duration) bool { return now < w.UsableUntil }
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -151,13 +151,13 @@
 	})
 	v.follower = storesync.New(storesync.Options{
 		Source: v.adapter.Source, Now: now, Log: v.log, Rank: v.configurationRank, Relay: v.storeRelayVM, RelayPending: v.peers.Settling, RequestView: v.requestView,
-		Times: storesync.Times{Apply: s.Bounds.ApplyTimeout, Revoke: s.Bounds.RevocationTimeout, Evacuate: s.Bounds.EvacuationTimeout, Reregister: reregistrationTime},
+		Times: storesync.Times{Apply: s.Bounds.ApplyTimeout, Revoke: s.Bounds.RevocationTimeout, Drain: s.Bounds.DrainTimeout, Evacuate: s.Bounds.EvacuationTimeout, Reregister: reregistrationTime},
 	})
 	v.router = steering.New(steering.Config{
 		Self: self, Regions: s.Regions, Snapshot: v.follower.Snapshot, Hubs: v.peers.Hubs, FleetSize: v.peers.FleetSize,
 		Local:  v.local,
 		Remote: func(name ident.VMName) execution.Executor { return v.peers.Executor(name) },
-		Now:    now, DrainTimeout: s.Bounds.DrainTimeout,
+		Now:    now,
 		OnPrimaryResult: func(t execution.Target, writes bool, result execution.Result) {
 			v.takeover.ObservePrimary(t, writes, result)
 		},
