Order the changes of the store by its era and their revision

After the store came back from an older copy, VMs ignored what members had written since until the revision had passed the former one: a draining primary was not replaced, a promoted one not found. A watch from a revision that the new history had passed again missed what lay between, and a conditional update could name a revision that now belongs to another value.

--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -20,10 +20,23 @@
 	KindGroup         Kind = "group"
 )
 
-// Version orders the changes of the whole store. Zero means that the object does not
-// exist.
+// Version orders the changes of the whole store by era and revision. The era increases when
+// the store comes back from an older copy, which gives revisions out again. A version of
+// revision zero means that the object does not exist.
 type Version uint64
 
+// revisionBits is the number of low bits of a Version that hold the revision.
+const revisionBits = 48
+
+// NewVersion returns the version of a revision in an era.
+func NewVersion(era, revision uint64) Version { return Version(era<<revisionBits | revision) }
+
+// Era returns the era of the store; zero if the store never came back from a copy.
+func (v Version) Era() uint64 { return uint64(v) >> revisionBits }
+
+// Revision returns the revision within the era.
+func (v Version) Revision() uint64 { return uint64(v) & (1<<revisionBits - 1) }
+
 // Object is a stored object.
 type Object struct {
 	Kind    Kind            `json:"kind"`
