Keep what is known of the former era until lost changes are written again

When the store came back from an older copy, VMs took its contents for current: an evacuation that the copy lacked ended and statements reached the zone; the configuration before the newest was proved current, so that a key withdrawn by the newest stayed accepted for up to nine tenths of the bound anew; a draining upstream counted as ready and one that had left as registered.

Each VM notices a new era from any answer of the store or of another VM and writes one line about it. For 2.5 s, the time in which live upstreams register again, it keeps what it knows where the copy holds less or something older, proves nothing from lists, and replaces no primary; changes that were certainly written in the new era apply at once. A configuration that may be of the copy proves nothing for 1 s; later the last proof would be too old and keys would be refused for no need. Probes carry the era and the rest of that time, so that a VM that starts distrusts the copy too.

--- a/internal/controller/storesync/configuration.go
+++ b/internal/controller/storesync/configuration.go
@@ -114,7 +114,7 @@
 		f.log.Debug().Err(err).Str("peer", string(from)).Msg("reading configuration from peer failed")
 		return false
 	}
-	return f.applyConfiguration(view.Objects[0], sentAt-view.ProofAge)
+	return f.applyConfiguration(view.Objects[0], sentAt-view.ProofAge, true)
 }
 
 // readConfiguration reads the configuration from the store.
@@ -124,37 +124,47 @@
 	defer cancel()
 	o, err := f.source.Store.Get(ctx, f.source.ConfigKind, f.source.ConfigName)
 	f.recordCall(err)
-	return err == nil && f.applyConfiguration(o, sentAt)
+	if err != nil {
+		return false
+	}
+	f.mu.Lock()
+	f.observeEra(o.Version.Era(), 0)
+	proved := f.isConfigurationTrusted(o)
+	f.mu.Unlock()
+	return f.applyConfiguration(o, sentAt, proved)
 }
 
-// applyConfiguration decodes a configuration that was current at provedAt and puts it in
-// force.
-func (f *Follower) applyConfiguration(o objectapi.Object, provedAt time.Duration) bool {
+// applyConfiguration decodes a configuration, puts it in force and reports whether it is
+// current. If proved is set it was at provedAt.
+func (f *Follower) applyConfiguration(o objectapi.Object, provedAt time.Duration, proved bool) bool {
 	decoded, err := f.source.DecodeCatalog(o)
 	if err != nil {
 		f.log.Error().Err(err).Uint64("revision", uint64(o.Version)).Msg("configuration rejected")
 		return false
 	}
-	f.installCatalog(decoded, o, provedAt)
-	return true
+	return f.installCatalog(decoded, o, provedAt, proved)
 }
 
-// installCatalog puts a configuration in force unless a newer one is known.
-func (f *Follower) installCatalog(c *catalog.Catalog, o objectapi.Object, provedAt time.Duration) {
+// installCatalog puts a configuration in force unless a newer one is known, and reports
+// whether it is the current one.
+func (f *Follower) installCatalog(c *catalog.Catalog, o objectapi.Object, provedAt time.Duration, proved bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.readNewerAt = 0
 	if f.catalog != nil && c.Version < f.catalog.Version {
 		f.log.Warn().Uint64("version", uint64(c.Version)).Uint64("in_force", uint64(f.catalog.Version)).Msg("older configuration ignored")
-		return
+		return false
 	}
 	changed := f.catalog == nil || c.Version > f.catalog.Version
-	f.proved, f.provedAt = true, max(f.provedAt, provedAt)
+	if proved {
+		f.proved, f.provedAt = true, max(f.provedAt, provedAt)
+	}
 	if !changed {
-		return
+		return proved
 	}
 	f.catalog = c
 	f.views[f.source.ConfigKind].replace([]objectapi.Object{o}, o.Version)
 	f.log.Info().Uint64("version", uint64(c.Version)).Int("routes", len(c.Routes)).Int("organisations", len(c.Organisations)).Msg("configuration in force")
 	f.publish()
+	return proved
 }
--- a/internal/controller/storesync/follower.go
+++ b/internal/controller/storesync/follower.go
@@ -113,6 +113,8 @@
 	// SlowStartUntil holds the end of the slow start of upstreams that have started, or
 	// whose zone evacuation has ended, recently.
 	SlowStartUntil map[ident.UpstreamName]time.Duration
+	// Era is the newest known era of the store.
+	Era uint64
 	// Evacuated holds the evacuated zones.
 	Evacuated map[ident.AvailabilityZone]withdrawal.Withdrawal
 
@@ -161,6 +163,14 @@
 	evacuated      map[ident.AvailabilityZone]withdrawal.Withdrawal
 	slowStartUntil map[ident.UpstreamName]time.Duration
 	loaded         map[objectapi.Kind]bool
+	// era is the newest era of the store; eraKnown is set once there was a response.
+	// settledAt is the time from which the contents of the era are trusted.
+	era       uint64
+	eraKnown  bool
+	settledAt time.Duration
+	// copyVersion is the earliest version of the era that this VM has seen. What is newer was
+	// written after the store came back.
+	copyVersion objectapi.Version
 	// viewVersion holds the store version up to which the view of a kind is complete.
 	viewVersion map[objectapi.Kind]objectapi.Version
 	// viewProvedAt holds the sending time of the latest read of the store that has proved
@@ -298,6 +308,10 @@
 	// Proved is set if the view has been proved current, and Age is the time since then.
 	Proved bool          `cbor:"2,keyasint,omitempty"`
 	Age    time.Duration `cbor:"3,keyasint,omitempty"`
+	// Era is the era of the store that the VM knows, and Unsettled the time for which it does
+	// not trust the store's contents yet.
+	Era       uint64        `cbor:"4,keyasint,omitempty"`
+	Unsettled time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
 // ViewProof returns the digest of this VM's view and the age of its proof.
@@ -305,7 +319,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	at, proved := f.provedView()
-	return ViewProof{Digest: f.state.Load().digest, Proved: proved, Age: f.now() - at}
+	return ViewProof{Digest: f.state.Load().digest, Proved: proved, Age: f.now() - at, Era: f.era, Unsettled: max(0, f.settledAt-f.now())}
 }
 
 // provedView returns the time at which the views of both kinds were last proved current;
@@ -316,8 +330,12 @@
 	return min(upstreams, evacuations), ok && alsoOK
 }
 
-// proveView records that the view of a kind was current at a time; f.mu must be held.
+// proveView records that the view of a kind was current at a time; f.mu must be held. A
+// store that lacks acknowledged changes proves nothing.
 func (f *Follower) proveView(kind objectapi.Kind, at time.Duration) {
+	if at < f.settledAt {
+		return
+	}
 	if known, ok := f.viewProvedAt[kind]; !ok || at > known {
 		f.viewProvedAt[kind] = at
 	}
@@ -348,12 +366,15 @@
 // An equal view proves this VM's own. If a view with a newer proof differs for
 // digestMismatchLimit, this VM has lost a watch and lists all objects at the store.
 func (f *Follower) ObserveView(sentAt time.Duration, v ViewProof) {
-	if !v.Proved {
-		return
-	}
 	provedAt := sentAt - v.Age
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if v.Era > 0 { // zero also stands for a VM that does not know it yet
+		f.observeEra(v.Era, v.Unsettled)
+	}
+	if !v.Proved {
+		return
+	}
 	if v.Digest == f.state.Load().digest {
 		f.proveView(f.source.UpstreamsKind, provedAt)
 		f.proveView(f.source.EvacuationsKind, provedAt)
@@ -363,23 +384,18 @@
 		f.mismatchSince = 0
 	}
 	switch {
-	case provedAt <= own:
+	case provedAt <= own, v.Era < f.era:
 	case f.mismatchSince == 0:
 		f.mismatchSince, f.mismatchProof = f.now(), provedAt
 	case f.now() >= f.mismatchSince+digestMismatchLimit:
 		f.mismatchSince, f.bypassRelayUntil = 0, f.now()+relayBypassTime
-		for _, c := range f.relist {
-			select {
-			case c <- struct{}{}:
-			default:
-			}
-		}
+		f.requestLists()
 	}
 }
 
 // publish builds and stores a new snapshot; f.mu must be held.
 func (f *Follower) publish() {
-	s := &Snapshot{Catalog: f.catalog, Upstreams: catalog.Upstreams{}, Leaving: maps.Clone(f.leaving),
+	s := &Snapshot{Era: f.era, Catalog: f.catalog, Upstreams: catalog.Upstreams{}, Leaving: maps.Clone(f.leaving),
 		Deregistered: map[ident.UpstreamName]time.Duration{}, Evacuated: maps.Clone(f.evacuated),
 		SlowStartUntil: map[ident.UpstreamName]time.Duration{}, digest: f.digest()}
 	if s.Catalog == nil {
--- a/internal/controller/storesync/lists.go
+++ b/internal/controller/storesync/lists.go
@@ -71,6 +71,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.observeView(all.Version)
 	f.applyList(kind, all.Objects, origin{source: sourceList, version: all.Version}, replace)
 	f.views[kind].replace(all.Objects, all.Version)
 	f.proveView(kind, sentAt)
@@ -198,6 +199,9 @@
 	if exists && known.Revision >= uint64(o.Version) && !deregistered {
 		return
 	}
+	if exists && f.isOlderCopy(o, objectapi.Version(known.Revision), deregistered) {
+		return
+	}
 	delete(f.deregistered, o.Name)
 	u, err := f.source.DecodeUpstream(o)
 	if err != nil {
@@ -267,7 +271,7 @@
 		f.startEvacuation(o, from)
 	}
 	for zone := range f.evacuated {
-		if !listed[zone] {
+		if !listed[zone] && f.now() >= f.settledAt {
 			f.endEvacuation(zone, from)
 		}
 	}
--- a/internal/controller/storesync/view.go
+++ b/internal/controller/storesync/view.go
@@ -50,13 +50,13 @@
 	ProofAge time.Duration `cbor:"5,keyasint,omitempty"`
 }
 
-// kindView holds the objects of a kind as received from the store.
+// kindView holds the objects of a kind as received from the store or from another VM.
 type kindView struct {
 	objects map[string]objectapi.Object
 	version objectapi.Version
 	changed chan struct{} // closed at the next change
-	// relayed is set if the latest objects were received from another VM, and are not in
-	// objects.
+	// relayed is set if the latest objects were received from another VM. They are not
+	// served to others.
 	relayed bool
 }
 
@@ -64,13 +64,21 @@
 	return &kindView{objects: map[string]objectapi.Object{}, changed: make(chan struct{})}
 }
 
-// replace applies a full list from the store.
-func (v *kindView) replace(objects []objectapi.Object, version objectapi.Version) {
-	next := make(map[string]objectapi.Object, len(objects))
+// list returns the objects.
+func (v *kindView) list() []objectapi.Object { return slices.Collect(maps.Values(v.objects)) }
+
+func byName(objects []objectapi.Object) map[string]objectapi.Object {
+	out := make(map[string]objectapi.Object, len(objects))
 	for _, o := range objects {
-		next[o.Name] = o
+		out[o.Name] = o
 	}
-	same := maps.EqualFunc(v.objects, next, func(a, b objectapi.Object) bool { return a.Version == b.Version })
+	return out
+}
+
+// replace applies a full list from the store.
+func (v *kindView) replace(objects []objectapi.Object, version objectapi.Version) {
+	next := byName(objects)
+	same := !v.relayed && maps.EqualFunc(v.objects, next, func(a, b objectapi.Object) bool { return a.Version == b.Version })
 	v.objects, v.relayed = next, false
 	if !same || v.version == 0 { // otherwise waiting requests keep waiting
 		v.advance(version)
@@ -118,7 +126,7 @@
 		response := ViewResponse{Authoritative: true, Version: v.version, ProofAge: f.now() - f.viewProofTime(r.Kind)}
 		changed := v.changed
 		if v.version != r.After {
-			response.Objects = slices.Collect(maps.Values(v.objects))
+			response.Objects = v.list()
 		}
 		f.mu.Unlock()
 		if response.Version != r.After || r.Wait == 0 {
@@ -252,8 +260,9 @@
 			Uint64("known_version", uint64(f.viewVersion[kind])).Msg("older view ignored")
 		return
 	}
+	f.observeView(view.Version)
 	f.applyList(kind, view.Objects, from, replace)
-	f.views[kind].relayed = true
+	f.views[kind].objects, f.views[kind].relayed = byName(view.Objects), true
 	f.views[kind].notifyWaiters()
 }
 
