Use no more share units after a restore than were held before it

When the store came back from an older copy, its table could give a VM share units that it had given away since, while the VM that had taken them went on using them within its lease: two holders of one share. A table that was lost altogether was ignored until its version had passed the former one, and no VM wrote a new one.

For LeaseDuration + GuardInterval after a new era a VM uses no more than it held under the last table of the former era; the VMs that still use that table are bounded by it too. A missing table has the version zero of its era.

A VM that has no memory of the former era, because it restarted within that time, uses its row of the copy at once; with nothing at all the whole fleet would refuse every limited operation for 18 s after a restart.

--- a/internal/controller/limits/table.go
+++ b/internal/controller/limits/table.go
@@ -110,7 +110,7 @@
 	sentAt := c.cfg.Now()
 	o, err := c.cfg.Store.Get(ctx, KindShareUnits, shareUnitsName)
 	if resultcode.Is(err, resultcode.PlatformNotFound) {
-		c.adoptTable(sentAt, shareunits.Table{}, 0)
+		c.adoptTable(sentAt, shareunits.Table{}, uint64(o.Version)) // of the era of the store
 		return nil
 	}
 	if err != nil {
--- a/internal/core/shareunits/shareunits.go
+++ b/internal/core/shareunits/shareunits.go
@@ -6,18 +6,27 @@
 //
 //   - A VM uses the share units of its row only within LeaseDuration of a read of the
 //     table, counted from the sending of the request, and not while the row is revoked.
+//
 //   - Share units move between VMs through the free remainder of the table. A VM that
 //     gives share units away first stops using them, waits until its loans have ended,
 //     and then writes the table.
+//
 //   - The row of a VM that is gone is first marked as revoked. Its share units become
 //     free when the mark has been known for LeaseDuration + GuardInterval. The VM itself
 //     may clear the mark while the row exists, because no other VM uses its share units.
+//
 //   - Only serving VMs have rows. The coordinator writes the initial table, with a row for
 //     each. A VM that no longer serves marks its own row as revoked and, once its loans
 //     have ended, removes it.
+//
 //   - All writes are conditional updates. A write with an unknown result counts as stored
 //     wherever that is the conservative assumption, until the table has been read again.
 //
+//   - When the store comes back from an older copy, the table may give a VM share units that
+//     it has given away since. For LeaseDuration + GuardInterval a VM uses no more than it
+//     held under the last table that it knows of the former era. The VMs that still use
+//     that table do not either.
+//
 // A VM that restarts at the same address takes over its row at once. Its buckets start
 // empty, so tokens that its former incarnation spent are not spent again. A write of
 // the former incarnation that is stored later replaces the very table that the new one
@@ -31,6 +40,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/core/shares"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 )
 
 // Total is the number of share units of a table.
@@ -137,6 +147,10 @@
 	revokedSince  map[Key]time.Duration // when the mark was first read
 	serving       bool
 	servingSince  time.Duration // time of the last change of serving
+	// limit bounds the usable share units until limitedUntil, after the store came back from
+	// an older copy.
+	limit        uint32
+	limitedUntil time.Duration
 }
 
 // View is what a VM knows about the other VMs.
@@ -153,6 +167,9 @@
 
 // SetServing sets whether this VM is to have a row.
 func (h *Holder) SetServing(now time.Duration, serving bool) {
+	if now >= h.limitedUntil {
+		h.limitedUntil = 0
+	}
 	if h.serving != serving {
 		h.serving, h.servingSince = serving, now
 	}
@@ -178,6 +195,10 @@
 		return false
 	}
 	changed := version != h.version
+	if era := objectapi.Version(version).Era(); h.loaded && era > objectapi.Version(h.version).Era() {
+		h.limit, _ = h.ShareUnits()
+		h.limitedUntil = now + LeaseDuration + GuardInterval
+	}
 	h.table, h.version, h.loaded, h.readAt = t, version, true, max(h.readAt, sentAt)
 	h.uncertain = false
 	if changed {
@@ -218,7 +239,11 @@
 	if !ok || h.table.Rows[i].Revoked {
 		return 0, 0
 	}
-	return h.table.Rows[i].ShareUnits - min(h.withheld, h.table.Rows[i].ShareUnits), h.readAt + LeaseDuration
+	usable := h.table.Rows[i].ShareUnits - min(h.withheld, h.table.Rows[i].ShareUnits)
+	if h.limitedUntil > 0 {
+		usable = min(usable, h.limit)
+	}
+	return usable, h.readAt + LeaseDuration
 }
 
 // ObserveRelayed records the response of another VM to a request sent at sentAt: the VM
