Keep generations, announced commands and commit holders across a restore

A group's record that the store had lost made the next takeover start from the older one: it gave a fencing token out again, which the platform refuses once a higher one was seen, so that no primary was replaced; it knew nothing of a call or a resume command that could still take effect, and commit holders that had been added since were missing for VMs that started later.

The generations of an era begin above all of the former one (era in the upper half). A VM that reads an older record in a new era keeps what it knows: pending calls and resume commands with the time of their announcement, the commit holders, the primary.

If the VM that announced a call dies before it has written the record again, nobody knows of the call.

--- a/internal/controller/takeover/holders.go
+++ b/internal/controller/takeover/holders.go
@@ -38,10 +38,11 @@
 		return
 	}
 	unmarked := !g.record.Done && g.record.Candidate == primary.Name
-	if g.record.at > 0 && g.record.Primary == primary.Name && !unmarked && !g.holdersDiffer(snapshot, now) {
+	formerEra := g.record.at > 0 && g.record.version.Era() < snapshot.Era
+	if g.record.at > 0 && g.record.Primary == primary.Name && !unmarked && !formerEra && !g.record.unsaved && !g.holdersDiffer(snapshot, now) {
 		return
 	}
-	if c.rank(g.name) > 0 {
+	if c.rank(g.name) > 0 && !formerEra && !g.record.unsaved {
 		g.nextHolders = now + holdersInterval
 		return
 	}
@@ -93,7 +94,7 @@
 		// The holder of the generation died or could not mark its change as done.
 		next.Done, next.Candidate = true, ""
 	}
-	if next.Primary == seen.Primary && next.Done == seen.Done && maps.Equal(next.Holders, seen.Holders) {
+	if next.Primary == seen.Primary && next.Done == seen.Done && maps.Equal(next.Holders, seen.Holders) && !seen.unsaved {
 		return
 	}
 	next.Writer = t.controller.cfg.UniqueID()
--- a/internal/controller/takeover/record.go
+++ b/internal/controller/takeover/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -14,7 +15,7 @@
 
 // record is the value of a KindGroup object.
 type record struct {
-	// Generation is the fencing token of the holder; it only increases.
+	// Generation is the fencing token of the holder; it only increases, see nextGeneration.
 	Generation uint64       `json:"generation"`
 	Holder     ident.VMName `json:"holder"`
 	// Done means that the holder's change has ended.
@@ -51,6 +52,46 @@
 	// the group alternately would wait forever.
 	callSeenAt   time.Duration
 	resumeSeenAt map[ident.UpstreamName]time.Duration
+	// unsaved means that the record holds what the store lost when it came back from an older
+	// copy.
+	unsaved bool
+}
+
+// generationBits is the number of low bits of a generation that count within one era of the
+// store. An era begins above all generations that were given out before, because the store
+// may have lost them.
+const generationBits = 32
+
+// nextGeneration returns the generation of the next holder.
+func nextGeneration(seen seenRecord) uint64 {
+	return max(seen.Generation, seen.version.Era()<<generationBits) + 1
+}
+
+// restored returns the state after an older record was read in a new era of the store, in
+// which the changes known since are lost: calls and resume commands that may still take
+// effect remain announced, and commit holders remain.
+func (s seenRecord) restored(r record, version objectapi.Version, now time.Duration) seenRecord {
+	merged := r
+	merged.Generation, merged.CommandCount = max(r.Generation, s.Generation), max(r.CommandCount, s.CommandCount)
+	if candidate := s.pendingCandidate(now); candidate != "" {
+		merged.Candidate, merged.CallNumber, merged.Done = candidate, s.CallNumber, false
+	}
+	merged.Resuming, merged.Holders = maps.Clone(r.Resuming), maps.Clone(r.Holders)
+	if merged.Holders == nil {
+		merged.Holders = map[ident.UpstreamName]string{}
+	}
+	if merged.Resuming == nil {
+		merged.Resuming = map[ident.UpstreamName]uint64{}
+	}
+	maps.Copy(merged.Resuming, s.pendingResumes(now))
+	maps.Copy(merged.Holders, s.Holders)
+	if s.Primary != "" {
+		merged.Primary = s.Primary
+	}
+	next := s.next(merged, version, now)
+	next.unsaved = merged.Candidate != r.Candidate || merged.Primary != r.Primary ||
+		!maps.Equal(merged.Resuming, r.Resuming) || !maps.Equal(merged.Holders, r.Holders)
+	return next
 }
 
 // next returns the state after a newer record was read at now.
@@ -107,7 +148,7 @@
 	// member, verified before that, would lose what is committed after it.
 	t.boundCandidate = seen.pendingCandidate(c.cfg.Now())
 	next := seen.record
-	next.Generation, next.Holder, next.Done, next.Writer = seen.Generation+1, c.cfg.Self, false, c.cfg.UniqueID()
+	next.Generation, next.Holder, next.Done, next.Writer = nextGeneration(seen), c.cfg.Self, false, c.cfg.UniqueID()
 	next.Candidate, next.Resuming = t.boundCandidate, seen.pendingResumes(c.cfg.Now())
 	t.record = next
 	return next.Generation, t.write(ctx, next, seen.version)
@@ -132,7 +173,6 @@
 	var r record
 	switch {
 	case resultcode.Is(err, resultcode.PlatformNotFound):
-		o = objectapi.Object{}
 	case err != nil:
 		return seenRecord{}, err
 	default:
@@ -142,8 +182,11 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if t.group.record.version != o.Version || t.group.record.at == 0 {
-		t.group.record = t.group.record.next(r, o.Version, c.cfg.Now())
+	switch known := t.group.record; {
+	case known.at > 0 && o.Version.Era() > known.version.Era():
+		t.group.record = known.restored(r, o.Version, c.cfg.Now())
+	case known.version != o.Version || known.at == 0:
+		t.group.record = known.next(r, o.Version, c.cfg.Now())
 	}
 	return t.group.record, nil
 }
