Write the VM's registration again after a restore

The store's copy lacked the registrations of VMs that had started since. A VM that is no hub writes its own only every ten minutes, a hub every minute; VMs that started meanwhile did not know it as a hub or as a holder of rates.

When a VM notices a new era, it creates its registration unless it is there, one call a VM.

--- a/internal/controller/peers/peers.go
+++ b/internal/controller/peers/peers.go
@@ -164,6 +164,8 @@
 	// of the last read.
 	registered bool
 	listedAt   time.Duration
+	// registerNow requests that this VM writes its registration again.
+	registerNow chan struct{}
 	// restarted is set if this VM was registered before it started.
 	restarted bool
 	// joinedAt is the time at which joining ended.
@@ -178,7 +180,7 @@
 
 // New returns a Peers without any other VM.
 func New(cfg Config) *Peers {
-	return &Peers{cfg: cfg, peers: map[ident.VMName]*peer{}, joining: true}
+	return &Peers{cfg: cfg, peers: map[ident.VMName]*peer{}, joining: true, registerNow: make(chan struct{}, 1)}
 }
 
 func placementVM(i relay.Identity) placement.VM {
@@ -202,6 +204,8 @@
 		select {
 		case <-ctx.Done():
 		case <-time.After(wait):
+		case <-p.registerNow:
+			p.restoreRegistration(ctx)
 		}
 	}
 	p.mu.Lock()
--- a/internal/controller/peers/registry.go
+++ b/internal/controller/peers/registry.go
@@ -26,8 +26,7 @@
 // registered already, and the list that it would otherwise need beforehand grows with the
 // fleet.
 func (p *Peers) register(ctx context.Context) bool {
-	self := p.cfg.Self
-	own := registration{Address: self.Address, Zone: self.Zone, Region: self.Region, Cores: self.Cores}
+	own := p.ownRegistration()
 	if !p.isRegistered() {
 		err := p.putRegistration(ctx, own, 0)
 		if err != nil && !resultcode.Is(err, resultcode.PlatformConflict) {
@@ -54,6 +53,22 @@
 	return true
 }
 
+// RestoreRegistration requests that this VM writes its registration again, because the
+// store may have lost it.
+func (p *Peers) RestoreRegistration() { notify(p.registerNow) }
+
+// restoreRegistration writes this VM's registration unless there is one. A lost write is
+// made up for by the next list of all registrations.
+func (p *Peers) restoreRegistration(ctx context.Context) {
+	err := p.putRegistration(ctx, p.ownRegistration(), 0)
+	p.cfg.Log.Info().Bool("lost", err == nil).Msg("registration checked after the return of the store")
+}
+
+func (p *Peers) ownRegistration() registration {
+	self := p.cfg.Self
+	return registration{Address: self.Address, Zone: self.Zone, Region: self.Region, Cores: self.Cores}
+}
+
 func (p *Peers) setRestarted(restarted bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/controller/storesync/era.go
+++ b/internal/controller/storesync/era.go
@@ -33,6 +33,7 @@
 	f.settledAt = f.now() + unsettled
 	if restored {
 		f.requestLists()
+		f.onRestore()
 		time.AfterFunc(unsettled, func() { recovery.Run(f.log, "apply restored contents", f.applyRestored) })
 	}
 }
--- a/internal/controller/storesync/follower.go
+++ b/internal/controller/storesync/follower.go
@@ -147,6 +147,7 @@
 	// relayPending reports whether it is not known yet whether there is a relay.
 	relayPending func() bool
 	requestView  func(context.Context, ident.VMName, ViewRequest) (ViewResponse, error)
+	onRestore    func()
 
 	state      atomic.Pointer[Snapshot]
 	configWake chan struct{}
@@ -210,6 +211,8 @@
 	// there is a relay. Store calls wait until it returns false. A nil RelayPending is one
 	// that always does.
 	RelayPending func() bool
+	// OnRestore is called, if not nil, when the store has come back from an older copy.
+	OnRestore func()
 	// RequestView requests the view of a VM.
 	RequestView func(ctx context.Context, vm ident.VMName, request ViewRequest) (ViewResponse, error)
 }
@@ -222,7 +225,7 @@
 		leaving: map[ident.UpstreamName]withdrawal.Withdrawal{}, evacuated: map[ident.AvailabilityZone]withdrawal.Withdrawal{},
 		slowStartUntil: map[ident.UpstreamName]time.Duration{},
 		loaded:         map[objectapi.Kind]bool{}, viewVersion: map[objectapi.Kind]objectapi.Version{},
-		viewProvedAt: map[objectapi.Kind]time.Duration{}, storeAvailable: true, relay: o.Relay, relayPending: o.RelayPending, requestView: o.RequestView,
+		viewProvedAt: map[objectapi.Kind]time.Duration{}, storeAvailable: true, relay: o.Relay, relayPending: o.RelayPending, requestView: o.RequestView, onRestore: o.OnRestore,
 		views: map[objectapi.Kind]*kindView{
 			o.Source.ConfigKind: newKindView(), o.Source.UpstreamsKind: newKindView(), o.Source.EvacuationsKind: newKindView(),
 		},
@@ -233,6 +236,9 @@
 	if f.relay == nil {
 		f.relay = func() (ident.VMName, bool) { return "", false }
 	}
+	if f.onRestore == nil {
+		f.onRestore = func() {}
+	}
 	if f.relayPending == nil {
 		f.relayPending = func() bool { return false }
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -150,7 +150,7 @@
 		},
 	})
 	v.follower = storesync.New(storesync.Options{
-		Source: v.adapter.Source, Now: now, Log: v.log, Rank: v.configurationRank, Relay: v.storeRelayVM, RelayPending: v.peers.Settling, RequestView: v.requestView,
+		Source: v.adapter.Source, Now: now, Log: v.log, Rank: v.configurationRank, Relay: v.storeRelayVM, RelayPending: v.peers.Settling, RequestView: v.requestView, OnRestore: v.peers.RestoreRegistration,
 		Times: storesync.Times{Apply: s.Bounds.ApplyTimeout, Revoke: s.Bounds.RevocationTimeout, Drain: s.Bounds.DrainTimeout, Evacuate: s.Bounds.EvacuationTimeout, Reregister: reregistrationTime},
 	})
 	v.router = steering.New(steering.Config{
