Let the soak bring the store back from a copy and evacuate a zone

restore-store takes the store away for up to 1.5 s and brings it back from a copy up to 4 s old; what operators and upstreams had written is written again within 0.3 s. evacuate leaves a zone evacuated until 5 s after the last fault; then no statement of a client may reach it for 1 s.

--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -88,9 +88,78 @@
 		f.withdraw(0)
 	case WithdrawKey:
 		f.withdraw(1)
+	case RestoreStore:
+		f.restoreStore(fault)
+	case Evacuate:
+		f.evacuate(zones[fault.Target%len(zones)])
 	}
 }
 
+const (
+	// maxCopyAge bounds the age of the copy from which the store comes back.
+	maxCopyAge = 4 * time.Second
+	// maxRewriteDelay bounds the time in which operators and upstreams write the lost changes
+	// again.
+	maxRewriteDelay = 300 * time.Millisecond
+)
+
+// restoreStore takes the store away and brings it back from a copy.
+func (f *fleet) restoreStore(fault Fault) {
+	copied := f.store.CopyAt(time.Now().Add(-(time.Duration(fault.Target) * time.Millisecond % maxCopyAge)))
+	f.store.SetUnavailable(true)
+	time.Sleep(fault.For)
+	f.store.Restore(copied)
+	f.store.SetUnavailable(false)
+	time.Sleep(fault.For % maxRewriteDelay)
+	f.store.Rewrite()
+}
+
+// evacuate requests the evacuation of a zone unless another one is evacuated.
+func (f *fleet) evacuate(zone string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.evacuated == "" {
+		f.evacuated = zone
+		f.store.Set("evacuations", zone, struct{}{})
+	}
+}
+
+const (
+	// evacuationBound is the time after which nothing may reach an evacuated zone, and
+	// contactTime the time without a fault after which that is expected of every VM.
+	evacuationBound = 5 * time.Second
+	contactTime     = 4 * time.Second
+	// evacuationWatch is the time for which the evacuated zone is watched.
+	evacuationWatch = time.Second
+)
+
+// watchEvacuation reports statements of clients that reach the evacuated zone although the
+// last fault has ended for the bound, and ends the evacuation.
+func (f *fleet) watchEvacuation() {
+	f.mu.Lock()
+	zone := f.evacuated
+	f.mu.Unlock()
+	if zone == "" {
+		return
+	}
+	time.Sleep(max(evacuationBound, contactTime))
+	from := time.Now()
+	time.Sleep(evacuationWatch)
+	for _, id := range f.group.MemberIDs() {
+		inside := false
+		f.group.WithMember(id, func(m *platformtest.Member) { inside = m.Zone == zone })
+		if !inside {
+			continue
+		}
+		for _, a := range f.group.ArrivalsAt(id, from) {
+			if a.ID != "-" {
+				f.history.violate("%s in evacuated zone %s received %q of %s", id, zone, a.Text, a.ID)
+			}
+		}
+	}
+	f.store.Remove("evacuations", zone)
+}
+
 func (f *fleet) restart(v *vm) {
 	if err := v.start(); err != nil {
 		f.history.violate("%s cannot be started: %v", v.name, err)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -29,6 +29,10 @@
 	LosePromotion Kind = "lose-promotion"
 	Reconfigure   Kind = "reconfigure"
 	WithdrawKey   Kind = "withdraw-key"
+	// RestoreStore brings the store back from an older copy, and Evacuate requests that a
+	// zone is left until the end of the run.
+	RestoreStore Kind = "restore-store"
+	Evacuate     Kind = "evacuate"
 )
 
 var kinds = []Kind{
@@ -36,6 +40,9 @@
 	CrashPrimary, DeafReplica, LagReplica, LoseAnswers, LosePromotion, Reconfigure, WithdrawKey,
 }
 
+// rareKinds are drawn apart from the others, at most one of each in some seconds.
+var rareKinds = []Kind{RestoreStore, Evacuate}
+
 // Fault is one planned fault.
 type Fault struct {
 	At   time.Duration
@@ -55,6 +62,8 @@
 	// seriesShare is the part of the faults that are followed by another one of the same
 	// kind and target.
 	seriesShare = 0.3
+	// rareInterval is the mean time between two faults of a rare kind.
+	rareInterval = 8 * time.Second
 )
 
 // NewPlan returns the faults of a seed for a run, in order. On average one begins in
@@ -73,10 +82,23 @@
 			plan = append(plan, next)
 		}
 	}
+	plan = append(plan, rareFaults(seed, length)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
 
+// rareFaults returns the faults of rareKinds.
+func rareFaults(seed uint64, length time.Duration) []Fault {
+	rng := rand.New(rand.NewPCG(seed, 2))
+	var plan []Fault
+	for _, kind := range rareKinds {
+		for at := between(rng, firstFault, rareInterval); at < length; at += between(rng, rareInterval/2, 3*rareInterval/2) {
+			plan = append(plan, Fault{At: at, For: between(rng, 200*time.Millisecond, longest/2), Kind: kind, Target: rng.IntN(1 << 16)})
+		}
+	}
+	return plan
+}
+
 func between(rng *rand.Rand, least, most time.Duration) time.Duration {
 	return least + time.Duration(rng.Int64N(int64(most-least)))
 }
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -50,6 +50,9 @@
 	temporary = 16
 )
 
+// zones are the availability zones of the VMs and of the upstreams.
+var zones = []string{"a", "b", "c"}
+
 // fleet is a run.
 type fleet struct {
 	options Options
@@ -65,6 +68,7 @@
 	mu        sync.Mutex
 	version   int
 	withdrawn []time.Time // by temporary organisation; in the order of withdrawal
+	evacuated string      // zone that is evacuated, or ""
 }
 
 // Run plays one seed. The error says that the run could not be made.
@@ -92,6 +96,7 @@
 	running.Go(func() { f.useTemporary(work) })
 	plan := NewPlan(o.Seed, o.Length)
 	f.inject(plan)
+	f.watchEvacuation()
 	if !f.serving(o.Recovery) {
 		f.history.violate("not every VM serves writes %v after the last fault", o.Recovery)
 	}
@@ -102,7 +107,7 @@
 
 func newFleet(o Options) (*fleet, error) {
 	f := &fleet{options: o, store: platformtest.NewStore(), history: newHistory(), members: map[string]*proxy{}}
-	f.group = platformtest.NewGroup(f.store, "g1", "a", "b", "c")
+	f.group = platformtest.NewGroup(f.store, "g1", zones...)
 	f.duties = platformtest.NewFailoverServer(f.group)
 	for _, id := range f.group.MemberIDs() {
 		var address string
@@ -115,9 +120,12 @@
 		f.group.SetAddress(id, p.address())
 	}
 	f.configure()
-	zones := map[string]string{"a": "r-a", "b": "r-b", "c": "r-c"}
+	regions := map[string]string{}
+	for _, zone := range zones {
+		regions[zone] = "r-" + zone
+	}
 	for n := range o.VMs {
-		v, err := newVM(o.Directory, o.Program, n, string(rune('a'+n%3)), zones, f.store.Address(), f.duties.Address())
+		v, err := newVM(o.Directory, o.Program, n, zones[n%len(zones)], regions, f.store.Address(), f.duties.Address())
 		if err != nil {
 			return nil, err
 		}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -64,7 +64,7 @@
 			series = series || i > 0 && f.Kind == plan[i-1].Kind && f.Target == plan[i-1].Target
 		}
 	}
-	assert.Equal(t, len(seen), len(kinds))
+	assert.Equal(t, len(seen), len(kinds)+len(rareKinds))
 	assert.Assert(t, series)
 }
 
