Send the proof of a view under a key of its own

The codec leaves out fields that share a key, so that no VM got a proof of another one, and a relayed table counted as read at the time of the probe. Evacuated zones and leaving upstreams were left at once by all VMs but the first, and a holder of share units could extend its lease beyond the reading.

The state dump shows the proof. Equal views no longer count as a mismatch while a new era settles.

--- a/internal/controller/peers/peers.go
+++ b/internal/controller/peers/peers.go
@@ -59,7 +59,7 @@
 	ShareTableVersion uint64        `cbor:"6,keyasint,omitempty"`
 	ShareTableAge     time.Duration `cbor:"8,keyasint,omitempty"`
 	// View describes the upstream registrations and zone evacuations known to the VM.
-	View storesync.ViewProof `cbor:"8,keyasint,omitempty"`
+	View storesync.ViewProof `cbor:"9,keyasint,omitempty"`
 }
 
 // Store stores the registrations of VMs.
--- a/internal/controller/peers/peers_test.go
+++ b/internal/controller/peers/peers_test.go
@@ -43,6 +43,17 @@
 	t.Logf("%d bytes for each probe and its response", probeBytes)
 }
 
+// Guards against fields of a message that share a key and are then left out by the codec.
+func TestProbeResponseKeepsAllFields(t *testing.T) {
+	sent := ProbeResponse{Version: 1, ProofAge: 2, Proved: true, Leaving: true, Incarnation: 3, ShareTableVersion: 4, ShareTableAge: 5,
+		View: storesync.ViewProof{Digest: 6, Proved: true, Age: 7, Era: 8, Unsettled: 9}}
+	encoded, err := cbor.Marshal(sent)
+	assert.NilError(t, err)
+	var received ProbeResponse
+	assert.NilError(t, cbor.Unmarshal(encoded, &received))
+	assert.DeepEqual(t, received, sent)
+}
+
 // fakeStore is an in-memory store of registrations.
 type fakeStore struct {
 	mu      sync.Mutex
--- a/internal/controller/storesync/follower.go
+++ b/internal/controller/storesync/follower.go
@@ -310,14 +310,14 @@
 // ViewProof describes a view of the registrations and the zone evacuations.
 type ViewProof struct {
 	// Digest is equal on VMs that know the same registrations and evacuations.
-	Digest uint64 `cbor:"1,keyasint,omitempty"`
+	Digest uint64 `cbor:"1,keyasint,omitempty" json:"digest"`
 	// Proved is set if the view has been proved current, and Age is the time since then.
-	Proved bool          `cbor:"2,keyasint,omitempty"`
-	Age    time.Duration `cbor:"3,keyasint,omitempty"`
+	Proved bool          `cbor:"2,keyasint,omitempty" json:"proved"`
+	Age    time.Duration `cbor:"3,keyasint,omitempty" json:"age_ns"`
 	// Era is the era of the store that the VM knows, and Unsettled the time for which it does
 	// not trust the store's contents yet.
-	Era       uint64        `cbor:"4,keyasint,omitempty"`
-	Unsettled time.Duration `cbor:"5,keyasint,omitempty"`
+	Era       uint64        `cbor:"4,keyasint,omitempty" json:"era"`
+	Unsettled time.Duration `cbor:"5,keyasint,omitempty" json:"unsettled_ns"`
 }
 
 // ViewProof returns the digest of this VM's view and the age of its proof.
@@ -381,7 +381,8 @@
 	if !v.Proved {
 		return
 	}
-	if v.Digest == f.state.Load().digest {
+	same := v.Digest == f.state.Load().digest
+	if same {
 		f.proveView(f.source.UpstreamsKind, provedAt)
 		f.proveView(f.source.EvacuationsKind, provedAt)
 	}
@@ -390,7 +391,7 @@
 		f.mismatchSince = 0
 	}
 	switch {
-	case provedAt <= own, v.Era < f.era:
+	case same, provedAt <= own, v.Era < f.era:
 	case f.mismatchSince == 0:
 		f.mismatchSince, f.mismatchProof = f.now(), provedAt
 	case f.now() >= f.mismatchSince+digestMismatchLimit:
--- a/internal/service/observe.go
+++ b/internal/service/observe.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarywall/rosemarywall/internal/controller/storesync"
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/core/shares"
 	"github.com/rosemarywall/rosemarywall/internal/core/shareunits"
@@ -107,6 +108,8 @@
 	ProofAge  time.Duration     `json:"proof_age_ns"`
 	Hubs      []string          `json:"hubs"`
 	Upstreams catalog.Upstreams `json:"upstreams"`
+	// View tells when the upstreams and the evacuated zones were last proved current.
+	View storesync.ViewProof `json:"view"`
 	// EvacuatedZones holds the evacuated zones in order.
 	EvacuatedZones []ident.AvailabilityZone `json:"evacuated_zones"`
 	ShareUnits     shareunits.Table         `json:"rate_parts"`
@@ -125,6 +128,7 @@
 		VM: string(v.settings.VM), Ready: ready, Reason: reason, Version: uint64(version), ProofAge: age,
 		Upstreams: v.follower.Snapshot().Upstreams, Clients: v.server.Clients(), OpenTransactions: v.local.Transactions(),
 	}
+	d.View = v.follower.ViewProof()
 	d.EvacuatedZones = slices.Sorted(maps.Keys(v.follower.Snapshot().Evacuated))
 	for _, vm := range v.peers.Hubs() {
 		d.Hubs = append(d.Hubs, string(vm.Name))
