Review: show a database that is lost after its primary was busy

Cause: a transaction whose first statement is refused as BUSY stays open while the statement is tried again, so its connection is never released.

--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -86,11 +86,11 @@
 func (v *vm) front() string { return net.JoinHostPort(v.ip, "20001") }
 
 // newFleet starts the stand-ins and the VMs, and waits until all of them are ready.
-func newFleet(rec *record, directory string, program []string, work time.Duration) (*fleet, error) {
+func newFleet(rec *record, directory string, program []string, fig figures) (*fleet, error) {
 	f := &fleet{rec: rec, store: platformtest.NewStore(), program: program}
 	zones := []string{"a", "b", "c"}
 	var err error
-	if f.service, err = newService("svc1", f.store, rec, work, zones); err != nil {
+	if f.service, err = newService("svc1", f.store, rec, fig, zones); err != nil {
 		return f, err
 	}
 	f.duties = httptest.NewServer(http.HandlerFunc(f.failover))
@@ -139,7 +139,7 @@
 	f.store.Set("config", "main", map[string]any{
 		"version":   3,
 		"routes":    []any{route(primaryDatabase, "primary"), route(boundedDatabase, "bounded_staleness")},
-		"upstreams": []any{map[string]any{"name": f.service.name, "max_conns": memberMaxConns, "sync_replicas": 1}},
+		"upstreams": []any{map[string]any{"name": f.service.name, "max_conns": f.service.figures.maxConns, "sync_replicas": 1}},
 		"limits":    map[string]any{"tx_idle_ms": 3000},
 		"tenants":   []any{map[string]any{"name": "tenant-1", "api_keys": []string{key}, "rate_per_s": 5000, "burst": 5000}},
 	})
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,12 +25,12 @@
 
 // cases maps names to cases. A case returns the breaks of its rule.
 var cases = map[string]struct {
-	work time.Duration // of one statement at a member
-	run  func(*play) ([]string, error)
+	figures figures
+	run     func(*play) ([]string, error)
 }{
-	"busy-session":   {33 * time.Millisecond, (*play).busySession},
-	"split-message":  {11 * time.Millisecond, (*play).splitMessage},
-	"busy-statement": {11 * time.Millisecond, (*play).busyStatement},
+	"busy-session":   {refillOrders, (*play).busySession},
+	"split-message":  {counterOrder, (*play).splitMessage},
+	"busy-statement": {deckbook, (*play).busyStatement},
 }
 
 func main() {
@@ -52,7 +52,7 @@
 	}
 	defer out.Close()
 	rec := &record{file: out, start: time.Now()}
-	f, err := newFleet(rec, directory, command(line), c.work)
+	f, err := newFleet(rec, directory, command(line), c.figures)
 	defer f.close()
 	var breaks []string
 	if err == nil {
--- a/review/standin/member.go
+++ b/review/standin/member.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"strconv"
 	"strings"
@@ -12,28 +13,33 @@
 	"github.com/rosemarywall/rosemarywall/platform/platformtest"
 )
 
-// The figures of a member are those of lswr-pool: 5 slots, a queue of 40, 54 connections and
-// 27 ms for a new connection.
-const (
-	memberSlots    = 5
-	memberQueue    = 40
-	memberMaxConns = 54
-	handshakeTime  = 27 * time.Millisecond
+// figures are those of the members of a site.
+type figures struct {
+	slots, queue, maxConns int
+	// handshake is the time of a new connection, and work that of one statement.
+	handshake, work time.Duration
+}
+
+// Figures of the sites that the cases name.
+var (
+	refillOrders = figures{slots: 5, queue: 40, maxConns: 54, handshake: 27 * time.Millisecond, work: 33 * time.Millisecond}
+	counterOrder = figures{slots: 5, queue: 40, maxConns: 54, handshake: 27 * time.Millisecond, work: 11 * time.Millisecond}
+	deckbook     = figures{slots: 2, queue: 16, maxConns: 35, handshake: 12 * time.Millisecond, work: 3 * time.Millisecond}
 )
 
 // service is one database with a primary and two replicas. A commit is acknowledged once a
 // replica has received it.
 type service struct {
-	name   string
-	store  *platformtest.Store
-	rec    *record
-	work   time.Duration // of a read, a write or a commit
-	mu     sync.Mutex
-	term   int
-	log    []string // ids of the statements that committed
-	data   map[string]string
-	member map[string]*member
-	runs   []run
+	name    string
+	store   *platformtest.Store
+	rec     *record
+	figures figures
+	mu      sync.Mutex
+	term    int
+	log     []string // ids of the statements that committed
+	data    map[string]string
+	member  map[string]*member
+	runs    []run
 }
 
 // run is a statement of a client that a member has run.
@@ -57,18 +63,19 @@
 	received int // length of the log that it has
 	waiting  int
 	conns    int
-	// rejectNext is the number of statements of clients that are refused as BUSY.
-	rejectNext int
+	open     int // connections with an open transaction
+	// rejectShare is the share of the reads, writes and commits that are refused as BUSY.
+	rejectShare float64
 }
 
-func newService(name string, store *platformtest.Store, rec *record, work time.Duration, zones []string) (*service, error) {
-	s := &service{name: name, store: store, rec: rec, work: work, term: 1, data: map[string]string{}, member: map[string]*member{}}
+func newService(name string, store *platformtest.Store, rec *record, fig figures, zones []string) (*service, error) {
+	s := &service{name: name, store: store, rec: rec, figures: fig, term: 1, data: map[string]string{}, member: map[string]*member{}}
 	for i, zone := range zones {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		if err != nil {
 			return nil, err
 		}
-		m := &member{id: fmt.Sprintf("i-%s-%d", name, i+1), zone: zone, service: s, listener: l, slots: make(chan struct{}, memberSlots), primary: i == 0}
+		m := &member{id: fmt.Sprintf("i-%s-%d", name, i+1), zone: zone, service: s, listener: l, slots: make(chan struct{}, fig.slots), primary: i == 0}
 		s.member[m.id] = m
 		m.register()
 		go m.accept()
@@ -89,7 +96,7 @@
 		role = "primary"
 	}
 	m.service.store.Set("servers", m.id, map[string]any{"upstream": m.service.name, "addr": m.listener.Addr().String(), "zone": m.zone,
-		"version": "v1", "capacity": memberSlots, "state": "ready", "warmup_ms": 0, "db_role": role, "seq": 1, "born": time.Now().UnixMilli()})
+		"version": "v1", "capacity": m.service.figures.slots, "state": "ready", "warmup_ms": 0, "db_role": role, "seq": 1, "born": time.Now().UnixMilli()})
 }
 
 func (m *member) accept() {
@@ -109,7 +116,7 @@
 func (m *member) acquire() bool {
 	s := m.service
 	s.mu.Lock()
-	if m.waiting >= memberQueue+memberSlots {
+	if m.waiting >= s.figures.queue+s.figures.slots {
 		s.mu.Unlock()
 		return false
 	}
@@ -135,6 +142,7 @@
 	readOnly bool
 	prepared map[string]bool // name to whether it writes
 	writes   map[string]string
+	counted  bool // in member.open
 }
 
 func (c *memberSession) reply(lines ...string) {
@@ -159,7 +167,7 @@
 	}
 	m.service.mu.Lock()
 	m.conns++
-	full := m.conns > memberMaxConns
+	full := m.conns > m.service.figures.maxConns
 	m.service.mu.Unlock()
 	defer func() {
 		m.service.mu.Lock()
@@ -171,7 +179,7 @@
 		return
 	}
 	if m.acquire() {
-		time.Sleep(handshakeTime)
+		time.Sleep(m.service.figures.handshake)
 		m.release()
 	}
 	c.reply("READY I " + c.position())
@@ -179,9 +187,11 @@
 		line, ok := c.line()
 		parts := strings.SplitN(line, " ", 3)
 		if !ok || len(parts) < 3 || parts[0] != "QUERY" {
+			c.count("I")
 			return
 		}
 		rows, result := c.query(parts[1], parts[2])
+		c.count(c.state)
 		out := []string{}
 		for _, row := range rows {
 			out = append(out, "ROW "+row)
@@ -190,6 +200,19 @@
 	}
 }
 
+// count counts the connection if it has a transaction open.
+func (c *memberSession) count(state string) {
+	c.member.service.mu.Lock()
+	defer c.member.service.mu.Unlock()
+	switch open := state != "I"; {
+	case open && !c.counted:
+		c.member.open++
+	case !open && c.counted:
+		c.member.open--
+	}
+	c.counted = state != "I"
+}
+
 // position returns the end of the member's log.
 func (c *memberSession) position() string {
 	c.member.service.mu.Lock()
@@ -241,18 +264,14 @@
 		return nil, "ERROR BUSY " + m.id
 	}
 	defer m.release()
-	time.Sleep(m.service.work)
+	time.Sleep(m.service.figures.work)
 	return c.execute(id, text, verb, rest, arrived)
 }
 
 func (m *member) rejects() bool {
 	m.service.mu.Lock()
 	defer m.service.mu.Unlock()
-	if m.rejectNext > 0 {
-		m.rejectNext--
-		return true
-	}
-	return false
+	return rand.Float64() < m.rejectShare
 }
 
 func (m *member) lacks(point string) bool {
