--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -145,16 +145,7 @@
 	time.Sleep(afterStop - time.Since(begun))
 	cancel()
 	running.Wait()
-	p.service.mu.Lock()
-	defer p.service.mu.Unlock()
-	var breaks []string
-	for _, r := range p.service.runs {
-		if requested[r.id] != r.text {
-			breaks = append(breaks, fmt.Sprintf("%s runs %s (%s) at %s; the requester has sent %q under this id",
-				r.member, r.id, r.text, p.rec.at(r.at), requested[r.id]))
-		}
-	}
-	return breaks, nil
+	return p.unaskedRuns(requested), nil
 }
 
 func (p *play) splitMessages(ctx context.Context, n int, sending func(id, text string)) {
