--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -31,7 +31,9 @@
 // newID returns an id that no other request has.
 func newID(prefix string) string { return fmt.Sprintf("%s%012x", prefix, lastID.Add(1)) }
 
-func dial(address, database string) (*client, error) {
+func dial(address, database string) (*client, error) { return dialWith(address, database, key) }
+
+func dialWith(address, database, key string) (*client, error) {
 	conn, err := net.DialTimeout("tcp4", address, clientTimeout)
 	if err != nil {
 		return nil, err
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -94,7 +94,7 @@
 		return f, err
 	}
 	f.duties = httptest.NewServer(http.HandlerFunc(f.failover))
-	f.configure()
+	f.configure(true)
 	net24 := fmt.Sprintf("127.%d.%d", 64+os.Getpid()>>8&63, os.Getpid()&255)
 	for n := range 6 {
 		v := &vm{name: fmt.Sprintf("front-%s-%d", zones[n%3], n/3+1), ip: net24 + "." + strconv.Itoa(n+1)}
@@ -124,24 +124,31 @@
 	return f, nil
 }
 
-// Names of the databases, and the key of the only tenant.
+// Names of the databases, and the keys of the tenants.
 const (
 	primaryDatabase = "orders"
 	boundedDatabase = "stock"
 	key             = "key-1"
+	secondKey       = "key-2"
 )
 
-func (f *fleet) configure() {
+// configure writes a configuration, with or without the second key.
+func (f *fleet) configure(withSecond bool) {
+	version, keys := 3, []string{secondKey}
+	if !withSecond {
+		version, keys = 5, []string{}
+	}
 	route := func(host, kind string) map[string]any {
 		return map[string]any{"name": "r-" + host, "host": host, "type": kind, "upstream": f.service.name, "timeout_ms": 1250,
 			"slo_ms": 800, "max_staleness_ms": 1500, "prio": 1, "public": false}
 	}
 	f.store.Set("config", "main", map[string]any{
-		"version":   3,
+		"version":   version,
 		"routes":    []any{route(primaryDatabase, "primary"), route(boundedDatabase, "bounded_staleness")},
 		"upstreams": []any{map[string]any{"name": f.service.name, "max_conns": f.service.figures.maxConns, "sync_replicas": 1}},
 		"limits":    map[string]any{"tx_idle_ms": 3000},
-		"tenants":   []any{map[string]any{"name": "tenant-1", "api_keys": []string{key}, "rate_per_s": 5000, "burst": 5000}},
+		"tenants": []any{map[string]any{"name": "tenant-1", "api_keys": []string{key}, "rate_per_s": 5000, "burst": 5000},
+			map[string]any{"name": "tenant-2", "api_keys": keys, "rate_per_s": 5000, "burst": 5000}},
 	})
 }
 
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -30,6 +30,7 @@
 }{
 	"busy-session":   {refillOrders, (*play).busySession},
 	"split-message":  {counterOrder, (*play).splitMessage},
+	"older-copy":     {counterOrder, (*play).olderCopy},
 	"line-feed":      {counterOrder, (*play).lineFeed},
 	"busy-statement": {deckbook, (*play).busyStatement},
 }
