--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -122,7 +122,7 @@
 // splitMessage: requesters write a message in two parts, its head and its data, 40 ms apart,
 // while the VM that they are connected to gets SIGTERM. The data looks like a message.
 func (p *play) splitMessage() ([]string, error) {
-	const sessions = 30
+	const sessions = 48
 	var mu sync.Mutex
 	requested := map[string]string{} // text by id
 	ctx, cancel := context.WithCancel(context.Background())
