--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -39,7 +39,9 @@
 const (
 	graceTime = 6 * time.Second
 	lossSlack = 200 * time.Millisecond
-	settings  = `node: %q
+	// routeTimeout is timeout_ms of the routes.
+	routeTimeout = 1250 * time.Millisecond
+	settings     = `node: %q
 role: "entry"
 class: "front"
 serves: ["front"]
@@ -139,7 +141,7 @@
 		version, keys = 5, []string{}
 	}
 	route := func(host, kind string) map[string]any {
-		return map[string]any{"name": "r-" + host, "host": host, "type": kind, "upstream": f.service.name, "timeout_ms": 1250,
+		return map[string]any{"name": "r-" + host, "host": host, "type": kind, "upstream": f.service.name, "timeout_ms": routeTimeout.Milliseconds(),
 			"slo_ms": 800, "max_staleness_ms": 1500, "prio": 1, "public": false}
 	}
 	f.store.Set("config", "main", map[string]any{
@@ -181,8 +183,7 @@
 }
 
 // stop ends a process as the platform does: SIGTERM, and SIGKILL after the grace time.
-func (f *fleet) stop(v *vm) time.Time {
-	at := time.Now()
+func (f *fleet) stop(v *vm) {
 	f.rec.printf("SIGTERM to %s", v.name)
 	_ = v.process.Process.Signal(syscall.SIGTERM)
 	select {
@@ -192,7 +193,6 @@
 		_ = v.process.Process.Kill()
 		<-v.exited
 	}
-	return at
 }
 
 func (v *vm) ready() bool {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -4,9 +4,12 @@
 package main
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -35,44 +38,87 @@
 	"busy-statement": {deckbook, (*play).busyStatement},
 }
 
+// maxDuration bounds a run; the longest case takes half a minute.
+const maxDuration = 110 * time.Second
+
 func main() {
 	name := flag.String("case", "", "name of the case")
 	trouble := flag.Bool("trouble", true, "play the disruption")
 	file := flag.String("record", "record.txt", "file for what was sent, answered and run")
-	directory := flag.String("directory", "", "folder for settings and logs")
 	line := flag.String("program", "", "the run line of the deploy file")
 	flag.Parse()
-	os.Exit(start(*name, *trouble, *file, *directory, *line))
+	os.Exit(start(*name, *trouble, *file, command(*line)))
 }
 
-func start(name string, trouble bool, file, directory, line string) int {
+// start plays a case and returns the exit status. It ends all processes that it started, also
+// when it is stopped itself.
+func start(name string, trouble bool, file string, program []string) int {
 	c, ok := cases[name]
+	if !ok || len(program) == 0 {
+		fmt.Fprintln(os.Stderr, "unknown case, or no program:", name)
+		return statusFailed
+	}
 	out, err := os.Create(file)
-	if !ok || err != nil || len(command(line)) == 0 {
-		fmt.Fprintln(os.Stderr, "unknown case, no program or no record:", name, err)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
 		return statusFailed
 	}
 	defer out.Close()
+	directory, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return statusFailed
+	}
+	defer os.RemoveAll(directory)
+	stopped := make(chan os.Signal, 1)
+	signal.Notify(stopped, os.Interrupt, syscall.SIGTERM)
 	rec := &record{file: out, start: time.Now()}
-	f, err := newFleet(rec, directory, command(line), c.figures)
+	f, err := newFleet(rec, directory, program, c.figures)
 	defer f.close()
-	var breaks []string
-	if err == nil {
-		breaks, err = c.run(&play{f, trouble})
-	}
 	if err != nil {
-		rec.printf("the case could not run: %v", err)
-		fmt.Println("could not run:", err)
-		return statusFailed
+		return failed(rec, err)
 	}
-	for _, b := range breaks {
+	result := make(chan outcome, 1)
+	go func() {
+		breaks, err := c.run(&play{f, trouble})
+		result <- outcome{breaks, err}
+	}()
+	select {
+	case r := <-result:
+		return r.report(rec)
+	case <-stopped:
+		return failed(rec, errors.New("stopped"))
+	case <-time.After(maxDuration):
+		return failed(rec, errors.New("it took too long"))
+	}
+}
+
+// outcome is the result of a case.
+type outcome struct {
+	breaks []string
+	err    error
+}
+
+// report writes the outcome and returns the exit status.
+func (o outcome) report(rec *record) int {
+	if o.err != nil {
+		return failed(rec, o.err)
+	}
+	for _, b := range o.breaks {
 		rec.printf("BROKEN: %s", b)
 		fmt.Println("BROKEN:", b)
 	}
-	if len(breaks) > 0 {
+	if len(o.breaks) > 0 {
 		return statusBroken
 	}
 	rec.printf("the rule held")
 	fmt.Println("the rule held")
 	return statusHeld
 }
+
+// failed writes why a case could not run.
+func failed(rec *record, err error) int {
+	rec.printf("the case could not run: %v", err)
+	fmt.Println("could not run:", err)
+	return statusFailed
+}
--- a/review/standin/stop.go
+++ b/review/standin/stop.go
@@ -17,6 +17,7 @@
 // sent is a request that was sent completely.
 type sent struct {
 	id, text string
+	vm       *vm // that took it from the requester
 	at       time.Time
 	// ended is when the answer was complete, or when the connection ended.
 	ended time.Time
@@ -42,15 +43,14 @@
 		})
 	}
 	time.Sleep(warmUp)
-	var stoppedAt time.Time
 	begun := time.Now()
 	if p.trouble {
-		stoppedAt = p.stop(p.vms[0])
+		p.stop(p.vms[0])
 	}
 	time.Sleep(afterStop - time.Since(begun))
 	cancel()
 	running.Wait()
-	return p.cutRequests(requests, stoppedAt), nil
+	return p.cutRequests(requests, begun), nil
 }
 
 // useSession runs one statement after the other on a connection until it is closed, and
@@ -65,7 +65,7 @@
 			continue
 		}
 		for ctx.Err() == nil {
-			s := sent{id: newID("a"), text: "READ item" + fmt.Sprint(n)}
+			s := sent{id: newID("a"), text: "READ item" + fmt.Sprint(n), vm: p.vms[front]}
 			if err = c.send("QUERY " + s.id + " " + s.text + "\r\n"); err != nil {
 				break // closed outside a request
 			}
@@ -86,7 +86,8 @@
 	}
 }
 
-// cutRequests applies the rule LOST to the requests around the SIGTERM of a VM.
+// cutRequests applies the rule LOST to the requests that the first VM took around stoppedAt,
+// the time of its SIGTERM. Without the SIGTERM the same time is judged.
 func (p *play) cutRequests(requests []sent, stoppedAt time.Time) []string {
 	p.service.mu.Lock()
 	defer p.service.mu.Unlock()
@@ -96,20 +97,16 @@
 	}
 	var breaks []string
 	for _, s := range requests {
-		if s.err == nil || s.ended.Sub(s.at) >= clientTimeout {
+		planned := s.vm == p.vms[0] && !s.ended.Before(stoppedAt) && !s.ended.After(stoppedAt.Add(graceTime+time.Second))
+		if s.err == nil || !planned || s.ended.Sub(s.at) >= routeTimeout {
 			continue
 		}
-		r, passedOn := arrived[s.id]
-		if !stoppedAt.IsZero() {
-			if s.ended.After(stoppedAt.Add(graceTime + time.Second)) {
-				continue
-			}
-			// Excused: sent up to 3 s after the SIGTERM, and its member still at work in the last
-			// sixth of the grace time.
-			if !s.at.After(stoppedAt.Add(3*time.Second)) && s.ended.After(stoppedAt.Add(graceTime*5/6)) {
-				continue
-			}
+		// Excused: sent up to 3 s after the SIGTERM, and its member still at work in the last
+		// sixth of the grace time.
+		if !s.at.After(stoppedAt.Add(3*time.Second)) && s.ended.After(stoppedAt.Add(graceTime*5/6)) {
+			continue
 		}
+		r, passedOn := arrived[s.id]
 		if !passedOn && s.ended.Sub(s.at) <= lossSlack {
 			continue
 		}
