--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -89,6 +89,7 @@
 		r.ReadOnly = !a.writes && !choice.VerifyLeadership
 	}
 	sentAt := a.session.services.Now()
+	a.session.running.Store(&choice)
 	result := choice.Executor.Execute(ctx, r)
 	a.session.services.Router.Observe(choice, r.Writes || r.EndsTransaction && a.writes, sentAt, result)
 	attempts := a.trace.Attempts + 1
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/recovery"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/statement"
@@ -54,10 +55,39 @@
 	stopping atomic.Bool // sessions close after quietPeriod outside transactions
 	forcing  atomic.Bool // open transactions are rolled back
 	mu       sync.Mutex
-	clients  map[net.Conn]struct{}
+	clients  map[*clientConn]struct{}
 	running  sync.WaitGroup
 }
 
+// clientConn is the connection of a client.
+type clientConn struct {
+	conn        net.Conn
+	connectedAt time.Duration
+	// statement is the one whose response is not written yet; nil without one.
+	statement atomic.Pointer[runningStatement]
+}
+
+// runningStatement is a statement that a session handles.
+type runningStatement struct {
+	session   *Session
+	id        string
+	kind      statement.Kind
+	startedAt time.Duration
+}
+
+// RunningStatement describes a statement whose response is not written yet.
+type RunningStatement struct {
+	Database, ID string
+	Kind         statement.Kind
+	// ConnectedAt and StartedAt are the times on the process clock at which the client
+	// connected and at which its statement was read.
+	ConnectedAt, StartedAt time.Duration
+	// Upstream and ExecutingVM belong to the running attempt; they are empty before the
+	// first one.
+	Upstream    ident.UpstreamName
+	ExecutingVM ident.VMName
+}
+
 // Record describes a statement and the response to it.
 type Record struct {
 	Database string
@@ -73,7 +103,7 @@
 // NewServer returns a server that calls observe after each response to a statement and
 // after each rejected startup.
 func NewServer(services *Services, newCodec NewCodec, log zerolog.Logger, observe func(Record)) *Server {
-	return &Server{services: services, newCodec: newCodec, log: log, observe: observe, clients: map[net.Conn]struct{}{}}
+	return &Server{services: services, newCodec: newCodec, log: log, observe: observe, clients: map[*clientConn]struct{}{}}
 }
 
 // Serve accepts client connections until the listener is closed.
@@ -89,22 +119,42 @@
 			time.Sleep(quietPeriod)
 			continue
 		}
+		c := &clientConn{conn: conn, connectedAt: s.services.Now()}
 		s.mu.Lock()
-		s.clients[conn] = struct{}{}
+		s.clients[c] = struct{}{}
 		s.mu.Unlock()
 		s.running.Go(func() {
-			defer s.remove(conn)
-			recovery.Run(s.log, "client session", func() { s.serve(conn) })
+			defer s.remove(c)
+			recovery.Run(s.log, "client session", func() { s.serve(c) })
 		})
 	}
 }
 
 // remove closes the connection of a client whose session has ended.
-func (s *Server) remove(conn net.Conn) {
+func (s *Server) remove(c *clientConn) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.clients, conn)
-	_ = conn.Close()
+	delete(s.clients, c)
+	_ = c.conn.Close()
+}
+
+// RunningStatements returns the statements whose responses are not written yet.
+func (s *Server) RunningStatements() []RunningStatement {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var running []RunningStatement
+	for c := range s.clients {
+		r := c.statement.Load()
+		if r == nil {
+			continue
+		}
+		described := RunningStatement{Database: r.session.database, ID: r.id, Kind: r.kind, ConnectedAt: c.connectedAt, StartedAt: r.startedAt}
+		if choice := r.session.running.Load(); choice != nil {
+			described.Upstream, described.ExecutingVM = choice.Target.Upstream, choice.ExecutingVM
+		}
+		running = append(running, described)
+	}
+	return running
 }
 
 // Clients returns the number of connected clients.
@@ -114,7 +164,8 @@
 	return len(s.clients)
 }
 
-func (s *Server) serve(conn net.Conn) {
+func (s *Server) serve(c *clientConn) {
+	conn := c.conn
 	codec := s.newCodec(conn)
 	_ = conn.SetReadDeadline(time.Now().Add(startupTimeout))
 	database, key, err := codec.ReadStartup()
@@ -135,18 +186,20 @@
 		return
 	}
 	defer session.Close()
-	for s.serveStatement(conn, codec, session) {
+	for s.serveStatement(c, codec, session) {
 	}
 }
 
 // serveStatement serves one statement and reports whether the session continues.
-func (s *Server) serveStatement(conn net.Conn, codec Codec, session *Session) bool {
-	st, err := s.readStatement(conn, codec, session)
+func (s *Server) serveStatement(c *clientConn, codec Codec, session *Session) bool {
+	st, err := s.readStatement(c.conn, codec, session)
 	coded := resultcode.Of(err) != 0
 	if err != nil && !coded {
 		return false
 	}
 	started := s.services.Now()
+	c.statement.Store(&runningStatement{session: session, id: st.ID, kind: st.Kind, startedAt: started})
+	defer c.statement.Store(nil)
 	a := Response{Err: err, State: session.State()}
 	failed := false
 	if err == nil {
@@ -159,7 +212,7 @@
 		// The statement may have been sent, and the state of the session is uncertain.
 		a = Response{Err: resultcode.New(resultcode.OutcomeUnknown, "internal error"), State: statement.Idle}
 	}
-	_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	err = codec.WriteResponse(a)
 	s.observe(Record{Database: session.database, ID: st.ID, Kind: st.Kind, Response: a, Duration: s.services.Now() - started})
 	return err == nil && !failed
@@ -213,7 +266,7 @@
 func (s *Server) interruptReads() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for conn := range s.clients {
-		_ = conn.SetReadDeadline(time.Now())
+	for c := range s.clients {
+		_ = c.conn.SetReadDeadline(time.Now())
 	}
 }
--- a/internal/proxy/server_test.go
+++ b/internal/proxy/server_test.go
@@ -74,7 +74,7 @@
 	client, conn := net.Pipe()
 	defer client.Close()
 	s := NewServer(services, func(net.Conn) Codec { return codec }, zerolog.Nop(), func(Record) {})
-	recovery.Run(zerolog.Nop(), "client session", func() { s.serve(conn) })
+	recovery.Run(zerolog.Nop(), "client session", func() { s.serve(&clientConn{conn: conn}) })
 	var codes []resultcode.Code
 	for _, r := range codec.responses {
 		codes = append(codes, resultcode.Of(r.Err))
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"sync/atomic"
 	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
@@ -130,6 +131,8 @@
 	tx         *transaction
 	lastCommit ident.LogPoint // position of the session's newest commit
 	group      ident.GroupName
+	// running is the choice of the current attempt, which other goroutines may read.
+	running atomic.Pointer[Choice]
 }
 
 // transaction is an open transaction of a client.
@@ -195,6 +198,7 @@
 
 // Handle runs one statement.
 func (s *Session) Handle(ctx context.Context, st statement.Statement) Response {
+	defer s.running.Store(nil)
 	a := s.dispatch(ctx, st)
 	a.State = s.state
 	return a
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -59,6 +59,7 @@
 	tx := s.tx
 	r.Mode, r.Target, r.ConnectionLimit = execution.Continue, tx.choice.Target, tx.choice.ConnectionLimit
 	deadline := s.services.Now() + r.Timeout
+	s.running.Store(&tx.choice)
 	for {
 		sentAt := s.services.Now()
 		result := tx.choice.Executor.Execute(ctx, r)
