--- a/internal/service/stop.go
+++ b/internal/service/stop.go
@@ -60,7 +60,7 @@
 	for _, r := range v.server.RunningStatements() {
 		v.log.Warn().Str("request", r.ID).Str("database", r.Database).Str("kind", r.Kind.String()).Str("upstream", string(r.Upstream)).
 			Str("via", string(r.ExecutingVM)).Dur("connected_ms", r.ConnectedAt-ordered).Dur("read_ms", r.StartedAt-ordered).
-			Dur("cut_ms", now-ordered).Msg("statement cut")
+			Dur("cut_ms", now-ordered).Msg("stop cut statement")
 	}
 }
 
