--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -24,8 +24,11 @@
 	// WriteStartupResult responds to the first message. A non-nil err rejects the client.
 	WriteStartupResult(err error) error
 	// ReadStatement reads the next statement. An error with a result code is returned
-	// to the client and the session continues; any other error ends it.
+	// to the client and the session continues; any other error ends it, except an expired
+	// deadline, after which ReadStatement continues with the same message.
 	ReadStatement() (statement.Statement, error)
+	// Partial reports whether a part of the next message has been read.
+	Partial() bool
 	// WriteResponse writes the response to the last statement.
 	WriteResponse(a Response) error
 }
--- a/internal/proxy/server_test.go
+++ b/internal/proxy/server_test.go
@@ -40,6 +40,8 @@
 	return st, nil
 }
 
+func (c *scriptedCodec) Partial() bool { return false }
+
 func (c *scriptedCodec) WriteResponse(a Response) error {
 	c.responses = append(c.responses, a)
 	return nil
