Give a planned stop a schedule that ends work instead of cutting it

Cause: nothing refused or ended work before the process closed. New clients were accepted and statements begun until 5.3 s after the order (grace time 6 s), sessions closed only after 50 ms of silence, and what ran then was cut. The steps of the stop were fixed sleeps, one after the other.

internal/core/shutdown decides the course of a stop on the process clock since the order: until when work is begun, by the timeout of its route; when idle sessions are closed; when transactions are rolled back; when running statements are ended with a response that says what is known; and when the process ends, which is as soon as nothing is outstanding. The sessions ask it what they wait for.

Also: an order is no longer missed by a session that sets its read deadline at that moment; the idle limit of a transaction holds during a stop; input that has arrived is read before a quiet session is closed; the first message of a client may arrive over several stages; a connection that the server closes is read until the client closes its side, so that unread input does not reset it before its last response is read.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -50,7 +50,7 @@
 	acquireTimeout := a.requirement.Grant.Route.LatencyTarget / acquireDivisor
 	deadline, sendDeadline := start+a.request.Timeout, start+acquireTimeout
 	var last execution.Result
-	for n := 0; n < maxAttempts && now() < deadline && (a.sent || now() < sendDeadline); n++ {
+	for n := 0; n < maxAttempts && ctx.Err() == nil && now() < deadline && (a.sent || now() < sendDeadline); n++ {
 		choice, ok := a.session.services.Router.Choose(a.requirement)
 		if ok {
 			last = a.execute(ctx, choice, max(minAcquireTimeout, sendDeadline-now()), deadline-now())
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -11,10 +12,12 @@
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarywall/rosemarywall/internal/core/shutdown"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/recovery"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/statement"
+	"github.com/rosemarywall/rosemarywall/internal/wire/sockets"
 )
 
 // Codec implements a wire protocol for one client connection.
@@ -42,10 +45,11 @@
 	// writeTimeout limits the write of a response. A client that doesn't read it in
 	// time is disconnected.
 	writeTimeout = 5 * time.Second
-	// quietPeriod is how long a client must have sent nothing during shutdown before its
-	// connection is closed, so that a statement in transit is still received. It is also
-	// the delay after a failed accept.
-	quietPeriod = 50 * time.Millisecond
+	// acceptRetryDelay is the delay after a failed accept.
+	acceptRetryDelay = 50 * time.Millisecond
+	// lingerTimeout limits the wait for the client's end of a connection that the server
+	// closes.
+	lingerTimeout = 100 * time.Millisecond
 )
 
 // Server accepts client connections and serves their sessions.
@@ -55,9 +59,14 @@
 	log      zerolog.Logger
 	observe  func(Record)
 
-	stopping atomic.Bool // sessions close after quietPeriod outside transactions
-	forcing  atomic.Bool // open transactions are rolled back
+	stage atomic.Uint32 // shutdown.Stage
+	// statements ends with the stage shutdown.Ending.
+	statements    context.Context
+	endStatements context.CancelFunc
+	lastAccept    atomic.Int64 // time on the process clock in nanoseconds
+
 	mu       sync.Mutex
+	listener net.Listener
 	clients  map[*clientConn]struct{}
 	running  sync.WaitGroup
 }
@@ -106,11 +115,17 @@
 // NewServer returns a server that calls observe after each response to a statement and
 // after each rejected startup.
 func NewServer(services *Services, newCodec NewCodec, log zerolog.Logger, observe func(Record)) *Server {
-	return &Server{services: services, newCodec: newCodec, log: log, observe: observe, clients: map[*clientConn]struct{}{}}
+	s := &Server{services: services, newCodec: newCodec, log: log, observe: observe, clients: map[*clientConn]struct{}{}}
+	s.statements, s.endStatements = context.WithCancel(context.Background())
+	return s
 }
 
-// Serve accepts client connections until the listener is closed.
+// Serve accepts client connections until the listener is closed, which the stage
+// shutdown.Ending does.
 func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listener = l
+	s.mu.Unlock()
 	for {
 		conn, err := l.Accept()
 		if err != nil {
@@ -119,10 +134,11 @@
 			}
 			// The process has no free file descriptor, or the client has disconnected.
 			s.log.Warn().Err(err).Msg("accept failed")
-			time.Sleep(quietPeriod)
+			time.Sleep(acceptRetryDelay)
 			continue
 		}
 		c := &clientConn{conn: conn, connectedAt: s.services.Now()}
+		s.lastAccept.Store(int64(c.connectedAt))
 		s.mu.Lock()
 		s.clients[c] = struct{}{}
 		s.mu.Unlock()
@@ -160,6 +176,11 @@
 	return running
 }
 
+// SinceAccept returns the time since the last client connected.
+func (s *Server) SinceAccept() time.Duration {
+	return s.services.Now() - time.Duration(s.lastAccept.Load())
+}
+
 // Clients returns the number of connected clients.
 func (s *Server) Clients() int {
 	s.mu.Lock()
@@ -168,10 +189,8 @@
 }
 
 func (s *Server) serve(c *clientConn) {
-	conn := c.conn
-	codec := s.newCodec(conn)
-	_ = conn.SetReadDeadline(time.Now().Add(startupTimeout))
-	database, key, err := codec.ReadStartup()
+	codec := s.newCodec(c.conn)
+	database, key, err := s.readStartup(c.conn, codec)
 	if err != nil && resultcode.Of(err) == 0 {
 		return // the client disconnected
 	}
@@ -180,12 +199,13 @@
 	if err == nil {
 		session, trace, err = OpenSession(s.services, database, key)
 	}
-	_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if writeErr := codec.WriteStartupResult(err); writeErr != nil {
 		return
 	}
 	if err != nil {
 		s.observe(Record{Database: database, Startup: true, Response: Response{Err: err, Trace: trace}})
+		linger(c.conn)
 		return
 	}
 	defer session.Close()
@@ -193,9 +213,44 @@
 	}
 }
 
+// readStartup reads the client's first message. Stages of a planned stop before
+// shutdown.Ended interrupt it without an effect.
+func (s *Server) readStartup(conn net.Conn, codec Codec) (database, key string, err error) {
+	deadline := time.Now().Add(startupTimeout)
+	for {
+		stage := s.currentStage()
+		_ = conn.SetReadDeadline(deadline)
+		if s.currentStage() != stage {
+			continue
+		}
+		database, key, err = codec.ReadStartup()
+		if !errors.Is(err, os.ErrDeadlineExceeded) || s.currentStage() == shutdown.Ended || !time.Now().Before(deadline) {
+			return database, key, err
+		}
+	}
+}
+
+// linger closes the server's side of a connection and waits until the client closes its
+// own. Closing a connection with unread input resets it, and a response that the client has
+// not read yet would be lost.
+func linger(conn net.Conn) {
+	half, ok := conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	_ = conn.SetReadDeadline(time.Now().Add(lingerTimeout))
+	_, _ = io.Copy(io.Discard, conn)
+}
+
+// errStopping ends a session during a planned stop.
+var errStopping = errors.New("the VM stops")
+
 // serveStatement serves one statement and reports whether the session continues.
 func (s *Server) serveStatement(c *clientConn, codec Codec, session *Session) bool {
 	st, err := s.readStatement(c.conn, codec, session)
+	if errors.Is(err, errStopping) {
+		linger(c.conn)
+	}
 	coded := resultcode.Of(err) != 0
 	if err != nil && !coded {
 		return false
@@ -206,10 +261,10 @@
 	a := Response{Err: err, State: session.State()}
 	failed := false
 	if err == nil {
-		if s.forcing.Load() && session.State() == statement.InTransaction {
+		if s.currentStage() >= shutdown.RollingBack {
 			session.RollbackTransaction()
 		}
-		failed = recovery.Run(s.log, "statement", func() { a = session.Handle(context.Background(), st) })
+		failed = recovery.Run(s.log, "statement", func() { a = session.Handle(s.statements, st) })
 	}
 	if failed {
 		// The statement may have been sent, and the state of the session is uncertain.
@@ -222,54 +277,72 @@
 }
 
 // readStatement waits for the next statement. It rolls back a transaction that exceeds
-// the idle timeout, and returns an error to end the session during shutdown.
+// the idle timeout, and returns errStopping to end the session during a planned stop.
 func (s *Server) readStatement(conn net.Conn, codec Codec, session *Session) (statement.Statement, error) {
+	idleSince := s.services.Now()
 	for {
-		var deadline time.Time
-		if limit := session.IdleTimeout(); limit > 0 {
-			deadline = time.Now().Add(limit)
+		stage := s.currentStage()
+		waiting := session.waiting()
+		waiting.IdleFor, waiting.Partial = s.services.Now()-idleSince, codec.Partial()
+		wait, action := waiting.Wait(stage)
+		if action == shutdown.RollBack && wait == 0 {
+			session.RollbackTransaction()
+			continue
 		}
-		closing := s.stopping.Load() && session.State() != statement.InTransaction
-		if closing {
-			deadline = time.Now().Add(quietPeriod)
+		var deadline time.Time
+		if action != shutdown.KeepWaiting {
+			deadline = time.Now().Add(wait)
 		}
 		_ = conn.SetReadDeadline(deadline)
-		if s.stopping.Load() && !closing && session.State() == statement.Idle {
-			continue // Stop was called after the check of s.stopping above
+		if s.currentStage() != stage {
+			continue // the interruption may have been overwritten
 		}
 		st, err := codec.ReadStatement()
 		if !errors.Is(err, os.ErrDeadlineExceeded) {
 			return st, err
 		}
-		switch {
-		case closing:
-			return st, err
-		case s.stopping.Load():
-		default:
-			session.RollbackTransaction()
+		if s.currentStage() != stage || action != shutdown.CloseSession {
+			continue
+		}
+		if stage == shutdown.Ended || !codec.Partial() && !hasInput(conn) {
+			return st, errStopping
 		}
 	}
 }
 
-// Stop closes each session once its client has sent nothing for quietPeriod outside a
-// transaction.
-func (s *Server) Stop() {
-	s.stopping.Store(true)
-	s.interruptReads()
+// hasInput reports whether input of the client is waiting. A deadline may expire before
+// input is read that arrived in time.
+func hasInput(conn net.Conn) bool {
+	_ = conn.SetReadDeadline(time.Time{}) // an expired deadline prevents the check
+	return sockets.Probe(conn) == sockets.Readable
 }
 
-// ForceStop rolls back each open transaction when its next statement arrives.
-func (s *Server) ForceStop() {
-	s.forcing.Store(true)
-	s.interruptReads()
-}
+func (s *Server) currentStage() shutdown.Stage { return shutdown.Stage(s.stage.Load()) }
 
-// interruptReads wakes the sessions that wait for a statement, so that they check the
-// state of the server.
-func (s *Server) interruptReads() {
+// SetStage applies a stage of a planned stop to all sessions. From shutdown.Ending on,
+// the listener is closed and running statements end.
+func (s *Server) SetStage(stage shutdown.Stage) {
+	s.stage.Store(uint32(stage))
+	if stage >= shutdown.Ending {
+		s.endStatements()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if stage >= shutdown.Ending && s.listener != nil {
+		_ = s.listener.Close()
+	}
+	// The sessions that wait for a statement look at the stage again.
 	for c := range s.clients {
 		_ = c.conn.SetReadDeadline(time.Now())
 	}
 }
+
+// Close disconnects all clients without a response.
+func (s *Server) Close() {
+	s.SetStage(shutdown.Ended)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.clients {
+		_ = c.conn.Close()
+	}
+}
--- a/internal/proxy/server_test.go
+++ b/internal/proxy/server_test.go
@@ -89,7 +89,7 @@
 // of uncertain state continue.
 func TestPanicEndsOnlyItsSession(t *testing.T) {
 	f := panickingServices{newFakeServices()}
-	services := &Services{Authoriser: f, Limiter: f, Router: f, Now: newProcessClock(), NewTransactionID: func() string { return "t" }}
+	services := &Services{Admission: f, Authoriser: f, Limiter: f, Router: f, Now: newProcessClock(), NewTransactionID: func() string { return "t" }}
 	write := func(id string) statement.Statement {
 		return statement.Statement{ID: id, Text: "w", Kind: statement.Write}
 	}
@@ -107,7 +107,7 @@
 // Guards against a client whose panic ends the server, or that still counts as connected.
 func TestServerContinuesAfterPanic(t *testing.T) {
 	f := newFakeServices()
-	services := &Services{Authoriser: f, Limiter: f, Router: f, Now: newProcessClock(), NewTransactionID: func() string { return "t" }}
+	services := &Services{Admission: f, Authoriser: f, Limiter: f, Router: f, Now: newProcessClock(), NewTransactionID: func() string { return "t" }}
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s := NewServer(services, func(net.Conn) Codec { return &scriptedCodec{malformed: true} }, zerolog.Nop(), func(Record) {})
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
+	"github.com/rosemarywall/rosemarywall/internal/core/shutdown"
 	"github.com/rosemarywall/rosemarywall/internal/execution"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
@@ -79,8 +80,19 @@
 	Observe(choice Choice, writes bool, sentAt time.Duration, result execution.Result)
 }
 
+// Admission decides whether work is begun while the VM stops. The code of its errors is
+// ShuttingDown.
+type Admission interface {
+	// AdmitStatement decides on a session or a single statement of a route whose statements
+	// may take up to timeout.
+	AdmitStatement(timeout time.Duration) error
+	// AdmitTransaction decides on a transaction.
+	AdmitTransaction(timeout time.Duration) error
+}
+
 // Services holds the dependencies of sessions.
 type Services struct {
+	Admission  Admission
 	Authoriser Authoriser
 	Limiter    Limiter
 	Router     Router
@@ -145,10 +157,14 @@
 	rolledBack bool // by the proxy while the client was idle
 }
 
-// OpenSession authorises a client and starts a session. Errors are those of Authorise.
+// OpenSession authorises a client and starts a session. Errors are those of Authorise and
+// AdmitStatement.
 func OpenSession(services *Services, database, key string) (*Session, Trace, error) {
 	s := &Session{services: services, database: database, key: catalog.HashKey(key), prepared: map[string]statement.Statement{}}
 	grant, err := s.authorise()
+	if err == nil {
+		err = services.Admission.AdmitStatement(grant.Route.StatementTimeout)
+	}
 	if err != nil {
 		return nil, grantTrace(&grant), err
 	}
@@ -169,12 +185,19 @@
 // RollbackTransaction rolls back the open transaction. The client is informed in the
 // response to its next statement.
 func (s *Session) RollbackTransaction() {
-	if s.tx != nil && s.tx.open {
+	if s.state == statement.InTransaction {
 		s.rollback()
 		s.tx.rolledBack = true
 	}
 }
 
+// waiting describes the session while it waits for the next message.
+func (s *Session) waiting() shutdown.Session {
+	return shutdown.Session{
+		InTransaction: s.state == statement.InTransaction, IdleLimit: s.IdleTimeout(), RolledBack: s.tx != nil && s.tx.rolledBack,
+	}
+}
+
 // Close ends the session and rolls back an open transaction.
 func (s *Session) Close() { s.rollback() }
 
@@ -253,7 +276,7 @@
 }
 
 func (s *Session) begin(ctx context.Context, st statement.Statement) Response {
-	grant, err := s.admit(ctx)
+	grant, err := s.admit(ctx, s.services.Admission.AdmitTransaction)
 	if err != nil {
 		return Response{Err: err}.withTrace(grantTrace(&grant))
 	}
@@ -262,9 +285,13 @@
 	return Response{}
 }
 
-// admit authorises the client and consumes one operation of its organisation's rate.
-func (s *Session) admit(ctx context.Context) (Grant, error) {
+// admit authorises the client, lets begin decide on the work, and consumes one operation of
+// the organisation's rate.
+func (s *Session) admit(ctx context.Context, begin func(timeout time.Duration) error) (Grant, error) {
 	grant, err := s.authorise()
+	if err == nil {
+		err = begin(grant.Route.StatementTimeout)
+	}
 	if err != nil {
 		return grant, err
 	}
@@ -315,7 +342,7 @@
 	if err != nil {
 		return Response{Err: err}
 	}
-	grant, err := s.admit(ctx)
+	grant, err := s.admit(ctx, s.services.Admission.AdmitStatement)
 	if err != nil {
 		return Response{Err: err}.withTrace(grantTrace(&grant))
 	}
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -27,6 +27,7 @@
 	taken          int
 	limitError     error
 	authoriseError error
+	admitError     error
 	upstreamKnown  bool
 	rollbacks      int
 	transactions   int
@@ -35,7 +36,7 @@
 func newFakeServices() *fakeServices { return &fakeServices{start: time.Now(), upstreamKnown: true} }
 
 func (f *fakeServices) session(t fataler) *Session {
-	s, _, err := OpenSession(&Services{Authoriser: f, Limiter: f, Router: f, Now: func() time.Duration { return time.Since(f.start) },
+	s, _, err := OpenSession(&Services{Admission: f, Authoriser: f, Limiter: f, Router: f, Now: func() time.Duration { return time.Since(f.start) },
 		NewTransactionID: func() string { f.transactions++; return fmt.Sprint("t", f.transactions) }}, "orders", "key")
 	if err != nil {
 		t.Fatalf("%v", err)
@@ -251,3 +252,7 @@
 		}
 	})
 }
+
+func (f *fakeServices) AdmitStatement(time.Duration) error { return f.admitError }
+
+func (f *fakeServices) AdmitTransaction(time.Duration) error { return f.admitError }
--- a/internal/service/handler.go
+++ b/internal/service/handler.go
@@ -88,14 +88,14 @@
 func (v *VM) probeResponse() peers.ProbeResponse {
 	version, age, proved := v.follower.Proof()
 	table, tableAge := v.limits.TableVersion()
-	return peers.ProbeResponse{Version: version, ProofAge: age, Proved: proved, Leaving: v.stopping.Load(),
+	return peers.ProbeResponse{Version: version, ProofAge: age, Proved: proved, Leaving: v.stopping(),
 		Incarnation: v.self.Incarnation, ShareTableVersion: table, ShareTableAge: tableAge, View: v.follower.ViewProof()}
 }
 
 // executeRemote executes a statement for another VM and tracks the transaction that it
 // begins or ends. While this VM is stopping it only continues open transactions.
 func (v *VM) executeRemote(ctx context.Context, from relay.Peer, r execution.Request) execution.Result {
-	if r.Mode != execution.Continue && v.stopping.Load() {
+	if r.Mode != execution.Continue && v.stopping() {
 		return execution.Result{Outcome: execution.NotRun, Reason: execution.Stopping}
 	}
 	if r.Mode == execution.Begin {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -92,8 +92,8 @@
 	metrics  *http.Server
 	remote   remoteTransactions
 
-	gracePeriod atomic.Int64 // time from SIGTERM to SIGKILL in nanoseconds
-	stopping    atomic.Bool
+	gracePeriod atomic.Int64              // time from SIGTERM to SIGKILL in nanoseconds
+	order       atomic.Pointer[stopOrder] // nil before Stop
 	lastID      atomic.Uint64
 	listeners   []net.Listener
 	cancel      context.CancelFunc
@@ -176,7 +176,7 @@
 		FirstTransferID: uint64(v.self.Incarnation) >> 8,
 	})
 	v.server = proxy.NewServer(&proxy.Services{
-		Authoriser: v, Limiter: v.limits, Router: v.router, Now: now, NewTransactionID: v.newUniqueID,
+		Admission: v, Authoriser: v, Limiter: v.limits, Router: v.router, Now: now, NewTransactionID: v.newUniqueID,
 	}, v.adapter.NewCodec, v.log, v.observeStatement)
 	v.relay = relay.NewServer(v, v.log)
 	v.ready = v.adapter.NewReadinessServer(v.Ready)
@@ -229,9 +229,11 @@
 	return nil
 }
 
+func (v *VM) stopping() bool { return v.order.Load() != nil }
+
 // Ready reports whether the VM accepts new clients, and if not, the reason.
 func (v *VM) Ready() (bool, string) {
-	if v.stopping.Load() {
+	if v.stopping() {
 		return false, "stopping"
 	}
 	if v.peers.Joining() {
--- a/internal/service/stop.go
+++ b/internal/service/stop.go
@@ -3,6 +3,9 @@
 import (
 	"reflect"
 	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/shutdown"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
 // Reload applies Bounds.GracePeriod of the new settings. It returns the names of the
@@ -20,62 +23,100 @@
 	return restartNeeded
 }
 
-// Stop drains and closes the VM within its grace period: it reports not ready, closes
-// idle sessions once the platform has had time to notice, has open transactions rolled
-// back in the second half of the grace period, and then calls Close.
+// stopOrder is the order to stop.
+type stopOrder struct {
+	at       time.Duration // on the process clock
+	schedule shutdown.Schedule
+}
+
+const (
+	// readinessPropagationTime is the time within which the platform stops sending new
+	// clients. It probes readiness every second and acts on the second failure.
+	readinessPropagationTime = 2200 * time.Millisecond
+	// stopPollInterval is the interval at which a stopping VM checks what is outstanding.
+	stopPollInterval = 25 * time.Millisecond
+	// lastResponseTime limits the wait for the responses of sessions that end with the
+	// process.
+	lastResponseTime = 200 * time.Millisecond
+)
+
+// Stop stops the VM as package shutdown describes and returns when the process can end, at
+// the latest shortly before the end of the grace period.
 func (v *VM) Stop() {
-	ordered := v.clock.Now()
-	v.stopping.Store(true)
+	order := &stopOrder{at: v.clock.Now(), schedule: shutdown.NewSchedule(time.Duration(v.gracePeriod.Load()), readinessPropagationTime)}
+	v.order.Store(order)
 	v.log.Info().Msg("stopping")
 	v.peers.Leave()
 	v.local.Drain()
-	grace := time.Duration(v.gracePeriod.Load())
-	time.Sleep(min(readinessPropagationTime, grace/3))
-	v.logStopStage(ordered, "closing")
-	v.server.Stop()
-	time.Sleep(max(0, grace/2-min(readinessPropagationTime, grace/3)))
-	v.logStopStage(ordered, "rolling_back")
-	v.server.ForceStop()
-	deadline := time.Now().Add(grace/2 - stopReserve)
-	for v.server.Clients() > 0 && time.Now().Before(deadline) {
+	for stage := shutdown.Announced; stage != shutdown.Ended; time.Sleep(stopPollInterval) {
+		next := order.schedule.StageAt(v.clock.Now()-order.at, v.outstanding())
+		if next != stage {
+			v.beginStopStage(order, next)
+		}
+		stage = next
+	}
+	for deadline := v.clock.Now() + lastResponseTime; v.server.Clients() > 0 && v.clock.Now() < deadline; {
 		time.Sleep(stopPollInterval)
 	}
-	v.logStopStage(ordered, "ended")
+	v.logCutStatements(order)
 	closed := v.server.Clients()
-	v.logCutStatements(ordered)
 	v.Close()
-	v.log.Info().Int("callers_cut", closed).Dur("after_ms", v.clock.Now()-ordered).Msg("stopped")
+	v.log.Info().Int("callers_cut", closed).Dur("after_ms", v.clock.Now()-order.at).Msg("stopped")
+}
+
+// beginStopStage applies a stage to the sessions of this VM's clients.
+func (v *VM) beginStopStage(order *stopOrder, stage shutdown.Stage) {
+	v.logStopStage(order, stage)
+	v.server.SetStage(stage)
+}
+
+// outstanding returns what a stopping VM still has to complete.
+func (v *VM) outstanding() shutdown.Outstanding {
+	return shutdown.Outstanding{
+		Clients: v.server.Clients(), SinceAccept: v.server.SinceAccept(),
+	}
+}
+
+// errStopping is the error of work that a stopping VM does not begin.
+var errStopping = resultcode.New(resultcode.ShuttingDown, "the VM stops; connect again")
+
+// AdmitStatement implements proxy.Admission.
+func (v *VM) AdmitStatement(timeout time.Duration) error {
+	if o := v.order.Load(); o != nil && !o.schedule.AdmitsStatement(v.clock.Now()-o.at, timeout) {
+		return errStopping
+	}
+	return nil
+}
+
+// AdmitTransaction implements proxy.Admission.
+func (v *VM) AdmitTransaction(timeout time.Duration) error {
+	if o := v.order.Load(); o != nil && !o.schedule.AdmitsTransaction(v.clock.Now()-o.at, timeout) {
+		return errStopping
+	}
+	return nil
 }
 
 // logStopStage logs what is outstanding when a stage of the stop begins.
-func (v *VM) logStopStage(ordered time.Duration, stage string) {
-	v.log.Info().Str("stage", stage).Dur("after_ms", v.clock.Now()-ordered).Int("callers", v.server.Clients()).
-		Int("statements", len(v.server.RunningStatements())).Int("open_transactions", v.local.Transactions()).Msg("stop stage")
+func (v *VM) logStopStage(order *stopOrder, stage shutdown.Stage) {
+	v.log.Info().Stringer("stage", stage).Dur("after_ms", v.clock.Now()-order.at).Int("callers", v.server.Clients()).
+		Int("statements", len(v.server.RunningStatements())).Msg("stop stage")
 }
 
 // logCutStatements logs the statements whose clients get no response because the process
 // ends. Times are relative to the order to stop.
-func (v *VM) logCutStatements(ordered time.Duration) {
+func (v *VM) logCutStatements(order *stopOrder) {
 	now := v.clock.Now()
 	for _, r := range v.server.RunningStatements() {
 		v.log.Warn().Str("request", r.ID).Str("database", r.Database).Str("kind", r.Kind.String()).Str("upstream", string(r.Upstream)).
-			Str("via", string(r.ExecutingVM)).Dur("connected_ms", r.ConnectedAt-ordered).Dur("read_ms", r.StartedAt-ordered).
-			Dur("cut_ms", now-ordered).Msg("stop cut statement")
+			Str("via", string(r.ExecutingVM)).Dur("connected_ms", r.ConnectedAt-order.at).Dur("read_ms", r.StartedAt-order.at).
+			Dur("cut_ms", now-order.at).Msg("stop cut statement")
 	}
 }
 
-const (
-	// readinessPropagationTime is the time within which the platform stops sending new
-	// clients. It probes readiness every second and acts on the second failure.
-	readinessPropagationTime = 2200 * time.Millisecond
-	// stopReserve is the part of the grace period that is left for the process to exit.
-	stopReserve      = 700 * time.Millisecond
-	stopPollInterval = 50 * time.Millisecond
-)
-
 // Close closes the VM without draining it. It does not wait for its goroutines.
 func (v *VM) Close() {
 	v.cancel()
+	v.server.Close()
 	v.local.Drain()
 	v.relay.Close()
 	_ = v.ready.Close()
