Complete the work for other VMs before a planned stop ends

A VM that stopped ended the statements and transactions that it ran for the clients of other VMs as soon as it had no clients of its own, from half of the grace time on. Their callers got INDOUBT for commits that were about to be answered.

The stop now counts these statements and transactions as outstanding. Open transactions of others are rolled back at half of the grace time, as its own are; the next statement of their client is told so.

--- a/internal/service/handler.go
+++ b/internal/service/handler.go
@@ -98,6 +98,8 @@
 	if r.Mode != execution.Continue && v.stopping() {
 		return execution.Result{Outcome: execution.NotRun, Reason: execution.Stopping}
 	}
+	v.remoteStatements.Add(1)
+	defer v.remoteStatements.Add(-1)
 	if r.Mode == execution.Begin {
 		v.remote.add(from.ConnectionID, r.TransactionID, r.Target)
 	}
--- a/internal/service/remote.go
+++ b/internal/service/remote.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"sync"
 
 	"github.com/rosemarywall/rosemarywall/internal/controller/peers"
@@ -77,3 +78,26 @@
 	delete(t.byConnection, connection)
 	return transactions
 }
+
+// removeAll removes and returns all transactions.
+func (t remoteTransactions) removeAll() map[string]execution.Target {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := map[string]execution.Target{}
+	for connection, transactions := range t.byConnection {
+		maps.Copy(all, transactions)
+		delete(t.byConnection, connection)
+	}
+	return all
+}
+
+// count returns the number of transactions.
+func (t remoteTransactions) count() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, transactions := range t.byConnection {
+		n += len(transactions)
+	}
+	return n
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -94,10 +94,12 @@
 
 	gracePeriod atomic.Int64              // time from SIGTERM to SIGKILL in nanoseconds
 	order       atomic.Pointer[stopOrder] // nil before Stop
-	lastID      atomic.Uint64
-	listeners   []net.Listener
-	cancel      context.CancelFunc
-	goroutines  sync.WaitGroup
+	// remoteStatements is the number of running statements of other VMs.
+	remoteStatements atomic.Int64
+	lastID           atomic.Uint64
+	listeners        []net.Listener
+	cancel           context.CancelFunc
+	goroutines       sync.WaitGroup
 }
 
 // Start starts a VM. It becomes ready once it has read the configuration and the
--- a/internal/service/stop.go
+++ b/internal/service/stop.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/core/shutdown"
+	"github.com/rosemarywall/rosemarywall/internal/recovery"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
@@ -64,16 +65,22 @@
 	v.log.Info().Int("callers_cut", closed).Dur("after_ms", v.clock.Now()-order.at).Msg("stopped")
 }
 
-// beginStopStage applies a stage to the sessions of this VM's clients.
+// beginStopStage applies a stage to the sessions of this VM's clients, and to the
+// transactions that it has open for other VMs.
 func (v *VM) beginStopStage(order *stopOrder, stage shutdown.Stage) {
 	v.logStopStage(order, stage)
 	v.server.SetStage(stage)
+	if stage == shutdown.RollingBack {
+		for transaction, target := range v.remote.removeAll() {
+			recovery.Go(v.log, "rollback", func() { v.local.Rollback(target, transaction) })
+		}
+	}
 }
 
 // outstanding returns what a stopping VM still has to complete.
 func (v *VM) outstanding() shutdown.Outstanding {
 	return shutdown.Outstanding{
-		Clients: v.server.Clients(), SinceAccept: v.server.SinceAccept(),
+		Clients: v.server.Clients(), Statements: int(v.remoteStatements.Load()), Transactions: v.remote.count(), SinceAccept: v.server.SinceAccept(),
 	}
 }
 
@@ -99,7 +106,8 @@
 // logStopStage logs what is outstanding when a stage of the stop begins.
 func (v *VM) logStopStage(order *stopOrder, stage shutdown.Stage) {
 	v.log.Info().Stringer("stage", stage).Dur("after_ms", v.clock.Now()-order.at).Int("callers", v.server.Clients()).
-		Int("statements", len(v.server.RunningStatements())).Msg("stop stage")
+		Int("statements", len(v.server.RunningStatements())).Int64("statements_for_others", v.remoteStatements.Load()).
+		Int("transactions_for_others", v.remote.count()).Msg("stop stage")
 }
 
 // logCutStatements logs the statements whose clients get no response because the process
