Let sessions send ready responses until half of the exit time of a planned stop

A session whose client reads slowly had 200 ms after the end of the schedule to write its last response. It now has until halfway between that end and the end of the grace time, which the schedule names Exit. No run has shown the fault; found by reading.

--- a/internal/core/shutdown/shutdown.go
+++ b/internal/core/shutdown/shutdown.go
@@ -41,8 +41,10 @@
 type Schedule struct {
 	// CloseIdle, RollBack and EndStatements begin the stages Closing, RollingBack and Ending.
 	CloseIdle, RollBack, EndStatements time.Duration
-	// End is when the process ends, whatever is outstanding.
+	// End is when the stage Ended begins, whatever is outstanding.
 	End time.Duration
+	// Exit is until when sessions may still send the responses that are ready at End.
+	Exit time.Duration
 }
 
 const (
@@ -66,7 +68,7 @@
 	end := grace - min(maxExitTime, grace/exitDivisor)
 	return Schedule{
 		CloseIdle: min(propagation, grace/closeDivisor), RollBack: grace / rollBackDivisor,
-		EndStatements: end - min(maxResponseTime, grace/responseDivisor), End: end,
+		EndStatements: end - min(maxResponseTime, grace/responseDivisor), End: end, Exit: (end + grace) / 2,
 	}
 }
 
--- a/internal/core/shutdown/shutdown_test.go
+++ b/internal/core/shutdown/shutdown_test.go
@@ -25,11 +25,12 @@
 // to exit.
 func TestStagesLeaveTimeForResponses(t *testing.T) {
 	assert.DeepEqual(t, NewSchedule(6*time.Second, propagation), Schedule{
-		CloseIdle: 2 * time.Second, RollBack: 3 * time.Second, EndStatements: 4900 * time.Millisecond, End: 5300 * time.Millisecond,
+		CloseIdle: 2 * time.Second, RollBack: 3 * time.Second, EndStatements: 4900 * time.Millisecond, End: 5300 * time.Millisecond, Exit: 5650 * time.Millisecond,
 	})
 	rapid.Check(t, func(t *rapid.T) {
-		s := drawSchedule(t)
-		if s.CloseIdle > s.RollBack || s.RollBack >= s.EndStatements || s.EndStatements >= s.End {
+		grace := drawTime(t, "grace", time.Minute) + time.Second
+		s := NewSchedule(grace, drawTime(t, "propagation", grace))
+		if s.CloseIdle > s.RollBack || s.RollBack >= s.EndStatements || s.EndStatements >= s.End || s.End >= s.Exit || s.Exit >= grace {
 			t.Fatalf("%+v", s)
 		}
 	})
--- a/internal/service/stop.go
+++ b/internal/service/stop.go
@@ -36,9 +36,6 @@
 	readinessPropagationTime = 2200 * time.Millisecond
 	// stopPollInterval is the interval at which a stopping VM checks what is outstanding.
 	stopPollInterval = 25 * time.Millisecond
-	// lastResponseTime limits the wait for the responses of sessions that end with the
-	// process.
-	lastResponseTime = 200 * time.Millisecond
 )
 
 // Stop stops the VM as package shutdown describes and returns when the process can end, at
@@ -56,7 +53,7 @@
 		}
 		stage = next
 	}
-	for deadline := v.clock.Now() + lastResponseTime; v.server.Clients() > 0 && v.clock.Now() < deadline; {
+	for v.server.Clients() > 0 && v.clock.Now() < order.at+order.schedule.Exit {
 		time.Sleep(stopPollInterval)
 	}
 	v.logCutStatements(order)
