Close clients that connect at the end of a planned stop without waiting

A client that was accepted as the stop ended, and sent nothing, kept the process until half of the exit time. Found by reading; TestClientThatConnectsAtTheEndIsClosed failed before (it waited for the startup timeout) and passes. Transactions of other VMs are rolled back also if a suspension skips the stage.

--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -219,12 +219,15 @@
 	deadline := time.Now().Add(startupTimeout)
 	for {
 		stage := s.currentStage()
+		if stage == shutdown.Ended {
+			deadline = time.Now()
+		}
 		_ = conn.SetReadDeadline(deadline)
 		if s.currentStage() != stage {
-			continue
+			continue // the interruption may have been overwritten
 		}
 		database, key, err = codec.ReadStartup()
-		if !errors.Is(err, os.ErrDeadlineExceeded) || s.currentStage() == shutdown.Ended || !time.Now().Before(deadline) {
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(deadline) {
 			return database, key, err
 		}
 	}
--- a/internal/proxy/server_test.go
+++ b/internal/proxy/server_test.go
@@ -10,10 +10,12 @@
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 
+	"github.com/rosemarywall/rosemarywall/internal/core/shutdown"
 	"github.com/rosemarywall/rosemarywall/internal/execution"
 	"github.com/rosemarywall/rosemarywall/internal/recovery"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/statement"
+	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
 )
 
 // scriptedCodec is a client that sends the given statements, and panics while it reads the
@@ -125,3 +127,35 @@
 	s.running.Wait()
 	assert.Equal(t, s.Clients(), 0)
 }
+
+// silentCodec is a client that connects and sends nothing.
+type silentCodec struct{ conn net.Conn }
+
+func (c silentCodec) ReadStartup() (database, key string, err error) {
+	_, err = c.conn.Read(make([]byte, 1))
+	return "", "", err
+}
+
+func (c silentCodec) WriteStartupResult(error) error              { return nil }
+func (c silentCodec) ReadStatement() (statement.Statement, error) { return statement.Statement{}, nil }
+func (c silentCodec) Partial() bool                               { return false }
+func (c silentCodec) WriteResponse(Response) error                { return nil }
+
+// Guards against a stop that waits for the first message of a client that connects at its end.
+func TestClientThatConnectsAtTheEndIsClosed(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		f := newFakeServices()
+		services := &Services{Admission: f, Authoriser: f, Limiter: f, Router: f, Now: newProcessClock()}
+		s := NewServer(services, func(conn net.Conn) Codec { return silentCodec{conn} }, zerolog.Nop(), func(Record) {})
+		for _, ended := range []bool{false, true} {
+			client, conn := net.Pipe()
+			if ended {
+				s.SetStage(shutdown.Ended)
+			}
+			began := time.Now()
+			s.serve(&clientConn{conn: conn})
+			assert.Equal(t, time.Since(began) < startupTimeout, ended)
+			_ = client.Close()
+		}
+	})
+}
--- a/internal/service/stop.go
+++ b/internal/service/stop.go
@@ -67,7 +67,7 @@
 func (v *VM) beginStopStage(order *stopOrder, stage shutdown.Stage) {
 	v.logStopStage(order, stage)
 	v.server.SetStage(stage)
-	if stage == shutdown.RollingBack {
+	if stage >= shutdown.RollingBack {
 		for transaction, target := range v.remote.removeAll() {
 			recovery.Go(v.log, "rollback", func() { v.local.Rollback(target, transaction) })
 		}
