Let a client roll back a transaction that the proxy has rolled back

A client whose transaction the proxy had rolled back, because it was idle for too long or because the VM stops, got ABORTED and state E for its ROLLBACK, so its session did not end the operation in state I. The check for a rolled back transaction came before that for ROLLBACK. The text of the error named the idle limit also during a stop.

TestRollbackOfRolledBackTransactionSucceeds failed before (RW1013 for the rollback) and passes.

--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -256,3 +256,33 @@
 func (f *fakeServices) AdmitStatement(time.Duration) error { return f.admitError }
 
 func (f *fakeServices) AdmitTransaction(time.Duration) error { return f.admitError }
+
+// Guards against a rollback that fails because the proxy has already rolled back, which leaves
+// the session in the failed state.
+func TestRollbackOfRolledBackTransactionSucceeds(t *testing.T) {
+	for _, c := range []struct {
+		kind  statement.Kind
+		code  resultcode.Code
+		state statement.TransactionState
+	}{
+		{statement.Rollback, 0, statement.Idle},
+		{statement.Commit, resultcode.RolledBack, statement.Idle},
+		{statement.Write, resultcode.RolledBack, statement.FailedTransaction},
+		{statement.Begin, resultcode.RolledBack, statement.FailedTransaction},
+	} {
+		for _, opened := range []bool{false, true} {
+			f := newFakeServices()
+			s := f.session(t)
+			f.handle(s, statement.Begin)
+			if opened {
+				f.handle(s, statement.Write)
+			}
+			s.RollbackTransaction()
+			sent := len(f.requests)
+			code, state := f.handle(s, c.kind)
+			assert.Equal(t, code, c.code, "%v, opened: %v", c.kind, opened)
+			assert.Equal(t, state, c.state, "%v, opened: %v", c.kind, opened)
+			assert.Equal(t, len(f.requests), sent, "nothing is sent for %v", c.kind)
+		}
+	}
+}
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -14,13 +14,13 @@
 // handleInTransaction handles a statement in an open transaction.
 func (s *Session) handleInTransaction(ctx context.Context, st statement.Statement) Response {
 	switch {
-	case s.tx.rolledBack:
-		return s.failOrClose(st, resultcode.New(resultcode.RolledBack, "the transaction was idle for too long and is rolled back"))
-	case st.Kind == statement.Begin:
-		return s.fail(resultcode.New(resultcode.MalformedMessage, "a transaction is open"))
 	case st.Kind == statement.Rollback:
 		s.closeTransaction()
 		return Response{}
+	case s.tx.rolledBack:
+		return s.failOrClose(st, resultcode.New(resultcode.RolledBack, "the transaction is rolled back: it was idle for too long, or the VM stops"))
+	case st.Kind == statement.Begin:
+		return s.fail(resultcode.New(resultcode.MalformedMessage, "a transaction is open"))
 	}
 	if grant, err := s.authorise(); err != nil {
 		return s.failOrClose(st, err).withTrace(grantTrace(&grant))
