Receive SIGTERM apart from SIGHUP, and both before the settings are read

A VM whose settings file changed twice around its SIGTERM ignored the SIGTERM and was killed at the end of the grace period, with all its running statements. Both signals shared a channel of length 1, and a signal that finds its channel full is dropped: one SIGHUP was being handled and another was pending. A SIGTERM also waited for the reload to end, and a SIGHUP that came while the process read its settings for the first time ended it. Each kind of signal now has its channel from the start, and reloads run beside the wait for SIGTERM.

With the program as a process and a named pipe as its settings file: TestStopDuringReload (the process never began to stop) and TestReloadDuringStart (the process ended) failed before and pass. TestSignalsDuringStop (SIGHUP, SIGTERM and SIGINT during the stop) passed before and passes.

--- a/cmd/rosemarywall-platform/main.go
+++ b/cmd/rosemarywall-platform/main.go
@@ -15,6 +15,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/commandline"
 	"github.com/rosemarywall/rosemarywall/internal/logging"
+	"github.com/rosemarywall/rosemarywall/internal/recovery"
 	"github.com/rosemarywall/rosemarywall/internal/service"
 	"github.com/rosemarywall/rosemarywall/platform"
 )
@@ -40,7 +41,21 @@
 
 func main() { os.Exit(run(os.Args[1:])) }
 
+// signals holds the received signals. Each kind has its own channel, because a signal that
+// finds its channel full is dropped, and one that is pending says all that a second one would.
+type signals struct {
+	stop, reload chan os.Signal
+}
+
+func receiveSignals() signals {
+	s := signals{stop: make(chan os.Signal, 1), reload: make(chan os.Signal, 1)}
+	signal.Notify(s.stop, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
+}
+
 func run(arguments []string) int {
+	received := receiveSignals() // before the settings are read, since SIGHUP would end the process
 	var o options
 	if status, done := commandline.Parse(&o, arguments); done {
 		return status
@@ -61,10 +76,10 @@
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(settings.MemoryBytes * memoryShare / 100)
 	}
-	return serve(settings, o)
+	return serve(settings, o, received)
 }
 
-func serve(settings service.Settings, o options) int {
+func serve(settings service.Settings, o options, received signals) int {
 	log, sink, err := logging.NewBounded(os.Stdout, o.LogLevel)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -72,8 +87,6 @@
 	}
 	defer sink.Close()
 	log = log.With().Str("vm", string(settings.VM)).Logger()
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
 	adapter := platform.NewAdapter(settings)
 	adapter.DroppedLogLines = sink.Overflow
 	if o.Metrics > 0 {
@@ -84,12 +97,12 @@
 		log.Error().Err(err).Msg("start failed")
 		return exitFailed
 	}
-	for s := range signals {
-		if s != syscall.SIGHUP {
-			break
+	recovery.Go(log, "reload", func() {
+		for range received.reload {
+			reload(vm, o.Settings, log)
 		}
-		reload(vm, o.Settings, log)
-	}
+	})
+	<-received.stop
 	vm.Stop()
 	return 0
 }
