Wait for the client after each session before the connection is closed

A client that sends more after QUIT, or behind a statement that fails by a fault of the process, could lose a response that it had not read: the connection was closed with unread input, which resets it. Only refused startups and planned stops waited for the client's end of the connection, and a stage of a stop ended this wait early. The wait now follows each session, after its open transaction is rolled back, and continues after a stage.

--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -208,6 +208,12 @@
 		linger(c.conn)
 		return
 	}
+	s.serveSession(c, codec, session)
+	linger(c.conn)
+}
+
+// serveSession serves the statements of a session until it ends.
+func (s *Server) serveSession(c *clientConn, codec Codec, session *Session) {
 	defer session.Close()
 	for s.serveStatement(c, codec, session) {
 	}
@@ -238,8 +244,12 @@
 	if !ok || half.CloseWrite() != nil {
 		return
 	}
-	_ = conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.Copy(io.Discard, conn)
+	for deadline := time.Now().Add(lingerTimeout); time.Now().Before(deadline); {
+		_ = conn.SetReadDeadline(deadline)
+		if _, err := io.Copy(io.Discard, conn); !errors.Is(err, os.ErrDeadlineExceeded) {
+			return
+		} // a stage of a planned stop may have interrupted the read
+	}
 }
 
 // errStopping ends a session during a planned stop.
@@ -248,9 +258,6 @@
 // serveStatement serves one statement and reports whether the session continues.
 func (s *Server) serveStatement(c *clientConn, codec Codec, session *Session) bool {
 	st, err := s.readStatement(c.conn, codec, session)
-	if errors.Is(err, errStopping) {
-		linger(c.conn)
-	}
 	coded := resultcode.Of(err) != 0
 	if err != nil && !coded {
 		return false
--- a/internal/service/stop_test.go
+++ b/internal/service/stop_test.go
@@ -45,6 +45,8 @@
 
 // upstream is a fake authoriser, limiter, router and executor.
 type upstream struct {
+	// large is a row of responses.
+	large    string
 	mu       sync.Mutex
 	executed []string
 }
@@ -80,6 +82,10 @@
 		defer cancel()
 		<-ctx.Done()
 		return execution.Result{Outcome: execution.Unknown, Sent: true}
+	case strings.Contains(r.Text, "panic"):
+		panic("fault")
+	case strings.Contains(r.Text, "large"):
+		return execution.Result{Outcome: execution.Done, Rows: []string{u.large}, Tag: "mac", Sent: true}
 	case strings.Contains(r.Text, "failing"):
 		return execution.Result{Outcome: execution.Failed, Code: statement.Failed, Sent: true}
 	}
