End the wait for a connection to another VM with the request

A statement whose executing VM accepted no connection lasted up to 1 s beyond its timeout, and beyond the end of statements in a planned stop, so that it could be cut at the end of the process (4.9 s + 1 s of a grace period of 6 s, which ends at 5.5 s). The first request opened the connection on its own goroutine, with a time limit that knew nothing of the request. The connection is now opened beside the requests that wait for it, each for as long as its context allows.

TestConnectionEndsWithContextOfRequest failed before (1 s instead of 50 ms) and passes.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -111,7 +111,8 @@
 	conn.close()
 }
 
-// connect returns the open connection, or opens one. Concurrent calls share a dial.
+// connect returns the open connection, or opens one. Concurrent calls share a dial, which
+// goes on if their contexts end.
 func (c *Client) connect(ctx context.Context) (*clientConn, error) {
 	for {
 		c.mu.Lock()
@@ -121,8 +122,7 @@
 		}
 		if c.dialing == nil {
 			c.dialing = make(chan struct{})
-			c.mu.Unlock()
-			return c.dial()
+			go c.dial()
 		}
 		dialing := c.dialing
 		c.mu.Unlock()
@@ -140,7 +140,8 @@
 	}
 }
 
-func (c *Client) dial() (*clientConn, error) {
+// dial opens the connection and closes c.dialing.
+func (c *Client) dial() {
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	socket, _, err := websocket.Dial(ctx, "ws://"+c.address+path, &websocket.DialOptions{HTTPClient: c.httpClient})
@@ -160,11 +161,9 @@
 		c.conn = conn
 	}
 	c.mu.Unlock()
-	if err != nil {
-		return nil, err
+	if err == nil {
+		c.readResponses(conn)
 	}
-	go c.readResponses(conn)
-	return conn, nil
 }
 
 // readResponses delivers responses to the pending calls until the connection ends.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -10,6 +10,8 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
+
+	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
 )
 
 const (
@@ -163,3 +165,24 @@
 	}
 	assert.NilError(t, c.Call(t.Context(), kindEcho, "y", &got))
 }
+
+// Guards against a request that outlasts its context because its VM does not accept a
+// connection.
+func TestConnectionEndsWithContextOfRequest(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		c := NewClient(Identity{Version: ProtocolVersion, VM: "vm-2"}, "vm-1:1", func(context.Context, string) (net.Conn, error) {
+			time.Sleep(dialTimeout)
+			return nil, errors.New("no connection")
+		})
+		for _, limit := range []time.Duration{50 * time.Millisecond, dialTimeout / 2} {
+			ctx, cancel := context.WithTimeout(context.Background(), limit)
+			start := time.Now()
+			var response string
+			err := c.Call(ctx, kindEcho, "text", &response)
+			assert.Assert(t, errors.Is(err, ErrNotSent), "%v", err)
+			assert.Equal(t, time.Since(start), limit)
+			cancel()
+		}
+		time.Sleep(2 * dialTimeout) // the dials end
+	})
+}
