Name the check of planned work in the pages of the soak

The package comment and docs/soak.md did not list it among the checks. A test covers the delays of threads that excuse a request.

--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -13,5 +13,7 @@
 // promises that nothing is kept is true; sessions see their own writes, reads of
 // primary routes every acknowledged one, and bounded reads those that are older than
 // the bound; session values hold; a withdrawn key stops in time; a rate holds in every
-// window; service returns after the last fault.
+// window; service returns after the last fault; a request that a VM has read is answered
+// around the VM's planned stop, reload or change of configuration, and the VM ends within the
+// grace time.
 package soak
--- a/internal/soak/stops_test.go
+++ b/internal/soak/stops_test.go
@@ -213,3 +213,13 @@
 	}
 	assert.Equal(t, len(seen), len(stopKinds)+4)
 }
+
+// Guards against delays that are counted for the time before a sample, or not for threads that
+// have started since.
+func TestDelaysOfThreads(t *testing.T) {
+	before := map[string]time.Duration{"1": 10, "2": 20, "ended": 5}
+	now := map[string]time.Duration{"1": 13, "2": 27, "new": 100}
+	assert.Equal(t, longestDelay(before, now), time.Duration(7))
+	assert.Equal(t, totalDelay(before, now), time.Duration(110))
+	assert.Equal(t, totalDelay(now, map[string]time.Duration{}), time.Duration(0))
+}
