Read each entry of a list or a watch by itself

Callers: a VM that read a list with one odd entry got no entry at all (RW4101), and so did each watch; it never followed that kind again, and a VM that started was never ready. With an entry without a readable name at the end of a page, the list read the first page again and again until its time limit. A stored object with an odd value could neither be read nor replaced, because its version was not known.

Cause: one json.Unmarshal of the whole response. encoding/json refuses it for a depth above 10,000, for bytes that are not JSON and for metadata of another type.

Entries without a readable name are left out and counted. gjson was weighed: it splits as well, but takes what follows an unbalanced entry for a part of it.

--- a/internal/objectapi/client.go
+++ b/internal/objectapi/client.go
@@ -49,6 +49,8 @@
 type Changes struct {
 	Objects []Object `json:"objects"`
 	Deleted []Object `json:"deleted"`
+	// Unnamed is the number of entries whose metadata cannot be read; they are left out.
+	Unnamed int `json:"unnamed,omitempty"`
 	// Version is the store version up to which the response is complete.
 	Version Version `json:"version"`
 }
