Let an invalid registration end a membership once

Callers: an upstream whose registration became odd stayed in the view of every VM for good, as one that leaves, so a takeover went on to count it. Each list wrote a log line for each odd entry, every 2 s on the first VM. The relay sent odd entries, of up to the size that the store allows, to all VMs of its zone.

Cause: setUpstream decoded an invalid registration at each reading, took back the deregistration and began it anew, so that its retention of 15 s never ended.

Change: the follower remembers the version of each invalid registration, and other VMs get the view without it. rosemarywall_invalid_entries_total counts each change of such an entry, and entries without a readable name.

--- a/internal/controller/storesync/follower.go
+++ b/internal/controller/storesync/follower.go
@@ -148,17 +148,22 @@
 	relayPending func() bool
 	requestView  func(context.Context, ident.VMName, ViewRequest) (ViewResponse, error)
 	onRestore    func()
+	onInvalid    func()
 
 	state      atomic.Pointer[Snapshot]
 	configWake chan struct{}
 	// relist requests a full list of a kind.
 	relist map[objectapi.Kind]chan struct{}
 
-	mu             sync.Mutex
-	catalog        *catalog.Catalog
-	provedAt       time.Duration
-	proved         bool
-	upstreams      map[string]catalog.Upstream
+	mu        sync.Mutex
+	catalog   *catalog.Catalog
+	provedAt  time.Duration
+	proved    bool
+	upstreams map[string]catalog.Upstream
+	// invalid holds the versions of the registrations that name no upstream.
+	invalid map[string]objectapi.Version
+	// unnamed holds the number of entries without a readable name in the last list of a kind.
+	unnamed        map[objectapi.Kind]int
 	deregistered   map[string]time.Duration // removal times of upstream registrations
 	leaving        map[ident.UpstreamName]withdrawal.Withdrawal
 	evacuated      map[ident.AvailabilityZone]withdrawal.Withdrawal
@@ -213,6 +218,9 @@
 	RelayPending func() bool
 	// OnRestore is called, if not nil, when the store has come back from an older copy.
 	OnRestore func()
+	// OnInvalid is called, if not nil, for each entry that names nothing to use, once for each
+	// change of the entry.
+	OnInvalid func()
 	// RequestView requests the view of a VM.
 	RequestView func(ctx context.Context, vm ident.VMName, request ViewRequest) (ViewResponse, error)
 }
@@ -222,10 +230,11 @@
 	f := &Follower{
 		source: o.Source, times: o.Times, now: o.Now, log: o.Log, rank: o.Rank,
 		configWake: make(chan struct{}, 1), upstreams: map[string]catalog.Upstream{}, deregistered: map[string]time.Duration{},
+		invalid: map[string]objectapi.Version{}, unnamed: map[objectapi.Kind]int{},
 		leaving: map[ident.UpstreamName]withdrawal.Withdrawal{}, evacuated: map[ident.AvailabilityZone]withdrawal.Withdrawal{},
 		slowStartUntil: map[ident.UpstreamName]time.Duration{},
 		loaded:         map[objectapi.Kind]bool{}, viewVersion: map[objectapi.Kind]objectapi.Version{},
-		viewProvedAt: map[objectapi.Kind]time.Duration{}, storeAvailable: true, relay: o.Relay, relayPending: o.RelayPending, requestView: o.RequestView, onRestore: o.OnRestore,
+		viewProvedAt: map[objectapi.Kind]time.Duration{}, storeAvailable: true, relay: o.Relay, relayPending: o.RelayPending, requestView: o.RequestView, onRestore: o.OnRestore, onInvalid: o.OnInvalid,
 		views: map[objectapi.Kind]*kindView{
 			o.Source.ConfigKind: newKindView(), o.Source.UpstreamsKind: newKindView(), o.Source.EvacuationsKind: newKindView(),
 		},
@@ -239,6 +248,9 @@
 	if f.onRestore == nil {
 		f.onRestore = func() {}
 	}
+	if f.onInvalid == nil {
+		f.onInvalid = func() {}
+	}
 	if f.relayPending == nil {
 		f.relayPending = func() bool { return false }
 	}
--- a/internal/controller/storesync/follower_test.go
+++ b/internal/controller/storesync/follower_test.go
@@ -23,6 +23,8 @@
 	mu       sync.Mutex
 	version  uint64
 	upstream map[string]catalog.Upstream
+	invalid  map[string]objectapi.Version // registrations that cannot be decoded
+	unnamed  int
 	zones    []string
 	revision objectapi.Version
 	fail     error
@@ -32,7 +34,7 @@
 }
 
 func newStore() *fakeStore {
-	return &fakeStore{version: 1, revision: 1, upstream: map[string]catalog.Upstream{}}
+	return &fakeStore{version: 1, revision: 1, upstream: map[string]catalog.Upstream{}, invalid: map[string]objectapi.Version{}}
 }
 
 func (s *fakeStore) change(f func()) {
@@ -71,7 +73,14 @@
 		}
 		return all, s.fail
 	}
+	all.Unnamed = s.unnamed
+	for name, version := range s.invalid {
+		all.Objects = append(all.Objects, objectapi.Object{Name: name, Version: version, Value: []byte("{")})
+	}
 	for name, u := range s.upstream {
+		if s.invalid[name] > 0 {
+			continue
+		}
 		value, _ := json.Marshal(u)
 		all.Objects = append(all.Objects, objectapi.Object{Name: name, Version: objectapi.Version(u.Revision), Value: value})
 	}
--- a/internal/controller/storesync/lists.go
+++ b/internal/controller/storesync/lists.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -73,7 +75,8 @@
 	defer f.mu.Unlock()
 	f.observeView(all.Version)
 	f.applyList(kind, all.Objects, origin{source: sourceList, version: all.Version}, replace)
-	f.views[kind].replace(all.Objects, all.Version)
+	f.views[kind].replace(f.withoutInvalid(kind, all.Objects), all.Version)
+	f.reportUnnamed(kind, all.Unnamed)
 	f.proveView(kind, sentAt)
 	return all.Version, nil
 }
@@ -133,11 +136,41 @@
 		return
 	}
 	f.viewVersion[kind] = changes.Version
-	f.views[kind].applyChanges(changes)
 	change(changes)
+	for _, o := range changes.Objects {
+		if f.isInvalid(kind, o) {
+			changes.Deleted = append(changes.Deleted, o)
+		}
+	}
+	changes.Objects = f.withoutInvalid(kind, changes.Objects)
+	f.views[kind].applyChanges(changes)
 	f.publish()
 }
 
+// isInvalid reports whether an object is a registration that names no upstream. Other VMs
+// treat it as if there were none; f.mu must be held.
+func (f *Follower) isInvalid(kind objectapi.Kind, o objectapi.Object) bool {
+	version, ok := f.invalid[o.Name]
+	return ok && kind == f.source.UpstreamsKind && version == o.Version
+}
+
+// withoutInvalid returns the objects without invalid registrations; f.mu must be held.
+func (f *Follower) withoutInvalid(kind objectapi.Kind, objects []objectapi.Object) []objectapi.Object {
+	return slices.DeleteFunc(slices.Clone(objects), func(o objectapi.Object) bool { return f.isInvalid(kind, o) })
+}
+
+// reportUnnamed logs the number of entries of a list whose name cannot be read when it
+// changes; f.mu must be held.
+func (f *Follower) reportUnnamed(kind objectapi.Kind, n int) {
+	if n > f.unnamed[kind] {
+		f.log.Warn().Str("kind", string(kind)).Int("entries", n).Msg("entries without a readable name ignored")
+		for range n - f.unnamed[kind] {
+			f.onInvalid()
+		}
+	}
+	f.unnamed[kind] = n
+}
+
 // relistContext returns a context that ends when a full list is requested.
 func (f *Follower) relistContext(ctx context.Context, kind objectapi.Kind) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -178,12 +211,14 @@
 			f.markDeregistered(name)
 		}
 	}
+	maps.DeleteFunc(f.invalid, func(name string, _ objectapi.Version) bool { return !listed[name] })
 	f.removeExpired()
 }
 
 // changeUpstreams applies the events of a watch; f.mu must be held.
 func (f *Follower) changeUpstreams(changes objectapi.Changes) {
 	for _, o := range changes.Deleted {
+		delete(f.invalid, o.Name)
 		f.markDeregistered(o.Name)
 	}
 	for _, o := range changes.Objects {
@@ -202,15 +237,19 @@
 	if exists && f.isOlderCopy(o, objectapi.Version(known.Revision), deregistered) {
 		return
 	}
-	delete(f.deregistered, o.Name)
+	if f.isInvalid(f.source.UpstreamsKind, o) {
+		return
+	}
 	u, err := f.source.DecodeUpstream(o)
 	if err != nil {
+		f.invalid[o.Name] = o.Version
+		f.onInvalid()
 		f.log.Warn().Err(err).Str("object", o.Name).Uint64("revision", uint64(o.Version)).Msg("invalid upstream registration ignored")
-		if exists {
-			f.markDeregistered(o.Name)
-		}
+		f.markDeregistered(o.Name)
 		return
 	}
+	delete(f.invalid, o.Name)
+	delete(f.deregistered, o.Name)
 	if !exists || known.State != u.State || known.Primary != u.Primary || known.Incarnation != u.Incarnation || known.Address != u.Address {
 		f.log.Info().Str("upstream", o.Name).Str("group", string(u.Group)).Bool("primary", u.Primary).
 			Bool("draining", u.State == catalog.Draining).Uint64("revision", u.Revision).Msg("upstream registered")
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -153,7 +153,8 @@
 	})
 	v.follower = storesync.New(storesync.Options{
 		Source: v.adapter.Source, Now: now, Log: v.log, Rank: v.configurationRank, Relay: v.storeRelayVM, RelayPending: v.peers.Settling, RequestView: v.requestView, OnRestore: v.peers.RestoreRegistration,
-		Times: storesync.Times{Apply: s.Bounds.ApplyTimeout, Revoke: s.Bounds.RevocationTimeout, Drain: s.Bounds.DrainTimeout, Evacuate: s.Bounds.EvacuationTimeout, Reregister: reregistrationTime},
+		OnInvalid: v.adapter.Metrics.CountInvalidEntry,
+		Times:     storesync.Times{Apply: s.Bounds.ApplyTimeout, Revoke: s.Bounds.RevocationTimeout, Drain: s.Bounds.DrainTimeout, Evacuate: s.Bounds.EvacuationTimeout, Reregister: reregistrationTime},
 	})
 	v.router = steering.New(steering.Config{
 		Self: self, Regions: s.Regions, Snapshot: v.follower.Snapshot, Hubs: v.peers.Hubs, FleetSize: v.peers.FleetSize,
--- a/internal/servicemetrics/metrics.go
+++ b/internal/servicemetrics/metrics.go
@@ -24,6 +24,7 @@
 	platformCalls      *prometheus.CounterVec
 	upstreamConnects   *prometheus.CounterVec
 	evacuatedZone      *prometheus.CounterVec
+	invalidEntries     prometheus.Counter
 }
 
 // GaugeSources holds the functions that return the values of the gauges.
@@ -55,11 +56,13 @@
 			Help: "Connections opened to upstreams, by result."}, []string{"result"}),
 		evacuatedZone: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "rosemarywall_evacuated_zone_requests_total",
 			Help: "Requests sent to upstreams in evacuated zones, of clients or of the VM itself."}, []string{"origin"}),
+		invalidEntries: prometheus.NewCounter(prometheus.CounterOpts{Name: "rosemarywall_invalid_entries_total",
+			Help: "Registrations, and entries without a readable name, that were ignored, once for each change."}),
 	}
 	for _, origin := range []string{originClient, originVM} {
 		m.evacuatedZone.WithLabelValues(origin)
 	}
-	m.registry.MustRegister(m.statements, m.latency, m.attempts, m.upstreamStatements, m.platformCalls, m.upstreamConnects, m.evacuatedZone)
+	m.registry.MustRegister(m.statements, m.latency, m.attempts, m.upstreamStatements, m.platformCalls, m.upstreamConnects, m.evacuatedZone, m.invalidEntries)
 	return m
 }
 
@@ -117,6 +120,9 @@
 	m.platformCalls.WithLabelValues(operation).Inc()
 }
 
+// CountInvalidEntry counts an entry of the store that is ignored.
+func (m *Metrics) CountInvalidEntry() { m.invalidEntries.Inc() }
+
 // Values of the label origin.
 const (
 	originClient = "client"
