Ignore VM registrations that no VM can have written

An entry of the kind of VM registrations with a port out of range, 1e300 cores or without a zone counted as a VM: it was probed and shared the connection limits of upstreams. A VM whose own entry could not be decoded tried to create it anew, was refused with a conflict each time, and never joined. Each list logged each such entry.

Change: the values are checked, and the own entry is replaced at its version.

--- a/internal/controller/peers/peers.go
+++ b/internal/controller/peers/peers.go
@@ -164,6 +164,8 @@
 	// of the last read.
 	registered bool
 	listedAt   time.Duration
+	// invalid holds the versions of the entries of the last list that are no registrations.
+	invalid map[string]objectapi.Version
 	// registerNow requests that this VM writes its registration again.
 	registerNow chan struct{}
 	// restarted is set if this VM was registered before it started.
--- a/internal/controller/peers/peers_test.go
+++ b/internal/controller/peers/peers_test.go
@@ -7,6 +7,7 @@
 	"math"
 	"net"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -449,3 +450,39 @@
 	})
 	ends.Wait()
 }
+
+// Guards against a VM that never registers because an entry under its name cannot be decoded.
+func TestInvalidOwnRegistrationIsReplaced(t *testing.T) {
+	store := &fakeStore{version: 5, objects: map[string]objectapi.Object{
+		"vm-1": {Kind: KindVM, Name: "vm-1", Version: 5, Value: []byte(`{"address":7}`)},
+	}}
+	startNode(t, store, "vm-1", "a")
+	eventually(t, "the registration is valid", func() bool {
+		store.mu.Lock()
+		defer store.mu.Unlock()
+		var r registration
+		return store.objects["vm-1"].Decode(&r) == nil && r.Zone == "a"
+	})
+}
+
+// Guards against entries that are no registrations of VMs and that are probed, chosen as hubs
+// or count as processor capacity.
+func TestInvalidRegistrationsAreNoVMs(t *testing.T) {
+	store := &fakeStore{objects: map[string]objectapi.Object{}}
+	for name, text := range map[string]string{
+		"port":     `{"address":"127.0.0.1:99999","zone":"a","cores":2}`,
+		"no port":  `{"address":"127.0.0.1","zone":"a","cores":2}`,
+		"cores":    `{"address":"127.0.0.1:9","zone":"a","cores":1e300}`,
+		"negative": `{"address":"127.0.0.1:9","zone":"a","cores":-1}`,
+		"no zone":  `{"address":"127.0.0.1:9","cores":2}`,
+		"nested":   strings.Repeat("[", 20000) + strings.Repeat("]", 20000),
+		"bytes":    "\xff{",
+	} {
+		store.version++
+		store.objects[name] = objectapi.Object{Kind: KindVM, Name: name, Version: store.version, Value: []byte(text)}
+	}
+	n := startNode(t, store, "vm-1", "a")
+	eventually(t, "the VM has joined", func() bool { return !n.Joining() })
+	assert.Assert(t, n.register(t.Context()))
+	assert.Equal(t, n.FleetSize(), 1)
+}
--- a/internal/controller/peers/registry.go
+++ b/internal/controller/peers/registry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 
 	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/core/placement"
@@ -20,6 +21,15 @@
 	Cores float64 `json:"cores"`
 }
 
+// maxCores is more than any machine has.
+const maxCores = 1 << 16
+
+// valid reports whether the values can be those of a VM.
+func (r registration) valid() bool {
+	address, err := netip.ParseAddrPort(r.Address)
+	return err == nil && address.Port() > 0 && r.Zone != "" && r.Cores >= 0 && r.Cores <= maxCores
+}
+
 // register writes this VM's registration if it is missing or differs, and reads those of
 // all VMs. It reads after it has written, so that of two VMs that start concurrently at
 // least one sees the other. A starting VM writes first: a conflict tells that it is
@@ -102,17 +112,19 @@
 func (p *Peers) applyRegistrations(objects []objectapi.Object) (registration, objectapi.Version) {
 	var own registration
 	var version objectapi.Version
-	listed := map[ident.VMName]bool{}
+	listed, invalid := map[ident.VMName]bool{}, map[string]objectapi.Version{}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, o := range objects {
 		var r registration
-		if err := o.Decode(&r); err != nil {
-			p.cfg.Log.Warn().Err(err).Str("object", o.Name).Msg("invalid VM registration ignored")
+		err := o.Decode(&r)
+		if o.Name == string(p.cfg.Self.VM) {
+			own, version = r, o.Version // it is replaced if it is invalid
 			continue
 		}
-		if o.Name == string(p.cfg.Self.VM) {
-			own, version = r, o.Version
+		if err != nil || !r.valid() {
+			invalid[o.Name] = o.Version
+			p.logInvalid(o, err)
 			continue
 		}
 		name := ident.VMName(o.Name)
@@ -122,11 +134,19 @@
 			q.registrationVersion = o.Version
 		}
 	}
+	p.invalid = invalid
 	p.removeUnlisted(listed)
 	p.updateHubs()
 	return own, version
 }
 
+// logInvalid logs an invalid registration once for each change; p.mu must be held.
+func (p *Peers) logInvalid(o objectapi.Object, err error) {
+	if p.invalid[o.Name] != o.Version {
+		p.cfg.Log.Warn().Err(err).Str("object", o.Name).Uint64("revision", uint64(o.Version)).Msg("invalid VM registration ignored")
+	}
+}
+
 // Discover adds a VM from which a request was received.
 func (p *Peers) Discover(identity relay.Identity) {
 	if identity.VM == p.cfg.Self.VM || identity.Address == "" {
