--- a/internal/controller/storesync/odd_test.go
+++ b/internal/controller/storesync/odd_test.go
@@ -70,6 +70,9 @@
 		store.change(func() { store.invalid["u1"] = 10 })
 		time.Sleep(10 * firstRelistInterval)
 		assert.Equal(t, lines(), 3)
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		assert.Equal(t, strings.Count(out.String(), "without a readable name"), 1)
 	})
 }
 
