Leave odd entries of another writer in the fault soak

A new kind of fault, odd-entry, with a random source of its own: the other faults of seeds 1 to 59 at 30 s are the same as before (compared line by line).

--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -33,6 +33,9 @@
 	// zone is left until the end of the run.
 	RestoreStore Kind = "restore-store"
 	Evacuate     Kind = "evacuate"
+	// OddEntry leaves an entry of another writer among those of the members or the
+	// evacuations, also in place of a member's.
+	OddEntry Kind = "odd-entry"
 )
 
 var kinds = []Kind{
@@ -44,6 +47,9 @@
 // seed as they are.
 var rareKinds = []Kind{RestoreStore, Evacuate}
 
+// storeKinds have one too.
+var storeKinds = []Kind{OddEntry}
+
 // Fault is one planned fault.
 type Fault struct {
 	At   time.Duration
@@ -83,16 +89,17 @@
 			plan = append(plan, next)
 		}
 	}
-	plan = append(plan, rareFaults(seed, length)...)
+	plan = append(plan, rareFaults(rand.NewPCG(seed, 2), rareKinds, length)...)
+	plan = append(plan, rareFaults(rand.NewPCG(seed, 3), storeKinds, length)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
 
-// rareFaults returns the faults of rareKinds.
-func rareFaults(seed uint64, length time.Duration) []Fault {
-	rng := rand.New(rand.NewPCG(seed, 2))
+// rareFaults returns the faults of kinds that come every rareInterval.
+func rareFaults(source rand.Source, kinds []Kind, length time.Duration) []Fault {
+	rng := rand.New(source)
 	var plan []Fault
-	for _, kind := range rareKinds {
+	for _, kind := range kinds {
 		for at := between(rng, firstFault, rareInterval); at < length; at += between(rng, rareInterval/2, 3*rareInterval/2) {
 			plan = append(plan, Fault{At: at, For: between(rng, 200*time.Millisecond, longest/2), Kind: kind, Target: rng.IntN(1 << 16)})
 		}
