--- a/internal/frontend/protocol_test.go
+++ b/internal/frontend/protocol_test.go
@@ -40,7 +40,12 @@
 // raw logs a caller in.
 func (r *rig) raw(params ...string) *raw {
 	r.t.Helper()
-	c := r.dial()
+	return r.login(r.dial(), params...)
+}
+
+// login logs a caller in over a connection.
+func (r *rig) login(c net.Conn, params ...string) *raw {
+	r.t.Helper()
 	f := pgproto3.NewFrontend(c, c)
 	m := &pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "shop", "database": "orders"}}
 	for i := 0; i < len(params); i += 2 {
