Add the schedule of a drain to core/shutdown

The PostgreSQL proxy needs another course of a stop than the users' platform: it refuses new clients at once, its statements have no timeouts, and [shutdown] drain_deadline, 0 to 1 h, is all the time there is. NewDrainSchedule gives open transactions most of it, then running statements time to end by themselves, and adds a stage Cancelling, in which the upstreams are asked to cancel what still runs, so that their responses tell the outcome. With 30 s: transactions 22.9 s, cancel at 27.9 s, end of statements at 28.9 s, end at 29.3 s.

--- a/internal/core/shutdown/shutdown.go
+++ b/internal/core/shutdown/shutdown.go
@@ -21,6 +21,9 @@
 	Closing
 	// RollingBack means that open transactions are rolled back.
 	RollingBack
+	// Cancelling means that running statements are cancelled on their upstreams, whose
+	// responses then tell the outcome. Not every schedule has this stage.
+	Cancelling
 	// Ending means that nothing is begun, and that running statements are ended with a
 	// response that says what is known of them.
 	Ending
@@ -30,7 +33,7 @@
 
 // String returns the name of the stage in logs.
 func (s Stage) String() string {
-	names := [...]string{"running", "announced", "closing", "rolling_back", "ending", "ended"}
+	names := [...]string{"running", "announced", "closing", "rolling_back", "cancelling", "ending", "ended"}
 	if int(s) < len(names) {
 		return names[s]
 	}
@@ -41,6 +44,8 @@
 type Schedule struct {
 	// CloseIdle, RollBack and EndStatements begin the stages Closing, RollingBack and Ending.
 	CloseIdle, RollBack, EndStatements time.Duration
+	// CancelStatements begins the stage Cancelling; zero means that there is none.
+	CancelStatements time.Duration
 	// End is when the process ends, whatever is outstanding.
 	End time.Duration
 }
@@ -57,6 +62,14 @@
 	// closeDivisor and rollBackDivisor divide the grace period to give the latest CloseIdle,
 	// and RollBack.
 	closeDivisor, rollBackDivisor = 3, 2
+	// maxStatementTime is left between RollBack and CancelStatements of a drain, for running
+	// statements to end by themselves.
+	maxStatementTime = 5 * time.Second
+	// maxCancelTime is left between CancelStatements and EndStatements, for the upstreams to
+	// respond.
+	maxCancelTime = time.Second
+	// statementDivisor and cancelDivisor divide a short drain time to give these times.
+	statementDivisor, cancelDivisor = 4, 8
 )
 
 // NewSchedule returns the schedule for a grace period, the time from the order to the end by
@@ -70,6 +83,15 @@
 	}
 }
 
+// NewDrainSchedule returns the schedule for a stop that refuses new clients at once and whose
+// statements have no timeouts. Open transactions get most of the drain time.
+func NewDrainSchedule(drain time.Duration) Schedule {
+	s := NewSchedule(drain, 0)
+	s.CancelStatements = s.EndStatements - min(maxCancelTime, drain/cancelDivisor)
+	s.RollBack = s.CancelStatements - min(maxStatementTime, drain/statementDivisor)
+	return s
+}
+
 // Outstanding describes what a stopping VM still has to complete.
 type Outstanding struct {
 	// Clients is the number of connected clients.
@@ -94,6 +116,8 @@
 		return Ended
 	case at >= s.EndStatements:
 		return Ending
+	case s.CancelStatements > 0 && at >= s.CancelStatements:
+		return Cancelling
 	case at >= s.RollBack:
 		return RollingBack
 	case at >= s.CloseIdle:
--- a/internal/core/shutdown/shutdown_test.go
+++ b/internal/core/shutdown/shutdown_test.go
@@ -35,6 +35,29 @@
 	})
 }
 
+// Guards against a drain that rolls back transactions early, that leaves no time for running
+// statements, their cancellation or the responses, or that waits although its time is zero.
+func TestStagesOfDrain(t *testing.T) {
+	assert.DeepEqual(t, NewDrainSchedule(30*time.Second), Schedule{
+		RollBack: 22900 * time.Millisecond, CancelStatements: 27900 * time.Millisecond, EndStatements: 28900 * time.Millisecond, End: 29300 * time.Millisecond,
+	})
+	clients := Outstanding{Clients: 1}
+	assert.Equal(t, NewDrainSchedule(0).StageAt(0, clients), Ended)
+	rapid.Check(t, func(t *rapid.T) {
+		s := NewDrainSchedule(time.Duration(rapid.Int64Range(int64(time.Millisecond), int64(time.Hour)).Draw(t, "drain")))
+		if s.CloseIdle != 0 || s.RollBack <= 0 || s.RollBack >= s.CancelStatements || s.CancelStatements >= s.EndStatements || s.EndStatements >= s.End {
+			t.Fatalf("%+v", s)
+		}
+		for at, want := range map[time.Duration]Stage{
+			0: Closing, s.RollBack - 1: Closing, s.RollBack: RollingBack, s.CancelStatements: Cancelling, s.EndStatements: Ending, s.End: Ended,
+		} {
+			if got := s.StageAt(at, clients); got != want {
+				t.Fatalf("%v at %v of %+v", got, at, s)
+			}
+		}
+	})
+}
+
 // Guards against a statement that is begun so late that it may still run when running
 // statements are ended.
 func TestAdmittedWorkEndsInTime(t *testing.T) {
