Keep the last response to a PostgreSQL client when its connection is closed

Clients lost the end of a response when the session ended with their next messages unread, for example after a planned stop or a malformed message: Close resets a connection with unread input, and what the client had not read yet is dropped. All client connections were closed that way; TLS was affected as well.

The close now ends the server's side first and reads until the client closes its own, for at most 100 ms. sockets.Linger does this for both products and for TLS; the users' platform used its own copy.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -18,8 +18,13 @@
 // past is a deadline that has passed.
 var past = time.Unix(1, 0)
 
-// minFrame is the smallest message in bytes.
-const minFrame = 5
+const (
+	// minFrame is the smallest message in bytes.
+	minFrame = 5
+	// lingerTimeout bounds the wait for the caller's end of a connection that the server
+	// closes.
+	lingerTimeout = 100 * time.Millisecond
+)
 
 // callerConn is the connection of a caller. It implements filter.Caller.
 type callerConn struct {
@@ -123,6 +128,12 @@
 	}
 }
 
+// close ends the connection such that the caller can read the last response.
+func (c *callerConn) close() {
+	sockets.Linger(c.net, lingerTimeout)
+	_ = c.net.Close()
+}
+
 // timedOut finds out why the read deadline passed.
 func (c *callerConn) timedOut() error {
 	c.mu.Lock()
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -76,7 +76,7 @@
 // run serves the caller until it leaves.
 func (s *session) run() {
 	defer s.server.remove(s)
-	defer s.conn.net.Close()
+	defer s.conn.close()
 	defer s.shared.Rollback()
 	defer s.recovered()
 	err := s.start()
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"os"
 	"sync"
@@ -205,7 +204,7 @@
 	}
 	if err != nil {
 		s.observe(Record{Database: database, Startup: true, Response: Response{Err: err, Trace: trace}})
-		linger(c.conn)
+		sockets.Linger(c.conn, lingerTimeout)
 		return
 	}
 	defer session.Close()
@@ -230,18 +229,6 @@
 	}
 }
 
-// linger closes the server's side of a connection and waits until the client closes its
-// own. Closing a connection with unread input resets it, and a response that the client has
-// not read yet would be lost.
-func linger(conn net.Conn) {
-	half, ok := conn.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
-		return
-	}
-	_ = conn.SetReadDeadline(time.Now().Add(lingerTimeout))
-	_, _ = io.Copy(io.Discard, conn)
-}
-
 // errStopping ends a session during a planned stop.
 var errStopping = errors.New("the VM stops")
 
@@ -249,7 +236,7 @@
 func (s *Server) serveStatement(c *clientConn, codec Codec, session *Session) bool {
 	st, err := s.readStatement(c.conn, codec, session)
 	if errors.Is(err, errStopping) {
-		linger(c.conn)
+		sockets.Linger(c.conn, lingerTimeout)
 	}
 	coded := resultcode.Of(err) != 0
 	if err != nil && !coded {
--- a/internal/wire/sockets/sockets.go
+++ b/internal/wire/sockets/sockets.go
@@ -4,9 +4,11 @@
 import (
 	"crypto/tls"
 	"errors"
+	"io"
 	"net"
 	"os"
 	"syscall"
+	"time"
 )
 
 // State is the result of probing a connection.
@@ -73,3 +75,19 @@
 
 // Probe returns the current state of a connection.
 func Probe(c net.Conn) State { return NewProber(c).Probe() }
+
+// Linger closes this side of a connection and waits at most timeout until the peer closes its
+// own. Closing a connection with unread input resets it, and a response that the peer has not
+// read yet would be lost. The connection still has to be closed afterwards.
+func Linger(c net.Conn, timeout time.Duration) {
+	if t, ok := c.(*tls.Conn); ok {
+		_ = t.CloseWrite() // fails before the end of the handshake
+		c = t.NetConn()
+	}
+	half, ok := c.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	_ = c.SetReadDeadline(time.Now().Add(timeout))
+	_, _ = io.Copy(io.Discard, c)
+}
