Keep a message that a PostgreSQL client sends while an order to disconnect arrives

A session could end with an i/o timeout and without a response although its client had sent a message: an order (planned stop, zone taken out) interrupts the wait for the first message by an expired read deadline, and when the header arrived at the same moment, the deadline stayed and ended the read of the rest.

The end of the wait now removes a deadline that an order has set. Missed orders were looked for too: the session looks at the order after it has begun to wait, and the order interrupts waits after it is visible, so none is missed.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -38,6 +38,8 @@
 	mu          sync.Mutex
 	interrupted bool
 	idle        bool
+	// woken says that an order has interrupted a read.
+	woken bool
 }
 
 // timedWriter bounds each write.
@@ -86,6 +88,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle {
+		c.woken = true
 		_ = c.net.SetReadDeadline(past)
 	}
 }
@@ -104,10 +107,16 @@
 // Gone implements filter.Caller. Input that was not read yet hides the end.
 func (c *callerConn) Gone() bool { return sockets.Probe(c.net) == sockets.Closed }
 
+// setIdle begins or ends the wait of an idle session. An order that arrives with the message must
+// not interrupt later reads.
 func (c *callerConn) setIdle(idle bool) {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.idle = idle
-	c.mu.Unlock()
+	if c.woken {
+		c.woken = false
+		_ = c.net.SetReadDeadline(time.Time{})
+	}
 }
 
 // Peek implements filter.Caller.
@@ -144,5 +153,6 @@
 	if c.idle && c.shed() && c.reader.Buffered() == 0 {
 		return errShed
 	}
+	c.woken = false
 	return c.net.SetReadDeadline(time.Time{})
 }
