Answer PostgreSQL clients at the drain deadline instead of cutting them

Clients of a stopping VM whose statement ran at the drain deadline, that waited for a slot, or that were in a transaction got no response: Drain closed every connection, whatever ran on it. Statements of open transactions were begun until then, and a session whose input never ran dry was never asked to leave.

Drain now follows the schedule of core/shutdown. Idle sessions get 57P01 at once; input that has arrived is still served. Late in the drain time, transactions end with 57P01 (RW1014, rolled back), and batches that are still pipelined are refused by the same error between two batches. Statements that run on are first cancelled on their upstream, whose response then tells the outcome, and then their upstream connection is closed: the client gets RW1012 for what may have run, RW1013 in a transaction, RW1014 for what has not run. The upstream is not reported as failed for that, and the request is not sent to another one. Waits for slots, rates, confirmations and outcomes end with the stop. A drain time of 0 goes to the last step at once. Share units are handed over after that, as before.

Each stage logs the clients, statements and idle transactions that are left; each statement that the stop cancels, ends or cuts and each transaction that it rolls back has a line with organisation, database, kind, upstream and the time at which it was read, relative to the order, without SQL text. Drain reports what was not completed, so the exit status is 0 only if everything was. Kill, which simulates a crash, closes connections without a word as before.

TestStatementsAtDrainDeadlineGetResponses and TestCopyAtDrainDeadlineGetsResponse now use PlainWrites, as VMs do: without it, the write is enclosed in a transaction whose COMMIT was not sent, and "not run" (57P01) is the true answer; a case for that is added.

--- a/cmd/rosemarywall/main.go
+++ b/cmd/rosemarywall/main.go
@@ -67,7 +67,7 @@
 	drain, cancel := context.WithTimeout(context.Background(), loaded.Shutdown.DrainDeadline)
 	defer cancel()
 	if err := vm.Stop(drain); err != nil {
-		log.Error().Err(err).Msg("stop cut requests at the deadline")
+		log.Error().Err(err).Msg("stop did not complete all requests")
 		return exitFailed
 	}
 	return 0
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -198,8 +198,10 @@
 func (v *VM) State() map[string]any { return v.admin.State() }
 
 // Stop shuts the VM down gracefully. It reports the VM as not ready, asks clients
-// outside a transaction to reconnect, and waits for open transactions to finish.
-// If ctx ends first, it closes the remaining client connections and returns an error.
+// outside a transaction to reconnect, and waits for open transactions to finish. Shortly
+// before ctx ends, it ends what is left with an error to the client; see
+// frontend.Server.Drain. Only then does it hand over the share units and leave the mesh, which
+// running statements need. It returns an error if a request or transaction was not completed.
 func (v *VM) Stop(ctx context.Context) error {
 	v.draining.Store(true)
 	v.log.Info().Msg("draining")
@@ -215,11 +217,9 @@
 
 // Kill stops the VM immediately, without notifying the other VMs. It simulates a crash.
 func (v *VM) Kill() {
-	ctx, cancel := context.WithCancel(context.Background())
-	cancel()
 	v.draining.Store(true)
 	v.mesh.Close()
-	_ = v.frontend.Drain(ctx)
+	v.frontend.Close()
 	v.shutdown()
 }
 
--- a/internal/filter/errors.go
+++ b/internal/filter/errors.go
@@ -65,11 +65,29 @@
 // CancelRequest.
 var ErrCancelled = fmt.Errorf("cancelled by the client: %w", context.Canceled)
 
+// ErrStopping is the cause of a context whose wait a planned stop ended.
+var ErrStopping = fmt.Errorf("the VM stops: %w", context.Canceled)
+
+// IsEnded reports whether the client or a planned stop ended the wait of ctx.
+func IsEnded(ctx context.Context) bool {
+	cause := context.Cause(ctx)
+	return errors.Is(cause, ErrCancelled) || errors.Is(cause, ErrStopping)
+}
+
+// StoppingError is the error for a request that does not run because the VM stops.
+func StoppingError() error {
+	return resultcode.New(resultcode.ShuttingDown, "the VM stops; connect again")
+}
+
 // WaitError returns the error for a wait that ended because ctx is done: Cancelled if
-// the client cancelled the request, otherwise the given code.
+// the client cancelled the request, ShuttingDown if a planned stop ended the wait, otherwise
+// the given code.
 func WaitError(ctx context.Context, code resultcode.Code, detail string) error {
 	if errors.Is(context.Cause(ctx), ErrCancelled) {
 		return resultcode.New(resultcode.Cancelled, "cancelled before the request ran")
 	}
+	if errors.Is(context.Cause(ctx), ErrStopping) {
+		return StoppingError()
+	}
 	return resultcode.New(code, "%s", detail)
 }
--- a/internal/filter/forward/forward.go
+++ b/internal/filter/forward/forward.go
@@ -34,7 +34,7 @@
 type handler struct{ cfg Config }
 
 // New returns the filter. It rejects requests with RolledBack, OutcomeUnknown,
-// AnswerIncomplete, InvalidSetting and QueueDeadline, and returns
+// AnswerIncomplete, InvalidSetting, QueueDeadline and ShuttingDown, and returns
 // *filter.RetryableError for a request that had no effect.
 func New(cfg Config) filter.Handler {
 	if cfg.ConfirmTimeout == 0 {
@@ -74,7 +74,7 @@
 		if errors.As(err, &open) {
 			return nil, &filter.RetryableError{Reason: filter.ReasonNotSent, Cause: err}
 		}
-		if errors.Is(err, filter.ErrCancelled) {
+		if errors.Is(err, filter.ErrCancelled) || errors.Is(err, filter.ErrStopping) {
 			return nil, filter.WaitError(ctx, resultcode.Cancelled, "")
 		}
 		return nil, err
@@ -87,6 +87,11 @@
 	s := r.Session
 	s.OnPrimary = r.Write
 	s.Lease.Store(lease)
+	if s.Stopped.Load() {
+		s.EndLease()
+		lease.Release(false)
+		return nil, filter.StoppingError()
+	}
 	h.count(r)
 	return lease, nil
 }
--- a/internal/filter/forward/resolve.go
+++ b/internal/filter/forward/resolve.go
@@ -20,7 +20,7 @@
 // confirm waits until the pending commit is guaranteed to survive a promotion.
 func (x *exchange) confirm() error {
 	x.h.cfg.Counters.CommitsHeld.Add(1)
-	ctx, cancel := context.WithTimeout(context.Background(), x.h.cfg.ConfirmTimeout)
+	ctx, cancel := context.WithTimeout(x.s.ProcessContext(), x.h.cfg.ConfirmTimeout)
 	defer cancel()
 	if err := x.h.cfg.Router.Confirm(ctx, x.lease.Target(), x.point); err != nil {
 		x.broken = true
@@ -206,21 +206,32 @@
 		}
 		return &filter.RetryableError{Reason: filter.ReasonNotSent, Cause: cause}
 	}
-	x.h.cfg.Router.ReportFailure(x.lease.Target(), cause)
+	x.reportFailure(cause)
+	reason := "the connection to the upstream failed"
+	if x.s.Stopped.Load() {
+		reason = "the VM stops"
+	}
 	if inTransaction {
-		return resultcode.New(resultcode.RolledBack, "the connection to the upstream failed before the commit was sent")
+		return resultcode.New(resultcode.RolledBack, "%s before the commit was sent", reason)
+	}
+	return resultcode.New(resultcode.AnswerIncomplete, "%s", reason)
+}
+
+// reportFailure reports the loss of the connection, unless a planned stop has closed it.
+func (x *exchange) reportFailure(cause error) {
+	if !x.s.Stopped.Load() {
+		x.h.cfg.Router.ReportFailure(x.lease.Target(), cause)
 	}
-	return resultcode.New(resultcode.AnswerIncomplete, "the connection to the upstream failed")
 }
 
 // resolveAfterConnectionLoss determines the outcome of a request that may have committed
 // without a response. It acknowledges a commit only if the rest of the response is
 // known.
 func (x *exchange) resolveAfterConnectionLoss(cause error) error {
-	x.h.cfg.Router.ReportFailure(x.lease.Target(), cause)
+	x.reportFailure(cause)
 	x.broken = true
 	x.lease.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), x.h.cfg.ConfirmTimeout)
+	ctx, cancel := context.WithTimeout(x.s.ProcessContext(), x.h.cfg.ConfirmTimeout)
 	defer cancel()
 	err := x.resolve(ctx)
 	if err == nil && !x.synthesiseResponses(sqltext.Commit, commitComplete) {
--- a/internal/filter/limit/limit.go
+++ b/internal/filter/limit/limit.go
@@ -7,6 +7,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/filter"
 	"github.com/rosemarywall/rosemarywall/internal/request"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
 // Config configures the filter.
@@ -19,13 +20,16 @@
 	cfg  Config
 }
 
-// New returns the filter. It rejects requests with RateExceeded.
+// New returns the filter. It rejects requests with RateExceeded, Cancelled or ShuttingDown.
 func New(next filter.Handler, cfg Config) filter.Handler { return &handler{next, cfg} }
 
 // Serve implements filter.Handler.
 func (h *handler) Serve(ctx context.Context, r *filter.Request) error {
 	if r.Cost > 0 {
 		if err := h.cfg.Limiter.Take(ctx, r.Session.Grant.Organisation, r.Cost); err != nil {
+			if filter.IsEnded(ctx) {
+				return filter.WaitError(ctx, resultcode.RateExceeded, "")
+			}
 			return err
 		}
 	}
--- a/internal/filter/queue/queue.go
+++ b/internal/filter/queue/queue.go
@@ -37,7 +37,8 @@
 	upstream ident.UpstreamName
 }
 
-// New returns the filter. It rejects requests with QueueDeadline or Cancelled.
+// New returns the filter. It rejects requests with QueueDeadline, Cancelled or
+// ShuttingDown.
 func New(next filter.Handler, cfg Config) *Filter {
 	if cfg.Now == nil {
 		start := time.Now()
--- a/internal/filter/route/route.go
+++ b/internal/filter/route/route.go
@@ -48,7 +48,8 @@
 	cfg  Config
 }
 
-// New returns the filter. It rejects requests with NoPrimary, NoUpstream or Cancelled.
+// New returns the filter. It rejects requests with NoPrimary, NoUpstream, Cancelled or
+// ShuttingDown.
 func New(next filter.Handler, cfg Config) filter.Handler { return &handler{next, cfg} }
 
 // Serve implements filter.Handler.
@@ -76,6 +77,9 @@
 		if !errors.As(err, &retry) {
 			return err
 		}
+		if errors.Is(context.Cause(ctx), filter.ErrStopping) {
+			return rejection(ctx, r, retry) // the upstream has not failed
+		}
 		if retry.Reason != filter.ReasonSerialization {
 			failed = retry
 		}
@@ -124,7 +128,7 @@
 // rejection returns the error with a result code for a request that found no upstream.
 // Every code it uses means that the request did not run.
 func rejection(ctx context.Context, r *filter.Request, err error) error {
-	if errors.Is(context.Cause(ctx), filter.ErrCancelled) {
+	if filter.IsEnded(ctx) {
 		return filter.WaitError(ctx, resultcode.Cancelled, "")
 	}
 	if resultcode.Of(err) != 0 {
--- a/internal/filter/session.go
+++ b/internal/filter/session.go
@@ -1,6 +1,7 @@
 package filter
 
 import (
+	"context"
 	"sync/atomic"
 
 	"github.com/rosemarywall/rosemarywall/internal/ident"
@@ -57,6 +58,12 @@
 	// UnsyncedWrites reports whether the messages of the batch sent before a Flush may
 	// write, so that the next Sync commits them.
 	UnsyncedWrites bool
+	// Stopped is set when a planned stop ends running statements. From then on, no
+	// statement is sent to an upstream, and the connection of a running one is closed.
+	Stopped atomic.Bool
+	// Process ends when the process is about to exit and limits waits for the outcome of a
+	// request; nil means no limit.
+	Process context.Context
 	// LogPoint is the newest log position that the session has written or that its
 	// client has presented in a token.
 	LogPoint ident.LogPoint
@@ -75,6 +82,14 @@
 	s.EndLease()
 }
 
+// ProcessContext returns Process, or a context without an end.
+func (s *Session) ProcessContext() context.Context {
+	if s.Process == nil {
+		return context.Background()
+	}
+	return s.Process
+}
+
 // EndLease clears the state of the lease and its transaction and releases the slot. It
 // does not release the connection itself.
 func (s *Session) EndLease() {
--- a/internal/frontend/config.go
+++ b/internal/frontend/config.go
@@ -52,7 +52,7 @@
 	PlainWrites bool
 	// ServerVersion is reported until an upstream has reported its own.
 	ServerVersion string
-	// Now is the time since process start.
+	// Now is the time since process start; by default the time since NewServer.
 	Now func() time.Duration
 	// Counters are created when nil.
 	Counters *filter.Counters
@@ -72,6 +72,10 @@
 	if c.ServerVersion == "" {
 		c.ServerVersion = defaultServerVersion
 	}
+	if c.Now == nil {
+		start := time.Now()
+		c.Now = func() time.Duration { return time.Since(start) }
+	}
 	if c.Counters == nil {
 		c.Counters = &filter.Counters{}
 	}
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -12,7 +12,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/wire/sockets"
 )
 
-// errShed tells an idle session to disconnect.
+// errShed tells a waiting session to disconnect.
 var errShed = errors.New("the server is shedding callers")
 
 // past is a deadline that has passed.
@@ -28,18 +28,18 @@
 
 // callerConn is the connection of a caller. It implements filter.Caller.
 type callerConn struct {
-	net    net.Conn
-	reader *wire.Reader
-	writer *wire.Writer
-	// shed reports whether an idle caller should be disconnected.
-	shed func() bool
+	// raw is the network connection; net is the TLS connection over it, if there is one.
+	raw, net net.Conn
+	reader   *wire.Reader
+	writer   *wire.Writer
+	// ended reports whether an order ends the session while it waits for the caller.
+	ended func() bool
 
 	// mu orders the setting of the read deadline against the flags.
 	mu          sync.Mutex
 	interrupted bool
-	idle        bool
-	// woken says that an order has interrupted a read.
-	woken bool
+	// waiting says that an order interrupts reads, and woken that one has.
+	waiting, woken bool
 }
 
 // timedWriter bounds each write.
@@ -55,9 +55,9 @@
 	return t.net.Write(p)
 }
 
-func newCallerConn(c net.Conn, cfg *Config, shed func() bool) *callerConn {
+func newCallerConn(c net.Conn, cfg *Config, ended func() bool) *callerConn {
 	return &callerConn{
-		net: c, reader: wire.NewReader(c, cfg.MaxMessage), writer: wire.NewWriter(timedWriter{c, cfg.WriteTimeout}), shed: shed,
+		raw: c, net: c, reader: wire.NewReader(c, cfg.MaxMessage), writer: wire.NewWriter(timedWriter{c, cfg.WriteTimeout}), ended: ended,
 	}
 }
 
@@ -72,7 +72,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.interrupted = true
-	_ = c.net.SetReadDeadline(past)
+	_ = c.raw.SetReadDeadline(past)
 }
 
 // Resume implements filter.Caller.
@@ -80,42 +80,71 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.interrupted = false
-	_ = c.net.SetReadDeadline(time.Time{})
+	_ = c.raw.SetReadDeadline(time.Time{})
 }
 
-// wake makes Peek look at shed again.
+// wake makes a waiting session look at its orders again.
 func (c *callerConn) wake() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.idle {
+	if c.waiting {
 		c.woken = true
-		_ = c.net.SetReadDeadline(past)
+		_ = c.raw.SetReadDeadline(past)
 	}
 }
 
-// PeekIdle waits for the first message of a request. It fails with errShed when
-// the caller should be disconnected meanwhile.
-func (c *callerConn) PeekIdle() (byte, int, error) {
-	c.setIdle(true)
-	defer c.setIdle(false)
-	if c.shed() && c.reader.Buffered() == 0 {
+// Await waits for the first message of a request or the next one of a batch. It fails with
+// errShed when the caller should be disconnected.
+func (c *callerConn) Await() (byte, int, error) {
+	c.setWaiting(true)
+	defer c.setWaiting(false)
+	if c.ended() {
 		return 0, 0, errShed
 	}
 	return c.Peek()
 }
 
+// AwaitFrame reads a message as wire.Reader.ReadFrame does. It fails with errShed when the
+// caller should be disconnected before the message has arrived.
+func (c *callerConn) AwaitFrame() (byte, []byte, error) {
+	c.setWaiting(true)
+	defer c.setWaiting(false)
+	if c.ended() {
+		return 0, nil, errShed
+	}
+	for {
+		kind, frame, err := c.reader.ReadFrame()
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return kind, frame, err
+		}
+		if err := c.timedOut(); err != nil {
+			return 0, nil, err
+		}
+	}
+}
+
 // Gone implements filter.Caller. Input that was not read yet hides the end.
-func (c *callerConn) Gone() bool { return sockets.Probe(c.net) == sockets.Closed }
+func (c *callerConn) Gone() bool { return sockets.Probe(c.raw) == sockets.Closed }
+
+// hasInput reports whether input of the caller has arrived. Input inside the TLS layer is not
+// seen.
+func (c *callerConn) hasInput() bool {
+	return c.reader.Buffered() > 0 || sockets.Probe(c.raw) == sockets.Readable
+}
 
-// setIdle begins or ends the wait of an idle session. An order that arrives with the message must
-// not interrupt later reads.
-func (c *callerConn) setIdle(idle bool) {
+// setWaiting begins or ends a wait. An order that arrives with the message must not interrupt
+// later reads.
+func (c *callerConn) setWaiting(waiting bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.idle = idle
+	c.waiting = waiting
+	c.clearWoken()
+}
+
+func (c *callerConn) clearWoken() {
 	if c.woken {
 		c.woken = false
-		_ = c.net.SetReadDeadline(time.Time{})
+		_ = c.raw.SetReadDeadline(time.Time{})
 	}
 }
 
@@ -137,12 +166,6 @@
 	}
 }
 
-// close ends the connection such that the caller can read the last response.
-func (c *callerConn) close() {
-	sockets.Linger(c.net, lingerTimeout)
-	_ = c.net.Close()
-}
-
 // timedOut finds out why the read deadline passed.
 func (c *callerConn) timedOut() error {
 	c.mu.Lock()
@@ -150,9 +173,21 @@
 	if c.interrupted {
 		return filter.ErrInterrupted
 	}
-	if c.idle && c.shed() && c.reader.Buffered() == 0 {
+	c.woken = false
+	if err := c.raw.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
+	if c.waiting && c.ended() {
 		return errShed
 	}
-	c.woken = false
-	return c.net.SetReadDeadline(time.Time{})
+	return nil
 }
+
+// close ends the connection such that the caller can read the last response.
+func (c *callerConn) close() {
+	sockets.Linger(c.net, lingerTimeout)
+	_ = c.net.Close()
+}
+
+// abort closes the connection at once.
+func (c *callerConn) abort() { _ = c.raw.Close() }
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -7,6 +7,7 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/rosemarywall/rosemarywall/internal/core/shutdown"
 	"github.com/rosemarywall/rosemarywall/internal/filter"
 	"github.com/rosemarywall/rosemarywall/internal/filter/authorise"
 	"github.com/rosemarywall/rosemarywall/internal/filter/forward"
@@ -28,8 +29,15 @@
 	sessions  map[*session]struct{}
 	cancels   map[cancelKey]*session
 	draining  bool
-	// empty is closed when draining and no session is left.
+	// empty is closed when draining and neither a listener nor a session is left.
 	empty chan struct{}
+	// stage is the shutdown.Stage of a planned stop.
+	stage atomic.Uint32
+	// process ends when the process is about to exit.
+	process    context.Context
+	endProcess context.CancelCauseFunc
+	// interrupted counts the requests and transactions that a planned stop has ended.
+	interrupted atomic.Int64
 	// epoch counts calls of Shed; sessions of an older epoch end when idle.
 	epoch atomic.Int64
 }
@@ -44,10 +52,12 @@
 	var chain filter.Handler = route.New(q, route.Config{Router: cfg.Router, Counters: cfg.Counters})
 	chain = limit.New(chain, limit.Config{Limiter: cfg.Limiter})
 	chain = authorise.New(chain, authorise.Config{Authoriser: cfg.Authoriser})
-	return &Server{
+	s := &Server{
 		cfg: cfg, chain: chain, queue: q, listeners: map[net.Listener]struct{}{}, sessions: map[*session]struct{}{},
 		cancels: map[cancelKey]*session{}, empty: make(chan struct{}),
 	}
+	s.process, s.endProcess = context.WithCancelCause(context.Background())
+	return s
 }
 
 // Counters returns the server's counters.
@@ -63,26 +73,34 @@
 	}
 	s.listeners[l] = struct{}{}
 	s.mu.Unlock()
+	defer s.removeListener(l)
 	for {
 		c, err := l.Accept()
-		if err != nil {
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			delete(s.listeners, l)
-			if s.draining || errors.Is(err, net.ErrClosed) {
-				return nil
-			}
+		switch {
+		case err == nil:
+			s.ServeConn(c)
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		default:
 			return err
 		}
-		s.ServeConn(c)
 	}
 }
 
+// removeListener closes a listener that is no longer served.
+func (s *Server) removeListener(l net.Listener) {
+	_ = l.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.listeners, l)
+	s.checkEmpty()
+}
+
 // ServeConn starts serving one caller in a goroutine of its own.
 func (s *Server) ServeConn(c net.Conn) {
 	ses := newSession(s, c)
 	s.mu.Lock()
-	if s.draining {
+	if s.currentStage() == shutdown.Ended {
 		s.mu.Unlock()
 		_ = c.Close()
 		return
@@ -101,7 +119,12 @@
 	if ses.cancelKey != (cancelKey{}) {
 		delete(s.cancels, ses.cancelKey)
 	}
-	if s.draining && len(s.sessions) == 0 {
+	s.checkEmpty()
+}
+
+// checkEmpty closes s.empty if the server drains and no caller is left.
+func (s *Server) checkEmpty() {
+	if s.draining && len(s.sessions) == 0 && len(s.listeners) == 0 {
 		closeOnce(s.empty)
 	}
 }
@@ -118,41 +141,20 @@
 // others once their transaction ends. New callers are accepted.
 func (s *Server) Shed() {
 	s.epoch.Add(1)
-	s.mu.Lock()
-	sessions := make([]*session, 0, len(s.sessions))
-	for ses := range s.sessions {
-		sessions = append(sessions, ses)
-	}
-	s.mu.Unlock()
-	for _, ses := range sessions {
+	for _, ses := range s.all() {
 		ses.conn.wake()
 	}
 }
 
-// Drain stops accepting callers, disconnects them as Shed does and waits until
-// all have left. When ctx ends first, the rest are cut off and its error returned.
-func (s *Server) Drain(ctx context.Context) error {
-	s.mu.Lock()
-	s.draining = true
-	for l := range s.listeners {
-		_ = l.Close()
-	}
-	if len(s.sessions) == 0 {
-		closeOnce(s.empty)
-	}
-	s.mu.Unlock()
-	s.Shed()
-	select {
-	case <-s.empty:
-		return nil
-	case <-ctx.Done():
-	}
+// all returns the sessions.
+func (s *Server) all() []*session {
 	s.mu.Lock()
+	defer s.mu.Unlock()
+	sessions := make([]*session, 0, len(s.sessions))
 	for ses := range s.sessions {
-		_ = ses.conn.net.Close()
+		sessions = append(sessions, ses)
 	}
-	s.mu.Unlock()
-	return ctx.Err()
+	return sessions
 }
 
 // Queues returns the state of the queue of each upstream.
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -42,7 +42,10 @@
 
 	cancelKey cancelKey
 	// wait is the wait of the running request for an upstream.
-	wait atomic.Pointer[waitContext]
+	wait    atomic.Pointer[waitContext]
+	running runningRequest
+	// partial says that a message has arrived in part.
+	partial bool
 
 	// aborted says that the open transaction was rolled back by the proxy.
 	aborted bool
@@ -63,16 +66,11 @@
 
 func newSession(server *Server, c net.Conn) *session {
 	s := &session{server: server, epoch: server.epoch.Load()}
-	s.conn = newCallerConn(c, &server.cfg, s.shed)
-	s.shared.Client = s.conn
+	s.conn = newCallerConn(c, &server.cfg, s.ended)
+	s.shared.Client, s.shared.Process = s.conn, server.process
 	return s
 }
 
-// shed reports whether the session should end when it is idle.
-func (s *session) shed() bool {
-	return s.epoch < s.server.epoch.Load() && s.shared.Lease.Load() == nil && !s.aborted && s.begin == nil && !s.batch.open()
-}
-
 // run serves the caller until it leaves.
 func (s *session) run() {
 	defer s.server.remove(s)
@@ -101,7 +99,7 @@
 	case err == nil, errors.Is(err, errNoSession), errors.Is(err, io.EOF), errors.As(err, &lost) && resultcode.Of(err) == 0:
 		return
 	case errors.Is(err, errShed):
-		err = resultcode.New(resultcode.ShuttingDown, "the VM stops serving callers; connect again")
+		err = s.stopReason()
 	case resultcode.Of(err) == 0:
 		if err = inputError(err); err == nil {
 			return
@@ -132,7 +130,7 @@
 			}
 			continue
 		}
-		if err := s.message(kind); err != nil {
+		if err := s.message(kind, size); err != nil {
 			return err
 		}
 	}
@@ -141,7 +139,7 @@
 // peek waits for the next message.
 func (s *session) peek() (byte, int, error) {
 	if s.batch.open() {
-		return s.conn.Peek()
+		return s.conn.Await()
 	}
 	if s.shared.Lease.Load() != nil || s.begin != nil {
 		s.state.Store(int32(stateTransaction))
@@ -154,7 +152,7 @@
 		}
 		s.conn.reader.Release()
 	}
-	return s.conn.PeekIdle()
+	return s.conn.Await()
 }
 
 // known reports whether callers may send the message type after startup.
@@ -184,8 +182,8 @@
 }
 
 // message handles one message that fits the limit.
-func (s *session) message(kind byte) error {
-	_, frame, err := s.conn.reader.ReadFrame()
+func (s *session) message(kind byte, size int) error {
+	frame, err := s.readFrame(size)
 	if err != nil {
 		return err
 	}
@@ -220,21 +218,38 @@
 	return nil
 }
 
+// readFrame reads a message of the given size.
+func (s *session) readFrame(size int) (frame []byte, err error) {
+	if s.conn.reader.Buffered() >= minFrame+size {
+		_, frame, err = s.conn.reader.ReadFrame()
+		return frame, err
+	}
+	s.partial = true
+	defer func() { s.partial = false }()
+	_, frame, err = s.conn.AwaitFrame()
+	return frame, err
+}
+
 // serve runs the request through the filter chain. It returns an error only when
 // the caller's connection must end; a refusal is written to the caller.
 func (s *session) serve() (refused bool, err error) {
 	r := &s.request
 	inTransaction := s.inBlock()
 	s.prepareRequest()
+	s.running.begin(s.server.cfg.Now(), r.Write)
 	if s.shared.Lease.Load() != nil {
-		err = s.server.chain.Serve(context.Background(), r)
+		err = s.serveIn(s.server.process, r)
 	} else {
 		wait := &waitContext{deadline: r.Deadline}
 		s.wait.Store(wait)
-		err = s.server.chain.Serve(wait, r)
+		err = s.serveIn(wait, r)
 		s.wait.Store(nil)
 		wait.end(context.Canceled)
 	}
+	s.running.end()
+	if s.running.ordered.Load() && (err != nil || r.Failed) {
+		s.server.interrupted.Add(1)
+	}
 	if err != nil {
 		if isLost(err) {
 			return false, err
@@ -255,6 +270,15 @@
 	return false, nil
 }
 
+// serveIn runs the request through the filter chain, unless a planned stop ends running
+// statements.
+func (s *session) serveIn(ctx context.Context, r *filter.Request) error {
+	if s.shared.Stopped.Load() {
+		return filter.StoppingError()
+	}
+	return s.server.chain.Serve(ctx, r)
+}
+
 func isLost(err error) bool {
 	var lost *filter.ClientConnError
 	return errors.As(err, &lost)
--- a/internal/frontend/stop_test.go
+++ b/internal/frontend/stop_test.go
@@ -1,14 +1,23 @@
 package frontend
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
+	"errors"
+	"io"
 	"net"
 	"strings"
+	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/rosemarywall/rosemarywall/internal/core/shutdown"
+	"github.com/rosemarywall/rosemarywall/internal/upstream"
+	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
+	"github.com/rs/zerolog"
 	"gotest.tools/v3/assert"
 )
 
@@ -58,21 +67,23 @@
 func TestStatementsAtDrainDeadlineGetResponses(t *testing.T) {
 	for name, test := range map[string]struct {
 		begin   bool
+		wrapped bool // single writes are sent as BEGIN and COMMIT
 		send    []pgproto3.FrontendMessage
 		blocked string
 		want    string
 	}{
-		"read":                     {false, []pgproto3.FrontendMessage{&pgproto3.Query{String: "SELECT slow"}}, "SELECT slow", "E:57P01 Z:I"},
-		"write":                    {false, []pgproto3.FrontendMessage{&pgproto3.Query{String: "INSERT slow"}}, "INSERT slow", "E:08007 Z:I"},
-		"statement in transaction": {true, []pgproto3.FrontendMessage{&pgproto3.Query{String: "SELECT slow"}}, "SELECT slow", "E:40001 Z:E"},
-		"commit":                   {true, []pgproto3.FrontendMessage{&pgproto3.Query{String: "COMMIT"}}, "COMMIT", "E:08007 Z:I"},
-		"extended batch":           {false, []pgproto3.FrontendMessage{prepare("", "INSERT slow"), bindTo(""), executeIt, syncIt}, "INSERT slow", "E:08007 Z:I"},
-		"pipelined batches": {false, []pgproto3.FrontendMessage{
+		"read":                     {false, false, []pgproto3.FrontendMessage{&pgproto3.Query{String: "SELECT slow"}}, "SELECT slow", "E:57P01 Z:I"},
+		"write":                    {false, false, []pgproto3.FrontendMessage{&pgproto3.Query{String: "INSERT slow"}}, "INSERT slow", "E:08007 Z:I"},
+		"write before its COMMIT":  {false, true, []pgproto3.FrontendMessage{&pgproto3.Query{String: "INSERT slow"}}, "INSERT slow", "E:57P01 Z:I"},
+		"statement in transaction": {true, false, []pgproto3.FrontendMessage{&pgproto3.Query{String: "SELECT slow"}}, "SELECT slow", "E:40001 Z:E"},
+		"commit":                   {true, false, []pgproto3.FrontendMessage{&pgproto3.Query{String: "COMMIT"}}, "COMMIT", "E:08007 Z:I"},
+		"extended batch":           {false, false, []pgproto3.FrontendMessage{prepare("", "INSERT slow"), bindTo(""), executeIt, syncIt}, "INSERT slow", "E:08007 Z:I"},
+		"pipelined batches": {false, false, []pgproto3.FrontendMessage{
 			prepare("", "INSERT slow"), bindTo(""), executeIt, syncIt, prepare("", "INSERT next"), bindTo(""), executeIt, syncIt,
 		}, "INSERT slow", "E:08007 Z:I"},
 	} {
 		t.Run(name, func(t *testing.T) {
-			r := newRig(t, false, nil)
+			r := newRig(t, false, func(c *Config) { c.PlainWrites = !test.wrapped })
 			x := r.raw()
 			if test.begin {
 				x.query("BEGIN", "C:BEGIN Z:T")
@@ -99,7 +110,7 @@
 
 // Guards against a COPY that runs at the drain deadline and gets no response.
 func TestCopyAtDrainDeadlineGetsResponse(t *testing.T) {
-	r := newRig(t, false, nil)
+	r := newRig(t, false, func(c *Config) { c.PlainWrites = true })
 	x := r.raw()
 	x.query("COPY t FROM STDIN", "CopyInResponse")
 	x.send(&pgproto3.CopyData{Data: []byte("1\n")})
@@ -159,22 +170,31 @@
 
 // Guards against clients in startup that a planned stop waits for or closes without a reason.
 func TestStopEndsStartup(t *testing.T) {
-	r := newRig(t, false, nil)
+	r := newRig(t, false, func(c *Config) {
+		c.StartupTimeout = time.Hour
+		c.TLS = &tls.Config{Certificates: []tls.Certificate{certificate(t, 1)}}
+	})
 	startup := &pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "shop", "database": "orders"}}
 	dial := func() *raw {
 		c := r.dial()
 		return &raw{t, c, pgproto3.NewFrontend(c, c)}
 	}
-	password, silent := dial(), dial()
+	password, slow, silent, handshake := dial(), dial(), dial(), dial()
+	handshake.send(&pgproto3.SSLRequest{})
+	_, err := handshake.c.Read(make([]byte, 1))
+	assert.NilError(t, err)
 	password.send(startup)
 	password.want("AuthenticationCleartextPassword")
-	for r.server.Dump().(Dump).Callers["startup"] < 2 {
+	for r.server.Dump().(Dump).Callers["startup"] < 4 {
 		time.Sleep(time.Millisecond)
 	}
 	_, drained := r.drain()
 	password.wantEnd()
-	silent.send(startup)
+	slow.send(startup)
+	slow.wantEnd()
 	silent.wantEnd()
+	end := handshake.next()
+	assert.Assert(t, strings.Contains(end, "EOF"), end)
 	assert.NilError(t, <-drained)
 }
 
@@ -258,14 +278,14 @@
 	cfg := Config{}
 	cfg.setDefaults()
 	interrupted := &interruptedConn{Conn: server}
-	c := newCallerConn(interrupted, &cfg, func() bool { return true })
-	c.shed = func() bool { return false }
-	interrupted.interrupt = func() { c.shed = func() bool { return true }; c.wake() }
+	ordered := false
+	c := newCallerConn(interrupted, &cfg, func() bool { return ordered })
+	interrupted.interrupt = func() { ordered = true; c.wake() }
 	go func() {
 		_, _ = client.Write([]byte{'Q', 0, 0, 0, 6})
 		_, _ = client.Write([]byte{';', 0})
 	}()
-	_, _, err := c.PeekIdle()
+	_, _, err := c.Await()
 	assert.NilError(t, err)
 	_, _, err = c.reader.ReadFrame()
 	assert.NilError(t, err)
@@ -305,3 +325,268 @@
 		})
 	}
 }
+
+// Guards against TLS clients that a planned stop resets or closes without a reason.
+func TestStopTellsTLSClients(t *testing.T) {
+	r := newRig(t, false, func(c *Config) {
+		c.TLS = &tls.Config{Certificates: []tls.Certificate{certificate(t, 1)}}
+	})
+	secure := func() *raw {
+		c := r.dial()
+		_, err := c.Write([]byte{0, 0, 0, 8, 0x04, 0xd2, 0x16, 0x2f})
+		assert.NilError(t, err)
+		_, err = c.Read(make([]byte, 1))
+		assert.NilError(t, err)
+		return r.login(tls.Client(c, &tls.Config{InsecureSkipVerify: true}))
+	}
+	idle, open := secure(), secure()
+	open.query("BEGIN", "C:BEGIN Z:T")
+	_, drained := r.drain()
+	idle.wantEnd()
+	open.query("INSERT a", "C:INSERT_0_1 Z:T")
+	open.query("COMMIT", "C:COMMIT Z:I")
+	open.wantEnd()
+	assert.NilError(t, <-drained)
+}
+
+// Guards against a session that never ends because its client always sends the next batch
+// before the last response, and against batches that run after the refusal.
+func TestPipeliningSessionEndsBetweenBatches(t *testing.T) {
+	r := newRig(t, false, nil)
+	x := r.raw()
+	running, release := r.block("SELECT first")
+	batch := func(sql string) []pgproto3.FrontendMessage {
+		return []pgproto3.FrontendMessage{prepare("", sql), bindTo(""), executeIt, syncIt}
+	}
+	x.send(append(batch("SELECT first"), batch("SELECT second")...)...)
+	<-running
+	r.server.beginStage(shutdown.Closing, 0)
+	release()
+	x.want("ParseComplete BindComplete D:first C:SELECT_1 Z:I ParseComplete BindComplete D:second C:SELECT_1 Z:I")
+	x.wantEnd()
+
+	r = newRig(t, false, nil)
+	x = r.raw()
+	running, release = r.block("SELECT first")
+	x.send(append(batch("SELECT first"), batch("INSERT second")...)...)
+	<-running
+	r.server.beginStage(shutdown.RollingBack, 0)
+	release()
+	x.want("ParseComplete BindComplete D:first C:SELECT_1 Z:I")
+	x.wantEnd()
+	assert.Equal(t, r.primary.count("INSERT second"), 0)
+}
+
+// Guards against log lines that do not tell which statement a planned stop ended, and against
+// SQL text and keys in them.
+func TestStopLogsEndedStatements(t *testing.T) {
+	var lines syncBuffer
+	r := newRig(t, false, func(c *Config) { c.PlainWrites, c.Logger = true, zerolog.New(&lines) })
+	x, open := r.raw(), r.raw()
+	open.query("BEGIN", "C:BEGIN Z:T")
+	open.query("SELECT literal-4711", "RowDescription D:literal-4711 C:SELECT_1 Z:T")
+	running, _ := r.block("INSERT literal-4711")
+	x.send(&pgproto3.Query{String: "INSERT literal-4711"})
+	<-running
+	expire, drained := r.drain()
+	expire()
+	x.want("E:08007")
+	var interrupted *InterruptedError
+	assert.Assert(t, errors.As(<-drained, &interrupted))
+	assert.DeepEqual(t, *interrupted, InterruptedError{Ended: 2})
+	log := lines.String()
+	for _, want := range []string{
+		`"stage":"ended"`, `"statements":1`, `"idle_transactions":1`, `"message":"stop ended statement"`, `"organisation":"shop"`, `"database":"orders"`,
+		`"kind":"write"`, `"upstream":"one"`, `"read_ms":-`, `"message":"stop rolled back transaction"`,
+	} {
+		assert.Assert(t, strings.Contains(log, want), "%s in %s", want, log)
+	}
+	for _, secret := range []string{"literal-4711", testKey, "upstream-secret"} {
+		assert.Assert(t, !strings.Contains(log, secret), log)
+	}
+}
+
+// syncBuffer is a buffer for concurrent use.
+type syncBuffer struct {
+	mu     sync.Mutex
+	buffer bytes.Buffer
+}
+
+func (b *syncBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.Write(p)
+}
+
+func (b *syncBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buffer.String()
+}
+
+// pipeRig is a server between clients and a fake primary in virtual time.
+type pipeRig struct{ *rig }
+
+func newPipeRig(t *testing.T) *pipeRig {
+	f := &fakeUpstream{t: t, committed: map[string]bool{}, term: 1, conns: map[net.Conn]bool{}, addr: "127.0.0.1:1"}
+	r := &rig{t: t, primary: f, control: &fakeControl{primary: f.target("one")}}
+	dial := func(context.Context, string, string) (net.Conn, error) {
+		client, server := net.Pipe()
+		go f.serve(server)
+		return client, nil
+	}
+	pools := upstream.New(upstream.Config{Credentials: upstream.Credentials{User: "proxy"}, Dial: dial})
+	t.Cleanup(pools.Close)
+	r.control.primary.Slots, r.control.primary.ConnectionLimit = 16, 16
+	r.server = NewServer(Config{Authoriser: r.control, Limiter: r.control, Router: r.control, Pools: pools, PlainWrites: true, Logger: zerolog.Nop().Hook(failOnPanic{t})})
+	return &pipeRig{r}
+}
+
+func (r *pipeRig) raw() *raw {
+	client, server := net.Pipe()
+	buffered := newBufferedConn(client)
+	r.t.Cleanup(func() {
+		client.Close()
+		close(buffered.writes)
+	})
+	r.server.ServeConn(server)
+	return r.login(buffered)
+}
+
+// Guards against a stop that waits for a client that does not read its response, and against
+// cuts that are not reported.
+func TestStopReportsCutStatements(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		var lines syncBuffer
+		r := newPipeRig(t)
+		r.server.cfg.Logger = zerolog.New(&lines)
+		client, server := net.Pipe()
+		defer client.Close()
+		r.server.ServeConn(server)
+		r.login(client).send(&pgproto3.Query{String: "SELECT rows 1000"})
+		synctest.Wait() // the server waits for the client to read
+		_, drained := r.drain()
+		ctx, cancel := context.WithCancel(t.Context())
+		cancel()
+		var interrupted *InterruptedError
+		assert.Assert(t, errors.As(r.server.Drain(ctx), &interrupted))
+		assert.Equal(t, interrupted.Cut, 1)
+		assert.Assert(t, strings.Contains(lines.String(), `"message":"stop cut statement"`), lines.String())
+		<-drained
+	})
+}
+
+// bufferedConn gives a net.Pipe the buffers of a network connection.
+type bufferedConn struct {
+	net.Conn
+	writes chan []byte
+	reads  chan []byte
+	rest   []byte
+}
+
+func newBufferedConn(c net.Conn) *bufferedConn {
+	b := &bufferedConn{Conn: c, writes: make(chan []byte, 16), reads: make(chan []byte, 1024)}
+	go func() {
+		for p := range b.writes {
+			_, _ = c.Write(p)
+		}
+	}()
+	go func() {
+		defer close(b.reads)
+		for {
+			p := make([]byte, 4096)
+			n, err := c.Read(p)
+			if err != nil {
+				return
+			}
+			b.reads <- p[:n]
+		}
+	}()
+	return b
+}
+
+func (b *bufferedConn) Write(p []byte) (int, error) {
+	b.writes <- bytes.Clone(p)
+	return len(p), nil
+}
+
+func (b *bufferedConn) Read(p []byte) (int, error) {
+	if len(b.rest) == 0 {
+		var ok bool
+		if b.rest, ok = <-b.reads; !ok {
+			return 0, io.EOF
+		}
+	}
+	n := copy(p, b.rest)
+	b.rest = b.rest[n:]
+	return n, nil
+}
+
+// Guards against a drain that ends transactions or statements too early, cuts a statement,
+// begins one that it then ends, or waits longer than its deadline.
+func TestDrainSchedule(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		r := newPipeRig(t)
+		release := make(chan struct{})
+		defer close(release)
+		r.primary.setHook(func(sql string) bool {
+			switch sql {
+			case "INSERT step":
+				time.Sleep(100 * time.Millisecond)
+			case "SELECT long":
+				time.Sleep(26 * time.Second)
+			case "FAIL cancelled":
+				for r.primary.cancelled() == 0 {
+					time.Sleep(10 * time.Millisecond)
+				}
+			case "INSERT stuck":
+				<-release
+			}
+			return true
+		})
+		idle, open, busy, long, cancelled, stuck := r.raw(), r.raw(), r.raw(), r.raw(), r.raw(), r.raw()
+		open.query("BEGIN", "C:BEGIN Z:T")
+		open.query("INSERT a", "C:INSERT_0_1 Z:T")
+		busy.query("BEGIN", "C:BEGIN Z:T")
+		long.send(&pgproto3.Query{String: "SELECT long"})
+		cancelled.send(&pgproto3.Query{String: "FAIL cancelled"})
+		stuck.send(&pgproto3.Query{String: "INSERT stuck"})
+		synctest.Wait() // the statements run
+		ordered := time.Now()
+		ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+		defer cancel()
+		drained := make(chan error, 1)
+		go func() { drained <- r.server.Drain(ctx) }()
+		// endsAt asserts that a session ends with 57P01 about at a time after the order.
+		endsAt := func(x *raw, at time.Duration) {
+			x.t.Helper()
+			x.wantEnd()
+			late := time.Since(ordered) - at
+			assert.Assert(t, late >= 0 && late <= 500*time.Millisecond, "%v after the order", time.Since(ordered))
+		}
+		endsAt(idle, 0)
+		steps := 0
+		for {
+			busy.send(&pgproto3.Query{String: "INSERT step"})
+			if got := busy.next(); got != "C:INSERT 0 1" {
+				assert.Equal(t, got, "E:57P01")
+				break
+			}
+			busy.want("Z:T")
+			steps++
+		}
+		assert.Equal(t, r.primary.count("INSERT step"), steps)
+		assert.Assert(t, time.Since(ordered) >= 22900*time.Millisecond)
+		endsAt(open, 22900*time.Millisecond)
+		long.want("RowDescription D:long C:SELECT_1 Z:I")
+		endsAt(long, 26*time.Second)
+		cancelled.want("E:22012 Z:I")
+		endsAt(cancelled, 27900*time.Millisecond)
+		stuck.want("E:08007 Z:I")
+		endsAt(stuck, 28900*time.Millisecond)
+		var interrupted *InterruptedError
+		assert.Assert(t, errors.As(<-drained, &interrupted))
+		assert.DeepEqual(t, *interrupted, InterruptedError{Ended: 4})
+		assert.Assert(t, time.Since(ordered) < 30*time.Second)
+	})
+}
--- a/internal/processes/processes_test.go
+++ b/internal/processes/processes_test.go
@@ -197,6 +197,7 @@
 	assert.NilError(t, err)
 	i.vms["entry-1"].signal(t, syscall.SIGTERM)
 	i.vms["entry-1"].line(t, "event=draining")
+	i.vms["entry-1"].signal(t, syscall.SIGTERM) // a second order changes nothing
 	_, err = transaction.Exec(ctx, "insert into stack values (3)")
 	assert.NilError(t, err)
 	assert.NilError(t, transaction.Commit(ctx))
--- a/internal/upstream/lease.go
+++ b/internal/upstream/lease.go
@@ -111,6 +111,23 @@
 	return p.pools.sendCancel(ctx, c)
 }
 
+// Abort closes the network connection of the active lease, which ends a pending read or write of
+// its holder. It has no effect once the lease has ended.
+func (l *Lease) Abort() {
+	p, c := l.pool, l.conn
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if l.done || c.generation != l.generation {
+		return
+	}
+	c.cancelled = true
+	netConn := c.netConn
+	if t, ok := netConn.(*tls.Conn); ok {
+		netConn = t.NetConn() // closing the TLS connection would wait for a pending write
+	}
+	_ = netConn.Close()
+}
+
 // dial opens a network connection to an upstream.
 func (p *Pools) dial(ctx context.Context, address string) (net.Conn, error) {
 	if p.cfg.Dial != nil {
