Refuse PostgreSQL clients in startup when a planned stop begins

A client that connected around the order got nothing until the drain deadline or the end of the startup time (10 s), and was then closed without a reason; the stop waited for it. Orders interrupted idle sessions only.

A client that has sent its startup message, or that is asked for its key, now gets 57P01 at once. One that has sent nothing, or is in the TLS handshake, has 1 s more. The deadline of the startup is set under the lock of the order, so neither overwrites the other.

--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -21,6 +21,8 @@
 const (
 	// minFrame is the smallest message in bytes.
 	minFrame = 5
+	// stoppingStartupTimeout bounds the startup of callers during a planned stop.
+	stoppingStartupTimeout = time.Second
 	// lingerTimeout bounds the wait for the caller's end of a connection that the server
 	// closes.
 	lingerTimeout = 100 * time.Millisecond
@@ -40,6 +42,8 @@
 	interrupted bool
 	// waiting says that an order interrupts reads, and woken that one has.
 	waiting, woken bool
+	// startupLimit is the end of the time for startup; zero after startup.
+	startupLimit time.Time
 }
 
 // timedWriter bounds each write.
@@ -83,16 +87,44 @@
 	_ = c.raw.SetReadDeadline(time.Time{})
 }
 
-// wake makes a waiting session look at its orders again.
-func (c *callerConn) wake() {
+// wake makes a waiting session look at its orders again. A caller in startup gets little more
+// time if the VM stops.
+func (c *callerConn) wake(stopping bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.waiting {
 		c.woken = true
 		_ = c.raw.SetReadDeadline(past)
+	} else if stopping && !c.startupLimit.IsZero() {
+		c.limitStartup(stoppingStartupTimeout)
 	}
 }
 
+// beginStartup bounds the startup. stopping reports whether the VM stops.
+func (c *callerConn) beginStartup(timeout time.Duration, stopping func() bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.startupLimit = time.Now().Add(timeout)
+	if stopping() {
+		timeout = min(timeout, stoppingStartupTimeout)
+	}
+	c.limitStartup(timeout)
+}
+
+func (c *callerConn) limitStartup(timeout time.Duration) {
+	if limit := time.Now().Add(timeout); limit.Before(c.startupLimit) {
+		c.startupLimit = limit
+	}
+	_ = c.raw.SetDeadline(c.startupLimit)
+}
+
+func (c *callerConn) endStartup() error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.startupLimit = time.Time{}
+	return c.raw.SetDeadline(time.Time{})
+}
+
 // Await waits for the first message of a request or the next one of a batch. It fails with
 // errShed when the caller should be disconnected.
 func (c *callerConn) Await() (byte, int, error) {
@@ -144,7 +176,7 @@
 func (c *callerConn) clearWoken() {
 	if c.woken {
 		c.woken = false
-		_ = c.raw.SetReadDeadline(time.Time{})
+		_ = c.raw.SetReadDeadline(c.startupLimit)
 	}
 }
 
@@ -173,8 +205,11 @@
 	if c.interrupted {
 		return filter.ErrInterrupted
 	}
+	if !c.startupLimit.IsZero() && !time.Now().Before(c.startupLimit) {
+		return os.ErrDeadlineExceeded
+	}
 	c.woken = false
-	if err := c.raw.SetReadDeadline(time.Time{}); err != nil {
+	if err := c.raw.SetReadDeadline(c.startupLimit); err != nil {
 		return err
 	}
 	if c.waiting && c.ended() {
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -142,7 +142,7 @@
 func (s *Server) Shed() {
 	s.epoch.Add(1)
 	for _, ses := range s.all() {
-		ses.conn.wake()
+		ses.conn.wake(false)
 	}
 }
 
--- a/internal/frontend/startup.go
+++ b/internal/frontend/startup.go
@@ -4,7 +4,7 @@
 	"crypto/tls"
 	"encoding/binary"
 	"errors"
-	"time"
+	"os"
 
 	"github.com/rosemarywall/rosemarywall/internal/filter"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
@@ -34,8 +34,11 @@
 
 // start performs startup and authentication.
 func (s *session) start() error {
-	_ = s.conn.net.SetDeadline(time.Now().Add(s.server.cfg.StartupTimeout))
+	s.conn.beginStartup(s.server.cfg.StartupTimeout, s.server.stopping)
 	body, err := s.startupMessage()
+	if s.server.stopping() && (err == nil || errors.Is(err, os.ErrDeadlineExceeded) && !isLost(err)) {
+		return errShed
+	}
 	if err != nil {
 		return err
 	}
@@ -62,7 +65,7 @@
 	if err := s.conn.writer.Flush(); err != nil {
 		return &filter.ClientConnError{Cause: err}
 	}
-	return s.conn.net.SetDeadline(time.Time{})
+	return s.conn.endStartup()
 }
 
 // startupMessage answers encryption and cancel requests until the startup message.
@@ -193,10 +196,11 @@
 	}
 	s.conn.reader.SetLimit(maxPassword)
 	defer s.conn.reader.SetLimit(s.server.cfg.MaxMessage)
-	kind, body, err := s.conn.reader.ReadMessage()
+	kind, frame, err := s.conn.AwaitFrame()
 	if err != nil {
 		return "", err
 	}
+	body := frame[minFrame:]
 	if kind != 'p' {
 		return "", malformed("message type %q instead of a password", kind)
 	}
--- a/internal/frontend/stop.go
+++ b/internal/frontend/stop.go
@@ -126,6 +126,9 @@
 
 func (s *Server) currentStage() shutdown.Stage { return shutdown.Stage(s.stage.Load()) }
 
+// stopping reports whether a planned stop has begun to disconnect callers.
+func (s *Server) stopping() bool { return s.currentStage() >= shutdown.Closing }
+
 // noArrivals is the time since the last new caller of a server that accepts none.
 const noArrivals = time.Hour
 
@@ -161,7 +164,7 @@
 		s.endProcess(filter.ErrStopping)
 	}
 	for _, ses := range sessions {
-		ses.conn.wake()
+		ses.conn.wake(true)
 	}
 }
 
@@ -254,6 +257,9 @@
 // ended reports whether an order ends the session while it waits for its caller.
 func (s *session) ended() bool {
 	stage := s.server.currentStage()
+	if state(s.state.Load()) == stateStartup {
+		return stage >= shutdown.Closing
+	}
 	if stage < shutdown.Closing && s.epoch < s.server.epoch.Load() {
 		stage = shutdown.Closing
 	}
--- a/internal/frontend/stop_test.go
+++ b/internal/frontend/stop_test.go
@@ -280,7 +280,7 @@
 	interrupted := &interruptedConn{Conn: server}
 	ordered := false
 	c := newCallerConn(interrupted, &cfg, func() bool { return ordered })
-	interrupted.interrupt = func() { ordered = true; c.wake() }
+	interrupted.interrupt = func() { ordered = true; c.wake(true) }
 	go func() {
 		_, _ = client.Write([]byte{'Q', 0, 0, 0, 6})
 		_, _ = client.Write([]byte{';', 0})
