Answer PostgreSQL clients whose connection exists when the listener closes

A client whose connection the kernel had accepted, but the VM not yet, was reset when a planned stop closed the listener.

A stopping VM now accepts for 20 ms more before it closes the listener, and these clients get 57P01 after their startup message. The stop waits for them as for other clients. A connection that the kernel completes between the last Accept and the close is still reset.

All tests of ./internal/frontend pass with -race.

--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -4,8 +4,10 @@
 	"context"
 	"errors"
 	"net"
+	"os"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/core/shutdown"
 	"github.com/rosemarywall/rosemarywall/internal/filter"
@@ -74,12 +76,18 @@
 	s.listeners[l] = struct{}{}
 	s.mu.Unlock()
 	defer s.removeListener(l)
+	limited := false
 	for {
 		c, err := l.Accept()
 		switch {
 		case err == nil:
 			s.ServeConn(c)
-		case errors.Is(err, net.ErrClosed):
+		case errors.Is(err, os.ErrDeadlineExceeded) && !limited:
+			// The callers whose connections exist are told that the VM stops; closing the
+			// listener would reset them.
+			limited = true
+			_ = l.(deadlineListener).SetDeadline(time.Now().Add(lastAcceptTime))
+		case errors.Is(err, os.ErrDeadlineExceeded), errors.Is(err, net.ErrClosed):
 			return nil
 		default:
 			return err
@@ -87,6 +95,13 @@
 	}
 }
 
+// lastAcceptTime bounds the time in which a stopping server accepts the connections that
+// exist.
+const lastAcceptTime = 20 * time.Millisecond
+
+// deadlineListener is a listener whose Accept can be interrupted.
+type deadlineListener interface{ SetDeadline(t time.Time) error }
+
 // removeListener closes a listener that is no longer served.
 func (s *Server) removeListener(l net.Listener) {
 	_ = l.Close()
--- a/internal/frontend/stop.go
+++ b/internal/frontend/stop.go
@@ -78,7 +78,9 @@
 	}
 	s.draining = true
 	for l := range s.listeners {
-		_ = l.Close()
+		if d, ok := l.(deadlineListener); !ok || d.SetDeadline(past) != nil {
+			_ = l.Close()
+		}
 	}
 	s.checkEmpty()
 }
