Test the exit status of a planned stop that ends a transaction

TestProcesses gives one VM a drain time of 0: the client of its open transaction is told 57P01, the log names the database, and the exit status is 1.

--- a/internal/processes/processes_test.go
+++ b/internal/processes/processes_test.go
@@ -5,6 +5,7 @@
 	"crypto/tls"
 	"errors"
 	"fmt"
+	"os/exec"
 	"path/filepath"
 	"strings"
 	"syscall"
@@ -52,8 +53,13 @@
 password = upstream-password
 [admin]
 listen = 127.0.0.1:0
+[shutdown]
+drain_deadline = %[6]s
 `
 
+// drainDeadlines are the drain deadlines of the VMs.
+var drainDeadlines = []string{"30s", "30s", "0s"}
+
 // installation is a stand-in and three VMs, each a process of its own.
 type installation struct {
 	t         *testing.T
@@ -80,7 +86,7 @@
 	for n, zone := range zones {
 		name := fmt.Sprintf("entry-%d", n+1)
 		i.authority.issue(t, name, filepath.Join(directory, name+".pem"), filepath.Join(directory, name+".key"))
-		file := write(t, directory, name+".ini", fmt.Sprintf(vmSettings, name, zone, directory, seed, platform))
+		file := write(t, directory, name+".ini", fmt.Sprintf(vmSettings, name, zone, directory, seed, platform, drainDeadlines[n]))
 		vm := start(t, filepath.Join(directory, "rosemarywall"), "--settings", file)
 		started := vm.line(t, "event=started")
 		i.vms[name], i.callers[name], i.admin[name] = vm, started["callers"], started["admin"]
@@ -159,7 +165,7 @@
 
 // Guards against a paused process that wakes and still honours a key that was
 // withdrawn meanwhile; against a killed VM that stops the others; against a planned
-// stop that cuts a transaction; and against keys in logs and dumps.
+// stop that cuts a transaction or does not report one; and against keys in logs and dumps.
 func TestProcesses(t *testing.T) {
 	i := newInstallation(t)
 	ctx := t.Context()
@@ -208,6 +214,17 @@
 	assert.NilError(t, reader.QueryRow(ctx, "select count(*) from stack").Scan(&count))
 	assert.Equal(t, count, 3)
 	i.checkSecrets()
+
+	transaction, err = reader.Begin(ctx)
+	assert.NilError(t, err)
+	_, err = transaction.Exec(ctx, "insert into stack values (4)")
+	assert.NilError(t, err)
+	i.vms["entry-3"].signal(t, syscall.SIGTERM)
+	i.vms["entry-3"].line(t, "stop rolled back transaction", "database=deckbook")
+	_, err = transaction.Exec(ctx, "insert into stack values (5)")
+	assert.Assert(t, errors.As(err, &refusal) && refusal.Code == "57P01", "%v", err)
+	var exit *exec.ExitError
+	assert.Assert(t, errors.As(i.vms["entry-3"].wait(t), &exit) && exit.ExitCode() == 1, "the end of a transaction is not reported")
 }
 
 // checkSecrets looks for keys and passwords in logs and state dumps.
