--- a/internal/core/shutdown/shutdown.go
+++ b/internal/core/shutdown/shutdown.go
@@ -84,7 +84,7 @@
 }
 
 // NewDrainSchedule returns the schedule for a stop that refuses new clients at once and whose
-// statements have no timeouts. Open transactions get most of the drain time.
+// statements have no timeouts. Open transactions get most of a long drain time.
 func NewDrainSchedule(drain time.Duration) Schedule {
 	s := NewSchedule(drain, 0)
 	s.CancelStatements = s.EndStatements - min(maxCancelTime, drain/cancelDivisor)
--- a/internal/frontend/doc.go
+++ b/internal/frontend/doc.go
@@ -12,6 +12,8 @@
 //   - A BEGIN that is certain to succeed is answered at once and sent with the first
 //     statement of its block.
 //   - A batch that holds a refused statement does not run at all.
+//   - In a planned stop, each request that was read gets a response or a true refusal, and the
+//     connection then ends with 57P01, as long as the caller reads.
 //   - An idle caller holds a read buffer of 512 bytes and no write buffer.
 //   - No error, log line or dump holds a key, a password or a part of a statement.
 package frontend
--- a/internal/settings/table.go
+++ b/internal/settings/table.go
@@ -75,7 +75,7 @@
 	{"admin", "listen", "", true, addressBounds, "Address of health checks, metrics, dumps and release notes. Reachable by operators only.",
 		address(func(s *Settings) *addrPort { return &s.Admin.Listen })},
 
-	duration("shutdown", "drain_deadline", "30s", 0, time.Hour, "Time that a planned stop waits for open transactions.",
+	duration("shutdown", "drain_deadline", "30s", 0, time.Hour, "Longest time of a planned stop. Its end is kept for running statements, after open transactions have been rolled back.",
 		func(s *Settings) *time.Duration { return &s.Shutdown.DrainDeadline }),
 
 	choice("log", "level", "info", []string{"debug", "info", "warn", "error"}, "Lowest level that is logged.",
