Test a planned stop beside drivers without pauses, commits that wait and COPY

TestPlannedStopLosesNoResponse stops a server beside 16 pgx clients without pauses and compares what they were told with the rows; a connection that ends without a response fails it.

--- a/internal/frontend/standin_test.go
+++ b/internal/frontend/standin_test.go
@@ -45,6 +45,8 @@
 	*standin.Standin
 	server  *frontend.Server
 	address string
+	// newServer returns a server with the parts of the last VM.
+	newServer func() *frontend.Server
 }
 
 func startSystem(t *testing.T) *system {
@@ -83,11 +85,10 @@
 		t.Cleanup(router.Stop)
 		pools := upstream.New(upstream.Config{Credentials: upstream.Credentials{User: "u", Password: "p"}})
 		t.Cleanup(pools.Close)
-		x.server = frontend.NewServer(frontend.Config{Authoriser: all, Limiter: all, Router: router, Pools: pools})
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		x.address = l.Addr().String()
-		go x.server.Serve(l)
+		x.newServer = func() *frontend.Server {
+			return frontend.NewServer(frontend.Config{Authoriser: all, Limiter: all, Router: router, Pools: pools})
+		}
+		x.restart(t)
 	}
 	return x
 }
@@ -335,3 +336,47 @@
 		return err
 	})
 }
+
+// Guards against drivers without pauses that a planned stop disconnects without a response, and
+// against writes that it reports wrongly.
+func TestPlannedStopLosesNoResponse(t *testing.T) {
+	s := startSystem(t)
+	direct := s.connect(t)
+	_, err := direct.Exec(t.Context(), "CREATE TABLE w (id int)")
+	assert.NilError(t, err)
+	var o outcome
+	var writers sync.WaitGroup
+	const count = 16
+	for w := range count {
+		conn := s.connect(t)
+		writers.Go(func() {
+			for i := w; ; i += count {
+				err := write(conn, i, w%2 == 0)
+				if !o.note(i, err) || conn.IsClosed() {
+					return
+				}
+			}
+		})
+	}
+	for o.count() < 100 {
+		time.Sleep(time.Millisecond)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	assert.NilError(t, s.server.Drain(ctx))
+	writers.Wait()
+	assert.Equal(t, len(o.lost), 0, "%v", o.lost)
+	assert.Equal(t, o.unknown, 0)
+	s.restart(t)
+	o.compare(t, s.connect(t))
+}
+
+// restart serves with a new server in place of one that was drained.
+func (s *system) restart(t *testing.T) {
+	t.Helper()
+	s.server = s.newServer()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s.address = l.Addr().String()
+	go s.server.Serve(l)
+}
--- a/internal/frontend/stop_test.go
+++ b/internal/frontend/stop_test.go
@@ -15,6 +15,8 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/rosemarywall/rosemarywall/internal/core/shutdown"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/request"
 	"github.com/rosemarywall/rosemarywall/internal/upstream"
 	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
 	"github.com/rs/zerolog"
@@ -121,6 +123,40 @@
 	assert.Assert(t, <-drained != nil)
 }
 
+// Guards against commits that wait for their confirmation at the drain deadline and get no
+// response.
+func TestUnconfirmedCommitAtDrainDeadlineGetsResponse(t *testing.T) {
+	r := newRig(t, false, func(c *Config) { c.PlainWrites, c.ConfirmTimeout = true, time.Hour })
+	waiting := make(chan struct{})
+	r.control.set(func() {
+		r.control.confirm = func(ctx context.Context, _ request.Target, _ ident.LogPoint) error {
+			close(waiting)
+			<-ctx.Done()
+			return ctx.Err()
+		}
+	})
+	x := r.raw()
+	x.send(&pgproto3.Query{String: "INSERT a"})
+	<-waiting
+	expire, drained := r.drain()
+	expire()
+	x.want("E:08007 Z:I")
+	x.wantEnd()
+	assert.Assert(t, <-drained != nil)
+}
+
+// Guards against a COPY that a planned stop with time left interrupts.
+func TestStopLetsCopyFinish(t *testing.T) {
+	r := newRig(t, false, func(c *Config) { c.PlainWrites = true })
+	x := r.raw()
+	x.query("COPY t FROM STDIN", "CopyInResponse")
+	_, drained := r.drain()
+	x.send(&pgproto3.CopyData{Data: []byte("1\n")}, &pgproto3.CopyDone{})
+	x.want("NoticeResponse C:COPY_2 Z:I")
+	x.wantEnd()
+	assert.NilError(t, <-drained)
+}
+
 // Guards against statements that wait for a slot at the drain deadline and get no response.
 func TestQueuedStatementAtDrainDeadlineIsRefused(t *testing.T) {
 	r := newRig(t, false, nil)
