Tell PostgreSQL clients that are accepted at the end of the drain time

A client whose connection was accepted after the drain time, which may be 0, was closed without a reason, although last responses are still being written then. It is now refused like the others until the connections are closed.

TestStopAnswersConnectionsAcceptedAtEnd: closed or reset in 2 of 2 runs before; passes 10 of 10 with -race. All tests of ./internal/frontend and ./internal/entry pass 2 of 2 with -race.

--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -9,7 +9,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/rosemarywall/rosemarywall/internal/core/shutdown"
 	"github.com/rosemarywall/rosemarywall/internal/filter"
 	"github.com/rosemarywall/rosemarywall/internal/filter/authorise"
 	"github.com/rosemarywall/rosemarywall/internal/filter/forward"
@@ -31,6 +30,8 @@
 	sessions  map[*session]struct{}
 	cancels   map[cancelKey]*session
 	draining  bool
+	// closed says that all connections are closed.
+	closed bool
 	// empty is closed when draining and neither a listener nor a session is left.
 	empty chan struct{}
 	// stage is the shutdown.Stage of a planned stop.
@@ -115,7 +116,7 @@
 func (s *Server) ServeConn(c net.Conn) {
 	ses := newSession(s, c)
 	s.mu.Lock()
-	if s.currentStage() == shutdown.Ended {
+	if s.closed {
 		s.mu.Unlock()
 		_ = c.Close()
 		return
--- a/internal/frontend/stop.go
+++ b/internal/frontend/stop.go
@@ -91,6 +91,9 @@
 	case <-s.empty:
 	case <-time.After(lastResponseTime):
 	}
+	s.mu.Lock()
+	s.closed = true
+	s.mu.Unlock()
 	interrupted := InterruptedError{}
 	now := s.cfg.Now()
 	for _, ses := range s.all() {
@@ -110,7 +113,7 @@
 // Close disconnects all callers without a response, as the end of the process would.
 func (s *Server) Close() {
 	s.mu.Lock()
-	s.draining = true
+	s.draining, s.closed = true, true
 	s.stage.Store(uint32(shutdown.Ended))
 	listeners := make([]net.Listener, 0, len(s.listeners))
 	for l := range s.listeners {
--- a/internal/frontend/stop_test.go
+++ b/internal/frontend/stop_test.go
@@ -274,6 +274,17 @@
 	assert.NilError(t, <-served)
 }
 
+// Guards against a client that is closed without a reason because it is accepted after the end of
+// the drain time, which may be zero.
+func TestStopAnswersConnectionsAcceptedAtEnd(t *testing.T) {
+	r := newRig(t, false, nil)
+	r.server.beginStage(shutdown.Ended, 0)
+	c := r.dial()
+	x := &raw{t, c, pgproto3.NewFrontend(c, c)}
+	x.send(&pgproto3.StartupMessage{ProtocolVersion: pgproto3.ProtocolVersion30, Parameters: map[string]string{"user": "shop"}})
+	x.wantEnd()
+}
+
 // Guards against two orders at once, of which one undoes or repeats the other.
 func TestShedBesideDrain(t *testing.T) {
 	r := newRig(t, false, nil)
