Test that a session misses no order while it begins to wait

The order is given between the look for orders and the wait, for the first wait and for one that goes on after an order without an effect.

--- a/internal/frontend/stop_test.go
+++ b/internal/frontend/stop_test.go
@@ -338,6 +338,42 @@
 	assert.NilError(t, err)
 }
 
+// Guards against an order that a session misses because it arrives after the session has looked
+// for one and before it waits.
+func TestOrderBeforeWaitIsNotMissed(t *testing.T) {
+	for name, orderAt := range map[string]int{"before the first wait": 1, "before a wait that goes on": 2} {
+		t.Run(name, func(t *testing.T) {
+			client, server := net.Pipe()
+			defer client.Close()
+			defer server.Close()
+			cfg := Config{}
+			cfg.setDefaults()
+			var c *callerConn
+			looks, ordered, woken := 0, false, make(chan struct{})
+			c = newCallerConn(server, &cfg, func() bool {
+				looks++
+				switch {
+				case ordered:
+					return true
+				case looks == orderAt:
+					ordered = true
+					go func() { c.wake(true); close(woken) }()
+					if looks == 1 {
+						<-woken // later looks hold the lock that wake needs
+					}
+				default:
+					go c.wake(true) // an order that does not end the session
+				}
+				return false
+			})
+			assert.NilError(t, client.SetDeadline(time.Now().Add(testTimeout)))
+			go func() { _, _ = client.Read(make([]byte, 1)); server.Close() }()
+			_, _, err := c.Await()
+			assert.ErrorIs(t, err, errShed)
+		})
+	}
+}
+
 // Guards against a response that is lost because the server closes a connection with unread
 // input, which resets it.
 func TestLastResponseSurvivesClose(t *testing.T) {
