--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"os"
 	"sync"
@@ -205,11 +204,11 @@
 	}
 	if err != nil {
 		s.observe(Record{Database: database, Startup: true, Response: Response{Err: err, Trace: trace}})
-		linger(c.conn)
+		sockets.Linger(c.conn, lingerTimeout)
 		return
 	}
 	s.serveSession(c, codec, session)
-	linger(c.conn)
+	sockets.Linger(c.conn, lingerTimeout)
 }
 
 // serveSession serves the statements of a session until it ends.
@@ -239,22 +238,6 @@
 	}
 }
 
-// linger closes the server's side of a connection and waits until the client closes its
-// own. Closing a connection with unread input resets it, and a response that the client has
-// not read yet would be lost.
-func linger(conn net.Conn) {
-	half, ok := conn.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
-		return
-	}
-	for deadline := time.Now().Add(lingerTimeout); time.Now().Before(deadline); {
-		_ = conn.SetReadDeadline(deadline)
-		if _, err := io.Copy(io.Discard, conn); !errors.Is(err, os.ErrDeadlineExceeded) {
-			return
-		} // a stage of a planned stop may have interrupted the read
-	}
-}
-
 // errStopping ends a session during a planned stop.
 var errStopping = errors.New("the VM stops")
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -71,8 +71,8 @@
 	seriesShare = 0.3
 	// rareInterval is the mean time between two faults of a rare kind.
 	rareInterval = 8 * time.Second
-	// storeStream is the random stream of storeKinds, which no other plan or client uses.
-	storeStream = 1 << 20
+	// stopStream is the random stream of plannedStops, which no other plan or client uses.
+	stopStream = 1 << 20
 )
 
 // NewPlan returns the faults of a seed for a run, in order. On average one begins in
@@ -92,7 +92,7 @@
 		}
 	}
 	plan = append(plan, rareFaults(rand.NewPCG(seed, 2), rareKinds, length)...)
-	plan = append(plan, rareFaults(rand.NewPCG(seed, storeStream), storeKinds, length)...)
+	plan = append(plan, rareFaults(rand.NewPCG(seed, 3), storeKinds, length)...)
 	plan = append(plan, plannedStops(seed, length)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
--- a/internal/soak/stops.go
+++ b/internal/soak/stops.go
@@ -35,7 +35,7 @@
 
 // plannedStops returns the planned stops of a run of unplanned faults.
 func plannedStops(seed uint64, length time.Duration) []Fault {
-	rng := rand.New(rand.NewPCG(seed, 3))
+	rng := rand.New(rand.NewPCG(seed, stopStream))
 	var plan []Fault
 	for at := between(rng, firstFault, stopInterval); at < length; at += between(rng, stopInterval/2, 3*stopInterval/2) {
 		plan = append(plan, drawStop(rng, at, stopKinds))
