Test that a statement is kept whose first part arrives while sessions close

Without the check for a part of a message in readStatement, a planned stop closed such a session, and no test failed. The case fails with that check removed and passes 20 of 20 with -race.

--- a/internal/service/stop_test.go
+++ b/internal/service/stop_test.go
@@ -197,6 +197,7 @@
 		"startup in two parts around the end":         {{ms(4500), "CONNECT or", ""}, {ms(5000), "ders k\r\n", "BUSY"}},
 		"statement in two parts around the order":     {{ms(-100), connect, "I"}, {ms(-50), "QUERY q WRI", ""}, {ms(50), "TE x y\r\n", "OK I"}},
 		"statement in two parts around closing":       {{ms(-100), connect, "I"}, {ms(1900), "QUERY q WRI", ""}, {ms(2500), "TE x y\r\n", "OK I"}},
+		"statement in two parts while sessions close": {{ms(-100), connect, "I"}, {ms(2020), "QUERY q WRI", ""}, {ms(2500), "TE x y\r\n", "OK I"}},
 		"statement in two parts around the roll-back": {{ms(-100), connect, "I"}, {ms(1990), "QUERY q WRI", ""}, {ms(3500), "TE x y\r\n", "OK I"}},
 		"statement in two parts around the end":       {{ms(-100), connect, "I"}, {ms(1990), "QUERY late1 WRI", ""}, {ms(5000), "TE x y\r\n", "BUSY I"}},
 		"transaction in two parts around the end":     {{ms(-100), connect, "I"}, {ms(1990), "QUERY late2 BE", ""}, {ms(5000), "GIN\r\n", "BUSY I"}},
