--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -73,10 +73,11 @@
 	if err != nil {
 		return errors.Mark(err, ErrNotSent)
 	}
-	if err := conn.write(message); err != nil {
-		c.drop(conn)
-		return errors.Mark(err, ErrNoResponse)
-	}
+	go func() { // a write to a VM that does not read outlasts ctx
+		if conn.write(message) != nil {
+			c.drop(conn)
+		}
+	}()
 	select {
 	case f, ok := <-result:
 		switch {
