Know the organisations of a configuration as soon as it is in force

A VM that had just become ready refused operations as "organisation has no rate" (RW1008) until its buckets were refreshed, up to 0.5 s later. Its clients were refused within their rate. A spent operation of a configured organisation without a bucket now refreshes the buckets first.

TestOrganisationIsKnownWithItsConfiguration failed before and passes; the two tests of transactions of other VMs passed 6 of 6 runs each. The fixture of the tests now sets AllowedExcess, which the refresh calls.

--- a/internal/controller/limits/take.go
+++ b/internal/controller/limits/take.go
@@ -55,7 +55,7 @@
 			if c.excluded() {
 				continue
 			}
-			return c.limiter.Take(ctx, organisation, 1)
+			return c.spend(ctx, organisation)
 		}
 		if failed == maxTakeRequests || declined == maxDeclined {
 			break
@@ -74,11 +74,21 @@
 		return nil
 	}
 	if c.holdsShareUnits() {
-		return c.limiter.Take(ctx, organisation, 1)
+		return c.spend(ctx, organisation)
 	}
 	return resultcode.New(resultcode.RateExceeded, "no VM that holds share units responded for organisation %q", organisation)
 }
 
+// spend spends one operation of the share of this VM. An organisation of a configuration that
+// arrived since the last refresh gets its bucket first.
+func (c *Controller) spend(ctx context.Context, organisation ident.OrganisationName) error {
+	_, configured := c.cfg.Snapshot().Catalog.Organisations[organisation]
+	if _, known := c.escrow.Bucket(organisation); configured && !known {
+		c.refreshEscrow()
+	}
+	return c.limiter.Take(ctx, organisation, 1)
+}
+
 // holdsShareUnits reports whether this VM may use share units now.
 func (c *Controller) holdsShareUnits() bool {
 	own, until := c.ShareUnits()
@@ -150,5 +160,5 @@
 	if c.excluded() {
 		return TakeResponse{Declined: true}
 	}
-	return TakeResponse{Spent: c.limiter.Take(ctx, r.Organisation, 1) == nil}
+	return TakeResponse{Spent: c.spend(ctx, r.Organisation) == nil}
 }
--- a/internal/controller/limits/take_test.go
+++ b/internal/controller/limits/take_test.go
@@ -15,6 +15,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/relay"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
 )
 
 // fakeHolders responds for the VMs that hold share units.
@@ -45,7 +46,7 @@
 	}}}
 	return New(Config{
 		Snapshot: func() *storesync.Snapshot { return snapshot },
-		Self:     relay.Identity{VM: "vm", Zone: "a"}, Peers: h, Log: zerolog.Nop(), Now: func() time.Duration { return *now },
+		Self:     relay.Identity{VM: "vm", Zone: "a"}, Peers: h, AllowedExcess: func(rate, burst float64) float64 { return 0 }, Log: zerolog.Nop(), Now: func() time.Duration { return *now },
 		Holders: func() []placement.VM {
 			return []placement.VM{{Name: "a1", Zone: "a"}, {Name: "b1", Zone: "b"}, {Name: "c1", Zone: "c"}}
 		},
@@ -125,3 +126,15 @@
 	vm.cfg.Holders = func() []placement.VM { return []placement.VM{{Name: "vm", Zone: "a"}} }
 	assert.Assert(t, resultcode.Is(vm.Take(context.Background(), "acme"), resultcode.RateExceeded))
 }
+
+// Guards against a VM that is ready and refuses an organisation as unknown, because the
+// configuration arrived since the last refresh of the buckets.
+func TestOrganisationIsKnownWithItsConfiguration(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		now := time.Second
+		vm := newVMWithoutShareUnits(&fakeHolders{}, &now)
+		vm.cfg.Holders = func() []placement.VM { return []placement.VM{{Name: "vm", Zone: "a"}} }
+		assert.ErrorContains(t, vm.Take(context.Background(), "acme"), "has used its rate")
+		assert.ErrorContains(t, vm.Take(context.Background(), "stranger"), "has no rate")
+	})
+}
