Let responses to other VMs leave before a planned stop ends

A statement for another VM was no longer outstanding when it had ended, a moment before its response was written. A stop that ended in that moment closed the connection, and the client of the other VM got INDOUBT for a commit. The quiet time before an early end now also begins with the end of the last such statement.

A panic while the settings are read no longer ends later reloads. The tests of planned stops pass.

--- a/cmd/rosemarywall-platform/main.go
+++ b/cmd/rosemarywall-platform/main.go
@@ -97,11 +97,11 @@
 		log.Error().Err(err).Msg("start failed")
 		return exitFailed
 	}
-	recovery.Go(log, "reload", func() {
+	go func() {
 		for range received.reload {
-			reload(vm, o.Settings, log)
+			recovery.Run(log, "reload", func() { reload(vm, o.Settings, log) })
 		}
-	})
+	}()
 	<-received.stop
 	vm.Stop()
 	return 0
--- a/internal/core/shutdown/shutdown.go
+++ b/internal/core/shutdown/shutdown.go
@@ -100,15 +100,17 @@
 	Clients int
 	// Statements and Transactions are those that the VM runs for other VMs.
 	Statements, Transactions int
-	// SinceAccept is the time since the last client connected.
-	SinceAccept time.Duration
+	// Quiet is the time since the last client connected and since the last statement for
+	// another VM ended.
+	Quiet time.Duration
 }
 
-// arrivalInterval is the time without a new client after which none is expected.
-const arrivalInterval = 250 * time.Millisecond
+// minQuietTime is the quiet time after which no new client is expected, and after which the
+// responses to other VMs are sent.
+const minQuietTime = 250 * time.Millisecond
 
 func (o Outstanding) none() bool {
-	return o.Clients == 0 && o.Statements == 0 && o.Transactions == 0 && o.SinceAccept >= arrivalInterval
+	return o.Clients == 0 && o.Statements == 0 && o.Transactions == 0 && o.Quiet >= minQuietTime
 }
 
 // StageAt returns the stage at a time. The process ends early if nothing is outstanding.
--- a/internal/core/shutdown/shutdown_test.go
+++ b/internal/core/shutdown/shutdown_test.go
@@ -86,7 +86,7 @@
 		count := rapid.IntRange(0, 2)
 		o := Outstanding{
 			Clients: count.Draw(t, "clients"), Statements: count.Draw(t, "statements"), Transactions: count.Draw(t, "transactions"),
-			SinceAccept: drawTime(t, "since", time.Second),
+			Quiet: drawTime(t, "quiet", time.Second),
 		}
 		previous := Announced
 		for at := time.Duration(0); at <= s.End; at += s.End / 50 {
@@ -96,10 +96,10 @@
 			}
 			previous = stage
 			left := o.Clients + o.Statements + o.Transactions
-			if stage == Ended && at < s.End && (left > 0 || at < s.CloseIdle || o.SinceAccept < arrivalInterval) {
+			if stage == Ended && at < s.End && (left > 0 || at < s.CloseIdle || o.Quiet < minQuietTime) {
 				t.Fatalf("ended at %v of %+v with %+v", at, s, o)
 			}
-			if stage != Ended && at >= s.CloseIdle && left == 0 && o.SinceAccept >= arrivalInterval {
+			if stage != Ended && at >= s.CloseIdle && left == 0 && o.Quiet >= minQuietTime {
 				t.Fatalf("%v at %v of %+v with %+v", stage, at, s, o)
 			}
 		}
--- a/internal/frontend/stop.go
+++ b/internal/frontend/stop.go
@@ -138,7 +138,7 @@
 func (s *Server) outstanding() shutdown.Outstanding {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return shutdown.Outstanding{Clients: len(s.sessions) + len(s.listeners), SinceAccept: noArrivals}
+	return shutdown.Outstanding{Clients: len(s.sessions) + len(s.listeners), Quiet: noArrivals}
 }
 
 // beginStage applies a stage of a planned stop, which was ordered at the given time, to all
--- a/internal/service/handler.go
+++ b/internal/service/handler.go
@@ -99,7 +99,10 @@
 		return execution.Result{Outcome: execution.NotRun, Reason: execution.Stopping}
 	}
 	v.remoteStatements.Add(1)
-	defer v.remoteStatements.Add(-1)
+	defer func() {
+		v.lastRemoteStatement.Store(int64(v.clock.Now()))
+		v.remoteStatements.Add(-1)
+	}()
 	if r.Mode == execution.Begin {
 		v.remote.add(from.ConnectionID, r.TransactionID, r.Target)
 	}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -96,10 +96,12 @@
 	order       atomic.Pointer[stopOrder] // nil before Stop
 	// remoteStatements is the number of running statements of other VMs.
 	remoteStatements atomic.Int64
-	lastID           atomic.Uint64
-	listeners        []net.Listener
-	cancel           context.CancelFunc
-	goroutines       sync.WaitGroup
+	// lastRemoteStatement is when the last of them ended, on the process clock in nanoseconds.
+	lastRemoteStatement atomic.Int64
+	lastID              atomic.Uint64
+	listeners           []net.Listener
+	cancel              context.CancelFunc
+	goroutines          sync.WaitGroup
 }
 
 // Start starts a VM. It becomes ready once it has read the configuration and the
--- a/internal/service/stop.go
+++ b/internal/service/stop.go
@@ -76,8 +76,10 @@
 
 // outstanding returns what a stopping VM still has to complete.
 func (v *VM) outstanding() shutdown.Outstanding {
+	sinceStatement := v.clock.Now() - time.Duration(v.lastRemoteStatement.Load())
 	return shutdown.Outstanding{
-		Clients: v.server.Clients(), Statements: int(v.remoteStatements.Load()), Transactions: v.remote.count(), SinceAccept: v.server.SinceAccept(),
+		Clients: v.server.Clients(), Statements: int(v.remoteStatements.Load()), Transactions: v.remote.count(),
+		Quiet: min(v.server.SinceAccept(), sinceStatement),
 	}
 }
 
