--- a/internal/proxy/server_test.go
+++ b/internal/proxy/server_test.go
@@ -159,3 +159,31 @@
 		}
 	})
 }
+
+// Guards against clients that are accepted while running statements are ended.
+func TestListenerClosesWhenStatementsEnd(t *testing.T) {
+	f := newFakeServices()
+	services := &Services{Admission: f, Authoriser: f, Limiter: f, Router: f, Now: newProcessClock()}
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	s := NewServer(services, func(conn net.Conn) Codec { return silentCodec{conn} }, zerolog.Nop(), func(Record) {})
+	served := make(chan error, 1)
+	go func() { served <- s.Serve(l) }()
+	client, err := net.Dial("tcp4", l.Addr().String())
+	assert.NilError(t, err)
+	defer client.Close()
+	for s.Clients() == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for _, stage := range []shutdown.Stage{shutdown.Closing, shutdown.RollingBack} {
+		s.SetStage(stage)
+		other, err := net.Dial("tcp4", l.Addr().String())
+		assert.NilError(t, err, "%v", stage)
+		_ = other.Close()
+	}
+	s.SetStage(shutdown.Ending)
+	assert.NilError(t, <-served)
+	s.Close()
+	s.running.Wait()
+}
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -286,3 +286,14 @@
 		}
 	}
 }
+
+// Guards against a statement that is sent to an upstream after a planned stop has ended it.
+func TestEndedStatementIsNotSent(t *testing.T) {
+	f := newFakeServices()
+	s := f.session(t)
+	ctx, end := context.WithCancel(context.Background())
+	end()
+	a := s.Handle(ctx, statement.Statement{ID: "q", Text: "w", Kind: statement.Write})
+	assert.Equal(t, resultcode.Of(a.Err), resultcode.NoPrimary)
+	assert.Equal(t, len(f.requests), 0)
+}
