--- a/internal/frontend/stop.go
+++ b/internal/frontend/stop.go
@@ -6,9 +6,10 @@
 	"net"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/rosemarywall/rosemarywall/internal/core/shutdown"
 	"github.com/rosemarywall/rosemarywall/internal/filter"
-	"github.com/rs/zerolog"
 )
 
 const (
--- a/internal/frontend/stopsession.go
+++ b/internal/frontend/stopsession.go
@@ -4,10 +4,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"github.com/rosemarywall/rosemarywall/internal/core/shutdown"
 	"github.com/rosemarywall/rosemarywall/internal/filter"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
-	"github.com/rs/zerolog"
 )
 
 // runningRequest describes the request of a session that runs or waits for an upstream.
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -1,8 +1,6 @@
 package soak
 
 import (
-	"strconv"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -99,7 +97,7 @@
 	case Evacuate:
 		f.evacuate(zones[fault.Target%len(zones)])
 	case OddEntry:
-		f.leaveOddEntry(fault, id)
+		f.group.LeaveOddEntry(fault.Target, id, f.members[id].address(), fault.For)
 	default:
 		f.applyStop(fault)
 	}
@@ -168,37 +166,6 @@
 	f.store.Remove("evacuations", zone)
 }
 
-// soundEntry is the value of a registration that could be a member's.
-const soundEntry = `{"upstream":"g1","addr":"127.0.0.1:9","zone":"a","capacity":2,"state":"ready","warmup_ms":0,"db_role":"primary","seq":1,"born":17}`
-
-// oddEntries are the values that another writer leaves.
-var oddEntries = []string{
-	strings.Repeat("[", 20000) + strings.Repeat("]", 20000), `{"upstream":"g`, "\xff\x00{[", "null", `{"upstream":["g1"],"addr":7}`,
-	strings.Replace(soundEntry, "127.0.0.1:9", "127.0.0.1:99999", 1), strings.Replace(soundEntry, ":2", ":1e300", 1),
-	strings.Replace(soundEntry, ":17", ":1e400", 1), strings.Replace(soundEntry, ":0,", ":1e12,", 1),
-}
-
-// oddMeta is the metadata of an entry whose name cannot be read.
-const oddMeta = `{"name":["x"],"revision":"y"}`
-
-// leaveOddEntry leaves an entry until the end of the run. A member whose entry it replaces
-// writes its own again after the time of the fault.
-func (f *fleet) leaveOddEntry(fault Fault, member string) {
-	value := []byte(oddEntries[fault.Target%len(oddEntries)])
-	switch name := "odd-" + strconv.Itoa(fault.Target); fault.Target % 4 {
-	case 0:
-		f.store.SetRaw("servers", member, nil, value)
-		time.Sleep(fault.For)
-		f.group.SetAddress(member, f.members[member].address())
-	case 1:
-		f.store.SetRaw("evacuations", name, nil, value)
-	case 2:
-		f.store.SetRaw("servers", name, []byte(oddMeta), value)
-	default:
-		f.store.SetRaw("servers", name, nil, value)
-	}
-}
-
 func (f *fleet) restart(v *vm) {
 	if err := v.start(); err != nil {
 		f.history.violate("%s cannot be started: %v", v.name, err)
--- a/internal/soak/stops.go
+++ b/internal/soak/stops.go
@@ -29,8 +29,8 @@
 const (
 	// stopInterval is the mean time between two planned stops of a run of unplanned faults.
 	stopInterval = 5 * time.Second
-	// disruptedShare is the part of the seeds of planned work that also pause and kill VMs.
-	disruptedShare = 3
+	// disruptedEvery is the interval of the seeds of planned work that also pause or kill a VM.
+	disruptedEvery = 3
 )
 
 // plannedStops returns the planned stops of a run of unplanned faults.
@@ -44,7 +44,7 @@
 }
 
 // NewStopPlan returns the planned work of a seed, in order: stops, reloads and
-// configurations, which overlap. A third of the seeds also pauses and kills single VMs.
+// configurations, which overlap. Each seed divisible by disruptedEvery also pauses or kills a VM.
 func NewStopPlan(seed uint64, length time.Duration) []Fault {
 	rng := rand.New(rand.NewPCG(seed, 4))
 	kinds := append([]Kind{StopVM, Reconfigure}, stopKinds...)
@@ -55,7 +55,7 @@
 			plan = append(plan, drawStop(rng, at+between(rng, 10*time.Millisecond, time.Second), kinds))
 		}
 	}
-	if seed%disruptedShare == 0 {
+	if seed%disruptedEvery == 0 {
 		plan = append(plan, drawStop(rng, between(rng, firstFault, length), []Kind{PauseVM, KillVM}))
 	}
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
