Date a relayed proof of the configuration before the start of the process

Cause: installCatalog took the maximum of the time of the proof and of the former one, which was zero for "never". Times are those since the start of the process, so a relayed proof that is older than the process is negative and was dated to its start. Probes passed the false date on, and one restart renewed the proof of the whole fleet.

Change: core/instant has a type for a time on the clock of the process, or never, whose zero value is never. core/proof decides what proves the configuration in force. The log line of a configuration that comes into force names its source and the age of its proof.

--- a/internal/controller/storesync/configuration.go
+++ b/internal/controller/storesync/configuration.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
+	"github.com/rosemarywall/rosemarywall/internal/core/instant"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 )
@@ -17,10 +18,8 @@
 func (f *Follower) ObserveProof(sentAt time.Duration, from ident.VMName, sameZone bool, version ident.ConfigurationVersion, age time.Duration) {
 	_, relayed := f.relay()
 	f.mu.Lock()
-	newer := f.catalog == nil || version > f.catalog.Version
-	if !newer && f.proved && version == f.catalog.Version && sentAt-age > f.provedAt {
-		f.provedAt = sentAt - age
-	}
+	newer := version > f.configuration.Version()
+	f.configuration.Observe(version, instant.Reported(sentAt, age))
 	readNow := false
 	switch {
 	case !newer:
@@ -114,7 +113,7 @@
 		f.log.Debug().Err(err).Str("peer", string(from)).Msg("reading configuration from peer failed")
 		return false
 	}
-	return f.applyConfiguration(view.Objects[0], sentAt-view.ProofAge, true)
+	return f.applyConfiguration(view.Objects[0], instant.Reported(sentAt, view.ProofAge), string(from))
 }
 
 // readConfiguration reads the configuration from the store.
@@ -129,42 +128,47 @@
 	}
 	f.mu.Lock()
 	f.observeEra(o.Version.Era(), 0)
-	proved := f.isConfigurationTrusted(o)
+	provedAt := instant.Never
+	if f.isConfigurationTrusted(o) {
+		provedAt = instant.At(sentAt)
+	}
 	f.mu.Unlock()
-	return f.applyConfiguration(o, sentAt, proved)
+	return f.applyConfiguration(o, provedAt, sourceStore)
 }
 
 // applyConfiguration decodes a configuration, puts it in force and reports whether it is
-// current. If proved is set it was at provedAt.
-func (f *Follower) applyConfiguration(o objectapi.Object, provedAt time.Duration, proved bool) bool {
+// current. provedAt is the time as of which the read proves it current, Never if it proves
+// nothing; source says where it was read.
+func (f *Follower) applyConfiguration(o objectapi.Object, provedAt instant.Instant, source string) bool {
 	decoded, err := f.source.DecodeCatalog(o)
 	if err != nil {
 		f.log.Error().Err(err).Uint64("revision", uint64(o.Version)).Msg("configuration rejected")
 		return false
 	}
-	return f.installCatalog(decoded, o, provedAt, proved)
+	return f.installCatalog(decoded, o, provedAt, source)
 }
 
 // installCatalog puts a configuration in force unless a newer one is known, and reports
 // whether it is the current one.
-func (f *Follower) installCatalog(c *catalog.Catalog, o objectapi.Object, provedAt time.Duration, proved bool) bool {
+func (f *Follower) installCatalog(c *catalog.Catalog, o objectapi.Object, provedAt instant.Instant, source string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.readNewerAt = 0
-	if f.catalog != nil && c.Version < f.catalog.Version {
-		f.log.Warn().Uint64("version", uint64(c.Version)).Uint64("in_force", uint64(f.catalog.Version)).Msg("older configuration ignored")
+	older, changed := f.configuration.Install(c.Version, provedAt)
+	if older {
+		f.log.Warn().Uint64("version", uint64(c.Version)).Uint64("in_force", uint64(f.configuration.Version())).Msg("older configuration ignored")
 		return false
 	}
-	changed := f.catalog == nil || c.Version > f.catalog.Version
-	if proved {
-		f.proved, f.provedAt = true, max(f.provedAt, provedAt)
-	}
-	if !changed {
-		return proved
+	if !changed && f.catalog != nil {
+		return provedAt.Known()
 	}
 	f.catalog = c
 	f.views[f.source.ConfigKind].replace([]objectapi.Object{o}, o.Version)
-	f.log.Info().Uint64("version", uint64(c.Version)).Int("routes", len(c.Routes)).Int("organisations", len(c.Organisations)).Msg("configuration in force")
+	line := f.log.Info().Uint64("version", uint64(c.Version)).Int("routes", len(c.Routes)).Int("organisations", len(c.Organisations)).Str("source", source)
+	if age, proved := provedAt.Age(f.now()); proved {
+		line.Dur("proof_age_ms", age)
+	}
+	line.Msg("configuration in force")
 	f.publish()
-	return proved
+	return provedAt.Known()
 }
--- a/internal/controller/storesync/follower.go
+++ b/internal/controller/storesync/follower.go
@@ -14,6 +14,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
+	"github.com/rosemarywall/rosemarywall/internal/core/proof"
 	"github.com/rosemarywall/rosemarywall/internal/core/withdrawal"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
@@ -155,11 +156,10 @@
 	// relist requests a full list of a kind.
 	relist map[objectapi.Kind]chan struct{}
 
-	mu        sync.Mutex
-	catalog   *catalog.Catalog
-	provedAt  time.Duration
-	proved    bool
-	upstreams map[string]catalog.Upstream
+	mu            sync.Mutex
+	catalog       *catalog.Catalog // nil until a configuration was read
+	configuration proof.Configuration
+	upstreams     map[string]catalog.Upstream
 	// invalid holds the versions of the registrations that name no upstream.
 	invalid map[string]objectapi.Version
 	// unnamed holds the number of entries without a readable name in the last list of a kind.
@@ -284,10 +284,11 @@
 func (f *Follower) Proof() (ident.ConfigurationVersion, time.Duration, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.proved {
+	age, ok := f.configuration.ProvedAt().Age(f.now())
+	if !ok {
 		return 0, 0, false
 	}
-	return f.catalog.Version, f.now() - f.provedAt, true
+	return f.configuration.Version(), age, true
 }
 
 // Fresh reports whether the proof of the configuration is recent enough to accept keys.
--- a/internal/controller/storesync/lists.go
+++ b/internal/controller/storesync/lists.go
@@ -19,6 +19,7 @@
 
 // Sources of a change in the log; a change that was read from another VM has its name.
 const (
+	sourceStore = "store"
 	sourceList  = "list"
 	sourceWatch = "watch"
 )
--- a/internal/controller/storesync/view.go
+++ b/internal/controller/storesync/view.go
@@ -147,7 +147,8 @@
 // be held.
 func (f *Follower) viewProofTime(kind objectapi.Kind) time.Duration {
 	if kind == f.source.ConfigKind {
-		return f.provedAt
+		at, _ := f.configuration.ProvedAt().Age(f.now())
+		return f.now() - at
 	}
 	return f.viewProvedAt[kind]
 }
@@ -182,7 +183,7 @@
 // hasLoaded reports whether a kind has been read; f.mu must be held.
 func (f *Follower) hasLoaded(kind objectapi.Kind) bool {
 	if kind == f.source.ConfigKind {
-		return f.proved
+		return f.configuration.ProvedAt().Known()
 	}
 	return f.loaded[kind]
 }
@@ -191,7 +192,7 @@
 // be held.
 func (f *Follower) canServe(kind objectapi.Kind, v *kindView) bool {
 	if kind == f.source.ConfigKind {
-		return f.proved
+		return f.configuration.ProvedAt().Known()
 	}
 	return f.hasLoaded(kind) && f.storeAvailable && !v.relayed
 }
