Keep a relayed view unproved until a read of the store proves it

Callers could see: requests to an upstream that had left, or to an evacuated zone, past the bound (after a restored store), and refusals by a VM that has just started although the withdrawn upstream was still usable.

The times of view proofs, of distrust and of a digest mismatch were zero for "never" and were compared with times that may be negative: - a VM whose view is loaded but not proved served it with an age since its own start, and the receiver took that for a proof; - a VM that has just started refused proofs older than itself, and treated a withdrawal as old; - it ignored a digest mismatch with such a proof.

Change: these fields are of type instant.Instant, core/proof holds the proofs of the views, and a ViewResponse says whether its objects were proved.

TestUnprovedViewStaysUnprovedWhenRelayed, TestViewProofMayBeOlderThanProcess and TestMismatchWithProofOlderThanProcessIsNoticed failed before (usable until 6.25 s instead of 2 s; not proved; no list requested).

--- a/internal/controller/storesync/configuration.go
+++ b/internal/controller/storesync/configuration.go
@@ -24,11 +24,11 @@
 	switch {
 	case !newer:
 	case sameZone:
-		f.newerFrom, f.readNewerAt, readNow = from, f.now(), true
+		f.newerFrom, f.readNewerAt, readNow = from, instant.At(f.now()), true
 	case !relayed:
-		f.readNewerAt, readNow = f.now(), true
-	case f.readNewerAt == 0:
-		f.readNewerAt = f.now() + f.times.Apply/zoneWaitDivisor
+		f.readNewerAt, readNow = instant.At(f.now()), true
+	case !f.readNewerAt.Known():
+		f.readNewerAt = instant.At(f.now() + f.times.Apply/zoneWaitDivisor)
 	}
 	f.mu.Unlock()
 	if readNow {
@@ -83,7 +83,7 @@
 func (f *Follower) readDue() bool {
 	_, age, ok := f.Proof()
 	f.mu.Lock()
-	newer := f.readNewerAt > 0 && f.now() >= f.readNewerAt
+	newer := f.readNewerAt.ReachedAt(f.now())
 	f.mu.Unlock()
 	interval := f.times.Apply / pollDivisor
 	if !ok || newer || age < interval {
@@ -113,7 +113,7 @@
 		f.log.Debug().Err(err).Str("peer", string(from)).Msg("reading configuration from peer failed")
 		return false
 	}
-	return f.applyConfiguration(view.Objects[0], instant.Reported(sentAt, view.ProofAge), string(from))
+	return f.applyConfiguration(view.Objects[0], view.provedAt(sentAt), string(from))
 }
 
 // readConfiguration reads the configuration from the store.
@@ -153,7 +153,7 @@
 func (f *Follower) installCatalog(c *catalog.Catalog, o objectapi.Object, provedAt instant.Instant, source string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.readNewerAt = 0
+	f.readNewerAt = instant.Never
 	older, changed := f.configuration.Install(c.Version, provedAt)
 	if older {
 		f.log.Warn().Uint64("version", uint64(c.Version)).Uint64("in_force", uint64(f.configuration.Version())).Msg("older configuration ignored")
--- a/internal/controller/storesync/era.go
+++ b/internal/controller/storesync/era.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/rosemarywall/rosemarywall/internal/core/instant"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/recovery"
 )
@@ -20,17 +21,16 @@
 	restored := f.eraKnown && era > f.era
 	if restored {
 		unsettled = max(unsettled, f.times.Reregister)
-		f.lastFailureAt = f.now()
+		f.lastFailureAt = instant.At(f.now())
 		f.log.Warn().Uint64("era", era).Uint64("former_era", f.era).Dur("untrusted_for_ms", unsettled).Msg("store came back from an older copy")
 	}
 	if era < f.era {
 		return
 	}
 	f.era, f.eraKnown = era, true
-	if unsettled <= 0 || f.now()+unsettled <= f.settledAt {
+	if unsettled <= 0 || !f.viewProofs.DistrustUntil(instant.At(f.now()+unsettled)) {
 		return
 	}
-	f.settledAt = f.now() + unsettled
 	if restored {
 		f.requestLists()
 		f.onRestore()
@@ -54,14 +54,14 @@
 // isConfigurationTrusted reports whether a configuration that was read from the store proves
 // that no later one was acknowledged; f.mu must be held.
 func (f *Follower) isConfigurationTrusted(o objectapi.Object) bool {
-	return !f.mayBeCopy(o) || f.now() >= f.settledAt-f.times.Reregister+configurationRewriteTime
+	return !f.mayBeCopy(o) || f.viewProofs.SettledAt().Add(configurationRewriteTime-f.times.Reregister).ReachedAt(f.now())
 }
 
 // mayBeCopy reports whether an object may belong to the older copy from which the store
 // came back, and the changes of the former era are not written again yet; f.mu must be held.
 func (f *Follower) mayBeCopy(o objectapi.Object) bool {
 	written := o.Version.Era() == f.copyVersion.Era() && o.Version > f.copyVersion
-	return f.now() < f.settledAt && !written
+	return f.viewProofs.SettledAt().PendingAt(f.now()) && !written
 }
 
 // isOlderCopy reports whether an object may belong to the older copy and this VM knows a
@@ -88,7 +88,7 @@
 func (f *Follower) applyRestored() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.now() < f.settledAt {
+	if f.viewProofs.SettledAt().PendingAt(f.now()) {
 		return // a later era began
 	}
 	for kind, replace := range map[objectapi.Kind]func([]objectapi.Object, origin){
--- a/internal/controller/storesync/follower.go
+++ b/internal/controller/storesync/follower.go
@@ -14,6 +14,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
+	"github.com/rosemarywall/rosemarywall/internal/core/instant"
 	"github.com/rosemarywall/rosemarywall/internal/core/proof"
 	"github.com/rosemarywall/rosemarywall/internal/core/withdrawal"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
@@ -170,31 +171,28 @@
 	slowStartUntil map[ident.UpstreamName]time.Duration
 	loaded         map[objectapi.Kind]bool
 	// era is the newest era of the store; eraKnown is set once there was a response.
-	// settledAt is the time from which the contents of the era are trusted.
-	era       uint64
-	eraKnown  bool
-	settledAt time.Duration
+	era      uint64
+	eraKnown bool
 	// copyVersion is the earliest version of the era that this VM has seen. What is newer was
 	// written after the store came back.
 	copyVersion objectapi.Version
 	// viewVersion holds the store version up to which the view of a kind is complete.
 	viewVersion map[objectapi.Kind]objectapi.Version
-	// viewProvedAt holds the sending time of the latest read of the store that has proved
-	// the view of a kind current. Relayed proofs count with their age.
-	viewProvedAt map[objectapi.Kind]time.Duration
+	// viewProofs holds the proofs of the views of the registrations and the evacuations.
+	viewProofs proof.Views
 	// views are the views served to other VMs; see view.go.
 	views map[objectapi.Kind]*kindView
 	// readNewerAt is the time at which to read a newer configuration that another VM has
-	// reported; zero without one. newerFrom is that VM if it is in this zone.
-	readNewerAt time.Duration
+	// reported. newerFrom is that VM if it is in this zone.
+	readNewerAt instant.Instant
 	newerFrom   ident.VMName
 	// bypassRelayUntil is the time until which this VM reads the store itself although it
 	// has a relay.
 	bypassRelayUntil time.Duration
-	firstListedAt    time.Duration // time of the first list of the upstreams
-	lastFailureAt    time.Duration // time of the last failed store call
-	mismatchSince    time.Duration // start of a digest mismatch; zero without one
-	mismatchProof    time.Duration // time of the proof of the digest that differed
+	firstListedAt    instant.Instant // time of the first list of the upstreams
+	lastFailureAt    instant.Instant // time of the last failed store call
+	mismatchSince    instant.Instant // start of a digest mismatch
+	mismatchProof    instant.Instant // time of the proof of the digest that differed
 	storeAvailable   bool
 }
 
@@ -234,7 +232,7 @@
 		leaving: map[ident.UpstreamName]withdrawal.Withdrawal{}, evacuated: map[ident.AvailabilityZone]withdrawal.Withdrawal{},
 		slowStartUntil: map[ident.UpstreamName]time.Duration{},
 		loaded:         map[objectapi.Kind]bool{}, viewVersion: map[objectapi.Kind]objectapi.Version{},
-		viewProvedAt: map[objectapi.Kind]time.Duration{}, storeAvailable: true, relay: o.Relay, relayPending: o.RelayPending, requestView: o.RequestView, onRestore: o.OnRestore, onInvalid: o.OnInvalid,
+		viewProofs: proof.NewViews(), storeAvailable: true, relay: o.Relay, relayPending: o.RelayPending, requestView: o.RequestView, onRestore: o.OnRestore, onInvalid: o.OnInvalid,
 		views: map[objectapi.Kind]*kindView{
 			o.Source.ConfigKind: newKindView(), o.Source.UpstreamsKind: newKindView(), o.Source.EvacuationsKind: newKindView(),
 		},
@@ -303,7 +301,7 @@
 func (f *Follower) RegistrationsComplete() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.loaded[f.source.UpstreamsKind] && f.now() >= max(f.firstListedAt, f.lastFailureAt)+f.times.Reregister
+	return f.loaded[f.source.UpstreamsKind] && instant.Latest(f.firstListedAt, f.lastFailureAt).Add(f.times.Reregister).ReachedAt(f.now())
 }
 
 // Ready reports whether the VM can serve clients, and otherwise the reason.
@@ -337,27 +335,14 @@
 func (f *Follower) ViewProof() ViewProof {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	at, proved := f.provedView()
-	return ViewProof{Digest: f.state.Load().digest, Proved: proved, Age: f.now() - at, Era: f.era, Unsettled: max(0, f.settledAt-f.now())}
+	age, proved := f.viewProvedAt().Age(f.now())
+	return ViewProof{Digest: f.state.Load().digest, Proved: proved, Age: age, Era: f.era, Unsettled: f.viewProofs.Unsettled(f.now())}
 }
 
-// provedView returns the time at which the views of both kinds were last proved current;
+// viewProvedAt returns the time at which the views of both kinds were last proved current;
 // f.mu must be held.
-func (f *Follower) provedView() (time.Duration, bool) {
-	upstreams, ok := f.viewProvedAt[f.source.UpstreamsKind]
-	evacuations, alsoOK := f.viewProvedAt[f.source.EvacuationsKind]
-	return min(upstreams, evacuations), ok && alsoOK
-}
-
-// proveView records that the view of a kind was current at a time; f.mu must be held. A
-// store that lacks acknowledged changes proves nothing.
-func (f *Follower) proveView(kind objectapi.Kind, at time.Duration) {
-	if at < f.settledAt {
-		return
-	}
-	if known, ok := f.viewProvedAt[kind]; !ok || at > known {
-		f.viewProvedAt[kind] = at
-	}
+func (f *Follower) viewProvedAt() instant.Instant {
+	return f.viewProofs.ProvedAt(f.source.UpstreamsKind, f.source.EvacuationsKind)
 }
 
 // digest computes the digest of the current view. It is called once per snapshot, because
@@ -385,7 +370,7 @@
 // An equal view proves this VM's own. If a view with a newer proof differs for
 // digestMismatchLimit, this VM has lost a watch and lists all objects at the store.
 func (f *Follower) ObserveView(sentAt time.Duration, v ViewProof) {
-	provedAt := sentAt - v.Age
+	provedAt := instant.Reported(sentAt, v.Age)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if v.Era > 0 { // zero also stands for a VM that does not know it yet
@@ -396,19 +381,19 @@
 	}
 	same := v.Digest == f.state.Load().digest
 	if same {
-		f.proveView(f.source.UpstreamsKind, provedAt)
-		f.proveView(f.source.EvacuationsKind, provedAt)
+		f.viewProofs.Prove(f.source.UpstreamsKind, provedAt)
+		f.viewProofs.Prove(f.source.EvacuationsKind, provedAt)
 	}
-	own, _ := f.provedView()
-	if own >= f.mismatchProof {
-		f.mismatchSince = 0
+	own := f.viewProvedAt()
+	if !f.mismatchProof.After(own) {
+		f.mismatchSince = instant.Never
 	}
 	switch {
-	case same, provedAt <= own, v.Era < f.era:
-	case f.mismatchSince == 0:
-		f.mismatchSince, f.mismatchProof = f.now(), provedAt
-	case f.now() >= f.mismatchSince+digestMismatchLimit:
-		f.mismatchSince, f.bypassRelayUntil = 0, f.now()+relayBypassTime
+	case same, !provedAt.After(own), v.Era < f.era:
+	case !f.mismatchSince.Known():
+		f.mismatchSince, f.mismatchProof = instant.At(f.now()), provedAt
+	case f.mismatchSince.Add(digestMismatchLimit).ReachedAt(f.now()):
+		f.mismatchSince, f.bypassRelayUntil = instant.Never, f.now()+relayBypassTime
 		f.requestLists()
 	}
 }
@@ -445,7 +430,7 @@
 	defer f.mu.Unlock()
 	failed := err != nil && !resultcode.Is(err, resultcode.PlatformNotFound) && !resultcode.Is(err, resultcode.PlatformHistoryGone)
 	if failed {
-		f.lastFailureAt = f.now()
+		f.lastFailureAt = instant.At(f.now())
 	}
 	if failed == f.storeAvailable {
 		f.storeAvailable = !failed
--- a/internal/controller/storesync/lists.go
+++ b/internal/controller/storesync/lists.go
@@ -11,6 +11,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
+	"github.com/rosemarywall/rosemarywall/internal/core/instant"
 	"github.com/rosemarywall/rosemarywall/internal/core/withdrawal"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
@@ -78,14 +79,14 @@
 	f.applyList(kind, all.Objects, origin{source: sourceList, version: all.Version}, replace)
 	f.views[kind].replace(f.withoutInvalid(kind, all.Objects), all.Version)
 	f.reportUnnamed(kind, all.Unnamed)
-	f.proveView(kind, sentAt)
+	f.viewProofs.Prove(kind, instant.At(sentAt))
 	return all.Version, nil
 }
 
 // applyList applies a full list of the objects of a kind; f.mu must be held.
 func (f *Follower) applyList(kind objectapi.Kind, objects []objectapi.Object, from origin, replace func([]objectapi.Object, origin)) {
 	if kind == f.source.UpstreamsKind && !f.loaded[kind] {
-		f.firstListedAt = f.now()
+		f.firstListedAt = instant.At(f.now())
 	}
 	f.loaded[kind] = true
 	f.viewVersion[kind] = from.version
@@ -280,8 +281,8 @@
 		return
 	}
 	w := f.newWithdrawal(f.source.UpstreamsKind, f.times.Drain)
-	if f.lastFailureAt > 0 {
-		w = w.NotBefore(f.lastFailureAt + f.times.Reregister)
+	if sinceFailure, failed := f.lastFailureAt.Age(now); failed {
+		w = w.NotBefore(now - sinceFailure + f.times.Reregister)
 	}
 	f.leaving[u.Name] = w
 	f.log.Info().Str("upstream", name).Str("group", string(u.Group)).Dur("counts_for_ms", w.LearnedAt-now).Msg("upstream deregistered")
@@ -311,7 +312,7 @@
 		f.startEvacuation(o, from)
 	}
 	for zone := range f.evacuated {
-		if !listed[zone] && f.now() >= f.settledAt {
+		if !listed[zone] && !f.viewProofs.SettledAt().PendingAt(f.now()) {
 			f.endEvacuation(zone, from)
 		}
 	}
@@ -341,8 +342,7 @@
 // newWithdrawal returns the withdrawal that this VM learns of now from objects of a kind;
 // f.mu must be held.
 func (f *Follower) newWithdrawal(kind objectapi.Kind, bound time.Duration) withdrawal.Withdrawal {
-	absentAt, proved := f.viewProvedAt[kind]
-	return withdrawal.New(f.now(), absentAt, proved, bound)
+	return withdrawal.New(f.now(), f.viewProofs.ProvedAt(kind), bound)
 }
 
 // extendSlowStart extends the slow start of an upstream to at least d from now; f.mu must
--- a/internal/controller/storesync/proof_test.go
+++ b/internal/controller/storesync/proof_test.go
@@ -17,6 +17,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
 )
 
 // Guards against revoked keys that go on to be accepted by the whole fleet because a VM that
@@ -188,3 +189,54 @@
 		})
 	})
 }
+
+// Guards against a view that was never proved current and that counts as proved at the start
+// of the VM that relays it: nothing is proved while the VMs distrust a store that came back
+// from an older copy.
+func TestUnprovedViewStaysUnprovedWhenRelayed(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		second := newFollower(newStore())
+		time.Sleep(time.Second)
+		relay := newFollower(newStore())
+		relay.store.upstream["u1"] = catalog.Upstream{Name: "u1", Group: "g1", Revision: 7}
+		relay.ObserveView(0, ViewProof{Era: 3, Unsettled: relay.times.Reregister})
+		_, err := relay.list(context.Background(), "upstreams", relay.replaceUpstreams)
+		assert.NilError(t, err)
+		time.Sleep(time.Second)
+		second.requestView = func(ctx context.Context, _ ident.VMName, r ViewRequest) (ViewResponse, error) {
+			return relay.ServeView(ctx, r), nil
+		}
+		asked := false
+		second.relay = func() (ident.VMName, bool) { first := !asked; asked = true; return "relay", first }
+		second.followRelay(context.Background(), "upstreams", second.replaceUpstreams)
+		assert.Equal(t, len(second.Snapshot().Upstreams["g1"]), 1)
+		w := second.newWithdrawal("upstreams", second.times.Drain)
+		assert.Equal(t, w.UsableUntil, w.LearnedAt, "a withdrawal must count as old if no read without it is known")
+	})
+}
+
+// Guards against a VM that has just started and refuses a proof because it is older than
+// itself: it would stop using an upstream that leaves, before there is another one.
+func TestViewProofMayBeOlderThanProcess(t *testing.T) {
+	run(t, func(f *testFollower, store *fakeStore) {
+		f.store.change(func() { f.store.fail = resultcode.New(resultcode.PlatformDown, "down") })
+		started := newFollower(store)
+		started.ObserveView(0, f.ViewProof())
+		time.Sleep(time.Second)
+		started.ObserveView(time.Second, f.ViewProof())
+		proof, want := started.ViewProof(), f.ViewProof()
+		assert.Assert(t, proof.Proved && proof.Age == want.Age, "%+v, want an age of %v", proof, want.Age)
+	})
+}
+
+// Guards against a VM that has just started and keeps a view that differs from the proved one
+// of the other VMs, because their proof is older than the VM.
+func TestMismatchWithProofOlderThanProcessIsNoticed(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		f := newFollower(newStore())
+		f.ObserveView(f.elapsed(), ViewProof{Digest: 4711, Proved: true, Age: 5 * time.Second})
+		time.Sleep(digestMismatchLimit)
+		f.ObserveView(f.elapsed(), ViewProof{Digest: 4711, Proved: true, Age: 5*time.Second + digestMismatchLimit})
+		assert.Equal(t, len(f.relist["upstreams"]), 1, "no list is requested")
+	})
+}
--- a/internal/controller/storesync/view.go
+++ b/internal/controller/storesync/view.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rosemarywall/rosemarywall/internal/core/instant"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 )
@@ -46,8 +47,22 @@
 	// Unchanged is set if Version equals the request's After; Objects is then empty.
 	Unchanged bool               `cbor:"3,keyasint,omitempty"`
 	Objects   []objectapi.Object `cbor:"4,keyasint,omitempty"`
-	// ProofAge is the age of the proof of the objects.
+	// Proved is set if the objects were proved current, ProofAge before the response. If not,
+	// ProofAge is unprovedAge, for VMs of earlier versions that do not know Proved.
 	ProofAge time.Duration `cbor:"5,keyasint,omitempty"`
+	Proved   bool          `cbor:"6,keyasint,omitempty"`
+}
+
+// unprovedAge is an age at which no proof is valid.
+const unprovedAge = 24 * time.Hour
+
+// provedAt returns the time at which the objects of a response to a request sent at sentAt
+// were proved current.
+func (r ViewResponse) provedAt(sentAt time.Duration) instant.Instant {
+	if !r.Proved {
+		return instant.Never
+	}
+	return instant.Reported(sentAt, r.ProofAge)
 }
 
 // kindView holds the objects of a kind as received from the store or from another VM.
@@ -123,7 +138,10 @@
 			f.mu.Unlock()
 			return ViewResponse{}
 		}
-		response := ViewResponse{Authoritative: true, Version: v.version, ProofAge: f.now() - f.viewProofTime(r.Kind)}
+		response := ViewResponse{Authoritative: true, Version: v.version, ProofAge: unprovedAge}
+		if age, proved := f.viewProofTime(r.Kind).Age(f.now()); proved {
+			response.Proved, response.ProofAge = true, age
+		}
 		changed := v.changed
 		if v.version != r.After {
 			response.Objects = v.list()
@@ -145,12 +163,11 @@
 
 // viewProofTime returns the time at which the view of a kind was proved current; f.mu must
 // be held.
-func (f *Follower) viewProofTime(kind objectapi.Kind) time.Duration {
+func (f *Follower) viewProofTime(kind objectapi.Kind) instant.Instant {
 	if kind == f.source.ConfigKind {
-		at, _ := f.configuration.ProvedAt().Age(f.now())
-		return f.now() - at
+		return f.configuration.ProvedAt()
 	}
-	return f.viewProvedAt[kind]
+	return f.viewProofs.ProvedAt(kind)
 }
 
 // awaitLoad waits up to viewLoadWait until the first read of a kind has ended, and reports
@@ -234,7 +251,7 @@
 			f.applyView(kind, view, origin{source: string(from), version: view.Version}, replace)
 			version = view.Version
 		}
-		f.proveRelayedView(kind, view.Version, sentAt-view.ProofAge)
+		f.proveRelayedView(kind, view.Version, view.provedAt(sentAt))
 		var current ident.VMName
 		current, ok = f.activeRelay()
 		ok = ok && current == from
@@ -268,10 +285,10 @@
 }
 
 // proveRelayedView records the proof of a relay's view if it is the one that this VM has.
-func (f *Follower) proveRelayedView(kind objectapi.Kind, version objectapi.Version, at time.Duration) {
+func (f *Follower) proveRelayedView(kind objectapi.Kind, version objectapi.Version, at instant.Instant) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if version == f.viewVersion[kind] {
-		f.proveView(kind, at)
+		f.viewProofs.Prove(kind, at)
 	}
 }
--- a/internal/core/withdrawal/withdrawal.go
+++ b/internal/core/withdrawal/withdrawal.go
@@ -9,7 +9,11 @@
 // the upstream is not used at all.
 package withdrawal
 
-import "time"
+import (
+	"time"
+
+	"github.com/rosemarywall/rosemarywall/internal/core/instant"
+)
 
 // usablePercent is the percentage of the bound for which a withdrawn upstream may still be
 // chosen. The rest covers the time between the choice and the arrival of the statement.
@@ -24,12 +28,12 @@
 }
 
 // New returns the withdrawal that a VM learned of at learnedAt. absentAt is the latest time
-// at which the store is known not to have held it; proved is false if there is none. bound
-// is the time after its acknowledgement from which nothing may reach the upstream.
-func New(learnedAt, absentAt time.Duration, proved bool, bound time.Duration) Withdrawal {
+// at which the store is known not to have held it. bound is the time after its
+// acknowledgement from which nothing may reach the upstream.
+func New(learnedAt time.Duration, absentAt instant.Instant, bound time.Duration) Withdrawal {
 	w := Withdrawal{LearnedAt: learnedAt, UsableUntil: learnedAt}
-	if proved {
-		w.UsableUntil = min(absentAt, learnedAt) + bound*usablePercent/100
+	if sinceAbsent, proved := absentAt.Age(learnedAt); proved {
+		w.UsableUntil = learnedAt - max(0, sinceAbsent) + bound*usablePercent/100
 	}
 	return w
 }
--- a/internal/core/withdrawal/withdrawal_test.go
+++ b/internal/core/withdrawal/withdrawal_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 	"pgregory.net/rapid"
 
+	"github.com/rosemarywall/rosemarywall/internal/core/instant"
 	_ "github.com/rosemarywall/rosemarywall/internal/fixedseed"
 )
 
@@ -20,9 +21,9 @@
 		bound, absentAt := duration("bound"), duration("last read without it")
 		acknowledged := absentAt + duration("acknowledged after")
 		learned := acknowledged + duration("learned after")
-		w := New(learned, absentAt, true, bound)
+		w := New(learned, instant.At(absentAt), bound)
 		assert.Assert(t, !w.Usable(acknowledged+bound))
-		unproved := New(learned, absentAt, false, bound)
+		unproved := New(learned, instant.Never, bound)
 		assert.Assert(t, !unproved.Usable(learned))
 	})
 }
@@ -30,7 +31,7 @@
 // Guards against a withdrawal that stops the use at once although it has just been
 // requested, so that clients are refused until another upstream takes over.
 func TestNewWithdrawalLeavesTimeForReplacement(t *testing.T) {
-	w := New(10*time.Second, 9*time.Second, true, 4*time.Second)
+	w := New(10*time.Second, instant.At(9*time.Second), 4*time.Second)
 	assert.Assert(t, w.Usable(12*time.Second-1))
 	assert.Assert(t, !w.Usable(12*time.Second))
 }
