Ignore the report of a VM that has not read the table of share units

A VM that has not read the table reports version zero with an age since its start, and a VM that has read that there is none took this for a read, so that it read the table 5 s later. Callers are refused for that time by a VM without share units.

Change: a report of version zero proves nothing. A relayed read from before the start of the process extends no lease; that was so before, as a read of one's own comes first, and has a test now.

TestVMThatHasNotReadTheTableProvesNothing failed before (no read is due).

--- a/internal/core/shareunits/shareunits.go
+++ b/internal/core/shareunits/shareunits.go
@@ -247,9 +247,10 @@
 }
 
 // ObserveRelayed records the response of another VM to a request sent at sentAt: the VM
-// read this version at most age before the response.
+// read this version at most age before the response. Version zero proves nothing, because a
+// VM that has not read the table reports it too.
 func (h *Holder) ObserveRelayed(sentAt time.Duration, version uint64, age time.Duration) {
-	if h.loaded && version == h.version && !h.uncertain {
+	if h.loaded && version > 0 && version == h.version && !h.uncertain {
 		h.readAt = max(h.readAt, sentAt-age)
 	}
 }
--- a/internal/core/shareunits/shareunits_test.go
+++ b/internal/core/shareunits/shareunits_test.go
@@ -295,3 +295,31 @@
 	}
 	assert.Assert(t, w.usableShareUnits() <= Total, "%d of %d share units in use", w.usableShareUnits(), Total)
 }
+
+// Guards against a lease that counts from the start of the process because the read that
+// another VM reports is older than that.
+func TestRelayedReadBeforeStartExtendsNoLease(t *testing.T) {
+	h := NewHolder(key(0))
+	table := Table{Writer: "w", Rows: []Row{{Key: key(0), ShareUnits: 1}}}
+	h.ObserveRelayed(time.Second, 7, 10*time.Second)
+	_, until := h.ShareUnits()
+	assert.Equal(t, until, time.Duration(0), "the table has not been read")
+	assert.Assert(t, h.ObserveTable(2*time.Second, time.Second, table, 7))
+	h.ObserveRelayed(2*time.Second, 7, 10*time.Second)
+	_, until = h.ShareUnits()
+	assert.Equal(t, until, time.Second+LeaseDuration)
+}
+
+// Guards against a VM that does not read the table because another one, which has just
+// started and has not read it either, seems to know that there is none.
+func TestVMThatHasNotReadTheTableProvesNothing(t *testing.T) {
+	reader, started := NewHolder(key(0)), NewHolder(key(1))
+	reader.SetServing(0, true)
+	assert.Assert(t, reader.ObserveTable(time.Second, time.Second, Table{}, 0))
+	now := time.Second + ReadInterval
+	assert.Assert(t, reader.ReadDue(now, 0))
+	uptime := 100 * time.Millisecond
+	readAt, version := started.LastRead()
+	reader.ObserveRelayed(now, version, uptime-readAt)
+	assert.Assert(t, reader.ReadDue(now, 0))
+}
