Play restarts in an outage and stops in series in the soak

Cause: the soak withdrew keys, took the store away, killed and stopped VMs at random. The orders of events that broke promises with real processes came by chance only: a withdrawal right before an outage in which one VM restarts several times, and a zone whose VMs stop together and again as soon as they have started.

Change: the kinds restart-in-outage and stop-series, with random sources of their own, so that the plans of the regression seeds stay as they are. Seed 1 is a regression seed. A request that no member received is told apart by whether its VM had closed the connection before it was sent.

TestReadingBeforeStartKeepsItsAge shows that the PostgreSQL product does not have the fault of the proofs.

--- a/internal/core/freshness/freshness_test.go
+++ b/internal/core/freshness/freshness_test.go
@@ -305,3 +305,17 @@
 	fresh, _ = vm.Fresh(now + 1)
 	assert.Assert(t, fresh)
 }
+
+// Guards against a relayed reading that is older than the process and counts as one at its
+// start.
+func TestReadingBeforeStartKeepsItsAge(t *testing.T) {
+	s := New("vm-1", "a", 1)
+	s.Adopt(4, []ident.AvailabilityZone{"a"})
+	s.RecordReading(Reading{Accepted: 4, Proposal: 4, At: -MaxStaleness})
+	fresh, _ := s.Fresh(0)
+	assert.Assert(t, !fresh && !s.Qualified())
+	assert.Equal(t, s.LastReading().At, -MaxStaleness)
+	s.RecordReading(Reading{Accepted: 4, Proposal: 4, At: -time.Second})
+	until, _ := s.FreshUntil()
+	assert.Equal(t, until, MaxStaleness-time.Second)
+}
--- a/internal/soak/faults.go
+++ b/internal/soak/faults.go
@@ -94,6 +94,8 @@
 		f.withdraw(1)
 	case RestoreStore:
 		f.restoreStore(fault)
+	case RestartInOutage:
+		f.restartInOutage(v)
 	case Evacuate:
 		f.evacuate(zones[fault.Target%len(zones)])
 	case OddEntry:
@@ -122,6 +124,27 @@
 	f.store.Rewrite()
 }
 
+const (
+	// outageRestarts is the number of restarts of a VM during an outage of the store, and
+	// outageRestartInterval the time before each. The proofs of the VMs that run on become
+	// older than revokeBound meanwhile.
+	outageRestarts        = 3
+	outageRestartInterval = 1500 * time.Millisecond
+)
+
+// restartInOutage withdraws a key, takes the store away and restarts a VM several times
+// before the store returns.
+func (f *fleet) restartInOutage(v *vm) {
+	f.withdraw(1)
+	f.store.SetUnavailable(true)
+	for range outageRestarts {
+		time.Sleep(outageRestartInterval)
+		v.kill()
+		f.restart(v)
+	}
+	f.store.SetUnavailable(false)
+}
+
 // evacuate requests the evacuation of a zone unless another one is evacuated.
 func (f *fleet) evacuate(zone string) {
 	f.mu.Lock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -36,6 +36,9 @@
 	// OddEntry leaves an entry of another writer among those of the members or the
 	// evacuations, also in place of a member's.
 	OddEntry Kind = "odd-entry"
+	// RestartInOutage withdraws a key, takes the store away and kills a VM twice meanwhile,
+	// the second time right before the store returns.
+	RestartInOutage Kind = "restart-in-outage"
 )
 
 var kinds = []Kind{
@@ -47,8 +50,11 @@
 // seed as they are.
 var rareKinds = []Kind{RestoreStore, Evacuate}
 
-// storeKinds have one too.
-var storeKinds = []Kind{OddEntry}
+// storeKinds and outageKinds have one each, too.
+var (
+	storeKinds  = []Kind{OddEntry}
+	outageKinds = []Kind{RestartInOutage}
+)
 
 // Fault is one planned fault.
 type Fault struct {
@@ -73,6 +79,8 @@
 	rareInterval = 8 * time.Second
 	// stopStream is the random stream of plannedStops, which no other plan or client uses.
 	stopStream = 1 << 20
+	// outageStream is that of outageKinds.
+	outageStream = stopStream + 1
 )
 
 // NewPlan returns the faults of a seed for a run, in order. On average one begins in
@@ -93,6 +101,7 @@
 	}
 	plan = append(plan, rareFaults(rand.NewPCG(seed, 2), rareKinds, length)...)
 	plan = append(plan, rareFaults(rand.NewPCG(seed, 3), storeKinds, length)...)
+	plan = append(plan, rareFaults(rand.NewPCG(seed, outageStream), outageKinds, length)...)
 	plan = append(plan, plannedStops(seed, length)...)
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
--- a/internal/soak/requests.go
+++ b/internal/soak/requests.go
@@ -29,6 +29,8 @@
 	// sentAt is when its last byte was sent.
 	sentAt, endedAt time.Time
 	end             requestEnd
+	// closedBefore is set if the VM had closed the connection before the request was sent.
+	closedBefore bool
 	// timeout is that of its route.
 	timeout time.Duration
 }
@@ -73,8 +75,9 @@
 
 // Query runs a statement and records how it ended.
 func (s *session) Query(id, text string) (platformtest.Reply, error) {
+	closedBefore := s.Closed()
 	reply, err := s.Client.Query(id, text)
-	r := request{id: id, process: s.process, sentAt: s.SentAt(), endedAt: time.Now(), timeout: s.timeout}
+	r := request{id: id, process: s.process, sentAt: s.SentAt(), endedAt: time.Now(), timeout: s.timeout, closedBefore: closedBefore}
 	var network net.Error
 	switch {
 	case err == nil:
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -24,13 +24,15 @@
 
 // regressions are seeds that have shown a fault, with its cause:
 //
+//	1: a VM that restarted during an outage of the store renewed the proof of a configuration
+//	with a withdrawn key (docs/incidents/restart-in-outage.md).
 //	23: an entry without a readable name hid all members from the VMs, which had all started anew.
 //	24, 44: the soak started a VM that was about to end after SIGTERM, counted its end
 //	as one of its own, and left it stopped.
 //	110: the stand-in of a lagging replica showed the newest term with an old position.
 //	206: a write of unknown outcome took effect after a later one of the same item was
 //	acknowledged, which is allowed; the check took the older value for a stale read.
-var regressions = []uint64{23, 24, 44, 110, 206}
+var regressions = []uint64{1, 23, 24, 44, 110, 206}
 
 // patience replaces the bound of the recovery, which depends on the load of the
 // machine.
@@ -57,7 +59,7 @@
 		assert.Assert(t, report.Reads > 0 && report.Writes > 0)
 		return report
 	}
-	for _, seed := range append([]uint64{1}, regressions...) {
+	for _, seed := range regressions {
 		play(Options{Seed: seed, VMs: 6})
 	}
 	for _, seed := range stopRegressions {
@@ -79,7 +81,7 @@
 			series = series || i > 0 && f.Kind == plan[i-1].Kind && f.Target == plan[i-1].Target
 		}
 	}
-	assert.Equal(t, len(seen), len(kinds)+len(rareKinds)+len(storeKinds)+len(stopKinds))
+	assert.Equal(t, len(seen), len(kinds)+len(rareKinds)+len(storeKinds)+len(outageKinds)+len(stopKinds))
 	assert.Assert(t, series)
 }
 
--- a/internal/soak/stopcheck.go
+++ b/internal/soak/stopcheck.go
@@ -124,6 +124,9 @@
 	arrivals := c.arrivals[r.id]
 	switch {
 	case len(arrivals) == 0 && r.endedAt.Sub(r.sentAt) <= lossSlack+c.delay(r, r.process.vm)+c.delay(r, ""):
+		if r.closedBefore {
+			return "sent after the close"
+		}
 		return "not read" // or the soak saw its end late
 	case r.endedAt.Sub(r.sentAt) >= r.timeout:
 		return "timeout"
--- a/internal/soak/stops.go
+++ b/internal/soak/stops.go
@@ -22,13 +22,26 @@
 	StopPair   Kind = "stop-pair"
 	ReloadVM   Kind = "reload-vm"   // SIGHUP
 	ReloadStop Kind = "reload-stop" // SIGHUP right before SIGTERM and during the stop
+	// StopSeries stops the VMs of a zone and one of the primary's zone together, and again as
+	// soon as they have started.
+	StopSeries Kind = "stop-series"
 )
 
 var stopKinds = []Kind{StopZone, StopFleet, StopTwice, StopPair, ReloadVM, ReloadStop}
 
+// seriesKinds have a random source of their own, so that they leave the other planned work of
+// a seed as it is.
+var seriesKinds = []Kind{StopSeries}
+
 const (
 	// stopInterval is the mean time between two planned stops of a run of unplanned faults.
 	stopInterval = 5 * time.Second
+	// seriesStream is the random stream of seriesKinds.
+	seriesStream = stopStream + 2
+	// stopsOfSeries is the number of stops of a StopSeries.
+	stopsOfSeries = 2
+	// seriesSpread is the time within which the VMs of a StopSeries get SIGTERM.
+	seriesSpread = 300 * time.Millisecond
 	// disruptedEvery is the interval of the seeds of planned work that also pause or kill a VM.
 	disruptedEvery = 3
 )
@@ -58,6 +71,8 @@
 	if seed%disruptedEvery == 0 {
 		plan = append(plan, drawStop(rng, between(rng, firstFault, length), []Kind{PauseVM, KillVM}))
 	}
+	series := rand.New(rand.NewPCG(seed, seriesStream))
+	plan = append(plan, drawStop(series, between(series, firstFault, length), seriesKinds))
 	slices.SortStableFunc(plan, func(a, b Fault) int { return cmp.Compare(a.At, b.At) })
 	return plan
 }
@@ -86,6 +101,14 @@
 	case StopPair:
 		near := f.vmsOf(f.primaryZone())
 		f.stopInTurn(append([]*vm{v}, near[:(len(near)+1)/2]...), 300*time.Millisecond)
+	case StopSeries:
+		vms := f.vmsOf(zones[fault.Target%len(zones)])
+		if near := f.vmsOf(f.primaryZone())[0]; near.zone != vms[0].zone {
+			vms = append(vms, near)
+		}
+		for range stopsOfSeries {
+			f.stopInTurn(vms, seriesSpread)
+		}
 	case ReloadVM:
 		v.reload(v.current(), 1+fault.Target%4)
 	case ReloadStop:
@@ -169,6 +192,8 @@
 		}
 	case StoreDown, StoreLoses, RestoreStore:
 		begun = append(begun, &disruption{store: true})
+	case RestartInOutage:
+		begun = append(begun, &disruption{store: true}, &disruption{vm: vm})
 	case CutUpstream, CrashUpstream, CrashPrimary, DeafReplica, LagReplica, LoseAnswers:
 		begun = append(begun, &disruption{member: member})
 	}
--- a/internal/soak/stops_test.go
+++ b/internal/soak/stops_test.go
@@ -108,6 +108,23 @@
 	}
 }
 
+// Guards against requests that a VM has read and dropped and that are taken for requests of a
+// client that has not noticed the end of its connection.
+func TestStopCheckTellsRequestsSentAfterTheClose(t *testing.T) {
+	for _, c := range []struct {
+		closedBefore, arrived bool
+		reason                string
+	}{{true, false, "sent after the close"}, {false, false, "not read"}, {true, true, ""}} {
+		p := &process{vm: "vm"}
+		check := stopCheck{grace: usersGrace, signals: map[*process]signals{p: {terminatedAt: begin}}, arrivals: map[string][]platformtest.Arrival{}}
+		r := request{id: "r", process: p, sentAt: after(4000), endedAt: after(4001), end: closed, timeout: time.Second, closedBefore: c.closedBefore}
+		if c.arrived {
+			check.arrivals["r"] = []platformtest.Arrival{{Member: "m1", At: after(4000)}}
+		}
+		assert.Equal(t, check.excuse(r), c.reason)
+	}
+}
+
 // Guards against requests that SIGHUP cuts.
 func TestStopCheckCoversReloads(t *testing.T) {
 	reload := signals{reloadedAt: []time.Time{begin}}
@@ -211,7 +228,7 @@
 			seen[f.Kind] = true
 		}
 	}
-	assert.Equal(t, len(seen), len(stopKinds)+4)
+	assert.Equal(t, len(seen), len(stopKinds)+len(seriesKinds)+4)
 }
 
 // Guards against delays that are counted for the time before a sample, or not for threads that
