--- a/internal/core/instant/instant.go
+++ b/internal/core/instant/instant.go
@@ -26,10 +26,10 @@
 // At returns the given time since the start of the process.
 func At(sinceStart time.Duration) Instant { return Instant{sinceStart, true} }
 
-// Reported returns a time that the event is certainly not earlier than. Another VM has
-// given the age of the event in its response to a request that was sent at sentAt. Dating
-// the age from the sending instead of the arrival keeps a late response from making the
-// event appear younger. A negative age counts as zero.
+// Reported returns a lower bound of the time of an event whose age another VM has given in
+// its response to a request sent at sentAt. Dating the age from the sending instead of the
+// arrival keeps a late response from making the event appear younger. A negative age counts
+// as zero.
 func Reported(sentAt, age time.Duration) Instant {
 	return At(sentAt - min(max(age, 0), maxAge))
 }
