Test that the proof of a VM that trusts an older copy is not taken over

Cause: found while the chains of proofs were read. A VM that starts after the store came back from an older copy reads it before it learns of the new era, takes it for current and passes its proof on. A VM that distrusts the copy takes the proof over, and accepts keys whose withdrawal the store has lost.

--- a/internal/controller/storesync/era_test.go
+++ b/internal/controller/storesync/era_test.go
@@ -1,6 +1,7 @@
 package storesync
 
 import (
+	"context"
 	"testing"
 	"time"
 
@@ -106,3 +107,19 @@
 		assert.Equal(t, f.ViewProof().Unsettled, time.Duration(0))
 	})
 }
+
+// Guards against a withdrawn key that is accepted again because a VM that has just started
+// takes the older copy for current and passes its proof on to the others.
+func TestProofOfVMThatTrustsCopyIsNotTakenOver(t *testing.T) {
+	run(t, func(f *testFollower, store *fakeStore) {
+		time.Sleep(2 * time.Second)
+		store.restore(f.times.Revoke, 1, func() {}) // a later configuration was acknowledged and lost
+		started := newFollower(store)
+		assert.Assert(t, started.readConfiguration(context.Background()))
+		version, age, ok := started.Proof()
+		assert.Assert(t, ok)
+		f.ObserveView(f.elapsed(), started.ViewProof())
+		f.ObserveProof(f.elapsed(), "started", true, version, age)
+		assert.Assert(t, !f.Fresh(), "the copy does not prove that no later configuration was acknowledged")
+	})
+}
--- a/internal/core/proof/proof.go
+++ b/internal/core/proof/proof.go
@@ -34,7 +34,7 @@
 	return false, changed
 }
 
-// Observe records the proof of another VM. It counts if it is one of the version in force.
+// Observe records the proof of another VM. It counts only if it proves the version in force.
 func (c *Configuration) Observe(version ident.ConfigurationVersion, provedAt instant.Instant) {
 	if version > 0 && version == c.version {
 		c.provedAt = instant.Latest(c.provedAt, provedAt)
--- a/internal/core/proof/proof_test.go
+++ b/internal/core/proof/proof_test.go
@@ -31,3 +31,22 @@
 	assert.Equal(t, c.Version(), ident.ConfigurationVersion(6))
 	assert.Equal(t, c.ProvedAt(), instant.At(-2*time.Second), "an earlier proof also excludes versions between the two")
 }
+
+// Guards against a read of a store that came back from an older copy and that counts as a
+// proof, and against a proof from before the start that the distrust of nothing refuses.
+func TestDistrustedStoreProvesNothing(t *testing.T) {
+	v := NewViews()
+	v.Prove("upstreams", instant.At(-time.Second))
+	assert.Equal(t, v.ProvedAt("upstreams"), instant.At(-time.Second))
+	assert.Assert(t, !v.ProvedAt("upstreams", "zones").Known(), "the other view is not proved")
+	assert.Assert(t, v.DistrustUntil(instant.At(5*time.Second)))
+	assert.Assert(t, !v.DistrustUntil(instant.At(4*time.Second)))
+	assert.Equal(t, v.Unsettled(3*time.Second), 2*time.Second)
+	assert.Equal(t, v.Unsettled(6*time.Second), time.Duration(0))
+	v.Prove("upstreams", instant.At(5*time.Second-1))
+	v.Prove("upstreams", instant.Never)
+	assert.Equal(t, v.ProvedAt("upstreams"), instant.At(-time.Second))
+	v.Prove("upstreams", instant.At(5*time.Second))
+	v.Prove("zones", instant.At(6*time.Second))
+	assert.Equal(t, v.ProvedAt("upstreams", "zones"), instant.At(5*time.Second))
+}
