--- a/internal/controller/storesync/proof_test.go
+++ b/internal/controller/storesync/proof_test.go
@@ -207,7 +207,11 @@
 			return relay.ServeView(ctx, r), nil
 		}
 		asked := false
-		second.relay = func() (ident.VMName, bool) { first := !asked; asked = true; return "relay", first }
+		second.relay = func() (ident.VMName, bool) { // the relay is known for one request
+			known := !asked
+			asked = true
+			return "relay", known
+		}
 		second.followRelay(context.Background(), "upstreams", second.replaceUpstreams)
 		assert.Equal(t, len(second.Snapshot().Upstreams["g1"]), 1)
 		w := second.newWithdrawal("upstreams", second.times.Drain)
