Let the store change during the messages of the proof test

Cause: in TestProofIsNeverYoungerThanItsRead nothing changed while a read was under way, so it did not notice a read of the store that is dated by its arrival.

Change: a change may be acknowledged during every delay, and responses to probes arrive in any order.

No change of the product.

--- a/internal/controller/storesync/proof_test.go
+++ b/internal/controller/storesync/proof_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -85,9 +86,14 @@
 	age     time.Duration
 }
 
-// delay lets time pass, as for a message or while a process is suspended.
+// delay lets time pass, as for a message or while a process is suspended. The store may
+// acknowledge a change meanwhile.
 func (f *proofFleet) delay() {
 	f.now += time.Duration(rapid.Int64Range(0, int64(3*time.Second)).Draw(f.t, "delay"))
+	if rapid.Bool().Draw(f.t, "change meanwhile") {
+		f.acknowledged = append(f.acknowledged, f.now)
+		f.now += time.Duration(rapid.Int64Range(0, int64(3*time.Second)).Draw(f.t, "delay after the change"))
+	}
 }
 
 func (f *proofFleet) draw(label string) int { return rapid.IntRange(0, len(f.vms)-1).Draw(f.t, label) }
@@ -182,8 +188,9 @@
 				if len(f.pending) == 0 {
 					t.Skip("no response is under way")
 				}
-				p := f.pending[0]
-				f.pending = f.pending[1:]
+				i := rapid.IntRange(0, len(f.pending)-1).Draw(t, "response")
+				p := f.pending[i]
+				f.pending = slices.Delete(f.pending, i, i+1)
 				p.to.ObserveProof(p.sentAt, p.from, true, p.version, p.age)
 			},
 		})
