--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -63,6 +63,7 @@
 	statements    context.Context
 	endStatements context.CancelFunc
 	lastAccept    atomic.Int64 // time on the process clock in nanoseconds
+	connections   atomic.Uint64
 
 	mu       sync.Mutex
 	listener net.Listener
@@ -72,7 +73,9 @@
 
 // clientConn is the connection of a client.
 type clientConn struct {
-	conn        net.Conn
+	conn net.Conn
+	// number is unique to the connection within this process.
+	number      uint64
 	connectedAt time.Duration
 	// statement is the one whose response is not written yet; nil without one.
 	statement atomic.Pointer[runningStatement]
@@ -101,7 +104,9 @@
 
 // Record describes a statement and the response to it.
 type Record struct {
-	Database string
+	// Connection is the number of the client's connection, unique within this process.
+	Connection uint64
+	Database   string
 	// Startup is set if the client was rejected at startup.
 	Startup bool
 	// ID is the request identifier set by the client.
@@ -136,7 +141,7 @@
 			time.Sleep(acceptRetryDelay)
 			continue
 		}
-		c := &clientConn{conn: conn, connectedAt: s.services.Now()}
+		c := &clientConn{conn: conn, number: s.connections.Add(1), connectedAt: s.services.Now()}
 		s.lastAccept.Store(int64(c.connectedAt))
 		s.mu.Lock()
 		s.clients[c] = struct{}{}
@@ -204,7 +209,7 @@
 		return
 	}
 	if err != nil {
-		s.observe(Record{Database: database, Startup: true, Response: Response{Err: err, Trace: trace}})
+		s.observe(Record{Connection: c.number, Database: database, Startup: true, Response: Response{Err: err, Trace: trace}})
 		sockets.Linger(c.conn, lingerTimeout)
 		return
 	}
@@ -266,7 +271,7 @@
 	}
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	err = codec.WriteResponse(a)
-	s.observe(Record{Database: session.database, ID: st.ID, Kind: st.Kind, Response: a, Duration: s.services.Now() - started})
+	s.observe(Record{Connection: c.number, Database: session.database, ID: st.ID, Kind: st.Kind, Response: a, Duration: s.services.Now() - started})
 	return err == nil && !failed
 }
 
--- a/internal/service/observe.go
+++ b/internal/service/observe.go
@@ -14,6 +14,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/core/shares"
 	"github.com/rosemarywall/rosemarywall/internal/core/shareunits"
 	"github.com/rosemarywall/rosemarywall/internal/execution"
+	"github.com/rosemarywall/rosemarywall/internal/framing"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/proxy"
 	"github.com/rosemarywall/rosemarywall/internal/recovery"
@@ -40,6 +41,11 @@
 	if t.Attempts > 0 && a.Err == nil {
 		v.adapter.Metrics.CountUpstreamStatement(t.Primary)
 	}
+	if reason := framing.ReasonOf(a.Err); reason != "" {
+		v.adapter.Metrics.CountRejectedMessage(servicemetrics.FromClient, reason)
+		v.log.Warn().Uint64("connection", r.Connection).Str("database", r.Database).Bool("startup", r.Startup).
+			Str("reason", string(reason)).Stringer("state", a.State).Msg("message rejected")
+	}
 	switch {
 	case r.Startup:
 		addTrace(v.log.Warn().Err(a.Err), r).Str("code", code).Msg("caller refused")
@@ -56,7 +62,7 @@
 // last result.
 func addTrace(line *zerolog.Event, r proxy.Record) *zerolog.Event {
 	t := r.Response.Trace
-	line = line.Str("request", r.ID).Str("database", r.Database).Str("organisation", string(t.Organisation)).
+	line = line.Str("request", r.ID).Uint64("connection", r.Connection).Str("database", r.Database).Str("organisation", string(t.Organisation)).
 		Str("kind", r.Kind.String()).Uint64("version", uint64(t.Version)).Dur("proof_age_ms", t.ProofAge).
 		Dur("took_ms", r.Duration).Dur("target_ms", t.LatencyTarget).Int("attempts", t.Attempts)
 	if t.Attempts == 0 {
--- a/internal/servicemetrics/metrics.go
+++ b/internal/servicemetrics/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/rosemarywall/rosemarywall/internal/core/admission"
+	"github.com/rosemarywall/rosemarywall/internal/framing"
 )
 
 // latencyBuckets are the upper bounds of the latency buckets in seconds. They range from
@@ -27,6 +28,7 @@
 	upstreamConnects   *prometheus.CounterVec
 	evacuatedZone      *prometheus.CounterVec
 	invalidEntries     prometheus.Counter
+	rejectedMessages   *prometheus.CounterVec
 }
 
 // GaugeSources holds the functions that return the values of the gauges.
@@ -64,11 +66,15 @@
 			Help: "Requests sent to upstreams in evacuated zones, of clients or of the VM itself."}, []string{"origin"}),
 		invalidEntries: prometheus.NewCounter(prometheus.CounterOpts{Name: "rosemarywall_invalid_entries_total",
 			Help: "Registrations, and entries without a readable name, that were ignored, once for each change."}),
+		rejectedMessages: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "rosemarywall_rejected_messages_total",
+			Help: "Messages with invalid boundaries that were not handled or not written, by the side that they came from or went to."},
+			[]string{"side", "reason"}),
 	}
 	for _, origin := range []string{originClient, originVM} {
 		m.evacuatedZone.WithLabelValues(origin)
 	}
-	m.registry.MustRegister(m.statements, m.latency, m.attempts, m.upstreamStatements, m.platformCalls, m.upstreamConnects, m.evacuatedZone, m.invalidEntries)
+	m.rejectedMessages.WithLabelValues(string(FromClient), string(framing.LineFeed))
+	m.registry.MustRegister(m.statements, m.latency, m.attempts, m.upstreamStatements, m.platformCalls, m.upstreamConnects, m.evacuatedZone, m.invalidEntries, m.rejectedMessages)
 	return m
 }
 
@@ -139,6 +145,24 @@
 // CountInvalidEntry counts an entry of the store that is ignored.
 func (m *Metrics) CountInvalidEntry() { m.invalidEntries.Inc() }
 
+// Side is the sender or the receiver of a message.
+type Side string
+
+// Sides of messages.
+const (
+	FromClient   Side = "from_client"
+	FromUpstream Side = "from_upstream"
+	ToUpstream   Side = "to_upstream"
+	ToClient     Side = "to_client"
+	FromVM       Side = "from_vm"
+	ToVM         Side = "to_vm"
+)
+
+// CountRejectedMessage counts a message with invalid boundaries.
+func (m *Metrics) CountRejectedMessage(side Side, reason framing.Reason) {
+	m.rejectedMessages.WithLabelValues(string(side), string(reason)).Inc()
+}
+
 // Values of the label origin.
 const (
 	originClient = "client"
--- a/internal/statement/statement.go
+++ b/internal/statement/statement.go
@@ -160,6 +160,16 @@
 	FailedTransaction
 )
 
+var stateNames = [...]string{"idle", "in_transaction", "failed_transaction"}
+
+// String returns the name used in log entries.
+func (s TransactionState) String() string {
+	if int(s) < len(stateNames) {
+		return stateNames[s]
+	}
+	return "unknown"
+}
+
 // Reply is the complete reply to a command.
 type Reply struct {
 	Code   Code
