End a session at a message whose boundaries are invalid

Cause: the reader returned an error at the line feed, or at 1 MiB, and the session took the rest of the same message for the next one. The writers joined ids, texts, names and values as they came, so that a line end or blank in one of them, also from another VM, became a message or field of its own. Change: a message ends at CR LF and holds no other CR or LF. The first message that breaks this or the size limit is answered with MALFORMED or TOOBIG, an open transaction is rolled back, and the session ends: the rest is never read as a message. All messages are written by one encoder that returns an error for a field which would become another one; a command is then not run, and a response that cannot be passed on is INDOUBT.

--- a/internal/execution/execution.go
+++ b/internal/execution/execution.go
@@ -60,6 +60,16 @@
 // the upstream any more.
 var ErrWithdrawn = errors.New("the zone of the upstream is evacuated")
 
+// UnsendableError is returned by a Conn that did not send any of its commands, because one of them
+// cannot be encoded. The connection is as before.
+type UnsendableError struct{ Cause error }
+
+// Error implements error.
+func (e *UnsendableError) Error() string { return "command not sent: " + e.Cause.Error() }
+
+// Unwrap returns the reason.
+func (e *UnsendableError) Unwrap() error { return e.Cause }
+
 // Error implements error.
 func (e *RefusedError) Error() string { return "upstream refused the connection: " + e.Code.String() }
 
@@ -176,9 +186,14 @@
 	// Withdrawn means that the executing VM sends nothing to the upstream, because its zone
 	// is evacuated.
 	Withdrawn
+	// Malformed means that the statement or its session values cannot be encoded for the
+	// upstream, and TooLarge that the message would exceed the maximum size. No upstream runs
+	// such a statement.
+	Malformed
+	TooLarge
 )
 
-var reasonNames = [...]string{"none", "refused", "no_connection", "unreachable", "no_transaction", "peer_lost", "stopping", "withdrawn"}
+var reasonNames = [...]string{"none", "refused", "no_connection", "unreachable", "no_transaction", "peer_lost", "stopping", "withdrawn", "malformed", "too_large"}
 
 // String returns the name used in log entries.
 func (r Reason) String() string { return reasonNames[r] }
--- a/internal/execution/local.go
+++ b/internal/execution/local.go
@@ -10,6 +10,7 @@
 
 	"github.com/rosemarywall/rosemarywall/internal/core/admission"
 	"github.com/rosemarywall/rosemarywall/internal/core/queue"
+	"github.com/rosemarywall/rosemarywall/internal/framing"
 	"github.com/rosemarywall/rosemarywall/internal/statement"
 )
 
@@ -135,8 +136,14 @@
 // command.
 func notSent(err error) Result {
 	reason := Unreachable
-	if errors.Is(err, ErrWithdrawn) {
+	var unsendable *UnsendableError
+	switch {
+	case errors.Is(err, ErrWithdrawn):
 		reason = Withdrawn
+	case errors.As(err, &unsendable) && framing.ReasonOf(err) == framing.TooLarge:
+		reason = TooLarge
+	case errors.As(err, &unsendable):
+		reason = Malformed
 	}
 	return Result{Outcome: NotRun, Reason: reason, Detail: err.Error()}
 }
@@ -241,7 +248,8 @@
 	sentAt := c.meter.begin()
 	defer func() { c.meter.end(sentAt, ran) }()
 	replies, err := c.conn.Exchange(ctx, command)
-	if errors.Is(err, ErrWithdrawn) {
+	var unsendable *UnsendableError
+	if errors.Is(err, ErrWithdrawn) || errors.As(err, &unsendable) {
 		ran = false
 		return notSent(err)
 	}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -123,6 +123,10 @@
 // retried.
 func (a *attempt) finalError(result execution.Result) error {
 	switch {
+	case result.Reason == execution.Malformed:
+		return resultcode.New(resultcode.MalformedMessage, "the statement cannot be sent to an upstream")
+	case result.Reason == execution.TooLarge:
+		return resultcode.New(resultcode.MessageTooLarge, "the statement exceeds the size limit of upstreams")
 	case result.Outcome == execution.NotRun:
 		return nil
 	case result.Outcome == execution.Failed:
--- a/internal/proxy/server.go
+++ b/internal/proxy/server.go
@@ -12,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarywall/rosemarywall/internal/core/shutdown"
+	"github.com/rosemarywall/rosemarywall/internal/framing"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/recovery"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
@@ -26,12 +27,14 @@
 	// WriteStartupResult responds to the first message. A non-nil err rejects the client.
 	WriteStartupResult(err error) error
 	// ReadStatement reads the next statement. An error with a result code is returned
-	// to the client and the session continues; any other error ends it, except an expired
-	// deadline, after which ReadStatement continues with the same message.
+	// to the client and the session continues, except after a framing.Error. Any other error
+	// ends it, except an expired deadline, after which ReadStatement continues with the same
+	// message.
 	ReadStatement() (statement.Statement, error)
 	// Partial reports whether a part of the next message has been read.
 	Partial() bool
-	// WriteResponse writes the response to the last statement.
+	// WriteResponse writes the response to the last statement. It writes nothing and returns a
+	// framing.Error if the response cannot be encoded.
 	WriteResponse(a Response) error
 }
 
@@ -49,6 +52,9 @@
 	// lingerTimeout limits the wait for the client's end of a connection that the server
 	// closes.
 	lingerTimeout = 100 * time.Millisecond
+	// rejectedLingerTimeout is that of a client whose message was rejected. It may still be
+	// sending the message, and would lose the response by a reset.
+	rejectedLingerTimeout = time.Second
 )
 
 // Server accepts client connections and serves their sessions.
@@ -210,17 +216,23 @@
 	}
 	if err != nil {
 		s.observe(Record{Connection: c.number, Database: database, Startup: true, Response: Response{Err: err, Trace: trace}})
-		sockets.Linger(c.conn, lingerTimeout)
+	} else {
+		err = s.serveSession(c, codec, session)
+	}
+	if framing.ReasonOf(err) != "" && s.currentStage() == shutdown.Running {
+		sockets.Linger(c.conn, rejectedLingerTimeout)
 		return
 	}
-	s.serveSession(c, codec, session)
 	sockets.Linger(c.conn, lingerTimeout)
 }
 
-// serveSession serves the statements of a session until it ends.
-func (s *Server) serveSession(c *clientConn, codec Codec, session *Session) {
+// serveSession serves the statements of a session until it ends, and returns the reason.
+func (s *Server) serveSession(c *clientConn, codec Codec, session *Session) error {
 	defer session.Close()
-	for s.serveStatement(c, codec, session) {
+	for {
+		if err := s.serveStatement(c, codec, session); err != nil {
+			return err
+		}
 	}
 }
 
@@ -247,16 +259,20 @@
 // errStopping ends a session during a planned stop.
 var errStopping = errors.New("the VM stops")
 
-// serveStatement serves one statement and reports whether the session continues.
-func (s *Server) serveStatement(c *clientConn, codec Codec, session *Session) bool {
+// serveStatement serves one statement. It returns an error if the session ends.
+func (s *Server) serveStatement(c *clientConn, codec Codec, session *Session) error {
 	st, err := s.readStatement(c.conn, codec, session)
-	coded := resultcode.Of(err) != 0
-	if err != nil && !coded {
-		return false
+	if err != nil && resultcode.Of(err) == 0 {
+		return err
 	}
 	started := s.services.Now()
 	c.statement.Store(&runningStatement{session: session, id: st.ID, kind: st.Kind, startedAt: started})
 	defer c.statement.Store(nil)
+	var ends error
+	if framing.ReasonOf(err) != "" {
+		ends = err
+		session.abandonTransaction()
+	}
 	a := Response{Err: err, State: session.State()}
 	failed := false
 	if err == nil {
@@ -268,11 +284,16 @@
 	if failed {
 		// The statement may have been sent, and the state of the session is uncertain.
 		a = Response{Err: resultcode.New(resultcode.OutcomeUnknown, "internal error"), State: statement.Idle}
+		ends = a.Err
 	}
 	_ = c.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	err = codec.WriteResponse(a)
+	if framing.ReasonOf(err) != "" {
+		a = Response{Err: resultcode.Wrap(err, resultcode.AnswerIncomplete, "the answer cannot be passed on"), State: a.State, Trace: a.Trace}
+		err = codec.WriteResponse(a)
+	}
 	s.observe(Record{Connection: c.number, Database: session.database, ID: st.ID, Kind: st.Kind, Response: a, Duration: s.services.Now() - started})
-	return err == nil && !failed
+	return errors.CombineErrors(ends, err)
 }
 
 // readStatement waits for the next statement. It rolls back a transaction that exceeds
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -212,6 +212,14 @@
 	}
 }
 
+// abandonTransaction rolls back the open transaction of a client whose message was rejected.
+func (s *Session) abandonTransaction() {
+	if s.state == statement.InTransaction {
+		s.rollback()
+		s.state = statement.FailedTransaction
+	}
+}
+
 // waiting describes the session while it waits for the next message.
 func (s *Session) waiting() shutdown.Session {
 	return shutdown.Session{
--- a/internal/service/observe.go
+++ b/internal/service/observe.go
@@ -42,9 +42,13 @@
 		v.adapter.Metrics.CountUpstreamStatement(t.Primary)
 	}
 	if reason := framing.ReasonOf(a.Err); reason != "" {
-		v.adapter.Metrics.CountRejectedMessage(servicemetrics.FromClient, reason)
+		side := servicemetrics.FromClient
+		if code == resultcode.AnswerIncomplete.String() {
+			side = servicemetrics.ToClient
+		}
+		v.adapter.Metrics.CountRejectedMessage(side, reason)
 		v.log.Warn().Uint64("connection", r.Connection).Str("database", r.Database).Bool("startup", r.Startup).
-			Str("reason", string(reason)).Stringer("state", a.State).Msg("message rejected")
+			Str("side", string(side)).Str("reason", string(reason)).Stringer("state", a.State).Msg("message rejected")
 	}
 	switch {
 	case r.Startup:
