Do not take invalid answers of an upstream for silence

Callers saw: none reported; found while looking for the same cause elsewhere. A row with a line end or control bytes in the framing ends the connection, and the statement counted as unanswered: the primary was suspected, which can start a takeover, and a read of that row was repeated until its time limit (TIMEOUT). Cause: one outcome for an answer that cannot be read and for none. Change: the reason InvalidAnswer, which no detector counts as silence; a read is tried at a second upstream, then the client gets RW1021 (INDOUBT). Result: TestReadWithInvalidAnswer and TestInvalidMessagesAreNoFailureOfUpstream pass. They need the reason to compile; that the read got RW1022 before is by reading.

--- a/internal/controller/steering/router.go
+++ b/internal/controller/steering/router.go
@@ -251,7 +251,7 @@
 		r.unreachable[vmUpstream{choice.ExecutingVM, choice.Target.Upstream}] = now + unreachableBackoff
 	case result.Reason == execution.NoConnection:
 		r.saturated[vmUpstream{choice.ExecutingVM, choice.Target.Upstream}] = now + saturatedBackoff
-	case result.Reason == execution.Unreachable, result.Outcome == execution.Unknown && result.Reason != execution.PeerLost:
+	case result.Reason == execution.Unreachable, result.Unanswered():
 		s.failedUntil = now + failureBackoff
 		r.unreachable[vmUpstream{choice.ExecutingVM, choice.Target.Upstream}] = now + unreachableBackoff
 	case result.Code == statement.ReadOnly && choice.VerifyLeadership:
--- a/internal/controller/takeover/suspicion.go
+++ b/internal/controller/takeover/suspicion.go
@@ -63,7 +63,7 @@
 	d := c.detector(c.group(target.Group), target.Upstream)
 	switch {
 	case result.Reason == execution.Unreachable,
-		result.Outcome == execution.Unknown && result.Reason != execution.PeerLost,
+		result.Unanswered(),
 		result.Outcome == execution.Failed && result.Code == statement.Timeout:
 		d.Failure(c.cfg.Now(), writes)
 	case result.Outcome == execution.Done:
--- a/internal/execution/execution.go
+++ b/internal/execution/execution.go
@@ -168,7 +168,7 @@
 type Reason uint8
 
 const (
-	// NoReason is set for outcomes other than NotRun.
+	// NoReason is set for outcomes that need no reason.
 	NoReason Reason = iota
 	// Refused means that the upstream refused the statement with Result.Code.
 	Refused
@@ -191,9 +191,12 @@
 	// such a statement.
 	Malformed
 	TooLarge
+	// InvalidAnswer means that the upstream answered with messages that cannot be read. It is set
+	// for the outcome Unknown.
+	InvalidAnswer
 )
 
-var reasonNames = [...]string{"none", "refused", "no_connection", "unreachable", "no_transaction", "peer_lost", "stopping", "withdrawn", "malformed", "too_large"}
+var reasonNames = [...]string{"none", "refused", "no_connection", "unreachable", "no_transaction", "peer_lost", "stopping", "withdrawn", "malformed", "too_large", "invalid_answer"}
 
 // String returns the name used in log entries.
 func (r Reason) String() string { return reasonNames[r] }
@@ -225,6 +228,11 @@
 	ServiceTime time.Duration `cbor:"13,keyasint,omitempty"`
 }
 
+// Unanswered reports whether the upstream has not answered a statement that was sent to it.
+func (r Result) Unanswered() bool {
+	return r.Outcome == Unknown && r.Reason != PeerLost && r.Reason != InvalidAnswer
+}
+
 // Executor executes statements on this VM or on another one.
 type Executor interface {
 	// Execute runs one statement. It returns within the timeouts of the request.
--- a/internal/execution/local.go
+++ b/internal/execution/local.go
@@ -11,6 +11,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/core/admission"
 	"github.com/rosemarywall/rosemarywall/internal/core/queue"
 	"github.com/rosemarywall/rosemarywall/internal/framing"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/statement"
 )
 
@@ -254,7 +255,11 @@
 		return notSent(err)
 	}
 	if err != nil {
-		return Result{Outcome: Unknown, Detail: err.Error(), Sent: true}
+		result := Result{Outcome: Unknown, Detail: err.Error(), Sent: true}
+		if resultcode.Of(err) == resultcode.MalformedMessage || resultcode.Of(err) == resultcode.MessageTooLarge {
+			result.Reason = InvalidAnswer
+		}
+		return result
 	}
 	reply := replies[0]
 	result := Result{
--- a/internal/execution/local_test.go
+++ b/internal/execution/local_test.go
@@ -14,6 +14,7 @@
 	"pgregory.net/rapid"
 
 	_ "github.com/rosemarywall/rosemarywall/internal/fixedseed"
+	"github.com/rosemarywall/rosemarywall/internal/framing"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/statement"
 	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
@@ -297,6 +298,26 @@
 	assert.Equal(t, u.open, 0)
 }
 
+// Guards against a takeover because a primary answers with a row that cannot be read, and
+// against an unknown outcome of a statement that cannot be encoded.
+func TestInvalidMessagesAreNoFailureOfUpstream(t *testing.T) {
+	u := &fakeUpstream{}
+	l := newLocal(u)
+	u.nextError = framing.New(framing.CarriageReturn, "row")
+	result := l.Execute(t.Context(), request("o1", Single))
+	assert.Equal(t, result.Outcome, Unknown)
+	assert.Equal(t, result.Reason, InvalidAnswer)
+	assert.Assert(t, !result.Unanswered())
+	assert.Equal(t, u.open, 0)
+	for reason, want := range map[framing.Reason]Reason{framing.Field: Malformed, framing.TooLarge: TooLarge} {
+		u.nextError = &UnsendableError{Cause: framing.New(reason, "text")}
+		result = l.Execute(t.Context(), request("o1", Single))
+		assert.Equal(t, result.Outcome, NotRun)
+		assert.Equal(t, result.Reason, want)
+		assert.Equal(t, u.open, 1, "the connection is as before")
+	}
+}
+
 // Guards against an unknown outcome if the connection failed before the statement was
 // sent, and against a refused leader read that counts as proof of leadership.
 func TestOutcomeOfStatementThatWasNotRun(t *testing.T) {
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -21,6 +21,9 @@
 	// of their queues before the client gets an error. It is the usual number of upstreams of
 	// a group and of hubs in a zone.
 	maxQueueRefusals = 3
+	// maxInvalidAnswers is the number of invalid answers to a read before the client gets an
+	// error. A second upstream may answer correctly.
+	maxInvalidAnswers = 2
 	// maxAttempts limits the attempts of one statement.
 	maxAttempts = 40
 )
@@ -54,7 +57,7 @@
 	start := now()
 	deadline, findDeadline := start+a.request.Timeout, start+a.requirement.Grant.Route.LatencyTarget/findDivisor
 	var last execution.Result
-	queueRefusals := 0
+	queueRefusals, invalidAnswers := 0, 0
 	for n := 0; n < maxAttempts && ctx.Err() == nil && now() < deadline && (a.reached || now() < findDeadline); n++ {
 		attemptedAt := now()
 		choice, ok := a.session.services.Router.Choose(a.requirement)
@@ -68,6 +71,11 @@
 			if err := a.finalError(last); err != nil {
 				return last, choice, err
 			}
+			if last.Reason == execution.InvalidAnswer {
+				if invalidAnswers++; invalidAnswers == maxInvalidAnswers {
+					break
+				}
+			}
 			if last.Reason == execution.NoConnection || last.Reason == execution.Refused {
 				findDeadline += now() - attemptedAt // an upstream has been found
 			}
@@ -145,6 +153,8 @@
 		return resultcode.New(resultcode.NoPrimary, "no primary is known")
 	case last.Outcome == 0:
 		return resultcode.New(resultcode.NoUpstream, "no upstream is known")
+	case last.Reason == execution.InvalidAnswer:
+		return resultcode.New(resultcode.AnswerIncomplete, "the upstream's answer cannot be read")
 	case last.Outcome == execution.Unknown:
 		return resultcode.New(resultcode.StatementTimeout, "no answer in time")
 	case last.Reason == execution.NoConnection:
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -135,6 +135,24 @@
 	})
 }
 
+// Guards against a read that is repeated until its time limit because its row cannot be read at
+// any upstream, and against one that fails because a single upstream answers incorrectly.
+func TestReadWithInvalidAnswer(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		f := newFakeServices()
+		s := f.session(t)
+		invalid := execution.Result{Outcome: execution.Unknown, Reason: execution.InvalidAnswer, Sent: true}
+		f.results = []execution.Result{invalid}
+		code, _ := f.handle(s, statement.Read)
+		assert.Equal(t, code, resultcode.Code(0))
+		assert.Equal(t, len(f.requests), 2)
+		f.results = []execution.Result{invalid, invalid, invalid}
+		code, _ = f.handle(s, statement.Read)
+		assert.Equal(t, code, resultcode.AnswerIncomplete)
+		assert.Equal(t, len(f.requests), 4)
+	})
+}
+
 // Guards against an error long after all VMs have refused a statement because of their
 // queues, and against one for a statement that waited in a queue in vain although another VM
 // can run it. Guards also against requests without what the executing VM orders them by.
