--- a/internal/resultcode/table.go
+++ b/internal/resultcode/table.go
@@ -21,7 +21,7 @@
 	{MessageTooLarge, "message_too_large", "54000", NotRun, "A message exceeds the size limit."},
 	{Cancelled, "cancelled", "57014", NotRun, "The caller cancelled the request before it ran."},
 	{TooManyCallers, "too_many_callers", "53300", NotRun, "The VM holds its maximum number of caller connections."},
-	{AnswerIncomplete, "answer_incomplete", "08006", Unknown, "The upstream connection failed while rows were being passed on."},
+	{AnswerIncomplete, "answer_incomplete", "08006", Unknown, "The upstream connection failed while rows were being passed on, or the answer could not be read or passed on."},
 	{StatementTimeout, "statement_timeout", "57014", Unknown, "The statement ran for longer than the route allows; whether it had an effect is not known."},
 	{StatementFailed, "statement_failed", "XX000", Unknown, "The upstream ran the statement and reported a failure."},
 	{UnknownStatement, "unknown_statement", "26000", NotRun, "The session has no prepared statement of this name."},
