Carry fields of any bytes and any number between VMs

Cause: the decoder of requests and responses between VMs refused text that is not UTF-8, and more than 131,072 elements of a list or a map. The rule of internal/framing is that fields keep all bytes. A statement with such bytes ran where the VM of the client executed it and was rejected where another VM did (RW1009 after three VMs); a result of that form was taken for no response, the executing VM was marked unresponsive, a read was repeated until its time limit and a write was in doubt.

Change: the decoder accepts any bytes in strings, and as many elements as a frame holds. The encoding is unchanged, so older VMs understand newer ones as before.

Bytes below 0x80, NUL and control bytes among them, were carried before.

--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -51,10 +51,12 @@
 // 1 MiB and the session variables that are sent with it.
 const maxFrameBytes = 4 << 20
 
+// decodeMode accepts strings that are not UTF-8, because statements, rows and session values are
+// any bytes. The size of the frame alone limits the number of their elements.
 var decodeMode = func() cbor.DecMode {
 	mode, err := cbor.DecOptions{
 		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
-		MaxNestedLevels: 16, MaxArrayElements: 1 << 17, MaxMapPairs: 1 << 17,
+		MaxNestedLevels: 16, MaxArrayElements: maxFrameBytes, MaxMapPairs: maxFrameBytes, UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic(err) // the options are constant
