Check the size of messages between VMs before they are written

Cause: the writer of requests and responses between VMs did not check their size. The reader refused a frame above 4 MiB by closing the connection: all requests of that connection ended without a response, and the executing VM rolled back the transactions begun over it, those of other clients included. A statement with large session values could cause this, and so could a result above 4 MiB. A response that cannot be encoded was not sent at all.

Change: the encoder refuses a frame above the maximum. A request is then not sent, with a framing.Error that is marked as ErrNotSent. A response is replaced with the failure ResponseTooLarge, for which the caller gets ErrResponseTooLarge; an older VM cannot decode that failure and treats the request as unanswered, as before. A response that cannot be encoded is replaced with Failed.

--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -18,6 +18,10 @@
 // ErrNoResponse means that the request may have been handled, but no response arrived.
 var ErrNoResponse = errors.New("no response to request")
 
+// ErrResponseTooLarge means that the other VM handled the request and that its response exceeds
+// the maximum size of a message.
+var ErrResponseTooLarge = errors.New("response to request exceeds the maximum size")
+
 // ErrRejected means that the other VM did not handle the request.
 var ErrRejected = errors.New("request rejected")
 
@@ -57,8 +61,9 @@
 	closed  bool
 }
 
-// Call sends a request and decodes the response. The error is ErrNotSent, ErrRejected or
-// ErrNoResponse, or that of the decoder.
+// Call sends a request and decodes the response. The error is ErrNotSent, ErrRejected,
+// ErrResponseTooLarge or ErrNoResponse, or that of the decoder. A request above the maximum size
+// is not sent: the error is then also a framing.Error.
 func (c *Client) Call(ctx context.Context, kind Kind, request, response any) error {
 	conn, err := c.connect(ctx)
 	if err != nil {
@@ -85,6 +90,8 @@
 			return ErrNoResponse
 		case f.Failure == Rejected:
 			return ErrRejected
+		case f.Failure == ResponseTooLarge:
+			return ErrResponseTooLarge
 		}
 		return Decode(f.Body, response)
 	case <-ctx.Done():
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/rosemarywall/rosemarywall/internal/framing"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
@@ -32,6 +33,9 @@
 	Rejected Failure = iota + 1
 	// Failed means that the handler failed. The request may have been handled in part.
 	Failed
+	// ResponseTooLarge means that the request was handled and that its response exceeds the
+	// maximum size of a frame.
+	ResponseTooLarge
 )
 
 // Identity describes a VM. It is the first message that a client sends on a connection.
@@ -47,8 +51,8 @@
 	Cores float64 `cbor:"7,keyasint,omitempty" json:"cores"`
 }
 
-// maxFrameBytes is the maximum size of a frame. It holds a client message of at most
-// 1 MiB and the session variables that are sent with it.
+// maxFrameBytes is the maximum size of a frame. It holds a client message and a prepared
+// statement of at most 1 MiB each, and the session variables that are sent with them.
 const maxFrameBytes = 4 << 20
 
 // decodeMode accepts strings that are not UTF-8, because statements, rows and session values are
@@ -72,22 +76,33 @@
 	return nil
 }
 
+// encodeRequest returns the frame of a request. The error is a framing.Error if it exceeds the
+// maximum size.
 func encodeRequest(id uint64, kind Kind, body any) ([]byte, error) {
 	raw, err := cbor.Marshal(body)
 	if err != nil {
 		return nil, err
 	}
-	return cbor.Marshal(frame{ID: id, Kind: kind, Body: raw})
+	return encode(frame{ID: id, Kind: kind, Body: raw})
 }
 
-// encodeResponse encodes a body, or a Failure as the body of the response.
+// encodeResponse encodes a body, or a Failure as the body of the response. The error is a
+// framing.Error if the frame exceeds the maximum size.
 func encodeResponse(id uint64, body any) ([]byte, error) {
 	if failure, ok := body.(Failure); ok {
-		return cbor.Marshal(frame{ID: id, Response: true, Failure: failure})
+		return encode(frame{ID: id, Response: true, Failure: failure})
 	}
 	raw, err := cbor.Marshal(body)
 	if err != nil {
 		return nil, err
 	}
-	return cbor.Marshal(frame{ID: id, Response: true, Body: raw})
+	return encode(frame{ID: id, Response: true, Body: raw})
+}
+
+func encode(f frame) ([]byte, error) {
+	message, err := cbor.Marshal(f)
+	if err == nil && len(message) > maxFrameBytes {
+		return nil, framing.New(framing.TooLarge, "a message between VMs has %d bytes, the maximum is %d", len(message), maxFrameBytes)
+	}
+	return message, err
 }
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -18,10 +18,11 @@
 	kindEcho Kind = iota + 1
 	kindNoResponse
 	kindPanic
+	kindUnencodable
 )
 
-// echoHandler responds to kindEcho, panics for kindPanic, and blocks for other kinds until
-// the connection ends.
+// echoHandler responds to kindEcho, panics for kindPanic, returns a value that cannot be encoded
+// for kindUnencodable, and blocks for other kinds until the connection ends.
 type echoHandler struct {
 	closed   chan Peer
 	received chan struct{}
@@ -37,6 +38,8 @@
 		return string(from.VM) + " " + text
 	case kindPanic:
 		panic(text)
+	case kindUnencodable:
+		return func() {}
 	}
 	e.received <- struct{}{}
 	<-ctx.Done()
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -12,6 +12,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
+	"github.com/rosemarywall/rosemarywall/internal/framing"
 	"github.com/rosemarywall/rosemarywall/internal/recovery"
 )
 
@@ -146,8 +147,14 @@
 func (s *Server) respond(ctx context.Context, socket *websocket.Conn, id uint64, body any) {
 	message, err := encodeResponse(id, body)
 	if err != nil {
+		failure := Failed
+		if framing.ReasonOf(err) == framing.TooLarge {
+			failure = ResponseTooLarge
+		}
 		s.log.Error().Err(err).Msg("cannot encode response to peer")
-		return
+		if message, err = encodeResponse(id, failure); err != nil {
+			return // not reached: the frame holds two numbers
+		}
 	}
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
