Report statements that exceed the size between VMs as what they are

Cause: the executor of statements on other VMs knew only requests that were not sent, rejected or unanswered. A request or a result above 4 MiB counted as a failure of the executing VM: it was marked unresponsive, a read was repeated until its time limit, a write was in doubt although it was not sent. A statement of an open transaction that the executing VM rejected ended the transaction for the client only; at the upstream it stayed open, with its connection and its locks, until the connection between the VMs ended.

Change: a request that is too large has the reason TooLarge (not run, RW1018). One whose result is too large has the new reason AnswerTooLarge: the client gets RW1021 (INDOUBT) after one attempt, and no detector counts the upstream or the VM as failed. The VM of the client rolls back the transaction of a statement that was refused in one of these ways.

--- a/internal/controller/peers/peers.go
+++ b/internal/controller/peers/peers.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarywall/rosemarywall/internal/controller/storesync"
@@ -365,7 +366,7 @@
 	}
 	err := q.client.Call(ctx, kind, request, response)
 	switch {
-	case err == nil:
+	case err == nil, errors.Is(err, relay.ErrResponseTooLarge):
 		p.noteResponse(q)
 	case ctx.Err() != nil && kind != KindView: // its time may be shorter than silenceLimit
 		recovery.Go(p.cfg.Log, "probe silent peer", func() { p.probeSilent(q) })
--- a/internal/controller/peers/peers_test.go
+++ b/internal/controller/peers/peers_test.go
@@ -117,6 +117,8 @@
 	unresponsive  bool
 	silent        chan struct{} // responses are delayed until it is closed; nil for none
 	result        execution.Result
+	rejecting     bool        // statements are rejected
+	rollbacks     chan string // the transactions of the rollback requests
 }
 
 // setResult sets the result of the statements that a VM executes.
@@ -136,20 +138,26 @@
 func (n *node) Handle(ctx context.Context, from relay.Peer, kind relay.Kind, body cbor.RawMessage) any {
 	n.Discover(from.Identity)
 	n.mu.Lock()
-	unresponsive, silent, result := n.unresponsive, n.silent, n.result
+	unresponsive, silent, result, rejecting := n.unresponsive, n.silent, n.result, n.rejecting
 	n.mu.Unlock()
 	if silent != nil {
 		<-silent
 	}
 	var members MembersRequest
+	var rollback RollbackRequest
 	switch {
 	case unresponsive:
 		<-ctx.Done()
 		return nil
 	case kind == KindMembers && relay.Decode(body, &members) == nil:
 		return n.ServeMembers(members)
+	case kind == KindExecute && rejecting:
+		return relay.Rejected
 	case kind == KindExecute:
 		return result
+	case kind == KindRollback && relay.Decode(body, &rollback) == nil:
+		n.rollbacks <- rollback.Transaction
+		return true
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -166,7 +174,7 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	start := time.Now()
-	n := &node{result: execution.Result{Outcome: execution.Done}}
+	n := &node{result: execution.Result{Outcome: execution.Done}, rollbacks: make(chan string, 8)}
 	n.Peers = New(Config{
 		Self:  relay.Identity{Version: relay.ProtocolVersion, VM: ident.VMName(name), Zone: ident.AvailabilityZone(zone), Address: l.Addr().String()},
 		Store: store, ProbeInterval: probeInterval, Now: func() time.Duration { return time.Since(start) }, Log: zerolog.Nop(),
--- a/internal/controller/peers/remote.go
+++ b/internal/controller/peers/remote.go
@@ -7,6 +7,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/rosemarywall/rosemarywall/internal/execution"
+	"github.com/rosemarywall/rosemarywall/internal/framing"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/recovery"
 	"github.com/rosemarywall/rosemarywall/internal/relay"
@@ -57,8 +58,8 @@
 		}
 		return result
 	}
-	if errors.Is(err, relay.ErrRejected) {
-		return execution.Result{Outcome: execution.NotRun, Reason: execution.NoConnection}
+	if result, ok := r.refusal(request, err); ok {
+		return result
 	}
 	if ctx.Err() == nil {
 		r.peers.markUnresponsive(q)
@@ -69,6 +70,25 @@
 	return execution.Result{Outcome: execution.Unknown, Reason: execution.PeerLost, Detail: err.Error()}
 }
 
+// refusal returns the result of a statement that the other VM did not run, or whose result it
+// could not pass on. A transaction that is open there is rolled back: neither the other VM nor the
+// end of the connection, which goes on, ends it. The result is false for any other error.
+func (r *RemoteExecutor) refusal(request execution.Request, err error) (execution.Result, bool) {
+	result := execution.Result{Outcome: execution.NotRun, Reason: execution.NoConnection, Detail: err.Error()}
+	switch {
+	case framing.ReasonOf(err) == framing.TooLarge:
+		result.Reason = execution.TooLarge
+	case errors.Is(err, relay.ErrResponseTooLarge):
+		result.Outcome, result.Reason, result.Sent = execution.Unknown, execution.AnswerTooLarge, true
+	case !errors.Is(err, relay.ErrRejected):
+		return execution.Result{}, false
+	}
+	if request.TransactionID != "" {
+		r.Rollback(request.Target, request.TransactionID)
+	}
+	return result, true
+}
+
 // Rollback implements execution.Executor. The request is sent in the background. If it is
 // lost, the transaction ends with its connection.
 func (r *RemoteExecutor) Rollback(target execution.Target, transaction string) {
--- /dev/null
+++ b/internal/controller/peers/remote_test.go
@@ -0,0 +1,69 @@
+package peers
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rosemarywall/rosemarywall/internal/execution"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
+)
+
+// startPair starts two VMs of a zone that use each other and are not probed again.
+func startPair(t *testing.T) (first, second *node) {
+	store := &fakeStore{objects: map[string]objectapi.Object{}}
+	first, second = startNodeProbing(t, store, "vm-1", "a", time.Hour), startNodeProbing(t, store, "vm-2", "a", time.Hour)
+	eventually(t, "the VMs use each other", func() bool { return len(first.Hubs()) == 2 && len(second.Hubs()) == 2 })
+	return first, second
+}
+
+// Guards against a statement that another VM cannot get or answer, because of its size or number
+// of requests, that counts as a failure of that VM, or that leaves its transaction and its locks
+// open there while the connection between the VMs lasts.
+func TestRefusedStatementsEndTheirTransaction(t *testing.T) {
+	first, second := startPair(t)
+	const mebibyte = 1 << 20
+	for _, c := range []struct {
+		name      string
+		request   execution.Request
+		result    execution.Result
+		rejecting bool
+		outcome   execution.Outcome
+		reason    execution.Reason
+	}{
+		{name: "request too large", request: execution.Request{Text: strings.Repeat("x", 5*mebibyte)},
+			outcome: execution.NotRun, reason: execution.TooLarge},
+		{name: "result too large", result: execution.Result{Outcome: execution.Done, Rows: []string{strings.Repeat("x", 5*mebibyte)}, TransactionOpen: true},
+			outcome: execution.Unknown, reason: execution.AnswerTooLarge},
+		{name: "rejected", rejecting: true, outcome: execution.NotRun, reason: execution.NoConnection},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			second.mu.Lock()
+			second.result, second.rejecting = c.result, c.rejecting
+			second.mu.Unlock()
+			for _, mode := range []execution.Mode{execution.Single, execution.Begin, execution.Continue} {
+				r := c.request
+				r.Mode, r.Writes, r.Timeout = mode, true, time.Minute
+				if mode != execution.Single {
+					r.TransactionID = c.name
+				}
+				got := first.Executor("vm-2").Execute(t.Context(), r)
+				assert.Equal(t, got.Outcome, c.outcome)
+				assert.Equal(t, got.Reason, c.reason)
+				assert.Assert(t, !got.TransactionOpen)
+				assert.Assert(t, !got.Unanswered())
+				assert.Equal(t, len(first.Hubs()), 2, "%s: the VM counts as unresponsive")
+				if mode != execution.Single {
+					select {
+					case transaction := <-second.rollbacks:
+						assert.Equal(t, transaction, c.name)
+					case <-time.After(30 * time.Second):
+						t.Fatal("the transaction stays open")
+					}
+				}
+			}
+		})
+	}
+}
--- a/internal/controller/steering/figures.go
+++ b/internal/controller/steering/figures.go
@@ -114,7 +114,8 @@
 			Service: result.ServiceTime, Slots: registered.Slots, Primary: registered.Primary,
 		})
 	}
-	if result.Outcome == execution.Done || result.Outcome == execution.Failed || result.Outcome == execution.Unknown && result.Reason != execution.PeerLost {
+	ofVM := result.Reason == execution.PeerLost || result.Reason == execution.AnswerTooLarge
+	if result.Outcome == execution.Done || result.Outcome == execution.Failed || result.Outcome == execution.Unknown && !ofVM {
 		r.balancer.ObserveAnswer(now, u, result.Outcome != execution.Done)
 	}
 }
--- a/internal/execution/execution.go
+++ b/internal/execution/execution.go
@@ -191,12 +191,15 @@
 	// such a statement.
 	Malformed
 	TooLarge
-	// InvalidAnswer means that the upstream answered with messages that cannot be read. It is set
-	// for the outcome Unknown.
+	// InvalidAnswer means that the upstream, or the executing VM, answered with messages that cannot
+	// be read. It is set for the outcome Unknown.
 	InvalidAnswer
+	// AnswerTooLarge means that the executing VM ran the statement and that its result exceeds the
+	// maximum size of a message between VMs. It is set for the outcome Unknown.
+	AnswerTooLarge
 )
 
-var reasonNames = [...]string{"none", "refused", "no_connection", "unreachable", "no_transaction", "peer_lost", "stopping", "withdrawn", "malformed", "too_large", "invalid_answer"}
+var reasonNames = [...]string{"none", "refused", "no_connection", "unreachable", "no_transaction", "peer_lost", "stopping", "withdrawn", "malformed", "too_large", "invalid_answer", "answer_too_large"}
 
 // String returns the name used in log entries.
 func (r Reason) String() string { return reasonNames[r] }
@@ -230,7 +233,7 @@
 
 // Unanswered reports whether the upstream has not answered a statement that was sent to it.
 func (r Result) Unanswered() bool {
-	return r.Outcome == Unknown && r.Reason != PeerLost && r.Reason != InvalidAnswer
+	return r.Outcome == Unknown && r.Reason != PeerLost && r.Reason != InvalidAnswer && r.Reason != AnswerTooLarge
 }
 
 // Executor executes statements on this VM or on another one.
