Limit the session values to what a request between VMs can hold

Cause: the values that a session sets had no limit, while a request to another VM holds them with the statement and has at most 4 MiB. With values of 4 MiB and more each statement that another VM executes fails, and those that the VM of the client executes itself run: the result depends on the choice of the router, long after the SET.

Change: a SET above 1.5 MiB for all names and values gets RW1018 and changes nothing; in a transaction it fails the transaction, as other errors do. With a statement and a prepared one of 1 MiB, the maximum of a client message, each request then fits.

--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -290,12 +290,12 @@
 func (s *Session) handleSessionStatement(st statement.Statement) Response {
 	switch st.Kind {
 	case statement.SetValue:
-		values := maps.Clone(s.values)
-		if values == nil {
-			values = map[string]string{}
+		if err := s.setValue(st.Name, st.Value); err != nil {
+			if s.state == statement.InTransaction {
+				return s.fail(err)
+			}
+			return Response{Err: err}
 		}
-		values[st.Name] = st.Value
-		s.values = values
 	case statement.Prepare:
 		s.prepared[st.Name] = st
 	case statement.Deallocate:
@@ -304,6 +304,35 @@
 	return Response{}
 }
 
+const (
+	// maxValueBytes is the maximum size in bytes of the values that a session sets, with their
+	// names and valueOverhead for each of them. A request to another VM holds them next to a
+	// statement and a prepared statement of at most 1 MiB each, see relay.MaxFrameBytes. Without
+	// the limit it would depend on the executing VM whether a statement runs.
+	maxValueBytes = 3 << 19
+	// valueOverhead is the maximum size in bytes of what the encoding adds to a name and a value.
+	valueOverhead = 10
+)
+
+// setValue sets a value of the session. The error carries MessageTooLarge, and the values are
+// then as before.
+func (s *Session) setValue(name, value string) error {
+	values := maps.Clone(s.values)
+	if values == nil {
+		values = map[string]string{}
+	}
+	values[name] = value
+	size := 0
+	for name, value := range values {
+		size += len(name) + len(value) + valueOverhead
+	}
+	if size > maxValueBytes {
+		return resultcode.New(resultcode.MessageTooLarge, "the values of the session exceed %d bytes", maxValueBytes)
+	}
+	s.values = values
+	return nil
+}
+
 func (s *Session) begin(ctx context.Context, st statement.Statement) Response {
 	grant, err := s.admit(ctx, s.services.Admission.AdmitTransaction)
 	if err != nil {
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -155,7 +155,7 @@
 	socket, _, err := websocket.Dial(ctx, "ws://"+c.address+path, &websocket.DialOptions{HTTPClient: c.httpClient})
 	var conn *clientConn
 	if err == nil {
-		socket.SetReadLimit(maxFrameBytes)
+		socket.SetReadLimit(MaxFrameBytes)
 		conn = &clientConn{socket: socket, pending: map[uint64]chan frame{}}
 		var identity []byte
 		if identity, err = cbor.Marshal(c.self); err == nil {
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -51,16 +51,16 @@
 	Cores float64 `cbor:"7,keyasint,omitempty" json:"cores"`
 }
 
-// maxFrameBytes is the maximum size of a frame. It holds a client message and a prepared
+// MaxFrameBytes is the maximum size of a request or a response in bytes. It holds a client message and a prepared
 // statement of at most 1 MiB each, and the session variables that are sent with them.
-const maxFrameBytes = 4 << 20
+const MaxFrameBytes = 4 << 20
 
 // decodeMode accepts strings that are not UTF-8, because statements, rows and session values are
 // any bytes. The size of the frame alone limits the number of their elements.
 var decodeMode = func() cbor.DecMode {
 	mode, err := cbor.DecOptions{
 		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
-		MaxNestedLevels: 16, MaxArrayElements: maxFrameBytes, MaxMapPairs: maxFrameBytes, UTF8: cbor.UTF8DecodeInvalid,
+		MaxNestedLevels: 16, MaxArrayElements: MaxFrameBytes, MaxMapPairs: MaxFrameBytes, UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic(err) // the options are constant
@@ -101,8 +101,8 @@
 
 func encode(f frame) ([]byte, error) {
 	message, err := cbor.Marshal(f)
-	if err == nil && len(message) > maxFrameBytes {
-		return nil, framing.New(framing.TooLarge, "a message between VMs has %d bytes, the maximum is %d", len(message), maxFrameBytes)
+	if err == nil && len(message) > MaxFrameBytes {
+		return nil, framing.New(framing.TooLarge, "a message between VMs has %d bytes, the maximum is %d", len(message), MaxFrameBytes)
 	}
 	return message, err
 }
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -82,7 +82,7 @@
 		return // Accept has sent the error to the client
 	}
 	defer socket.CloseNow()
-	socket.SetReadLimit(maxFrameBytes)
+	socket.SetReadLimit(MaxFrameBytes)
 	from, ok := s.readIdentity(socket)
 	if !ok {
 		return
--- a/internal/relay/size_test.go
+++ b/internal/relay/size_test.go
@@ -44,7 +44,7 @@
 	handler, _, c := startPair(t)
 	assertPending := pendingRequest(t, handler, c)
 	var got string
-	err := c.Call(t.Context(), kindEcho, strings.Repeat("x", maxFrameBytes), &got)
+	err := c.Call(t.Context(), kindEcho, strings.Repeat("x", MaxFrameBytes), &got)
 	assert.Assert(t, errors.Is(err, ErrNotSent), "%v", err)
 	assert.ErrorContains(t, err, "maximum")
 	assertPending()
@@ -57,7 +57,7 @@
 	assertPending := pendingRequest(t, handler, c)
 	var got string
 	// The handler adds the name of the VM to the text.
-	err := c.Call(t.Context(), kindEcho, sizedRequest(t, maxFrameBytes), &got)
+	err := c.Call(t.Context(), kindEcho, sizedRequest(t, MaxFrameBytes), &got)
 	assert.Assert(t, errors.Is(err, ErrResponseTooLarge), "%v", err)
 	assert.Assert(t, !errors.Is(err, ErrNotSent) && !errors.Is(err, ErrRejected))
 	assertPending()
@@ -68,7 +68,7 @@
 	handler, _, c := startPair(t)
 	assertPending := pendingRequest(t, handler, c)
 	var got string
-	text := sizedRequest(t, maxFrameBytes-len("vm-1 "))
+	text := sizedRequest(t, MaxFrameBytes-len("vm-1 "))
 	assert.NilError(t, c.Call(t.Context(), kindEcho, text, &got))
 	assert.Equal(t, len(got), len(text)+len("vm-1 "))
 	assertPending()
