Reject and count invalid messages between VMs

Cause: a frame of the wrong form was taken for a message in some cases, and no invalid one left a trace. A text frame and a frame that holds null were handled. A request with the ID of one that is handled, or without an ID, was handled, so that two responses with one ID followed. A response with an ID that no request has was passed over, and its request waited until its time limit.

Change: a frame is a binary message of exactly one CBOR map. A request must not have the ID of one that is handled, a response must have the ID of a request of the connection, and the first message names a VM. Anything else ends the connection; nothing of the message runs, nor what follows it, and pending requests end without a response. Responses to calls that have ended are still passed over. An unknown failure of a newer VM counts as no response.

Result: on, without the checks of what is reported: TestInvalidRequestEndsConnection/text_frame, /request_without_ID, /ID_in_use violation_test.go:143: assertion failed: vm-0 ... != vm-1 (the connection goes on) TestInvalidRequestEndsConnection/null violation_test.go:145: assertion failed: err is nil: the connection goes on TestInvalidResponseEndsConnection/text_frame violation_test.go:272: ... errors.Is(err, ErrNoResponse): <nil> (a forged response) TestInvalidResponseEndsConnection/unknown_ID, /ID_of_zero panic: test timed out after 3s All pass now. Sound before: trailing bytes, two items in a frame, truncated and empty frames, repeated fields, requests in place of responses and the reverse, frames above the maximum (all ended the connection, without a log line); TestInterruptedRequestIsNotHandled and TestResponsesReachNoOtherRequest pass on both.

--- a/internal/controller/peers/peers.go
+++ b/internal/controller/peers/peers.go
@@ -149,6 +149,9 @@
 	// false if this VM reads the registrations itself. A nil Relay is one that never
 	// returns a hub.
 	Relay func() (ident.VMName, bool)
+	// OnRejected is called with the error of an invalid message of another VM, or of a request
+	// that is not sent. It may be nil.
+	OnRejected func(peer ident.VMName, sent bool, err error)
 	// OnProbeResponse is called with each probe response and the time at which the request
 	// was sent.
 	OnProbeResponse func(sentAt time.Duration, from placement.VM, p ProbeResponse)
--- a/internal/controller/peers/registry.go
+++ b/internal/controller/peers/registry.go
@@ -176,6 +176,9 @@
 		return false
 	}
 	q := &peer{identity: identity, probeNow: make(chan struct{}, 1), client: relay.NewClient(p.cfg.Self, identity.Address, p.cfg.Dial)}
+	if p.cfg.OnRejected != nil {
+		q.client.OnRejected = func(sent bool, err error) { p.cfg.OnRejected(identity.VM, sent, err) }
+	}
 	q.trust, q.endTrust = context.WithCancel(context.Background())
 	p.peers[identity.VM] = q
 	return true
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -23,6 +23,8 @@
 	// Field is a value that cannot be a field of the message: it is empty, or holds a byte that
 	// ends a field.
 	Field Reason = "field"
+	// Encoding is a frame between VMs that does not hold exactly one item of the expected form.
+	Encoding Reason = "encoding"
 	// Sequence is a message that may not follow the one before it.
 	Sequence Reason = "sequence"
 )
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -10,6 +10,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/rosemarywall/rosemarywall/internal/framing"
 )
 
 // ErrNotSent means that the request did certainly not reach the other VM.
@@ -37,6 +39,10 @@
 
 // Client sends requests to one VM. It is safe for concurrent use.
 type Client struct {
+	// OnRejected, if set, is called with the error of a message of the other VM that is invalid,
+	// or of a request that is not sent. It must be set before the first call.
+	OnRejected func(sent bool, err error)
+
 	self       Identity
 	address    string
 	httpClient *http.Client
@@ -76,6 +82,7 @@
 	defer conn.unregister(id)
 	message, err := encodeRequest(id, kind, request)
 	if err != nil {
+		c.rejected(true, err)
 		return errors.Mark(err, ErrNotSent)
 	}
 	go func() { // a write to a VM that does not read outlasts ctx
@@ -86,12 +93,12 @@
 	select {
 	case f, ok := <-result:
 		switch {
-		case !ok || f.Failure == Failed:
-			return ErrNoResponse
-		case f.Failure == Rejected:
+		case ok && f.Failure == Rejected:
 			return ErrRejected
-		case f.Failure == ResponseTooLarge:
+		case ok && f.Failure == ResponseTooLarge:
 			return ErrResponseTooLarge
+		case !ok || f.Failure != 0: // a newer VM may know other failures
+			return ErrNoResponse
 		}
 		return Decode(f.Body, response)
 	case <-ctx.Done():
@@ -178,15 +185,22 @@
 func (c *Client) readResponses(conn *clientConn) {
 	defer c.drop(conn)
 	for {
-		_, message, err := conn.socket.Read(context.Background())
-		if err != nil {
-			return
-		}
 		var f frame
-		if Decode(message, &f) != nil || !f.Response {
+		err := readFrame(context.Background(), conn.socket, &f)
+		if err == nil {
+			err = conn.deliver(f)
+		}
+		if err != nil {
+			c.rejected(false, err)
 			return
 		}
-		conn.deliver(f)
+	}
+}
+
+// rejected reports an invalid message. Other errors are those of the connection.
+func (c *Client) rejected(sent bool, err error) {
+	if c.OnRejected != nil && framing.ReasonOf(err) != "" {
+		c.OnRejected(sent, err)
 	}
 }
 
@@ -216,13 +230,19 @@
 	delete(c.pending, id)
 }
 
-func (c *clientConn) deliver(f frame) {
+// deliver passes a response to its call, unless that has ended. The error is a framing.Error if
+// the frame cannot be a response to any request.
+func (c *clientConn) deliver(f frame) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if !f.Response || f.ID == 0 || f.ID > c.lastID {
+		return framing.New(framing.Sequence, "message %d is no response to a request", f.ID)
+	}
 	if result, ok := c.pending[f.ID]; ok {
 		delete(c.pending, f.ID)
 		result <- f
 	}
+	return nil
 }
 
 func (c *clientConn) close() {
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -1,6 +1,10 @@
 package relay
 
 import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/rosemarywall/rosemarywall/internal/framing"
@@ -76,6 +80,29 @@
 	return nil
 }
 
+// readFrame reads a frame into f. The error is a framing.Error if the frame is invalid. After any
+// error the connection cannot be used any more: its next message is not known.
+func readFrame(ctx context.Context, socket *websocket.Conn, into any) error {
+	form, message, err := socket.Read(ctx)
+	switch {
+	case errors.Is(err, websocket.ErrMessageTooBig):
+		return framing.New(framing.TooLarge, "a message between VMs exceeds %d bytes", MaxFrameBytes)
+	case err != nil:
+		return err
+	case form != websocket.MessageBinary:
+		return framing.New(framing.Encoding, "a message between VMs is not binary")
+	case len(message) == 0 || message[0]>>5 != mapType: // null would leave into as it is
+		return framing.New(framing.Encoding, "a message between VMs is no map")
+	}
+	if err := Decode(message, into); err != nil {
+		return framing.New(framing.Encoding, "a message between VMs cannot be decoded: %v", err)
+	}
+	return nil
+}
+
+// mapType is the major type of a CBOR map, which all frames are.
+const mapType = 5
+
 // encodeRequest returns the frame of a request. The error is a framing.Error if it exceeds the
 // maximum size.
 func encodeRequest(id uint64, kind Kind, body any) ([]byte, error) {
--- a/internal/relay/server.go
+++ b/internal/relay/server.go
@@ -6,13 +6,16 @@
 	stdlog "log"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarywall/rosemarywall/internal/framing"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/recovery"
 )
 
@@ -48,6 +51,10 @@
 
 // Server accepts connections of other VMs and passes their requests to a Handler.
 type Server struct {
+	// OnRejected, if set, is called with the error of a message of another VM that is invalid, or
+	// of a response that is not sent. It must be set before Serve.
+	OnRejected func(peer ident.VMName, sent bool, err error)
+
 	handler          Handler
 	log              zerolog.Logger
 	http             *http.Server
@@ -90,28 +97,63 @@
 	ctx, cancel := context.WithCancel(s.ctx)
 	defer cancel()
 	defer s.handler.Closed(from)
-	running := make(chan struct{}, maxConcurrentRequests)
+	requests := requests{running: map[uint64]struct{}{}}
 	for {
-		message, err := readMessage(ctx, socket, idleTimeout)
-		if err != nil {
-			return
+		f, err := readRequest(ctx, socket)
+		if err == nil {
+			err = requests.begin(f.ID)
 		}
-		var f frame
-		if Decode(message, &f) != nil || f.Response {
+		switch {
+		case errors.Is(err, errTooManyRequests):
+			s.respond(ctx, from, socket, f.ID, Rejected)
+		case err != nil:
+			s.rejected(from, false, err)
 			return
-		}
-		select {
-		case running <- struct{}{}:
+		default:
 			go func() {
-				defer func() { <-running }()
-				s.respond(ctx, socket, f.ID, s.handle(ctx, from, f))
+				defer requests.end(f.ID)
+				s.respond(ctx, from, socket, f.ID, s.handle(ctx, from, f))
 			}()
-		default:
-			s.respond(ctx, socket, f.ID, Rejected)
 		}
 	}
 }
 
+// requests are the requests of a connection that are handled.
+type requests struct {
+	mu      sync.Mutex
+	running map[uint64]struct{}
+}
+
+var errTooManyRequests = errors.New("too many concurrent requests")
+
+// begin adds a request. The error is errTooManyRequests, or a framing.Error if a request with this
+// ID is handled: the sender could not tell the responses apart.
+func (r *requests) begin(id uint64) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if _, ok := r.running[id]; ok || id == 0 {
+		return framing.New(framing.Sequence, "request %d has the ID of another one", id)
+	}
+	if len(r.running) == maxConcurrentRequests {
+		return errTooManyRequests
+	}
+	r.running[id] = struct{}{}
+	return nil
+}
+
+func (r *requests) end(id uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.running, id)
+}
+
+// rejected reports an invalid message. Other errors are those of the connection.
+func (s *Server) rejected(peer Peer, sent bool, err error) {
+	if s.OnRejected != nil && framing.ReasonOf(err) != "" {
+		s.OnRejected(peer.VM, sent, err)
+	}
+}
+
 // handle returns the response to a request: a body or a Failure.
 func (s *Server) handle(ctx context.Context, from Peer, f frame) (body any) {
 	if recovery.Run(s.log, "peer request", func() { body = s.handler.Handle(ctx, from, f.Kind, f.Body) }) || body == nil {
@@ -120,19 +162,29 @@
 	return body
 }
 
-// readMessage reads one message. After an error the connection cannot be used any more.
-func readMessage(ctx context.Context, socket *websocket.Conn, timeout time.Duration) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+// readRequest reads the next request of a connection.
+func readRequest(ctx context.Context, socket *websocket.Conn) (frame, error) {
+	ctx, cancel := context.WithTimeout(ctx, idleTimeout)
 	defer cancel()
-	_, message, err := socket.Read(ctx)
-	return message, err
+	var f frame
+	err := readFrame(ctx, socket, &f)
+	if err == nil && f.Response {
+		err = framing.New(framing.Sequence, "response %d instead of a request", f.ID)
+	}
+	return f, err
 }
 
 // readIdentity reads the first message of a connection and checks the protocol version.
 func (s *Server) readIdentity(socket *websocket.Conn) (Peer, bool) {
 	var from Peer
-	message, err := readMessage(s.ctx, socket, identityTimeout)
-	if err != nil || Decode(message, &from.Identity) != nil {
+	ctx, cancel := context.WithTimeout(s.ctx, identityTimeout)
+	defer cancel()
+	err := readFrame(ctx, socket, &from.Identity)
+	if err == nil && from.Version == ProtocolVersion && from.VM == "" {
+		err = framing.New(framing.Sequence, "the first message names no VM")
+	}
+	if err != nil {
+		s.rejected(from, false, err)
 		return from, false
 	}
 	if from.Version != ProtocolVersion {
@@ -144,14 +196,16 @@
 	return from, true
 }
 
-func (s *Server) respond(ctx context.Context, socket *websocket.Conn, id uint64, body any) {
+func (s *Server) respond(ctx context.Context, from Peer, socket *websocket.Conn, id uint64, body any) {
 	message, err := encodeResponse(id, body)
 	if err != nil {
 		failure := Failed
 		if framing.ReasonOf(err) == framing.TooLarge {
 			failure = ResponseTooLarge
+			s.rejected(from, true, err)
+		} else {
+			s.log.Error().Err(err).Msg("cannot encode response to peer")
 		}
-		s.log.Error().Err(err).Msg("cannot encode response to peer")
 		if message, err = encodeResponse(id, failure); err != nil {
 			return // not reached: the frame holds two numbers
 		}
--- a/internal/service/observe.go
+++ b/internal/service/observe.go
@@ -62,6 +62,18 @@
 	}
 }
 
+// observeRejectedMessage logs and counts a message between VMs that was invalid, or that was not
+// sent because it would have been.
+func (v *VM) observeRejectedMessage(peer ident.VMName, sent bool, err error) {
+	side := servicemetrics.FromVM
+	if sent {
+		side = servicemetrics.ToVM
+	}
+	reason := framing.ReasonOf(err)
+	v.adapter.Metrics.CountRejectedMessage(side, reason)
+	v.log.Warn().Err(err).Str("peer", string(peer)).Str("side", string(side)).Str("reason", string(reason)).Msg("message rejected")
+}
+
 // addTrace adds the trace of the statement: the routing decision with its inputs, and the
 // last result.
 func addTrace(line *zerolog.Event, r proxy.Record) *zerolog.Event {
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -170,7 +170,7 @@
 	v.local.LimitConnectionsUntil(formerConnectionsEnd)
 	v.peers = peers.New(peers.Config{
 		Self: v.self, Store: v.adapter.Store, ProbeInterval: min(s.Bounds.ApplyTimeout/probesPerApplyTimeout, maxProbeInterval), Now: now, Log: v.log, Dial: v.adapter.DialPeer,
-		Relay: v.storeRelayVM,
+		Relay: v.storeRelayVM, OnRejected: v.observeRejectedMessage,
 		OnProbeResponse: func(sentAt time.Duration, from placement.VM, p peers.ProbeResponse) {
 			v.router.ObserveRoundTrip(from.Zone, v.clock.Now()-sentAt)
 			v.limits.ObservePeerVersion(sentAt, p.ShareTableVersion, p.ShareTableAge)
@@ -213,6 +213,7 @@
 		Admission: v, Authoriser: v, Limiter: v.limits, Router: v.router, Now: now, NewTransactionID: v.newUniqueID, Started: v.started,
 	}, v.adapter.NewCodec, v.log, v.observeStatement)
 	v.relay = relay.NewServer(v, v.log)
+	v.relay.OnRejected = v.observeRejectedMessage
 	v.ready = v.adapter.NewReadinessServer(v.Ready)
 	v.metrics = v.newMetricsServer()
 }
