Refuse bodies of another kind as statements and results

Cause: fields that are missing in the body of a request are zero, so a null body or one of another kind could run as a statement without a text, a mode or a target. A result without an outcome, or with one that this VM does not know, was passed on: it ended the attempts of a write, repeated those of a read, and made String panic in the log line. A result that cannot be decoded marked the executing VM unresponsive.

Change: a request must have a mode, a target, a text and a transaction that fits the mode, or it is rejected (not run). A result that states no known outcome or cannot be decoded is an InvalidAnswer: the outcome is unknown, the transaction is rolled back, the VM is not marked unresponsive. Names of unknown outcomes and reasons are numbers.

--- a/internal/controller/peers/peers_test.go
+++ b/internal/controller/peers/peers_test.go
@@ -118,6 +118,7 @@
 	silent        chan struct{} // responses are delayed until it is closed; nil for none
 	result        execution.Result
 	rejecting     bool        // statements are rejected
+	otherBody     any         // the response to statements in place of result
 	rollbacks     chan string // the transactions of the rollback requests
 }
 
@@ -138,7 +139,7 @@
 func (n *node) Handle(ctx context.Context, from relay.Peer, kind relay.Kind, body cbor.RawMessage) any {
 	n.Discover(from.Identity)
 	n.mu.Lock()
-	unresponsive, silent, result, rejecting := n.unresponsive, n.silent, n.result, n.rejecting
+	unresponsive, silent, result, rejecting, otherBody := n.unresponsive, n.silent, n.result, n.rejecting, n.otherBody
 	n.mu.Unlock()
 	if silent != nil {
 		<-silent
@@ -153,6 +154,8 @@
 		return n.ServeMembers(members)
 	case kind == KindExecute && rejecting:
 		return relay.Rejected
+	case kind == KindExecute && otherBody != nil:
+		return otherBody
 	case kind == KindExecute:
 		return result
 	case kind == KindRollback && relay.Decode(body, &rollback) == nil:
--- a/internal/controller/peers/remote.go
+++ b/internal/controller/peers/remote.go
@@ -11,6 +11,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/recovery"
 	"github.com/rosemarywall/rosemarywall/internal/relay"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
 const (
@@ -52,6 +53,9 @@
 	}
 	var result execution.Result
 	err := r.peers.call(ctx, q, KindExecute, request, &result)
+	if err == nil && !result.Valid() {
+		err = resultcode.New(resultcode.MessageMalformed, "the result states no outcome")
+	}
 	if err == nil {
 		if result.Reason == execution.Stopping {
 			r.peers.markLeaving(q)
@@ -71,13 +75,15 @@
 }
 
 // refusal returns the result of a statement that the other VM did not run, or whose result it
-// could not pass on. A transaction that is open there is rolled back: neither the other VM nor the
+// could not pass on or that cannot be read. A transaction that is open there is rolled back: neither the other VM nor the
 // end of the connection, which goes on, ends it. The result is false for any other error.
 func (r *RemoteExecutor) refusal(request execution.Request, err error) (execution.Result, bool) {
 	result := execution.Result{Outcome: execution.NotRun, Reason: execution.NoConnection, Detail: err.Error()}
 	switch {
 	case framing.ReasonOf(err) == framing.TooLarge:
 		result.Reason = execution.TooLarge
+	case resultcode.Is(err, resultcode.MessageMalformed):
+		result.Outcome, result.Reason, result.Sent = execution.Unknown, execution.InvalidAnswer, true
 	case errors.Is(err, relay.ErrResponseTooLarge):
 		result.Outcome, result.Reason, result.Sent = execution.Unknown, execution.AnswerTooLarge, true
 	case !errors.Is(err, relay.ErrRejected):
--- a/internal/controller/peers/remote_test.go
+++ b/internal/controller/peers/remote_test.go
@@ -19,8 +19,8 @@
 	return first, second
 }
 
-// Guards against a statement that another VM cannot get or answer, because of its size or number
-// of requests, that counts as a failure of that VM, or that leaves its transaction and its locks
+// Guards against a statement that another VM cannot get or answer, because of its size, the number
+// of requests or an invalid body, that counts as a failure of that VM, or that leaves its transaction and its locks
 // open there while the connection between the VMs lasts.
 func TestRefusedStatementsEndTheirTransaction(t *testing.T) {
 	first, second := startPair(t)
@@ -30,6 +30,7 @@
 		request   execution.Request
 		result    execution.Result
 		rejecting bool
+		otherBody any
 		outcome   execution.Outcome
 		reason    execution.Reason
 	}{
@@ -37,11 +38,14 @@
 			outcome: execution.NotRun, reason: execution.TooLarge},
 		{name: "result too large", result: execution.Result{Outcome: execution.Done, Rows: []string{strings.Repeat("x", 5*mebibyte)}, TransactionOpen: true},
 			outcome: execution.Unknown, reason: execution.AnswerTooLarge},
+		{name: "body of another kind", otherBody: ProbeResponse{}, outcome: execution.Unknown, reason: execution.InvalidAnswer},
+		{name: "body of another type", otherBody: []int{1}, outcome: execution.Unknown, reason: execution.InvalidAnswer},
+		{name: "unknown outcome", result: execution.Result{Outcome: 9}, outcome: execution.Unknown, reason: execution.InvalidAnswer},
 		{name: "rejected", rejecting: true, outcome: execution.NotRun, reason: execution.NoConnection},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			second.mu.Lock()
-			second.result, second.rejecting = c.result, c.rejecting
+			second.result, second.rejecting, second.otherBody = c.result, c.rejecting, c.otherBody
 			second.mu.Unlock()
 			for _, mode := range []execution.Mode{execution.Single, execution.Begin, execution.Continue} {
 				r := c.request
--- a/internal/execution/execution.go
+++ b/internal/execution/execution.go
@@ -16,6 +16,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -138,6 +139,13 @@
 	SlotShare int `cbor:"21,keyasint,omitempty"`
 }
 
+// Valid reports whether the request of another VM states what to run and where. A body of another
+// kind may decode as a request without these fields.
+func (r Request) Valid() bool {
+	inTransaction := r.Mode == Begin || r.Mode == Continue
+	return r.Mode >= Single && r.Mode <= Continue && r.Target.Address != "" && r.Text != "" && inTransaction == (r.TransactionID != "")
+}
+
 // Repeatable reports whether the request may run more than once: a read outside a
 // transaction of the client.
 func (r Request) Repeatable() bool {
@@ -162,7 +170,12 @@
 var outcomeNames = [...]string{"", "done", "not_run", "failed", "unknown"}
 
 // String returns the name used in log entries.
-func (o Outcome) String() string { return outcomeNames[o] }
+func (o Outcome) String() string {
+	if int(o) < len(outcomeNames) {
+		return outcomeNames[o]
+	}
+	return fmt.Sprint("outcome ", uint8(o))
+}
 
 // Reason is the reason why a statement was not run.
 type Reason uint8
@@ -201,8 +214,13 @@
 
 var reasonNames = [...]string{"none", "refused", "no_connection", "unreachable", "no_transaction", "peer_lost", "stopping", "withdrawn", "malformed", "too_large", "invalid_answer", "answer_too_large"}
 
-// String returns the name used in log entries.
-func (r Reason) String() string { return reasonNames[r] }
+// String returns the name used in log entries. A newer VM may know other reasons.
+func (r Reason) String() string {
+	if int(r) < len(reasonNames) {
+		return reasonNames[r]
+	}
+	return fmt.Sprint("reason ", uint8(r))
+}
 
 // Result is the result of a Request.
 type Result struct {
@@ -231,6 +249,10 @@
 	ServiceTime time.Duration `cbor:"13,keyasint,omitempty"`
 }
 
+// Valid reports whether the result of another VM states an outcome. A body of another kind may
+// decode as a result without one.
+func (r Result) Valid() bool { return r.Outcome >= Done && r.Outcome <= Unknown }
+
 // Unanswered reports whether the upstream has not answered a statement that was sent to it.
 func (r Result) Unanswered() bool {
 	return r.Outcome == Unknown && r.Reason != PeerLost && r.Reason != InvalidAnswer && r.Reason != AnswerTooLarge
--- a/internal/service/handler.go
+++ b/internal/service/handler.go
@@ -28,7 +28,7 @@
 		return v.probeResponse()
 	case peers.KindExecute:
 		var r execution.Request
-		if v.decode(from, body, &r) {
+		if v.decode(from, body, &r) && r.Valid() {
 			return v.executeRemote(ctx, from, r)
 		}
 	case peers.KindRollback:
