Decode messages of the mesh with its limits everywhere

Cause: the receivers of configuration and group messages decoded bodies with the defaults of the library, which keep the last of two equal fields and accept tags and items of indefinite length. peer.Decode, which refuses them, was used for the other messages only. Change: they use peer.Decode. Result: on --- FAIL: TestAmbiguousMessagesAreIgnored (0.00s) messages_test.go:23: repeated field: received as {Accepted:5 Proposal:{Version:0 Attempt:0}} It passes now. The three receivers of internal/controller/groups have the same change and no test of their own.

--- a/internal/controller/configuration/messages.go
+++ b/internal/controller/configuration/messages.go
@@ -85,7 +85,7 @@
 func receive[T any](c *Controller, handle func(peer.Member, T)) func(peer.Member, cbor.RawMessage) {
 	return func(from peer.Member, body cbor.RawMessage) {
 		var message T
-		if err := cbor.Unmarshal(body, &message); err != nil {
+		if err := peer.Decode(body, &message); err != nil {
 			c.vars.Add("messages_malformed", 1)
 			return
 		}
--- a/internal/controller/groups/record.go
+++ b/internal/controller/groups/record.go
@@ -184,19 +184,19 @@
 func (c *Controller) handleMessages() {
 	c.options.Mesh.Handle(kindRecord, func(from peer.Member, body cbor.RawMessage) {
 		var message recordMessage
-		if cbor.Unmarshal(body, &message) == nil {
+		if peer.Decode(body, &message) == nil {
 			c.receiveRecord(from, message)
 		}
 	})
 	c.options.Mesh.Handle(kindConfirmationRequest, func(from peer.Member, body cbor.RawMessage) {
 		var request promotion.ConfirmationRequest
-		if cbor.Unmarshal(body, &request) == nil {
+		if peer.Decode(body, &request) == nil {
 			c.deliverToMachine(request.Group, func(m *promotion.Machine, now time.Duration) { m.ConfirmationRequest(now, from.Name, request) })
 		}
 	})
 	c.options.Mesh.Handle(kindConfirmationResponse, func(from peer.Member, body cbor.RawMessage) {
 		var response promotion.ConfirmationResponse
-		if cbor.Unmarshal(body, &response) == nil {
+		if peer.Decode(body, &response) == nil {
 			c.deliverToMachine(response.Request.Group, func(m *promotion.Machine, now time.Duration) { m.ConfirmationResponse(now, from.Name, response) })
 		}
 	})
