Carry fields of any bytes in messages of the mesh

Cause: the decoder of the mesh refused text that is not UTF-8, which its encoder writes. A name or value with such bytes ended the connection of whoever sent it. Change: the decoder accepts any bytes in strings. The encoding is unchanged.

--- a/internal/peer/codec.go
+++ b/internal/peer/codec.go
@@ -15,11 +15,12 @@
 // logs.
 const maxNameBytes = 255
 
+// decodeMode accepts strings that are not UTF-8, as the encoder does.
 var decodeMode = func() cbor.DecMode {
 	mode, err := cbor.DecOptions{
 		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden,
 		TagsMd: cbor.TagsForbidden, MaxNestedLevels: 16,
-		MaxArrayElements: 1 << 17, MaxMapPairs: 1 << 17,
+		MaxArrayElements: 1 << 17, MaxMapPairs: 1 << 17, UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic(err)
