Count messages of the mesh that are lost or come unasked

Cause: a message whose write failed was taken from the queue and in no counter, as was one of the failure detector that could not be queued. A VM that sent a message on a connection that it does not own ended that connection without an error or a counter. Change: the first two are counted as dropped, by kind. The third is counted as refused (MessageMalformed) and is the last error of the link. The message itself was not handled before either. Not counted, as before: what was written and lost with the connection.

--- a/internal/peer/counters.go
+++ b/internal/peer/counters.go
@@ -6,7 +6,7 @@
 type counters struct {
 	sentMessages, sentBytes         expvar.Map // written to a connection, by kind
 	receivedMessages, receivedBytes expvar.Map // accepted, by kind
-	dropped                         expvar.Map // queue full, message expired or payload too large, by kind
+	dropped                         expvar.Map // queue full, message expired, write failed, or message or payload too large, by kind
 	refused                         expvar.Map // rejected connections and frames, by result code
 	connects, connectFailures       expvar.Int
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -172,6 +172,10 @@
 		// The peer sends no messages after its hello. Reading processes pongs and
 		// returns the reason when the peer closes the connection.
 		_, _, err := conn.Read(ctx)
+		if err == nil {
+			err = resultcode.New(resultcode.MessageMalformed, "VM %q sent a message on a connection of this VM", l.to)
+			l.network.reportRefusal(err)
+		}
 		cancel(closeError(err))
 	}()
 	defer func() { conn.CloseNow(); <-done }()
@@ -196,6 +200,7 @@
 			}
 		}
 		if err := l.writeFrame(ctx, conn, f); err != nil {
+			l.network.counters.dropped.Add(string(f.kind), 1)
 			return err
 		}
 		idle.Reset(idleTimeout)
--- a/internal/peer/membership.go
+++ b/internal/peer/membership.go
@@ -35,7 +35,9 @@
 			body.Payloads = m.payloads(s.To)
 		}
 		// The detector tolerates lost messages, so an error is equivalent to a loss.
-		_ = m.queue(s.To, kindDetector, body)
+		if m.queue(s.To, kindDetector, body) != nil {
+			m.counters.dropped.Add(string(kindDetector), 1)
+		}
 	}
 	if changed {
 		signal(m.changed)
