--- a/internal/relay/violation_test.go
+++ b/internal/relay/violation_test.go
@@ -67,6 +67,7 @@
 	release  chan struct{}
 	received chan string
 	closed   chan Peer
+	client   *Client // a client of the VM that handles the requests
 }
 
 func (h *countingHandler) Handle(ctx context.Context, _ Peer, _ Kind, body cbor.RawMessage) any {
@@ -94,6 +95,10 @@
 	s.OnRejected = func(_ ident.VMName, sent bool, err error) { rejected.add(sent, err) }
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(s.Close)
+	h.client = NewClient(Identity{Version: ProtocolVersion, VM: "vm-1"}, l.Addr().String(), func(ctx context.Context, address string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, "tcp4", address)
+	})
+	t.Cleanup(h.client.Reset)
 	return h, rejected, func() *websocket.Conn {
 		socket, _, err := websocket.Dial(t.Context(), "ws://"+l.Addr().String()+path, nil)
 		assert.NilError(t, err)
