--- a/internal/controller/peers/peers.go
+++ b/internal/controller/peers/peers.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarywall/rosemarywall/internal/controller/storesync"
@@ -148,6 +149,9 @@
 	// false if this VM reads the registrations itself. A nil Relay is one that never
 	// returns a hub.
 	Relay func() (ident.VMName, bool)
+	// OnRejected is called with the error of an invalid message of another VM, or of a request
+	// that is not sent. It may be nil.
+	OnRejected func(peer ident.VMName, sent bool, err error)
 	// OnProbeResponse is called with each probe response and the time at which the request
 	// was sent.
 	OnProbeResponse func(sentAt time.Duration, from placement.VM, p ProbeResponse)
@@ -365,7 +369,7 @@
 	}
 	err := q.client.Call(ctx, kind, request, response)
 	switch {
-	case err == nil:
+	case err == nil, errors.Is(err, relay.ErrResponseTooLarge):
 		p.noteResponse(q)
 	case ctx.Err() != nil && kind != KindView: // its time may be shorter than silenceLimit
 		recovery.Go(p.cfg.Log, "probe silent peer", func() { p.probeSilent(q) })
--- a/internal/controller/peers/peers_test.go
+++ b/internal/controller/peers/peers_test.go
@@ -117,6 +117,10 @@
 	unresponsive  bool
 	silent        chan struct{} // responses are delayed until it is closed; nil for none
 	result        execution.Result
+	rejecting     bool        // statements are rejected
+	busy          int         // the number of rollback requests that are rejected next
+	otherBody     any         // the response to statements in place of result
+	rollbacks     chan string // the transactions of the rollback requests
 }
 
 // setResult sets the result of the statements that a VM executes.
@@ -136,26 +140,44 @@
 func (n *node) Handle(ctx context.Context, from relay.Peer, kind relay.Kind, body cbor.RawMessage) any {
 	n.Discover(from.Identity)
 	n.mu.Lock()
-	unresponsive, silent, result := n.unresponsive, n.silent, n.result
+	unresponsive, silent, result, rejecting, otherBody := n.unresponsive, n.silent, n.result, n.rejecting, n.otherBody
 	n.mu.Unlock()
 	if silent != nil {
 		<-silent
 	}
 	var members MembersRequest
+	var rollback RollbackRequest
 	switch {
 	case unresponsive:
 		<-ctx.Done()
 		return nil
 	case kind == KindMembers && relay.Decode(body, &members) == nil:
 		return n.ServeMembers(members)
+	case kind == KindExecute && rejecting:
+		return relay.Rejected
+	case kind == KindExecute && otherBody != nil:
+		return otherBody
 	case kind == KindExecute:
 		return result
+	case kind == KindRollback && n.isBusy():
+		return relay.Rejected
+	case kind == KindRollback && relay.Decode(body, &rollback) == nil:
+		n.rollbacks <- rollback.Transaction
+		return true
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return ProbeResponse{Leaving: n.reportLeaving}
 }
 
+// isBusy reports whether a rollback request is to be rejected.
+func (n *node) isBusy() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.busy--
+	return n.busy >= 0
+}
+
 func (n *node) Closed(relay.Peer) {}
 
 func startNode(t *testing.T, store Store, name, zone string) *node {
@@ -166,7 +188,7 @@
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	assert.NilError(t, err)
 	start := time.Now()
-	n := &node{result: execution.Result{Outcome: execution.Done}}
+	n := &node{result: execution.Result{Outcome: execution.Done}, rollbacks: make(chan string, 8)}
 	n.Peers = New(Config{
 		Self:  relay.Identity{Version: relay.ProtocolVersion, VM: ident.VMName(name), Zone: ident.AvailabilityZone(zone), Address: l.Addr().String()},
 		Store: store, ProbeInterval: probeInterval, Now: func() time.Duration { return time.Since(start) }, Log: zerolog.Nop(),
--- a/internal/controller/peers/remote.go
+++ b/internal/controller/peers/remote.go
@@ -6,18 +6,23 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rosemarywall/rosemarywall/internal/clock"
 	"github.com/rosemarywall/rosemarywall/internal/execution"
+	"github.com/rosemarywall/rosemarywall/internal/framing"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/recovery"
 	"github.com/rosemarywall/rosemarywall/internal/relay"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
 
 const (
 	// transitAllowance is added to the timeout of a statement on another VM, to cover the
 	// network round trip and opening a connection.
 	transitAllowance = 150 * time.Millisecond
-	// rollbackTimeout limits a RollbackRequest.
+	// rollbackTimeout limits a RollbackRequest and its repetitions.
 	rollbackTimeout = time.Second
+	// rollbackRetryDelay is the time after which a RollbackRequest that was rejected is repeated.
+	rollbackRetryDelay = 50 * time.Millisecond
 )
 
 // RollbackRequest requests the rollback of an open transaction.
@@ -51,14 +56,17 @@
 	}
 	var result execution.Result
 	err := r.peers.call(ctx, q, KindExecute, request, &result)
+	if err == nil && !result.Valid() {
+		err = resultcode.New(resultcode.MessageMalformed, "the result states no outcome")
+	}
 	if err == nil {
 		if result.Reason == execution.Stopping {
 			r.peers.markLeaving(q)
 		}
 		return result
 	}
-	if errors.Is(err, relay.ErrRejected) {
-		return execution.Result{Outcome: execution.NotRun, Reason: execution.NoConnection}
+	if result, ok := r.refusal(request, err); ok {
+		return result
 	}
 	if ctx.Err() == nil {
 		r.peers.markUnresponsive(q)
@@ -66,9 +74,33 @@
 	if errors.Is(err, relay.ErrNotSent) {
 		return execution.Result{Outcome: execution.NotRun, Reason: execution.PeerLost}
 	}
+	if request.Mode == execution.Continue {
+		r.Rollback(request.Target, request.TransactionID) // the statement may still run, and the connection go on
+	}
 	return execution.Result{Outcome: execution.Unknown, Reason: execution.PeerLost, Detail: err.Error()}
 }
 
+// refusal returns the result of a statement that the other VM did not run, or whose result it
+// could not pass on or that cannot be read. A transaction that is open there is rolled back: neither the other VM nor the
+// end of the connection, which goes on, ends it. The result is false for any other error.
+func (r *RemoteExecutor) refusal(request execution.Request, err error) (execution.Result, bool) {
+	result := execution.Result{Outcome: execution.NotRun, Reason: execution.NoConnection, Detail: err.Error()}
+	switch {
+	case framing.ReasonOf(err) == framing.TooLarge:
+		result.Reason = execution.TooLarge
+	case resultcode.Is(err, resultcode.MessageMalformed):
+		result.Outcome, result.Reason, result.Sent = execution.Unknown, execution.InvalidAnswer, true
+	case errors.Is(err, relay.ErrResponseTooLarge):
+		result.Outcome, result.Reason, result.Sent = execution.Unknown, execution.AnswerTooLarge, true
+	case !errors.Is(err, relay.ErrRejected):
+		return execution.Result{}, false
+	}
+	if request.TransactionID != "" {
+		r.Rollback(request.Target, request.TransactionID)
+	}
+	return result, true
+}
+
 // Rollback implements execution.Executor. The request is sent in the background. If it is
 // lost, the transaction ends with its connection.
 func (r *RemoteExecutor) Rollback(target execution.Target, transaction string) {
@@ -76,7 +108,11 @@
 		ctx, cancel := context.WithTimeout(context.Background(), rollbackTimeout)
 		defer cancel()
 		var ended bool
-		if err := r.peers.Call(ctx, r.name, KindRollback, RollbackRequest{target, transaction}, &ended); err != nil {
+		err := r.peers.Call(ctx, r.name, KindRollback, RollbackRequest{target, transaction}, &ended)
+		for errors.Is(err, relay.ErrRejected) && clock.Sleep(ctx, rollbackRetryDelay) { // the other VM has too many requests
+			err = r.peers.Call(ctx, r.name, KindRollback, RollbackRequest{target, transaction}, &ended)
+		}
+		if err != nil {
 			r.peers.cfg.Log.Debug().Err(err).Str("peer", string(r.name)).Msg("rollback request failed")
 		}
 	})
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -1,8 +1,13 @@
 package relay
 
 import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"github.com/coder/websocket"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/rosemarywall/rosemarywall/internal/framing"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
@@ -32,6 +37,9 @@
 	Rejected Failure = iota + 1
 	// Failed means that the handler failed. The request may have been handled in part.
 	Failed
+	// ResponseTooLarge means that the request was handled and that its response exceeds the
+	// maximum size of a frame.
+	ResponseTooLarge
 )
 
 // Identity describes a VM. It is the first message that a client sends on a connection.
@@ -47,14 +55,16 @@
 	Cores float64 `cbor:"7,keyasint,omitempty" json:"cores"`
 }
 
-// maxFrameBytes is the maximum size of a frame. It holds a client message of at most
-// 1 MiB and the session variables that are sent with it.
-const maxFrameBytes = 4 << 20
+// MaxFrameBytes is the maximum size of a request or a response in bytes. It holds a client message and a prepared
+// statement of at most 1 MiB each, and the session variables that are sent with them.
+const MaxFrameBytes = 4 << 20
 
+// decodeMode accepts strings that are not UTF-8, because statements, rows and session values are
+// any bytes. The size of the frame alone limits the number of their elements.
 var decodeMode = func() cbor.DecMode {
 	mode, err := cbor.DecOptions{
 		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
-		MaxNestedLevels: 16, MaxArrayElements: 1 << 17, MaxMapPairs: 1 << 17,
+		MaxNestedLevels: 16, MaxArrayElements: MaxFrameBytes, MaxMapPairs: MaxFrameBytes, UTF8: cbor.UTF8DecodeInvalid,
 	}.DecMode()
 	if err != nil {
 		panic(err) // the options are constant
@@ -70,22 +80,56 @@
 	return nil
 }
 
+// readFrame reads a frame into f. The error is a framing.Error if the frame is invalid. After any
+// error the connection cannot be used any more: its next message is not known.
+func readFrame(ctx context.Context, socket *websocket.Conn, into any) error {
+	form, message, err := socket.Read(ctx)
+	switch {
+	case errors.Is(err, websocket.ErrMessageTooBig):
+		return framing.New(framing.TooLarge, "a message between VMs exceeds %d bytes", MaxFrameBytes)
+	case err != nil:
+		return err
+	case form != websocket.MessageBinary:
+		return framing.New(framing.Encoding, "a message between VMs is not binary")
+	case len(message) == 0 || message[0]>>5 != mapType: // null would leave into as it is
+		return framing.New(framing.Encoding, "a message between VMs is no map")
+	}
+	if err := Decode(message, into); err != nil {
+		return framing.New(framing.Encoding, "a message between VMs cannot be decoded: %v", err)
+	}
+	return nil
+}
+
+// mapType is the major type of a CBOR map, which all frames are.
+const mapType = 5
+
+// encodeRequest returns the frame of a request. The error is a framing.Error if it exceeds the
+// maximum size.
 func encodeRequest(id uint64, kind Kind, body any) ([]byte, error) {
 	raw, err := cbor.Marshal(body)
 	if err != nil {
 		return nil, err
 	}
-	return cbor.Marshal(frame{ID: id, Kind: kind, Body: raw})
+	return encode(frame{ID: id, Kind: kind, Body: raw})
 }
 
-// encodeResponse encodes a body, or a Failure as the body of the response.
+// encodeResponse encodes a body, or a Failure as the body of the response. The error is a
+// framing.Error if the frame exceeds the maximum size.
 func encodeResponse(id uint64, body any) ([]byte, error) {
 	if failure, ok := body.(Failure); ok {
-		return cbor.Marshal(frame{ID: id, Response: true, Failure: failure})
+		return encode(frame{ID: id, Response: true, Failure: failure})
 	}
 	raw, err := cbor.Marshal(body)
 	if err != nil {
 		return nil, err
 	}
-	return cbor.Marshal(frame{ID: id, Response: true, Body: raw})
+	return encode(frame{ID: id, Response: true, Body: raw})
+}
+
+func encode(f frame) ([]byte, error) {
+	message, err := cbor.Marshal(f)
+	if err == nil && len(message) > MaxFrameBytes {
+		return nil, framing.New(framing.TooLarge, "a message between VMs has %d bytes, the maximum is %d", len(message), MaxFrameBytes)
+	}
+	return message, err
 }
