Pass bytes that are not UTF-8 between VMs

Cause: requests between VMs hold texts, ids, session values and rows as CBOR text strings. The decoder of the executing VM rejected those that are not UTF-8, so that a statement with such bytes was refused with BUSY for good if another VM had to execute it, and a row with such bytes was lost after its statement had run. The rule of internal/framing is that fields keep all bytes.

Change: the decoder accepts text strings that are not UTF-8. The encoder always wrote them.

TestBytesPassBetweenVMs before the change:

boundary_test.go:109: timeout waiting for: a write succeeds event="malformed peer request ignored" error="RW4003: cannot decode a message: cbor: invalid UTF-8 string" peer=vm-2 vm=vm-1

It passes now, as does internal/relay.

--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -55,6 +55,7 @@
 	mode, err := cbor.DecOptions{
 		DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, TagsMd: cbor.TagsForbidden,
 		MaxNestedLevels: 16, MaxArrayElements: 1 << 17, MaxMapPairs: 1 << 17,
+		UTF8: cbor.UTF8DecodeInvalid, // statements and rows hold any bytes
 	}.DecMode()
 	if err != nil {
 		panic(err) // the options are constant
