Leave out entries of the configuration that cannot be sent

Cause: DecodeCatalog took every name as it came. An organisation, group or route with an empty name, a blank or a line end was served: the empty organisation is written as "-" to members and becomes one with the system's, the empty key matches a client that sends no key, and the other names make the message to a member fail on each request. encoding/json writes U+FFFD for bytes that are not UTF-8, so that different names and keys became equal; registrations had the same fault.

Change: such an entry is left out; the rest of the configuration is in force. Catalog.Rejected holds a framing.Error with the place of each, for example tenants[3].name, which the follower logs and counts once for each version.

--- a/internal/controller/storesync/configuration.go
+++ b/internal/controller/storesync/configuration.go
@@ -170,6 +170,10 @@
 		line.Dur("proof_age_ms", age)
 	}
 	line.Msg("configuration in force")
+	for _, err := range c.Rejected {
+		f.onInvalid()
+		f.log.Error().Err(err).Uint64("version", uint64(c.Version)).Msg("entry of the configuration rejected")
+	}
 	f.publish()
 	return provedAt.Known()
 }
--- a/internal/controller/storesync/odd_test.go
+++ b/internal/controller/storesync/odd_test.go
@@ -10,6 +10,9 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
+	"github.com/rosemarywall/rosemarywall/internal/core/instant"
+	"github.com/rosemarywall/rosemarywall/internal/framing"
+	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
 )
 
@@ -115,3 +118,32 @@
 		assert.Equal(t, len(f.invalid), 0)
 	})
 }
+
+// Guards against rejected entries of a configuration that are logged and counted with each
+// reading, and against a configuration that one of them keeps from being in force.
+func TestRejectedEntryIsLoggedOnceForEachVersion(t *testing.T) {
+	run(t, func(f *testFollower, store *fakeStore) {
+		var out bytes.Buffer
+		invalid := 0
+		f.mu.Lock()
+		f.log, f.onInvalid = zerolog.New(&out), func() { invalid++ }
+		f.mu.Unlock()
+		reject := func(version uint64, places ...string) {
+			c := &catalog.Catalog{Version: ident.ConfigurationVersion(version)}
+			for _, place := range places {
+				c.Rejected = append(c.Rejected, framing.New(framing.Field, "%s is empty", place))
+			}
+			for range 3 {
+				f.installCatalog(c, objectapi.Object{Version: objectapi.Version(version)}, instant.At(f.elapsed()), sourceStore)
+			}
+			assert.Equal(t, uint64(f.Snapshot().Catalog.Version), version)
+		}
+		reject(7, "tenants[3].name", "routes[0].host")
+		reject(8, "tenants[3].name")
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		assert.Equal(t, invalid, 3)
+		assert.Equal(t, strings.Count(out.String(), "entry of the configuration rejected"), 3)
+		assert.Equal(t, strings.Count(out.String(), "tenants[3].name is empty"), 2)
+	})
+}
--- a/internal/core/catalog/catalog.go
+++ b/internal/core/catalog/catalog.go
@@ -84,6 +84,9 @@
 	Groups        map[ident.GroupName]Group
 	Organisations map[ident.OrganisationName]Organisation
 	Keys          map[KeyHash]ident.OrganisationName
+	// Rejected holds an error for each entry of the configuration that is left out, with the
+	// place of the entry. No error holds a key.
+	Rejected []error
 	// IdleTransactionTimeout is the time after which an idle transaction may be aborted;
 	// zero means no limit.
 	IdleTransactionTimeout time.Duration
