Bind each call of the object API client to its own object and response

Cause: the client of the PostgreSQL product's object API took an empty body with status 200 for an object of version zero, which is one that does not exist, and null or {} for a complete empty list, which removes all objects. It followed redirections, sent the names "", "." and ".." as paths, did not compare the object of a response with that of the call, replaced bytes that are not UTF-8 without an error, and read a response without a limit.

A 3xx status is PlatformDown; a response has at most 64 MiB, must be UTF-8 and name the object of the call with its version; a list must have its version.

--- a/internal/objectapi/http.go
+++ b/internal/objectapi/http.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 	"time"
+	"unicode/utf8"
 
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
@@ -24,6 +25,8 @@
 	DefaultTimeout = time.Second
 	// MaxValueBytes is the platform's limit for the size of a value.
 	MaxValueBytes = 1 << 20
+	// MaxResponseBytes is the maximum size of a response. It is above the largest list.
+	MaxResponseBytes = 64 << 20
 	// ZoneHeader is the header with the availability zone of the client.
 	ZoneHeader = "X-Availability-Zone"
 )
@@ -74,8 +77,12 @@
 // NewHTTPClient returns a client of the platform at address, IP:port.
 func NewHTTPClient(address string, options ...Option) *HTTPClient {
 	h := &HTTPClient{
-		base:    "http://" + address,
-		client:  &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}},
+		base: "http://" + address,
+		client: &http.Client{
+			Transport: &http.Transport{MaxIdleConnsPerHost: 4},
+			// The platform sends no redirection; one would lead a call to another object.
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		},
 		timeout: DefaultTimeout,
 		calls:   new(expvar.Map).Init(),
 	}
@@ -94,15 +101,23 @@
 // Get returns one object, or a PlatformNotFound error.
 func (h *HTTPClient) Get(ctx context.Context, kind Kind, name string) (Object, error) {
 	var object Object
-	err := h.call(ctx, CallGet, http.MethodGet, objectPath(kind, name), nil, &object, h.timeout)
+	err := CheckName(name)
+	if err == nil {
+		err = h.call(ctx, CallGet, http.MethodGet, objectPath(kind, name), nil, &object, h.timeout)
+	}
+	if err == nil {
+		err = object.check(kind, name)
+	}
 	return object, err
 }
 
 // List returns the objects of a kind.
 func (h *HTTPClient) List(ctx context.Context, kind Kind) (Changes, error) {
-	var changes Changes
-	err := h.call(ctx, CallList, http.MethodGet, "/v1/objects/"+url.PathEscape(string(kind)), nil, &changes, h.timeout)
-	return changes, err
+	var response changesResponse
+	if err := h.call(ctx, CallList, http.MethodGet, "/v1/objects/"+url.PathEscape(string(kind)), nil, &response, h.timeout); err != nil {
+		return Changes{}, err
+	}
+	return response.changes()
 }
 
 // PutRequest is the body of a conditional update.
@@ -115,6 +130,9 @@
 // Put stores value if the object has the given version. With PlatformConflict it also
 // returns the current object. It returns PlatformTooLarge without a call.
 func (h *HTTPClient) Put(ctx context.Context, kind Kind, name string, value any, ifVersion Version) (Object, error) {
+	if err := CheckName(name); err != nil {
+		return Object{}, err
+	}
 	encoded, err := json.Marshal(value)
 	if err != nil {
 		return Object{}, resultcode.Wrap(err, resultcode.PlatformBadRequest, "encode %s/%s", kind, name)
@@ -128,11 +146,17 @@
 	}
 	var object Object
 	err = h.call(ctx, CallPut, http.MethodPut, objectPath(kind, name), body, &object, h.timeout)
+	if err == nil {
+		err = object.check(kind, name)
+	}
 	return object, err
 }
 
 // Delete removes the object if it has the given version.
 func (h *HTTPClient) Delete(ctx context.Context, kind Kind, name string, ifVersion Version) error {
+	if err := CheckName(name); err != nil {
+		return err
+	}
 	path := fmt.Sprintf("%s?if_version=%d", objectPath(kind, name), ifVersion)
 	return h.call(ctx, CallDelete, http.MethodDelete, path, nil, nil, h.timeout)
 }
@@ -148,9 +172,11 @@
 		"after":      {strconv.FormatUint(uint64(after), 10)},
 		"timeout_ms": {strconv.FormatInt(timeout.Milliseconds(), 10)},
 	}
-	var changes Changes
-	err := h.call(ctx, CallWatch, http.MethodGet, "/v1/watch?"+query.Encode(), nil, &changes, timeout+h.timeout)
-	return changes, err
+	var response changesResponse
+	if err := h.call(ctx, CallWatch, http.MethodGet, "/v1/watch?"+query.Encode(), nil, &response, timeout+h.timeout); err != nil {
+		return Changes{}, err
+	}
+	return response.changes()
 }
 
 // VMs returns the platform's list of VMs, which is eventually consistent.
@@ -163,6 +189,9 @@
 // Announce reports this VM to the platform, which lists it after a delay and removes
 // it when announcements stop.
 func (h *HTTPClient) Announce(ctx context.Context, vm VM) error {
+	if err := CheckName(string(vm.Name)); err != nil {
+		return err
+	}
 	body, err := json.Marshal(vm)
 	if err != nil {
 		return resultcode.Wrap(err, resultcode.PlatformBadRequest, "encode VM %s", vm.Name)
@@ -176,6 +205,9 @@
 
 // call sends one request. The response to a conflict is also decoded into out.
 func (h *HTTPClient) call(ctx context.Context, kind CallKind, method, path string, body []byte, out any, timeout time.Duration) error {
+	if err := CheckEncoded(body); err != nil {
+		return err
+	}
 	h.calls.Add(string(kind), 1)
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -191,10 +223,13 @@
 		return resultcode.Wrap(err, resultcode.PlatformDown, "%s %s", method, path)
 	}
 	defer response.Body.Close()
-	content, err := io.ReadAll(response.Body)
+	content, err := io.ReadAll(io.LimitReader(response.Body, MaxResponseBytes+1))
 	if err != nil {
 		return resultcode.Wrap(err, resultcode.PlatformDown, "%s %s: incomplete response", method, path)
 	}
+	if len(content) > MaxResponseBytes {
+		return resultcode.New(resultcode.PlatformDown, "%s %s: the response is larger than %d bytes", method, path, MaxResponseBytes)
+	}
 	return decode(response.StatusCode, method+" "+path, content, out)
 }
 
@@ -203,7 +238,11 @@
 	if failure != nil && status != http.StatusConflict {
 		return failure
 	}
-	if out != nil && len(content) > 0 {
+	// Only the response to a conflict may be empty.
+	if out != nil && (failure == nil || len(content) > 0) {
+		if !utf8.Valid(content) {
+			return resultcode.New(resultcode.PlatformDown, "%s: response is not UTF-8", call)
+		}
 		if err := json.Unmarshal(content, out); err != nil {
 			return resultcode.Wrap(err, resultcode.PlatformDown, "%s: malformed response", call)
 		}
@@ -219,7 +258,7 @@
 	switch {
 	case status >= 200 && status < 300:
 		return nil
-	case status >= 500:
+	case status >= 500 || status < 400:
 		code = resultcode.PlatformDown
 	case status == http.StatusNotFound:
 		code = resultcode.PlatformNotFound
