Do not take a half-written settings file for a whole one

Cause: a YAML text that ends early may be valid. A reload at SIGHUP while the file was replaced took a file without its bounds: the grace time became 0, and a later planned stop cut all that ran. At the end of the file a number lost its last digits. Also, only the first document of a file was read, whatever followed it, and names of the VM, its zone and regions were accepted that cannot be sent to members or as the holder of a duty.

Change: SettingsFile compares a reading with the accepted one before it. It is rejected, and the former settings stay, if a field or an element is missing that the former has, or if the file ends within a line and the former did not. A field is therefore removed with a restart only. A second document and names that cannot be fields are errors, the latter with their place. Not covered: a first reading, a file without a line end at its end that is cut in its last value, and a file that is overwritten in place without being cut first.

Before, on, with cuts that leave the grace time as it is allowed: TestHalfWrittenSettingsAreNotReloaded: "...port_range:\n - 20003\n - 20003": grace period 0s TestSettingsAreOneDocument: RW0000 != RW3001: "---\nbounds: {grace_s: 1}\n" TestSettingsWithOddNames: RW0000 != RW3003: node: "vm 1" After: these pass, with every section at the end of the file and every cut.

--- a/cmd/rosemarywall-platform/main.go
+++ b/cmd/rosemarywall-platform/main.go
@@ -63,7 +63,8 @@
 	if o.Settings == "" {
 		o.Settings = os.Getenv(platform.SettingsVariable)
 	}
-	settings, err := platform.LoadSettings(o.Settings)
+	file := platform.NewSettingsFile(o.Settings)
+	settings, err := file.Load()
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return commandline.StatusUsage
@@ -76,10 +77,10 @@
 	if settings.MemoryBytes > 0 {
 		debug.SetMemoryLimit(settings.MemoryBytes * memoryShare / 100)
 	}
-	return serve(settings, o, received)
+	return serve(settings, file, o, received)
 }
 
-func serve(settings service.Settings, o options, received signals) int {
+func serve(settings service.Settings, file *platform.SettingsFile, o options, received signals) int {
 	log, sink, err := logging.NewBounded(os.Stdout, o.LogLevel)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -99,7 +100,7 @@
 	}
 	go func() {
 		for range received.reload {
-			recovery.Run(log, "reload", func() { reload(vm, o.Settings, log) })
+			recovery.Run(log, "reload", func() { reload(vm, file, log) })
 		}
 	}()
 	<-received.stop
@@ -108,8 +109,8 @@
 }
 
 // reload reads the settings file again.
-func reload(vm *service.VM, file string, log zerolog.Logger) {
-	settings, err := platform.LoadSettings(file)
+func reload(vm *service.VM, file *platform.SettingsFile, log zerolog.Logger) {
+	settings, err := file.Load()
 	if err != nil {
 		log.Error().Err(err).Msg("settings not reloaded")
 		return
