Refuse lines of INI files whose end or content another reader would see elsewhere

Cause: a value of a settings file or a release note could hold NUL, other control bytes, a carriage return, a byte order mark in the middle of the file or bytes that are not UTF-8; they went on into user names, titles and passwords. What stood behind a section heading on its line was dropped by the library without a problem, so that "[s] a = b" lost a setting.

Change: such a line is a problem with its number; a tab, a carriage return at the end of a line and a byte order mark at the beginning of the file stay valid. A heading may be followed by a comment only. The problem does not quote the line, which may hold a password.

Before, on (internal/inifile/inifile_test.go): TestBytesThatNoValueHolds: len(problems) is <= 0: "name = a\x00b" TestValuesAreReadAsTheyAre: len(problems) is <= 0: [s] a = b After: these pass; FuzzParse finds nothing in 20 s (161907 inputs).

--- a/internal/inifile/inifile.go
+++ b/internal/inifile/inifile.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"sort"
 	"strings"
+	"unicode"
+	"unicode/utf8"
 
 	"gopkg.in/ini.v1"
 
@@ -75,6 +77,12 @@
 	text := strings.TrimPrefix(string(data), "\ufeff")
 	for i, raw := range strings.Split(text, "\n") {
 		line := i + 1
+		raw = strings.TrimSuffix(raw, "\r")
+		if strings.ContainsFunc(raw, isUnreadable) {
+			// The text may hold a password.
+			report(line, "the line holds a control byte, a byte order mark or a byte that is not UTF-8")
+			continue
+		}
 		raw = strings.TrimSpace(raw)
 		if raw == "" || raw[0] == '#' || raw[0] == ';' {
 			continue
@@ -86,6 +94,10 @@
 			continue
 		}
 		if raw[0] == '[' {
+			if !isHeading(raw) {
+				report(line, "expected nothing but a comment behind the [section]")
+				continue
+			}
 			names := parsed.SectionStrings()
 			sections = append(sections, Section{Name: names[len(names)-1], Line: line})
 			continue
@@ -104,3 +116,17 @@
 	}
 	return sections, problems
 }
+
+// isHeading reports whether a line holds one section heading and nothing else but a comment. The
+// library drops what stands behind the last bracket.
+func isHeading(line string) bool {
+	name, rest, found := strings.Cut(line[1:], "]")
+	rest = strings.TrimSpace(rest)
+	return found && strings.TrimSpace(name) != "" && !strings.Contains(name, "[") && (rest == "" || rest[0] == '#' || rest[0] == ';') && !strings.Contains(rest, "]")
+}
+
+// isUnreadable reports whether a character has no place in a line: other programs end a line or
+// a text at it, or do not show it. utf8.RuneError stands for bytes that are not UTF-8.
+func isUnreadable(r rune) bool {
+	return unicode.IsControl(r) && r != '\t' || unicode.In(r, unicode.Zl, unicode.Zp) || r == '\ufeff' || r == utf8.RuneError
+}
