Tell an answer that holds no outcome from a note without effect

Cause: rosemarywallctl decoded the answer to a note whatever it was. null, {} or the JSON error of a gateway became a result without an outcome, and the command printed "this note has no effect" with status 1, although the note may have been accepted. It also followed redirections, and took a note file that ends within a line for a whole one: a region or rate lost its end.

Change: an answer without a known outcome counts as lost, so that the history is consulted. No redirection is followed; an answer above 64 MiB has its own error. A note file whose last line has no line end is refused by the command before anything is sent; VMs read notes as before, so that stored ones stay valid. A file that is cut between two lines cannot be told from a whole one.

--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -41,7 +42,9 @@
 			return nil, errors.Newf("%s: expected IP:port", address)
 		}
 	}
-	return &client{http: &http.Client{}, addresses: addresses}, nil
+	// A VM sends no redirection; one would lead a call to another address.
+	noRedirect := func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	return &client{http: &http.Client{CheckRedirect: noRedirect}, addresses: addresses}, nil
 }
 
 // get asks the addresses in turn until one answers.
@@ -72,10 +75,13 @@
 		return errors.Wrapf(err, "call %s", address)
 	}
 	defer response.Body.Close()
-	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer))
+	data, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
 	if err != nil {
 		return errors.Wrapf(err, "answer of %s", address)
 	}
+	if len(data) > maxAnswer {
+		return errors.Newf("answer of %s is larger than %d bytes", address, maxAnswer)
+	}
 	if method == http.MethodGet && response.StatusCode != http.StatusOK {
 		var refusal configcontroller.Result
 		if json.Unmarshal(data, &refusal) == nil && refusal.Detail != "" {
@@ -101,9 +107,17 @@
 	return entries, c.get("/v1/notes", &entries)
 }
 
+// outcomes are the results of a note. What does not hold one is no answer to the note.
+var outcomes = []configcontroller.Outcome{
+	configcontroller.OutcomeAccepted, configcontroller.OutcomeRefused, configcontroller.OutcomePending, configcontroller.OutcomeUnknown,
+}
+
 // apply sends the note once, to the first address.
 func (c *client) apply(file string, text []byte) (configcontroller.Result, error) {
 	var result configcontroller.Result
 	err := c.call(http.MethodPost, c.addresses[0], "/v1/notes?file="+url.QueryEscape(file), text, applyTimeout, &result)
+	if err == nil && !slices.Contains(outcomes, result.Outcome) {
+		err = errors.Newf("%s answered without an outcome", c.addresses[0])
+	}
 	return result, err
 }
--- a/internal/operator/note.go
+++ b/internal/operator/note.go
@@ -26,6 +26,10 @@
 		s.fail(exitFailed, err)
 		return nil, nil
 	}
+	if len(text) > 0 && !bytes.HasSuffix(text, []byte("\n")) {
+		s.fail(exitFailed, errors.Newf("%s: the last line has no line end; the file may be half written", file))
+		return nil, nil
+	}
 	note, problems := configuration.ParseNote(file, text)
 	if note == nil {
 		s.fail(exitFailed, problems)
