Quote log values with characters that some readers end a line at

Cause: a value or event was quoted only if it held a blank, a tab, CR, LF, a quote or "=". NUL, escape sequences, vertical tabs, form feeds, U+0085, U+2028 and U+2029 went to the log as they were; ids of statements come from clients and may hold them. Names of fields were never quoted; all are constants today.

Change: a word is left unquoted only if all its characters are printable.

Before, on (internal/logging/line_test.go, without the odd name): TestNoTextBecomesALineOrField: "a\x00b": "... event=a\x00b ..." Sound before: CR and LF in values were quoted, and the event of a line is found whatever its other values hold (TestEventOfLine). After: the tests pass.

--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -32,10 +32,13 @@
 	return zerolog.New(out).Level(parsed).With().Timestamp().Logger(), nil
 }
 
-// quote returns text unchanged when it is one word, so that a line splits at spaces.
+// quote returns text unchanged when it is one word of printable characters, so that a line
+// splits at spaces, and no reader ends it early at another character.
 func quote(text string) string {
-	if text != "" && !strings.ContainsAny(text, " \t\r\n\"=") {
+	if text != "" && !strings.ContainsFunc(text, needsQuotes) {
 		return text
 	}
 	return strconv.Quote(text)
 }
+
+func needsQuotes(r rune) bool { return r == ' ' || r == '"' || r == '=' || !strconv.IsPrint(r) }
--- a/internal/logging/pairs.go
+++ b/internal/logging/pairs.go
@@ -63,7 +63,7 @@
 		if i > 0 {
 			line = append(line, ' ')
 		}
-		line = append(append(append(line, p.name...), '='), quote(p.value)...)
+		line = append(append(append(line, quote(p.name)...), '='), quote(p.value)...)
 	}
 	return append(line, '\n'), nil
 }
