Do not take a half-written certificate file for a whole one

Cause: the PEM decoder skips a block without its end, and AppendCertsFromPEM one that it cannot parse. A file of two authorities that was cut in the second one was taken for a file of the first one, and a chain lost its intermediate; all connections under the other authority then fail. The upstreams' CA file was read for each connection, and a file that could not be read rejected them all.

Change: certfiles.LoadPair and LoadPool refuse a file with an incomplete or invalid block, for clients, peers and upstreams. The upstreams' CA file is reloaded as the others are, and a faulty change leaves the former in use. Not covered: a file that is cut between two blocks.

--- a/internal/entry/components.go
+++ b/internal/entry/components.go
@@ -8,10 +8,10 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"os"
 	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/admin"
+	"github.com/rosemarywall/rosemarywall/internal/certfiles"
 	"github.com/rosemarywall/rosemarywall/internal/core/configuration"
 	"github.com/rosemarywall/rosemarywall/internal/frontend"
 	"github.com/rosemarywall/rosemarywall/internal/group"
@@ -74,37 +74,33 @@
 }
 
 // upstreamTLS returns a function that creates the TLS configuration of an upstream
-// connection and reads the CA file each time. It returns nil if no CA file is set.
+// connection. The CA file is reloaded when it changes; a file that cannot be loaded leaves the
+// former one in use. It returns nil if no CA file is set.
 func (v *VM) upstreamTLS() (func() *tls.Config, error) {
 	file := v.cfg.Settings.Upstreams.TLSAuthority
 	if file == "" {
 		return nil, nil
 	}
-	if _, err := loadCAFile(file); err != nil {
+	loader := &certfiles.Loader[*x509.CertPool]{
+		Files: []string{file},
+		Load: func() (*x509.CertPool, error) {
+			pool, err := certfiles.LoadPool(file)
+			if err != nil {
+				return nil, resultcode.Wrap(err, resultcode.SettingsTLS, "cannot load CA file %s", file)
+			}
+			return pool, nil
+		},
+		OnError: func(err error) { v.log.Error().Err(err).Msg("cannot reload upstream CA file") },
+	}
+	if _, err := loader.Current(); err != nil {
 		return nil, err
 	}
 	return func() *tls.Config {
-		pool, err := loadCAFile(file)
-		if err != nil {
-			v.log.Error().Err(err).Msg("cannot load upstream CA file; upstream certificates will be rejected")
-			pool = x509.NewCertPool() // rejects every certificate
-		}
+		pool, _ := loader.Current() // no error after the first load
 		return &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
 	}, nil
 }
 
-func loadCAFile(file string) (*x509.CertPool, error) {
-	pem, err := os.ReadFile(file)
-	if err != nil {
-		return nil, resultcode.Wrap(err, resultcode.SettingsTLS, "cannot read CA file %s", file)
-	}
-	pool := x509.NewCertPool()
-	if !pool.AppendCertsFromPEM(pem) {
-		return nil, resultcode.New(resultcode.SettingsTLS, "no certificate in CA file %s", file)
-	}
-	return pool, nil
-}
-
 func (v *VM) newFrontend() error {
 	s := v.cfg.Settings
 	clientTLS, err := v.clientTLS()
--- a/internal/entry/tls.go
+++ b/internal/entry/tls.go
@@ -17,7 +17,7 @@
 	loader := &certfiles.Loader[*tls.Certificate]{
 		Files: []string{s.TLSCertificate, s.TLSKey},
 		Load: func() (*tls.Certificate, error) {
-			loaded, err := tls.LoadX509KeyPair(s.TLSCertificate, s.TLSKey)
+			loaded, err := certfiles.LoadPair(s.TLSCertificate, s.TLSKey)
 			if err != nil {
 				return nil, resultcode.Wrap(err, resultcode.SettingsTLS, "cannot load certificate %s", s.TLSCertificate)
 			}
--- a/internal/peer/tls.go
+++ b/internal/peer/tls.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/tls"
 	"crypto/x509"
-	"os"
 	"slices"
 	"sync"
 
@@ -41,17 +40,13 @@
 }
 
 func (f *FileCredentials) load() (StaticCredentials, error) {
-	certificate, err := tls.LoadX509KeyPair(f.CertFile, f.KeyFile)
+	certificate, err := certfiles.LoadPair(f.CertFile, f.KeyFile)
 	if err != nil {
 		return StaticCredentials{}, resultcode.Wrap(err, resultcode.SettingsTLS, "cannot load certificate %s", f.CertFile)
 	}
-	pem, err := os.ReadFile(f.CAFile)
+	caPool, err := certfiles.LoadPool(f.CAFile)
 	if err != nil {
-		return StaticCredentials{}, resultcode.Wrap(err, resultcode.SettingsTLS, "cannot read CA file %s", f.CAFile)
-	}
-	caPool := x509.NewCertPool()
-	if !caPool.AppendCertsFromPEM(pem) {
-		return StaticCredentials{}, resultcode.New(resultcode.SettingsTLS, "no certificate in CA file %s", f.CAFile)
+		return StaticCredentials{}, resultcode.Wrap(err, resultcode.SettingsTLS, "cannot load CA file %s", f.CAFile)
 	}
 	return StaticCredentials{Certificate: certificate, CAPool: caPool}, nil
 }
