Keep the soak's proxies from forwarding after a gap

A proxy that had lost bytes of a connection resets it when the mode ends. A piece that was read just before the reset found the mode Pass and was forwarded, so the receiver got the rest of a message without its beginning.

Bytes of a connection that has lost some are now dropped in every mode. On the former code the new test fails:

--- FAIL: TestProxyDropsTheRestOfWhatItCut soak_test.go:199: assertion failed: rest of a message (string) != (string)

--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -141,7 +141,7 @@
 		if _, open := p.conns[conn]; open && lost {
 			p.conns[conn] = true
 		}
-		lost = lost || p.conns[conn] && mode != Pass
+		lost = lost || p.conns[conn]
 		p.mu.Unlock()
 		if lost {
 			continue
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -179,3 +179,22 @@
 	assert.Assert(t, group.Promote(behind))
 	assert.Equal(t, len(group.Violations()), 1)
 }
+
+// Guards against a connection that has lost bytes and hands on later ones while the mode that
+// lost them ends: the receiver would take them for a message of its own.
+func TestProxyDropsTheRestOfWhatItCut(t *testing.T) {
+	sender, from := net.Pipe()
+	to, receiver := net.Pipe()
+	p := &proxy{mode: Pass, conns: map[net.Conn]bool{from: true}}
+	go func() {
+		_, _ = sender.Write([]byte("rest of a message"))
+		_ = sender.Close()
+	}()
+	go func() {
+		p.copy(to, from, from, CutRequests)
+		_ = to.Close()
+	}()
+	got, err := io.ReadAll(receiver)
+	assert.NilError(t, err)
+	assert.Equal(t, string(got), "")
+}
