Play clients with odd bytes in the soak and compare what ran with what was sent

Change: three more clients, in every run, with random streams of their own, so that the plans of seeds and the other clients stay as they were. They send sound statements of all allowed bytes, in pieces and up to 1 MiB; messages with invalid boundaries in every field, most with a forged message behind the break; halves; and pieces of messages around SIGTERM. All bytes of all clients are recorded before they are sent. Every query that a member receives must be, byte for byte, one of a client of its organisation, before the first rejected message of its connection and in order; successes have the tag of their own statement; rejected messages get their error and the end of the connection; a transaction that was left open keeps nothing. docs/soak.md says what is played and checked.

--- a/internal/soak/doc.go
+++ b/internal/soak/doc.go
@@ -15,5 +15,6 @@
 // the bound; session values hold; a withdrawn key stops in time; a rate holds in every
 // window; service returns after the last fault; a request that a VM has read is answered
 // around the VM's planned stop, reload or change of configuration, and the VM ends within the
-// grace time.
+// grace time; members run, byte for byte, only what clients sent before a message with invalid
+// boundaries, which gets its error and ends the connection.
 package soak
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -63,6 +63,13 @@
 	return told
 }
 
+// notCommitted records a statement of a transaction that no client commits.
+func (h *history) notCommitted(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.outcomes[id] = refused
+}
+
 // least returns the value that a read which starts now must see at least, if it may
 // miss what was acknowledged within age.
 func (h *history) least(item string, age time.Duration) int {
@@ -90,9 +97,9 @@
 	for id, told := range h.outcomes {
 		switch n := committed[id]; {
 		case told == succeeded && n == 0:
-			h.violations = append(h.violations, fmt.Sprintf("write %s was acknowledged and is lost", id))
+			h.violations = append(h.violations, fmt.Sprintf("write %q was acknowledged and is lost", id))
 		case told == refused && n > 0:
-			h.violations = append(h.violations, fmt.Sprintf("write %s was refused with a promise and is kept", id))
+			h.violations = append(h.violations, fmt.Sprintf("write %q was refused or not committed and is kept", id))
 		}
 	}
 }
--- a/internal/soak/requests.go
+++ b/internal/soak/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,6 +25,8 @@
 // request is what a client saw of one request.
 type request struct {
 	id string
+	// verb is the first word of the statement, and code that of the response, if any.
+	verb, code string
 	// process is the one that took the request.
 	process *process
 	// sentAt is when its last byte was sent.
@@ -39,6 +42,14 @@
 type requestLog struct {
 	mu       sync.Mutex
 	requests []request
+	// rejections are the messages with invalid boundaries that were not rejected as they should.
+	rejections []rejection
+}
+
+func (l *requestLog) reject(r rejection) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.rejections = append(l.rejections, r)
 }
 
 func (l *requestLog) add(r request) {
@@ -53,41 +64,87 @@
 	process *process
 	timeout time.Duration
 	log     *requestLog
+	history *history
+	// connected is set once the VM has accepted the startup message.
+	connected bool
 }
 
-// dial opens a session with a VM.
-func (f *fleet) dial(n int, route, key string) (*session, platformtest.Reply, error) {
+// open opens a connection to a VM.
+func (f *fleet) open(n int) (*session, error) {
 	v := f.vms[n%len(f.vms)]
 	for {
 		// A process starts after the end of the former one, so that a VM with the same
-		// process before and after has served the connection with this one.
+		// process before and after has accepted the connection with this one.
 		process := v.current()
-		conn, reply, err := platformtest.DialClient(v.front(), route, key, callTimeout)
-		if err != nil || reply.Code != "" {
-			return nil, reply, err
+		conn, err := platformtest.Dial(v.front(), callTimeout, f.sent.open().record)
+		if err != nil {
+			return nil, err
 		}
 		if v.current() == process {
-			return &session{Client: conn, process: process, timeout: f.timeouts[route], log: &f.requests}, reply, nil
+			return &session{Client: conn, process: process, log: &f.requests, history: f.history}, nil
 		}
 		conn.Close()
 	}
 }
 
+// dial opens a session with a VM.
+func (f *fleet) dial(n int, route, key string) (*session, platformtest.Reply, error) {
+	s, err := f.open(n)
+	if err != nil {
+		return nil, platformtest.Reply{}, err
+	}
+	reply, err := s.Connect(route, key)
+	if err != nil || reply.Code != "" {
+		s.Close()
+		return nil, reply, err
+	}
+	s.timeout, s.connected = f.timeouts[route], true
+	return s, reply, nil
+}
+
 // Query runs a statement and records how it ended.
 func (s *session) Query(id, text string) (platformtest.Reply, error) {
-	closedBefore := s.Closed()
-	reply, err := s.Client.Query(id, text)
-	r := request{id: id, process: s.process, sentAt: s.SentAt(), endedAt: time.Now(), timeout: s.timeout, closedBefore: closedBefore}
-	var network net.Error
+	return s.ask(id, text, nil, "QUERY "+id+" "+text+"\r\n")
+}
+
+// ask runs a statement whose message is sent in pieces with pauses, and records how it ended.
+func (s *session) ask(id, text string, pause func(), pieces ...string) (platformtest.Reply, error) {
+	closedBefore := false
+	for i, piece := range pieces {
+		if i > 0 {
+			pause()
+		}
+		closedBefore = s.Closed()
+		if err := s.Send([]byte(piece)); err != nil {
+			return platformtest.Reply{}, err
+		}
+	}
+	reply, err := s.Receive()
+	r := request{id: id, process: s.process, sentAt: s.SentAt(), endedAt: time.Now(), timeout: s.timeout, closedBefore: closedBefore, end: endOf(err),
+		code: reply.Code}
+	r.verb, _, _ = strings.Cut(text, " ")
+	s.log.add(r)
+	violation := ""
 	switch {
 	case err == nil:
-	case errors.As(err, &network) && network.Timeout():
-		r.end = gaveUp
-	default:
-		r.end = closed
+		violation = checkAnswer(id, text, reply)
+	case errors.Is(err, platformtest.ErrLineEnd) || errors.Is(err, platformtest.ErrTooLarge):
+		violation = "the response to " + id + " is invalid: " + err.Error()
 	}
-	if !r.sentAt.IsZero() {
-		s.log.add(r)
+	if violation != "" {
+		s.history.violate("%s", violation)
 	}
 	return reply, err
 }
+
+// endOf returns how a request ended whose response ended with err.
+func endOf(err error) requestEnd {
+	var network net.Error
+	switch {
+	case err == nil:
+		return answered
+	case errors.As(err, &network) && network.Timeout():
+		return gaveUp
+	}
+	return closed
+}
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -41,6 +41,7 @@
 type Report struct {
 	Faults, Reads, Writes int
 	Stops                 stopCounts
+	Odd                   OddCounts
 	// Usage compares the reports of the windows of the run with what members began to run.
 	Usage platformtest.UsageSummary
 	// Violations are broken promises; none is expected.
@@ -48,8 +49,8 @@
 }
 
 const (
-	workers = 12
-	mainKey = "key-main"
+	workers           = 12
+	mainKey, smallKey = "key-main", "key-small"
 	// smallRate and smallBurst are those of the organisation whose rate is checked.
 	smallRate, smallBurst = 20, 20
 	// temporary is the number of organisations whose keys can be withdrawn.
@@ -73,6 +74,8 @@
 	// timeouts are those of the routes.
 	timeouts map[string]time.Duration
 	requests requestLog
+	sent     sentLog
+	odd      oddCounters
 
 	mu          sync.Mutex
 	version     int
@@ -113,6 +116,7 @@
 	if o.Stops {
 		plan = NewStopPlan(o.Seed, o.Length)
 	}
+	f.startOdd(work, &running, plan)
 	f.inject(plan)
 	f.watchEvacuation()
 	if !f.serving(o.Recovery) {
@@ -191,7 +195,7 @@
 	}
 	tenants := []any{
 		map[string]any{"name": "main", "api_keys": []string{mainKey}, "rate_per_s": 5000, "burst": 5000},
-		map[string]any{"name": "small", "api_keys": []string{"key-small"}, "rate_per_s": smallRate, "burst": smallBurst},
+		map[string]any{"name": "small", "api_keys": []string{smallKey}, "rate_per_s": smallRate, "burst": smallBurst},
 	}
 	for n := range temporary {
 		keys := []string{}
@@ -230,7 +234,7 @@
 // spend asks for more than the small organisation's rate.
 func (f *fleet) spend(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
-		f.ask(n, boundedRoute, "key-small", "READ i0")
+		f.ask(n, boundedRoute, smallKey, "READ i0")
 		time.Sleep(8 * time.Millisecond)
 	}
 }
@@ -272,10 +276,13 @@
 	for n, at := range f.withdrawn {
 		f.history.checkRevoked(temporaryName(n), at, f.group.ExecutionTimes(temporaryName(n)))
 	}
-	violations, stops := f.stopCheck().check(f.requests.requests)
+	f.checkSent()
+	check := f.stopCheck()
+	violations, stops := check.check(f.requests.requests)
+	violations = append(violations, check.rejections(f.requests.rejections)...)
 	f.history.violations = append(f.history.violations, violations...)
 	f.history.violations = append(f.history.violations, f.duties.Usage().Violations()...)
-	return Report{Faults: faults, Stops: stops, Reads: f.history.reads, Writes: f.history.succeeded,
+	return Report{Faults: faults, Stops: stops, Odd: f.odd.counts(), Reads: f.history.reads, Writes: f.history.succeeded,
 		Violations: append(f.history.violations, f.group.Violations()...)}
 }
 
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -55,9 +55,10 @@
 		report, err := Run(context.Background(), o)
 		assert.NilError(t, err)
 		t.Logf("seed %d: %d faults, %d reads, %d writes, planned stops: %+v", o.Seed, report.Faults, report.Reads, report.Writes, report.Stops)
-		t.Logf("usage: %+v", report.Usage)
+		t.Logf("usage: %+v, odd bytes: %+v", report.Usage, report.Odd)
 		assert.DeepEqual(t, report.Violations, []string(nil))
 		assert.Assert(t, report.Reads > 0 && report.Writes > 0)
+		assert.Assert(t, report.Odd.Executed > 0 && report.Odd.Rejected > 0 && report.Odd.Halves > 0)
 		return report
 	}
 	for _, seed := range regressions {
@@ -141,6 +142,10 @@
 	assert.Equal(t, len(h.violations), 0)
 	h.check(map[string]int{"b": 1})
 	assert.Equal(t, len(h.violations), 2)
+	h.notCommitted("d")
+	h.check(map[string]int{"a": 1, "d": 1})
+	assert.Equal(t, len(h.violations), 3)
+	h.violations = h.violations[:2]
 	assert.Equal(t, h.least("i", 0), 1)
 	assert.Equal(t, h.least("i", time.Minute), 0)
 	now := time.Now()
--- a/internal/soak/stopcheck.go
+++ b/internal/soak/stopcheck.go
@@ -174,6 +174,26 @@
 	return ""
 }
 
+// rejections returns the messages with invalid boundaries that did not get their error or the end of
+// the connection, unless the VM was disrupted or killed, or its stop ended the connection before it
+// had read the message.
+func (c *stopCheck) rejections(rejections []rejection) []string {
+	var found []string
+	for _, r := range rejections {
+		given := c.signals[r.process]
+		stopped := !given.terminatedAt.IsZero() && given.terminatedAt.Before(r.endedAt) && (!given.killedAt.IsZero() ||
+			r.endedAt.Sub(r.sentAt) <= lossSlack+c.delay(r.request, r.process.vm)+c.delay(r.request, ""))
+		starved := r.end == gaveUp && c.delay(r.request, r.process.vm) >= lossSlack
+		disrupted := slices.ContainsFunc(c.disruptions, func(d disruption) bool {
+			return d.vm == r.process.vm && d.overlaps(r.sentAt.Add(-contactTime), r.endedAt)
+		})
+		if !stopped && !starved && !disrupted {
+			found = append(found, r.problem)
+		}
+	}
+	return found
+}
+
 // forced returns the processes that had to be killed at the end of the grace time though they
 // were not halted.
 func (c *stopCheck) forced() []string {
