Pipeline sound messages in the soak and count those that SIGTERM interrupts

Cause: the callers with odd bytes waited for each response, so that a message never stood right behind an unanswered one, and no figure showed that messages are cut by SIGTERM.

Change: some writes are sent two to four at once; the run counts the executed statements whose message began before SIGTERM and ended after it.

--- a/internal/soak/odd.go
+++ b/internal/soak/odd.go
@@ -45,13 +45,18 @@
 	Executed, Rejected, Halves int64
 	// Large are the executed ones whose message was at most two bytes below the maximum size.
 	Large int64
+	// Interrupted are the executed ones whose message began before SIGTERM to the VM and ended
+	// after it.
+	Interrupted int64
 }
 
 // oddCounters are those of a run.
-type oddCounters struct{ executed, rejected, halves, large atomic.Int64 }
+type oddCounters struct{ executed, rejected, halves, large, interrupted atomic.Int64 }
 
 func (c *oddCounters) counts() OddCounts {
-	return OddCounts{Executed: c.executed.Load(), Rejected: c.rejected.Load(), Halves: c.halves.Load(), Large: c.large.Load()}
+	return OddCounts{
+		Executed: c.executed.Load(), Rejected: c.rejected.Load(), Halves: c.halves.Load(), Large: c.large.Load(), Interrupted: c.interrupted.Load(),
+	}
 }
 
 // rejection is a message with invalid boundaries that did not get its error, or not the end of
@@ -214,8 +219,15 @@
 		return
 	}
 	at := pick(c.rng, []int{forged, len(message) - 1, 1 + c.rng.IntN(len(message)-1)})
-	reply, err = s.ask(id, text, func() { time.Sleep(after) }, message[:at], message[at:])
-	c.wrote(id, item, reply, err)
+	var begun time.Time
+	reply, err = s.ask(id, text, func() {
+		begun = time.Now()
+		time.Sleep(after)
+	}, message[:at], message[at:])
+	stopped := c.fleet.vms[vm%len(c.fleet.vms)].allSignals()[s.process].terminatedAt
+	if c.wrote(id, item, reply, err) && stopped.After(begun) && stopped.Before(s.SentAt()) {
+		c.fleet.odd.interrupted.Add(1)
+	}
 }
 
 // ask runs a statement whose message is sent in pieces.
@@ -247,7 +259,7 @@
 
 // sound runs statements with allowed bytes; false ends the session.
 func (c *oddCaller) sound(s *session, writes bool) bool {
-	switch n := c.rng.IntN(5); {
+	switch n := c.rng.IntN(6); {
 	case n == 0:
 		return c.set(s)
 	case n == 1:
@@ -256,6 +268,8 @@
 		return c.prepared(s)
 	case n == 3 && writes:
 		return c.transaction(s)
+	case n == 4 && writes:
+		return c.pipelined(s)
 	case writes:
 		return c.write(s)
 	}
@@ -299,6 +313,33 @@
 	return c.wrote(id, item, reply, err) && c.read(s, item, data)
 }
 
+// pipelined sends several writes before it receives the first response. Each one counts as sent
+// once the one before it was answered.
+func (c *oddCaller) pipelined(s *session) bool {
+	var ids, items, data, texts []string
+	message := ""
+	for n := range 2 + c.rng.IntN(3) {
+		ids, items, data = append(ids, c.nextID()), append(items, c.item()), append(data, pick(c.rng, oddData))
+		texts = append(texts, "WRITE "+items[n]+" "+data[n])
+		message += "QUERY " + ids[n] + " " + texts[n] + "\r\n"
+	}
+	closedBefore, err := s.sendPieces(c.pause, pieces(c.rng, message))
+	if err != nil {
+		return false
+	}
+	succeeded, sentAt := true, s.SentAt()
+	for n, id := range ids {
+		reply, err := s.receive(id, texts[n], sentAt, closedBefore)
+		succeeded = c.wrote(id, items[n], reply, err) && succeeded
+		if err != nil {
+			return false
+		}
+		sentAt, closedBefore = time.Now(), s.Closed()
+	}
+	n := c.rng.IntN(len(ids))
+	return succeeded && c.read(s, items[n], data[n])
+}
+
 // invalid sends a message that is not understood, after which the session goes on.
 func (c *oddCaller) invalid(s *session) bool {
 	id := c.nextID()
--- a/internal/soak/requests.go
+++ b/internal/soak/requests.go
@@ -109,18 +109,32 @@
 
 // ask runs a statement whose message is sent in pieces with pauses, and records how it ended.
 func (s *session) ask(id, text string, pause func(), pieces ...string) (platformtest.Reply, error) {
-	closedBefore := false
+	closedBefore, err := s.sendPieces(pause, pieces)
+	if err != nil {
+		return platformtest.Reply{}, err
+	}
+	return s.receive(id, text, s.SentAt(), closedBefore)
+}
+
+// sendPieces sends bytes with pauses between the pieces, and reports whether the VM had closed the
+// connection before the last piece.
+func (s *session) sendPieces(pause func(), pieces []string) (closedBefore bool, err error) {
 	for i, piece := range pieces {
 		if i > 0 {
 			pause()
 		}
 		closedBefore = s.Closed()
 		if err := s.Send([]byte(piece)); err != nil {
-			return platformtest.Reply{}, err
+			return closedBefore, err
 		}
 	}
+	return closedBefore, nil
+}
+
+// receive receives the response to a statement that was sent, and records how it ended.
+func (s *session) receive(id, text string, sentAt time.Time, closedBefore bool) (platformtest.Reply, error) {
 	reply, err := s.Receive()
-	r := request{id: id, process: s.process, sentAt: s.SentAt(), endedAt: time.Now(), timeout: s.timeout, closedBefore: closedBefore, end: endOf(err),
+	r := request{id: id, process: s.process, sentAt: sentAt, endedAt: time.Now(), timeout: s.timeout, closedBefore: closedBefore, end: endOf(err),
 		code: reply.Code}
 	r.verb, _, _ = strings.Cut(text, " ")
 	s.log.add(r)
