--- a/internal/execution/execution.go
+++ b/internal/execution/execution.go
@@ -61,6 +61,10 @@
 // the upstream any more.
 var ErrWithdrawn = errors.New("the zone of the upstream is evacuated")
 
+// ErrUnusable is returned by a Conn that did not send a command, because the upstream has sent
+// messages over the connection that nothing had asked for.
+var ErrUnusable = errors.New("the connection cannot be used any more")
+
 // UnsendableError is returned by a Conn that did not send any of its commands, because one of them
 // cannot be encoded. The connection is as before.
 type UnsendableError struct{ Cause error }
@@ -205,7 +209,7 @@
 	Malformed
 	TooLarge
 	// InvalidAnswer means that the upstream, or the executing VM, answered with messages that cannot
-	// be read. It is set for the outcome Unknown.
+	// be read. With the outcome NotRun it did so before the statement was sent.
 	InvalidAnswer
 	// AnswerTooLarge means that the executing VM ran the statement and that its result exceeds the
 	// maximum size of a message between VMs. It is set for the outcome Unknown.
--- a/internal/execution/local.go
+++ b/internal/execution/local.go
@@ -141,6 +141,8 @@
 	switch {
 	case errors.Is(err, ErrWithdrawn):
 		reason = Withdrawn
+	case errors.Is(err, ErrUnusable):
+		reason = InvalidAnswer
 	case errors.As(err, &unsendable) && framing.ReasonOf(err) == framing.TooLarge:
 		reason = TooLarge
 	case errors.As(err, &unsendable):
@@ -160,7 +162,7 @@
 		}
 	}
 	result = s.run(ctx, c, r, l.runStatement)
-	if result.Outcome == Unknown {
+	if result.Outcome == Unknown || result.Reason == InvalidAnswer {
 		return result, false
 	}
 	result.LeadershipVerified = r.Writes && result.Outcome == Done
@@ -250,7 +252,7 @@
 	defer func() { c.meter.end(sentAt, ran) }()
 	replies, err := c.conn.Exchange(ctx, command)
 	var unsendable *UnsendableError
-	if errors.Is(err, ErrWithdrawn) || errors.As(err, &unsendable) {
+	if errors.IsAny(err, ErrWithdrawn, ErrUnusable) || errors.As(err, &unsendable) {
 		ran = false
 		return notSent(err)
 	}
--- a/internal/execution/local_test.go
+++ b/internal/execution/local_test.go
@@ -309,6 +309,12 @@
 	assert.Equal(t, result.Reason, InvalidAnswer)
 	assert.Assert(t, !result.Unanswered())
 	assert.Equal(t, u.open, 0)
+	assert.Equal(t, l.Execute(t.Context(), request("o1", Single)).Outcome, Done)
+	u.nextError = ErrUnusable
+	result = l.Execute(t.Context(), request("o1", Single))
+	assert.Equal(t, result.Outcome, NotRun)
+	assert.Equal(t, result.Reason, InvalidAnswer)
+	assert.Equal(t, u.open, 0, "the connection is closed")
 	for reason, want := range map[framing.Reason]Reason{framing.Field: Malformed, framing.TooLarge: TooLarge} {
 		u.nextError = &UnsendableError{Cause: framing.New(reason, "text")}
 		result = l.Execute(t.Context(), request("o1", Single))
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -71,7 +71,7 @@
 			if err := a.finalError(last); err != nil {
 				return last, choice, err
 			}
-			if last.Reason == execution.InvalidAnswer {
+			if last.Reason == execution.InvalidAnswer && last.Outcome == execution.Unknown {
 				if invalidAnswers++; invalidAnswers == maxInvalidAnswers {
 					break
 				}
@@ -155,7 +155,7 @@
 		return resultcode.New(resultcode.NoPrimary, "no primary is known")
 	case last.Outcome == 0:
 		return resultcode.New(resultcode.NoUpstream, "no upstream is known")
-	case last.Reason == execution.InvalidAnswer:
+	case last.Reason == execution.InvalidAnswer && last.Outcome == execution.Unknown:
 		return resultcode.New(resultcode.AnswerIncomplete, "the upstream's answer cannot be read")
 	case last.Outcome == execution.Unknown:
 		return resultcode.New(resultcode.StatementTimeout, "no answer in time")
