--- a/internal/controller/peers/remote.go
+++ b/internal/controller/peers/remote.go
@@ -80,9 +80,9 @@
 	return execution.Result{Outcome: execution.Unknown, Reason: execution.PeerLost, Detail: err.Error()}
 }
 
-// refusal returns the result of a statement that the other VM did not run, or whose result it
-// could not pass on or that cannot be read. A transaction that is open there is rolled back: neither the other VM nor the
-// end of the connection, which goes on, ends it. The result is false for any other error.
+// refusal returns the result of a statement that the other VM did not run, or whose result it could
+// not pass on or this VM cannot read. A transaction that may be open there is rolled back, because
+// the connection goes on. The result is false for any other error.
 func (r *RemoteExecutor) refusal(request execution.Request, err error) (execution.Result, bool) {
 	result := execution.Result{Outcome: execution.NotRun, Reason: execution.NoConnection, Detail: err.Error()}
 	switch {
