Begin each attempt of a transaction under its own identifier

Callers got ABORTED for a sound transaction. Change: an attempt after the first one gets a new identifier. Result: TestRetriedBeginHasItsOwnIdentifier fails without the change (the two identifiers are equal) and passes.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -105,6 +105,10 @@
 }
 
 func (a *attempt) execute(ctx context.Context, choice Choice, timeout time.Duration) execution.Result {
+	if a.request.Mode == execution.Begin && a.trace.Attempts > 0 {
+		// The rollback of the former attempt may arrive after this one.
+		a.request.TransactionID = a.session.services.NewTransactionID()
+	}
 	r := a.request
 	r.Target, r.MinPosition = choice.Target, choice.MinPosition
 	r.ConnectionLimit, r.DialLimit = choice.ConnectionLimit, choice.DialLimit
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -153,6 +153,24 @@
 	})
 }
 
+// Guards against the rollback of a former attempt that ends the transaction of a later one.
+func TestRetriedBeginHasItsOwnIdentifier(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		f := newFakeServices()
+		s := f.session(t)
+		f.results = []execution.Result{{Outcome: execution.NotRun, Reason: execution.PeerLost}}
+		_, state := f.handle(s, statement.Begin)
+		assert.Equal(t, state, statement.InTransaction)
+		for range 2 {
+			code, _ := f.handle(s, statement.Write)
+			assert.Equal(t, code, resultcode.Code(0))
+		}
+		assert.Equal(t, len(f.requests), 3)
+		assert.Assert(t, f.requests[0].TransactionID != f.requests[1].TransactionID)
+		assert.Equal(t, f.requests[2].TransactionID, f.requests[1].TransactionID)
+	})
+}
+
 // Guards against an error long after all VMs have refused a statement because of their
 // queues, and against one for a statement that waited in a queue in vain although another VM
 // can run it. Guards also against requests without what the executing VM orders them by.
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -50,7 +50,7 @@
 	if err != nil {
 		return s.failOrClose(st, err).withTrace(a.trace)
 	}
-	tx.choice, tx.open = choice, result.TransactionOpen
+	tx.id, tx.choice, tx.open = a.request.TransactionID, choice, result.TransactionOpen
 	return s.succeed(st, result).withTrace(a.trace)
 }
 
