Do not deliver a reply that may be forged

Callers would see: writes of an acknowledged transaction that are missing (LOST), and the tag of another statement. Cause: a reply was delivered although bytes behind it were visible, and the state that a reply tells was believed for any statement. An unreadable reply to the commands before a statement counted as an upstream that does not respond. A success must tell the state that its command leads to; otherwise the connection is closed, the transaction is rolled back, and the client gets ABORTED or INDOUBT. An invalid answer before the statement has the reason invalid_answer, which no detector counts as silence. The model test of connections now marks its commits as such, as sessions do.

--- a/internal/execution/local.go
+++ b/internal/execution/local.go
@@ -147,10 +147,23 @@
 		reason = TooLarge
 	case errors.As(err, &unsendable):
 		reason = Malformed
+	case invalidAnswer(err):
+		reason = InvalidAnswer
 	}
 	return Result{Outcome: NotRun, Reason: reason, Detail: err.Error()}
 }
 
+// invalidAnswer reports whether an error of a Conn means that the upstream has answered with
+// messages that cannot be read.
+func invalidAnswer(err error) bool {
+	code := resultcode.Of(err)
+	return code == resultcode.MalformedMessage || code == resultcode.MessageTooLarge
+}
+
+// errState is the error of a reply that tells another transaction state than the commands before
+// it have led to. It is not the reply to its command, or not the only one.
+var errState = resultcode.New(resultcode.MalformedMessage, "the upstream answered with an unexpected transaction state")
+
 // runSingle runs a statement outside a client transaction.
 func (l *Local) runSingle(ctx context.Context, c *pooledConn, s *slot, r Request) (result Result, reusable bool) {
 	if failed, ok := syncSession(ctx, c, r); !ok {
@@ -187,12 +200,12 @@
 			commands = append(commands, statement.Command{Kind: statement.SetCommand, Name: name, Value: value})
 		}
 	}
-	return c.sendSetup(ctx, commands, r)
+	return c.sendSetup(ctx, commands, r, statement.Idle)
 }
 
 // sendSetup sends commands, followed by those that prepare the statement of the request,
-// and records the new session state of the connection.
-func (c *pooledConn) sendSetup(ctx context.Context, commands []statement.Command, r Request) (Result, bool) {
+// and records the new session state of the connection, whose transaction state is state.
+func (c *pooledConn) sendSetup(ctx context.Context, commands []statement.Command, r Request, state statement.TransactionState) (Result, bool) {
 	if r.Prepared != nil && c.prepared[r.Prepared.Name] != r.Prepared.Text {
 		if c.prepared[r.Prepared.Name] != "" {
 			commands = append(commands, statement.Command{Kind: statement.DeallocateCommand, Name: r.Prepared.Name})
@@ -209,6 +222,9 @@
 		if reply.Code != statement.OK {
 			return Result{Outcome: NotRun, Reason: Refused, Code: reply.Code, Detail: reply.Detail}, false
 		}
+		if reply.State != state {
+			return notSent(errState), false
+		}
 	}
 	if err != nil {
 		return notSent(err), false
@@ -236,6 +252,9 @@
 		return Result{Outcome: NotRun, Reason: Refused, Code: replies[0].Code, Detail: replies[0].Detail,
 			Position: replies[0].Position, Sent: true}, false
 	}
+	if replies[0].State != statement.InTransaction {
+		return notSent(errState), false
+	}
 	return Result{}, true
 }
 
@@ -258,12 +277,15 @@
 	}
 	if err != nil {
 		result := Result{Outcome: Unknown, Detail: err.Error(), Sent: true}
-		if resultcode.Of(err) == resultcode.MalformedMessage || resultcode.Of(err) == resultcode.MessageTooLarge {
+		if invalidAnswer(err) {
 			result.Reason = InvalidAnswer
 		}
 		return result
 	}
 	reply := replies[0]
+	if reply.Code == statement.OK && reply.State != r.stateAfter() {
+		return Result{Outcome: Unknown, Reason: InvalidAnswer, Detail: errState.Error(), Sent: true}
+	}
 	result := Result{
 		Outcome: Done, Code: reply.Code, Detail: reply.Detail, Rows: reply.Rows, Tag: reply.Tag,
 		Position: reply.Position, TransactionOpen: reply.State == statement.InTransaction, Sent: true,
@@ -278,6 +300,14 @@
 	return result
 }
 
+// stateAfter returns the transaction state after the success of a request's statement.
+func (r Request) stateAfter() statement.TransactionState {
+	if r.Mode == Single || r.EndsTransaction {
+		return statement.Idle
+	}
+	return statement.InTransaction
+}
+
 // rollback rolls back the transaction on a connection and reports whether the upstream
 // confirmed it.
 func rollback(c *pooledConn) bool {
@@ -352,7 +382,7 @@
 			commands = append(commands, statement.Command{Kind: statement.SetCommand, Name: name, Value: value})
 		}
 	}
-	return t.conn.sendSetup(ctx, commands, r)
+	return t.conn.sendSetup(ctx, commands, r, statement.InTransaction)
 }
 
 // runInTransaction runs a statement. It closes the transaction if the upstream ended it,
--- a/internal/execution/local_test.go
+++ b/internal/execution/local_test.go
@@ -32,7 +32,8 @@
 	delay      time.Duration
 	nextError  error // returned by the next Exchange
 	replyTo    func(c statement.Command) statement.Reply
-	panicAt    statement.CommandKind // panics when it receives this command; zero for none
+	stateOf    *statement.TransactionState // in replies to statements of clients; nil for the actual one
+	panicAt    statement.CommandKind       // panics when it receives this command; zero for none
 }
 
 type fakeConn struct {
@@ -80,6 +81,9 @@
 			c.apply(command)
 		}
 		reply.State = c.state
+		if command.Kind == statement.RunCommand && u.stateOf != nil {
+			reply.State = *u.stateOf
+		}
 		replies = append(replies, reply)
 	}
 	return replies, nil
@@ -241,7 +245,7 @@
 			}
 			ends := ""
 			if r.Mode == Continue && rapid.Bool().Draw(t, "end") {
-				ends = "end"
+				ends, r.EndsTransaction = "end", true
 			}
 			r.Text = strings.Join([]string{organisation, r.TransactionID, fmt.Sprint(values), prepared, ends}, "|")
 			result := l.Execute(context.Background(), r)
@@ -324,6 +328,57 @@
 	}
 }
 
+// Guards against a forged reply within a field of the actual one: it tells that a transaction has
+// ended, and the next statements would begin another one and commit without the former writes.
+func TestReplyWithUnexpectedState(t *testing.T) {
+	ended, open := statement.Idle, statement.InTransaction
+	for _, c := range []struct {
+		name  string
+		mode  Mode
+		ends  bool
+		state statement.TransactionState
+	}{
+		{"single statement", Single, false, open}, {"leader read", LeaderRead, false, ended},
+		{"first of a transaction", Begin, false, ended}, {"later one of a transaction", Continue, false, ended}, {"commit", Continue, true, open},
+	} {
+		u := &fakeUpstream{}
+		l := newLocal(u)
+		r := request("o1", c.mode)
+		if c.mode == Begin || c.mode == Continue {
+			r.TransactionID = "t1"
+		}
+		if c.mode == Continue {
+			first := r
+			first.Mode = Begin
+			assert.Equal(t, l.Execute(t.Context(), first).Outcome, Done, c.name)
+		}
+		u.stateOf, r.EndsTransaction = &c.state, c.ends
+		result := l.Execute(t.Context(), r)
+		assert.Equal(t, result.Outcome, Unknown, c.name)
+		assert.Equal(t, result.Reason, InvalidAnswer, c.name)
+		assert.Assert(t, !result.TransactionOpen, c.name)
+		assert.Equal(t, l.Transactions(), 0, c.name)
+		assert.Equal(t, u.open, 0, "%s: the connection is closed", c.name)
+	}
+}
+
+// Guards against a takeover because a primary answers the commands before a statement with
+// messages that cannot be read.
+func TestInvalidAnswerBeforeStatement(t *testing.T) {
+	for _, mode := range []Mode{Single, Begin, LeaderRead} {
+		u := &fakeUpstream{nextError: framing.New(framing.LineFeed, "reply")}
+		r := request("o1", mode)
+		r.SessionValues = map[string]string{"name": "value"}
+		if mode == Begin {
+			r.TransactionID, r.SessionValues = "t1", nil
+		}
+		result := newLocal(u).Execute(t.Context(), r)
+		assert.Equal(t, result.Outcome, NotRun)
+		assert.Equal(t, result.Reason, InvalidAnswer)
+		assert.Equal(t, u.open, 0)
+	}
+}
+
 // Guards against an unknown outcome if the connection failed before the statement was
 // sent, and against a refused leader read that counts as proof of leadership.
 func TestOutcomeOfStatementThatWasNotRun(t *testing.T) {
