Do not roll back a first statement that is sent again

Cause: also rolled back the transaction of a first statement that was not run or whose result could not be read. It is sent again under the same transaction, and the rollback, which is sent in the background, could overtake it at the same VM. Change: a first statement that was not run is not rolled back: it has opened nothing. One whose result cannot be read ends with RW1021 as one whose result is too large does; the reason of both is AnswerLost (before AnswerTooLarge).

--- a/internal/controller/peers/remote.go
+++ b/internal/controller/peers/remote.go
@@ -81,21 +81,24 @@
 }
 
 // refusal returns the result of a statement that the other VM did not run, or whose result it
-// could not pass on or that cannot be read. A transaction that is open there is rolled back: neither the other VM nor the
-// end of the connection, which goes on, ends it. The result is false for any other error.
+// could not pass on or that cannot be read. A transaction that is open there is rolled back: neither
+// the other VM nor the end of the connection, which goes on, ends it. The result is false for any
+// other error.
 func (r *RemoteExecutor) refusal(request execution.Request, err error) (execution.Result, bool) {
-	result := execution.Result{Outcome: execution.NotRun, Reason: execution.NoConnection, Detail: err.Error()}
+	result := execution.Result{Outcome: execution.NotRun, Detail: err.Error()}
 	switch {
 	case framing.ReasonOf(err) == framing.TooLarge:
 		result.Reason = execution.TooLarge
-	case resultcode.Is(err, resultcode.MessageMalformed):
-		result.Outcome, result.Reason, result.Sent = execution.Unknown, execution.InvalidAnswer, true
-	case errors.Is(err, relay.ErrResponseTooLarge):
-		result.Outcome, result.Reason, result.Sent = execution.Unknown, execution.AnswerTooLarge, true
-	case !errors.Is(err, relay.ErrRejected):
+	case errors.Is(err, relay.ErrRejected):
+		result.Reason = execution.NoConnection
+	case errors.Is(err, relay.ErrResponseTooLarge), resultcode.Is(err, resultcode.MessageMalformed):
+		result.Outcome, result.Reason, result.Sent = execution.Unknown, execution.AnswerLost, true
+	default:
 		return execution.Result{}, false
 	}
-	if request.TransactionID != "" {
+	// A first statement that was not run has opened no transaction, and is sent again under the ID
+	// of the same transaction.
+	if request.Mode == execution.Continue || request.Mode == execution.Begin && result.Outcome == execution.Unknown {
 		r.Rollback(request.Target, request.TransactionID)
 	}
 	return result, true
--- a/internal/controller/steering/figures.go
+++ b/internal/controller/steering/figures.go
@@ -114,7 +114,7 @@
 			Service: result.ServiceTime, Slots: registered.Slots, Primary: registered.Primary,
 		})
 	}
-	ofVM := result.Reason == execution.PeerLost || result.Reason == execution.AnswerTooLarge
+	ofVM := result.Reason == execution.PeerLost || result.Reason == execution.AnswerLost
 	if result.Outcome == execution.Done || result.Outcome == execution.Failed || result.Outcome == execution.Unknown && !ofVM {
 		r.balancer.ObserveAnswer(now, u, result.Outcome != execution.Done)
 	}
--- a/internal/execution/execution.go
+++ b/internal/execution/execution.go
@@ -204,15 +204,15 @@
 	// such a statement.
 	Malformed
 	TooLarge
-	// InvalidAnswer means that the upstream, or the executing VM, answered with messages that cannot
-	// be read. It is set for the outcome Unknown.
+	// InvalidAnswer means that the upstream answered with messages that cannot be read. It is set
+	// for the outcome Unknown.
 	InvalidAnswer
-	// AnswerTooLarge means that the executing VM ran the statement and that its result exceeds the
-	// maximum size of a message between VMs. It is set for the outcome Unknown.
-	AnswerTooLarge
+	// AnswerLost means that the result of the executing VM exceeds the maximum size of a message
+	// between VMs or cannot be read. It is set for the outcome Unknown.
+	AnswerLost
 )
 
-var reasonNames = [...]string{"none", "refused", "no_connection", "unreachable", "no_transaction", "peer_lost", "stopping", "withdrawn", "malformed", "too_large", "invalid_answer", "answer_too_large"}
+var reasonNames = [...]string{"none", "refused", "no_connection", "unreachable", "no_transaction", "peer_lost", "stopping", "withdrawn", "malformed", "too_large", "invalid_answer", "answer_lost"}
 
 // String returns the name used in log entries. A newer VM may know other reasons.
 func (r Reason) String() string {
@@ -255,7 +255,7 @@
 
 // Unanswered reports whether the upstream has not answered a statement that was sent to it.
 func (r Result) Unanswered() bool {
-	return r.Outcome == Unknown && r.Reason != PeerLost && r.Reason != InvalidAnswer && r.Reason != AnswerTooLarge
+	return r.Outcome == Unknown && r.Reason != PeerLost && r.Reason != InvalidAnswer && r.Reason != AnswerLost
 }
 
 // Executor executes statements on this VM or on another one.
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -135,8 +135,8 @@
 		return resultcode.New(resultcode.MalformedMessage, "the statement cannot be sent to an upstream")
 	case result.Reason == execution.TooLarge:
 		return resultcode.New(resultcode.MessageTooLarge, "the statement exceeds the size limit of upstreams")
-	case result.Reason == execution.AnswerTooLarge:
-		return resultcode.New(resultcode.AnswerIncomplete, "the statement ran and its answer exceeds the size limit between VMs")
+	case result.Reason == execution.AnswerLost:
+		return resultcode.New(resultcode.AnswerIncomplete, "the answer cannot be passed on between VMs")
 	case result.Outcome == execution.NotRun:
 		return nil
 	case result.Outcome == execution.Failed:
