--- a/internal/controller/peers/remote.go
+++ b/internal/controller/peers/remote.go
@@ -84,18 +84,19 @@
 // not pass on or this VM cannot read. A transaction that may be open there is rolled back, because
 // the connection goes on. The result is false for any other error.
 func (r *RemoteExecutor) refusal(request execution.Request, err error) (execution.Result, bool) {
-	result := execution.Result{Outcome: execution.NotRun, Reason: execution.NoConnection, Detail: err.Error()}
+	result := execution.Result{Outcome: execution.NotRun, Detail: err.Error()}
 	switch {
 	case framing.ReasonOf(err) == framing.TooLarge:
 		result.Reason = execution.TooLarge
-	case resultcode.Is(err, resultcode.MessageMalformed):
-		result.Outcome, result.Reason, result.Sent = execution.Unknown, execution.InvalidAnswer, true
-	case errors.Is(err, relay.ErrResponseTooLarge):
-		result.Outcome, result.Reason, result.Sent = execution.Unknown, execution.AnswerTooLarge, true
-	case !errors.Is(err, relay.ErrRejected):
+	case errors.Is(err, relay.ErrRejected):
+		result.Reason = execution.NoConnection
+	case errors.Is(err, relay.ErrResponseTooLarge), resultcode.Is(err, resultcode.MessageMalformed):
+		result.Outcome, result.Reason, result.Sent = execution.Unknown, execution.AnswerLost, true
+	default:
 		return execution.Result{}, false
 	}
-	if request.TransactionID != "" {
+	// A first statement that was not run has opened no transaction.
+	if request.Mode == execution.Continue || request.Mode == execution.Begin && result.Outcome == execution.Unknown {
 		r.Rollback(request.Target, request.TransactionID)
 	}
 	return result, true
