Bound the requests of the HTTP servers and report dumps that cannot be encoded

Cause: the ready probe, the metrics and the administration server bounded the time of a header only. A header could have 1 MiB, a body or an unused connection stayed for ever, each with a goroutine. A dump or a metric that cannot be encoded, such as NaN, was answered with status 200 and an empty body.

The state dump of a VM is now indented, as that of the administration server is.

--- a/internal/admin/admin.go
+++ b/internal/admin/admin.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rosemarywall/rosemarywall/internal/httpserver"
 	"github.com/rosemarywall/rosemarywall/internal/version"
 )
 
@@ -34,7 +35,7 @@
 // New returns a server that is not listening yet.
 func New(ready Readiness) *Server {
 	s := &Server{mux: http.NewServeMux(), ready: ready, dumps: map[string]func() any{}, vars: map[string]expvar.Var{}}
-	s.http = &http.Server{Handler: s.mux, ReadHeaderTimeout: headerTimeout}
+	s.http = httpserver.New(s.mux, headerTimeout)
 	s.mux.HandleFunc("GET /livez", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("ok\n")) })
 	s.mux.HandleFunc("GET /readyz", s.serveReady)
 	s.mux.HandleFunc("GET /debug/vars", s.serveVars)
@@ -69,14 +70,7 @@
 		all[name] = json.RawMessage(v.String())
 	}
 	s.mu.Unlock()
-	writeJSON(w, all)
-}
-
-func writeJSON(w http.ResponseWriter, value any) {
-	w.Header().Set("Content-Type", "application/json")
-	encoder := json.NewEncoder(w)
-	encoder.SetIndent("", "  ")
-	_ = encoder.Encode(value)
+	_ = httpserver.WriteJSON(w, all) // the status tells
 }
 
 // Serve answers requests on the listener until Shutdown.
@@ -100,7 +94,7 @@
 }
 
 func (s *Server) serveState(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, s.State())
+	_ = httpserver.WriteJSON(w, s.State()) // the status tells
 }
 
 // State returns the state of every component, by name.
--- a/internal/admin/admin_test.go
+++ b/internal/admin/admin_test.go
@@ -1,7 +1,9 @@
 package admin
 
 import (
+	"expvar"
 	"io"
+	"math"
 	"net/http"
 	"net/http/httptest"
 	"testing"
@@ -42,3 +44,17 @@
 	assert.Assert(t, cmp.Contains(body, `"idle": 2`))
 	assert.Assert(t, cmp.Contains(body, `"version"`))
 }
+
+// Guards against an empty body with status 200 for a state or metrics that cannot be encoded, and
+// against requests without bounds.
+func TestUnreadableStateIsAnError(t *testing.T) {
+	s := New(func() (bool, string) { return true, "" })
+	s.AddDump("callers", func() any { return math.NaN() })
+	code, body := get(t, s, "/debug/state")
+	assert.Equal(t, code, http.StatusInternalServerError)
+	assert.Assert(t, cmp.Contains(body, "cannot be encoded"))
+	s.AddVars("odd", expvar.Func(func() any { return math.Inf(1) }))
+	code, _ = get(t, s, "/debug/vars")
+	assert.Equal(t, code, http.StatusInternalServerError)
+	assert.Assert(t, s.http.ReadTimeout > 0 && s.http.IdleTimeout > 0 && s.http.MaxHeaderBytes > 0)
+}
--- a/internal/service/observe.go
+++ b/internal/service/observe.go
@@ -1,7 +1,6 @@
 package service
 
 import (
-	"encoding/json"
 	"maps"
 	"net/http"
 	"slices"
@@ -15,6 +14,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/core/shareunits"
 	"github.com/rosemarywall/rosemarywall/internal/execution"
 	"github.com/rosemarywall/rosemarywall/internal/framing"
+	"github.com/rosemarywall/rosemarywall/internal/httpserver"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/proxy"
 	"github.com/rosemarywall/rosemarywall/internal/recovery"
@@ -104,7 +104,7 @@
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", v.adapter.Metrics.Handler())
 	mux.HandleFunc("GET /debug/state", v.serveState)
-	return &http.Server{Handler: mux, ReadHeaderTimeout: metricsHeaderTimeout}
+	return httpserver.New(mux, metricsHeaderTimeout)
 }
 
 // metricsHeaderTimeout limits the reading of a request header by the metrics server.
@@ -151,8 +151,7 @@
 }
 
 func (v *VM) serveState(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(v.State()); err != nil {
+	if err := httpserver.WriteJSON(w, v.State()); err != nil {
 		v.log.Warn().Err(err).Msg("cannot write state dump")
 	}
 }
