Do not name a size that a too large note does not have

Cause: a body above the limit is read up to one byte above it, and the problem named that as the size of the note.

Change: the problem names the limit only.

Before, on: "a size that the note does not have: n:0: RW2011: the note has 524289 bytes; the limit is 524288". Sound before: bodies that break off were refused with RW2001.

--- a/internal/core/configuration/note.go
+++ b/internal/core/configuration/note.go
@@ -66,7 +66,7 @@
 func ParseNote(file string, data []byte) (*Note, Problems) {
 	p := parser{note: &Note{File: file}, itemLines: map[string]int{}}
 	if len(data) > MaxNoteBytes {
-		p.report(0, resultcode.NoteTooLarge, "the note has %d bytes; the limit is %d", len(data), MaxNoteBytes)
+		p.report(0, resultcode.NoteTooLarge, "the note has more than %d bytes", MaxNoteBytes)
 		return nil, p.problems
 	}
 	sections, problems := inifile.Parse(file, data, resultcode.NoteSyntax)
