Check the names of a stored configuration of the PostgreSQL product

Cause: names were checked in release notes only. A stored or sent configuration was decoded as it came: a database name with NUL becomes a field of its own in the startup packet to an upstream, and texts that are not UTF-8 became equal.

Change: Decode returns a framing.Error with the place of the first name, hash or address that no note can set, so that the VM keeps the configuration that it has. The entry is not left out here, unlike on the platform: VMs compare digests of the whole configuration, and only a writer that is not this program can have stored such a name. A text above 64 MiB has its own error.

Sound before: cut and lengthened encodings (TestDecodeRejectsCutEncodings).

--- a/internal/core/configuration/encode.go
+++ b/internal/core/configuration/encode.go
@@ -47,20 +47,27 @@
 	return sum[:]
 }
 
-// Decode parses the output of Encode.
+// Decode parses the output of Encode. A configuration with a name or an address that no note
+// can set is an error, a framing.Error.
 func Decode(data []byte) (*Configuration, error) {
 	r, err := gzip.NewReader(bytes.NewReader(data))
 	if err != nil {
 		return nil, errors.Wrap(err, "configuration is not compressed")
 	}
-	decompressed, err := io.ReadAll(io.LimitReader(r, maxDecodedBytes))
+	decompressed, err := io.ReadAll(io.LimitReader(r, maxDecodedBytes+1))
 	if err != nil {
 		return nil, errors.Wrap(err, "decompress configuration")
 	}
+	if len(decompressed) > maxDecodedBytes {
+		return nil, errors.Newf("configuration is larger than %d bytes", maxDecodedBytes)
+	}
 	c := Empty()
 	if err := json.Unmarshal(decompressed, c); err != nil {
 		return nil, errors.Wrap(err, "decode configuration")
 	}
+	if err := checkNames(c); err != nil {
+		return nil, err
+	}
 	return clone(c), nil
 }
 
