Do not replace a stored value that a response lacks

Cause: Update took an object without a value for one that is to be created, while exists was true, and its change replaced what was stored. A response of the object API without the member "value" was accepted.

Change: the client rejects such a response as PlatformDown, and Update fails with PlatformBadRequest if an existing object has no value, for all clients.

Before, on: TestUpdateKeepsUnreadableValue calls Put with the changed value (a panic in the test's client). After: it passes, and the case without a value in TestResponsesAreWhole.

--- a/internal/objectapi/boundary.go
+++ b/internal/objectapi/boundary.go
@@ -40,9 +40,9 @@
 	}
 }
 
-// check returns an error if the object is not the one of a call.
+// check returns an error if the object is not the one of a call, or is not whole.
 func (o Object) check(kind Kind, name string) error {
-	if o.Kind != kind || o.Name != name || o.Version == 0 {
+	if o.Kind != kind || o.Name != name || o.Version == 0 || len(o.Value) == 0 {
 		return resultcode.New(resultcode.PlatformDown, "the response does not hold %s/%s", kind, name)
 	}
 	return nil
--- a/internal/objectapi/http_test.go
+++ b/internal/objectapi/http_test.go
@@ -1,6 +1,7 @@
 package objectapi
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"net/http"
@@ -50,7 +51,7 @@
 func TestResponsesAreWhole(t *testing.T) {
 	object := `{"kind":"group","name":"g1","version":7,"value":{"a":1}}`
 	for _, body := range []string{"", " ", "null", "{}", "[]", object + object, object[:len(object)-1], strings.Replace(object, "g1", "g2", 1),
-		strings.Replace(object, `"group"`, `"zone-ack"`, 1), strings.Replace(object, `:1`, ":\"\xff\"", 1)} {
+		strings.Replace(object, `"group"`, `"zone-ack"`, 1), strings.Replace(object, `:1`, ":\"\xff\"", 1), strings.Replace(object, `,"value":{"a":1}`, "", 1)} {
 		c := newTestClient(t, respond(body))
 		_, err := c.Get(t.Context(), KindGroup, "g1")
 		assert.Equal(t, resultcode.Of(err), resultcode.PlatformDown, "get: %q", body)
@@ -103,6 +104,20 @@
 	assert.Equal(t, resultcode.Of(err), resultcode.PlatformDown)
 }
 
+// unreadable is a client whose object has a value that cannot be read.
+type unreadable struct{ Client }
+
+func (unreadable) Get(_ context.Context, kind Kind, name string) (Object, error) {
+	return Object{Kind: kind, Name: name, Version: 7}, nil
+}
+
+// Guards against an update that takes an unreadable value for a new one and replaces it.
+func TestUpdateKeepsUnreadableValue(t *testing.T) {
+	change := func(*struct{ WriterTag }, bool) error { t.Error("the value was changed"); return nil }
+	_, err := Update(t.Context(), unreadable{}, NewWriter("vm-1", 1), KindGroup, "g1", change)
+	assert.Equal(t, resultcode.Of(err), resultcode.PlatformBadRequest)
+}
+
 // FuzzResponse looks for a body that is taken for another object than the one of the call.
 func FuzzResponse(f *testing.F) {
 	for _, body := range []string{"", "null", `{"kind":"group","name":"g1","version":7,"value":1}`, `{"kind":"group","name":"g1"} {}`, `{"name":"g1","name":"g2"}`} {
--- a/internal/objectapi/update.go
+++ b/internal/objectapi/update.go
@@ -128,7 +128,8 @@
 		return Object{}, u.supersededError()
 	}
 	value := P(new(T))
-	if len(current.Value) > 0 {
+	// A value that cannot be read is not a new one: the change would replace it.
+	if current.Version.Revision() != 0 {
 		if err := json.Unmarshal(current.Value, value); err != nil {
 			return Object{}, backoff.Permanent(resultcode.Wrap(err, resultcode.PlatformBadRequest, "decode %s/%s", u.kind, u.name))
 		}
