Send more messages across SIGTERM in the soak

Cause: one message for each planned stop crossed SIGTERM once or twice in a run, and a rejection of it as malformed passed for any other refusal.

Change: six messages, to all VMs of the zone of the fault; a sound one must not get MALFORMED or TOOBIG; what is answered across SIGTERM is counted.

--- a/cmd/rosemarywall-soak/main.go
+++ b/cmd/rosemarywall-soak/main.go
@@ -72,7 +72,7 @@
 	fmt.Printf("seed %d: %d faults, %d reads, %d writes, %d violations\n", seed, report.Faults, report.Reads, report.Writes, len(report.Violations))
 	fmt.Printf("  planned stops: %d requests, %d cut, excused %v\n", report.Stops.AroundStops, report.Stops.Cut, report.Stops.Excused)
 	odd := report.Odd
-	fmt.Printf("  odd bytes: %d statements executed, %d of them large, %d interrupted by SIGTERM, %d messages rejected, %d broken off\n",
+	fmt.Printf("  odd bytes: %d statements executed, %d of them large, %d answered across SIGTERM, %d messages rejected, %d broken off\n",
 		odd.Executed, odd.Large, odd.Interrupted, odd.Rejected, odd.Halves)
 	u := report.Usage
 	fmt.Printf("  usage: %d windows, %d missed, %d late, %d wrong, %d of %d statements reported\n", u.Windows, u.Missed, u.Late, u.Wrong, u.Reported, u.Begun)
--- a/internal/soak/odd.go
+++ b/internal/soak/odd.go
@@ -22,6 +22,8 @@
 	// messages that SIGTERM interrupts.
 	oddStream        = usageStream + 1
 	stopPiecesStream = oddStream + oddCallers
+	// interruptedPerStop is the number of messages around a SIGTERM, two to a VM.
+	interruptedPerStop = 6
 	// oddPause bounds the pauses between the pieces of a message and between sessions.
 	oddPause = 60 * time.Millisecond
 	// beforeStop and afterStop bound the times around SIGTERM at which the two parts of a
@@ -45,8 +47,8 @@
 	Executed, Rejected, Halves int64
 	// Large are the executed ones whose message was at most two bytes below the maximum size.
 	Large int64
-	// Interrupted are the executed ones whose message began before SIGTERM to the VM and ended
-	// after it.
+	// Interrupted are the statements that were answered and whose message began before SIGTERM
+	// to the VM and ended after it.
 	Interrupted int64
 }
 
@@ -88,18 +90,21 @@
 	started := time.Now()
 	rng := rand.New(rand.NewPCG(f.options.Seed, stopPiecesStream))
 	for n, fault := range plan {
-		before, after := between(rng, 0, beforeStop), between(rng, 0, afterStop)
-		c := &oddCaller{fleet: f, n: oddCallers + n, rng: rand.New(rand.NewPCG(f.options.Seed, stopPiecesStream+1+uint64(n)))}
-		if !fault.Kind.stops() {
-			continue
-		}
-		running.Go(func() {
-			select {
-			case <-ctx.Done():
-			case <-time.After(time.Until(started.Add(fault.At - before))):
-				c.interrupted(fault.Target, before+after)
+		for k := range interruptedPerStop {
+			before, after := between(rng, 0, beforeStop), between(rng, 0, afterStop)
+			number := uint64(n*interruptedPerStop + k)
+			c := &oddCaller{fleet: f, n: oddCallers + int(number), rng: rand.New(rand.NewPCG(f.options.Seed, stopPiecesStream+1+number))}
+			if !fault.Kind.stops() {
+				continue
 			}
-		})
+			running.Go(func() {
+				select {
+				case <-ctx.Done():
+				case <-time.After(time.Until(started.Add(fault.At - before))):
+					c.interrupted(fault.Target+len(zones)*(k/2), before+after) // VMs of one zone
+				}
+			})
+		}
 	}
 }
 
@@ -224,8 +229,13 @@
 		begun = time.Now()
 		time.Sleep(after)
 	}, message[:at], message[at:])
+	c.wrote(id, item, reply, err)
+	if err != nil {
+		return
+	}
+	c.executed(id, text, len(message), reply)
 	stopped := c.fleet.vms[vm%len(c.fleet.vms)].allSignals()[s.process].terminatedAt
-	if c.wrote(id, item, reply, err) && stopped.After(begun) && stopped.Before(s.SentAt()) {
+	if stopped.After(begun) && stopped.Before(s.SentAt()) {
 		c.fleet.odd.interrupted.Add(1)
 	}
 }
@@ -234,17 +244,23 @@
 func (c *oddCaller) ask(s *session, id, text string) (platformtest.Reply, error) {
 	message := "QUERY " + id + " " + text + "\r\n"
 	reply, err := s.ask(id, text, c.pause, pieces(c.rng, message)...)
+	if err == nil {
+		c.executed(id, text, len(message), reply)
+	}
+	return reply, err
+}
+
+// executed counts a sound statement, which must not be rejected.
+func (c *oddCaller) executed(id, text string, length int, reply platformtest.Reply) {
 	switch {
-	case err != nil:
+	case reply.Code == codeMalformed || reply.Code == codeTooBig:
+		c.fleet.history.violate("%q, %.120q of allowed bytes, got %s", id, text, reply.Code)
 	case reply.Code == "":
 		c.fleet.odd.executed.Add(1)
-		if len(message) >= platformtest.MaxMessageBytes-2 {
+		if length >= platformtest.MaxMessageBytes-2 {
 			c.fleet.odd.large.Add(1)
 		}
-	case reply.Code == codeMalformed || reply.Code == codeTooBig:
-		c.fleet.history.violate("%q, %.120q of allowed bytes, got %s", id, text, reply.Code)
 	}
-	return reply, err
 }
 
 // large returns a text whose message is as large as is allowed, or up to two bytes smaller.
