Do not answer within a row that the upstream left incomplete

Cause: wire.Reader.Forward streams a message of the upstream to the client. When the upstream ended within it, the part stayed in the client's stream and the ErrorResponse followed, so that the client read the error as the rest of the row.

Change: a message that fits the buffer (16 KiB) is forwarded once it is complete. If a larger one fails, the part is taken back (Writer.Rewind), or, once some of it was sent, the client's connection ends without more bytes. The case counts as RW1021 and as a failure of the upstream.

--- a/internal/filter/forward/responses.go
+++ b/internal/filter/forward/responses.go
@@ -1,12 +1,15 @@
 package forward
 
 import (
+	"errors"
+	"fmt"
 	"strconv"
 	"strings"
 
 	"github.com/rosemarywall/rosemarywall/internal/filter"
 	"github.com/rosemarywall/rosemarywall/internal/frontend/sqltext"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/wire"
 )
 
@@ -134,11 +137,9 @@
 		}
 	}
 	x.responseForwarded = true
+	position := x.w.Position()
 	if err := x.conn.Reader.Forward(x.w); err != nil {
-		if x.w.Err() != nil {
-			return &filter.ClientConnError{Cause: err}
-		}
-		return err
+		return x.forwardFailed(position, err)
 	}
 	return nil
 }
@@ -146,15 +147,31 @@
 // forwardRows forwards the buffered rows to the client.
 func (x *exchange) forwardRows() error {
 	x.responseForwarded = true
+	position := x.w.Position()
 	if err := x.conn.Reader.ForwardRun(x.w, 'D'); err != nil {
-		if x.w.Err() != nil {
-			return &filter.ClientConnError{Cause: err}
-		}
-		return err
+		return x.forwardFailed(position, err)
 	}
 	return nil
 }
 
+// forwardFailed takes back the part of a message that was written from the position on. If
+// the client has received some of it, the connection of the client ends, because the client
+// would take any error for the rest of that message.
+func (x *exchange) forwardFailed(position int64, cause error) error {
+	if x.w.Err() != nil {
+		return &filter.ClientConnError{Cause: cause}
+	}
+	if x.w.Rewind(position) {
+		return cause
+	}
+	x.reportFailure(cause)
+	x.h.cfg.Counters.RecordRefusal(resultcode.AnswerIncomplete)
+	return &filter.ClientConnError{Cause: fmt.Errorf("%w: %w", errMessageCut, cause)}
+}
+
+// errMessageCut reports that the client has received a part of a message.
+var errMessageCut = errors.New("the upstream ended within a message")
+
 // writeToClient writes a message frame to the client.
 func (x *exchange) writeToClient(frame []byte) error {
 	if len(x.held) > 0 {
--- a/internal/wire/reader.go
+++ b/internal/wire/reader.go
@@ -177,13 +177,19 @@
 	return kind, frame, nil
 }
 
-// Forward consumes a frame of any size and writes it to w unchanged. It streams the
-// frame through the buffer instead of holding it in memory.
+// Forward consumes a frame of any size and writes it to w unchanged. A frame that exceeds
+// the buffer is streamed through it, so that w has a part of the frame if the source fails;
+// see Writer.Rewind. A smaller one is written once it is complete.
 func (r *Reader) Forward(w *Writer) error {
 	_, size, err := r.Peek()
 	if err != nil {
 		return err
 	}
+	if headerBytes+size <= bufferBytes {
+		if err := r.fill(headerBytes + size); err != nil {
+			return err
+		}
+	}
 	return r.stream(headerBytes+size, func(part []byte) error { _, err := w.Write(part); return err })
 }
 
--- a/internal/wire/writer.go
+++ b/internal/wire/writer.go
@@ -37,6 +37,19 @@
 // Truncate discards all buffered bytes after the first n.
 func (w *Writer) Truncate(n int) { w.n = min(w.n, n) }
 
+// Position returns the number of bytes written so far, sent or buffered.
+func (w *Writer) Position() int64 { return w.sent + int64(w.n) }
+
+// Rewind discards what was written after the position. It reports false, and keeps all, if
+// some of it was sent.
+func (w *Writer) Rewind(position int64) bool {
+	if position < w.sent {
+		return false
+	}
+	w.Truncate(int(position - w.sent))
+	return true
+}
+
 // Write buffers p and writes full buffers to the destination. Large writes bypass
 // the buffer.
 func (w *Writer) Write(p []byte) (int, error) {
