Report a transaction that ended before its ReadyForQuery

Cause: synthesiseResponses took any query of a transaction whose CommandComplete had arrived for a completed one, not only ROLLBACK. When the upstream ended between CommandComplete and ReadyForQuery, the client got ReadyForQuery with status I and no error, although its transaction was lost; the next statements ran outside of it.

--- a/internal/filter/forward/resolve.go
+++ b/internal/filter/forward/resolve.go
@@ -269,7 +269,8 @@
 		case e.kind == 'D' && e.message != nil && e.message.Prepared == nil:
 			x.held = append(x.held, noData...)
 		case e.message == nil || !isSingleStatement(e.message, kind):
-			return e.kind == 'Q' && x.statement == len(x.statements) && i == len(x.expected)-1
+			return e.kind == 'Q' && x.statement == len(x.statements) && i == len(x.expected)-1 &&
+				(kind == sqltext.Commit || endsWithRollback(x.statements))
 		case e.kind == 'Q':
 			if x.statement == 0 {
 				x.held = append(x.held, complete...)
@@ -289,6 +290,11 @@
 	return true
 }
 
+// endsWithRollback reports whether the last statement ends the transaction without a commit.
+func endsWithRollback(list []sqltext.Statement) bool {
+	return len(list) > 0 && list[len(list)-1].Kind == sqltext.Rollback && !list[len(list)-1].Chain
+}
+
 // isSingleStatement reports whether the message belongs to a single statement of the
 // given kind.
 func isSingleStatement(msg *filter.Message, kind sqltext.Kind) bool {
