Reject messages of an upstream whose body is invalid

Cause: the body of CommandComplete was sliced without a check, so that an empty one in answer to BEGIN caused a panic; a body with two texts, bytes behind ParameterStatus and an unknown transaction status were passed on to the client.

Change: such a message closes the connection to the upstream, and the client gets the error of a lost connection.

--- a/internal/filter/forward/exchange.go
+++ b/internal/filter/forward/exchange.go
@@ -367,6 +367,11 @@
 	}
 }
 
+// invalidMessage returns the error of a message whose body does not have the form of its type.
+func (x *exchange) invalidMessage(kind byte) error {
+	return fmt.Errorf("%w: type %q", wire.ErrMalformed, kind)
+}
+
 func (x *exchange) unexpectedMessage(kind byte) error {
 	return fmt.Errorf("%w: message type %q", errUnexpectedMessage, kind)
 }
--- a/internal/filter/forward/responses.go
+++ b/internal/filter/forward/responses.go
@@ -234,10 +234,14 @@
 	if err != nil {
 		return err
 	}
-	if e.tag != "" && string(frame[minFrame:len(frame)-1]) != e.tag {
+	tag, rest, err := wire.CutCString(frame[minFrame:])
+	if err != nil || len(rest) != 0 {
+		return x.invalidMessage('C')
+	}
+	if e.tag != "" && string(tag) != e.tag {
 		return x.unexpectedMessage('C') // the late response to an earlier request
 	}
-	x.committed = string(frame[minFrame:]) == "COMMIT\x00"
+	x.committed = string(tag) == "COMMIT"
 	if !e.drop {
 		x.trackStatement(e)
 		if x.s.OnPrimary {
@@ -286,7 +290,10 @@
 	if err != nil {
 		return err
 	}
-	if e.kind != 'S' && e.kind != 'Q' || len(body) != 1 {
+	if len(body) != 1 || !strings.Contains("ITE", string(body)) {
+		return x.invalidMessage('Z')
+	}
+	if e.kind != 'S' && e.kind != 'Q' {
 		return x.unexpectedMessage('Z')
 	}
 	x.status = body[0]
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -22,7 +22,10 @@
 	if err != nil {
 		return "", "", err
 	}
-	v, _, err := CutCString(rest)
+	v, rest, err := CutCString(rest)
+	if err == nil && len(rest) > 0 {
+		err = fmt.Errorf("%w: bytes after the parameter", ErrMalformed)
+	}
 	return string(n), string(v), err
 }
 
