Tell a client why an invalid length within a COPY ends its connection

Cause: during COPY the errors of the client's reader came wrapped in ClientConnError, for which a session ends without a response, so that a malformed message closed the connection silently and was not counted.

Change: input that could not be read gets its FATAL error there too. Such errors are framing errors, and the log line of the disconnected caller holds their reason.

--- a/internal/filter/forward/responses.go
+++ b/internal/filter/forward/responses.go
@@ -166,7 +166,7 @@
 	}
 	x.reportFailure(cause)
 	x.h.cfg.Counters.RecordRefusal(resultcode.AnswerIncomplete)
-	return &filter.ClientConnError{Cause: fmt.Errorf("%w: %w", errMessageCut, cause)}
+	return &filter.ClientConnError{Cause: fmt.Errorf("%w: %v", errMessageCut, cause)}
 }
 
 // errMessageCut reports that the client has received a part of a message.
--- a/internal/frontend/errors.go
+++ b/internal/frontend/errors.go
@@ -4,6 +4,7 @@
 	"errors"
 
 	"github.com/rosemarywall/rosemarywall/internal/filter"
+	"github.com/rosemarywall/rosemarywall/internal/framing"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/wire"
 )
@@ -26,14 +27,16 @@
 	_, _ = s.conn.writer.Write(filter.ErrorFrame(severity, err))
 }
 
-// inputError returns the refusal for input that could not be read, or nil when
+// inputError returns the refusal for input of the caller that could not be read, or nil when
 // the connection itself failed.
 func inputError(err error) error {
 	switch {
 	case errors.Is(err, wire.ErrTooLarge):
-		return resultcode.New(resultcode.MessageTooLarge, "%s", err.Error())
+		return framing.New(framing.TooLarge, "%s", err.Error())
+	case errors.Is(err, wire.ErrLength):
+		return framing.New(framing.Length, "%s", err.Error())
 	case errors.Is(err, wire.ErrMalformed):
-		return resultcode.New(resultcode.MalformedMessage, "%s", err.Error())
+		return framing.New(framing.Field, "%s", err.Error())
 	}
 	return nil
 }
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/filter"
+	"github.com/rosemarywall/rosemarywall/internal/framing"
 	"github.com/rosemarywall/rosemarywall/internal/frontend/sqltext"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/wire"
@@ -94,9 +95,8 @@
 
 // end tells the caller why its connection ends, where there is something to tell.
 func (s *session) end(err error) {
-	var lost *filter.ClientConnError
 	switch {
-	case err == nil, errors.Is(err, errNoSession), errors.Is(err, io.EOF), errors.As(err, &lost) && resultcode.Of(err) == 0:
+	case err == nil, errors.Is(err, errNoSession), errors.Is(err, io.EOF):
 		return
 	case errors.Is(err, errShed):
 		err = s.stopReason()
@@ -107,7 +107,11 @@
 	}
 	s.writeError(filter.SeverityFatal, err)
 	_ = s.conn.writer.Flush()
-	s.server.cfg.Logger.Debug().Str("organisation", string(s.shared.Grant.Organisation)).Str("code", resultcode.Of(err).String()).Msg("caller disconnected")
+	e := s.server.cfg.Logger.Debug().Str("organisation", string(s.shared.Grant.Organisation)).Str("code", resultcode.Of(err).String())
+	if reason := framing.ReasonOf(err); reason != "" {
+		e = e.Str("reason", string(reason))
+	}
+	e.Msg("caller disconnected")
 }
 
 // loop serves messages. An error ends the connection.
--- a/internal/wire/reader.go
+++ b/internal/wire/reader.go
@@ -26,6 +26,10 @@
 // ErrMalformed is returned for input that is not a valid PostgreSQL message.
 var ErrMalformed = errors.New("malformed message")
 
+// ErrLength is an ErrMalformed for a length that no message can have, so that the end of the
+// message is unknown.
+var ErrLength = fmt.Errorf("%w: length", ErrMalformed)
+
 // Reader reads frames.
 type Reader struct {
 	src    io.Reader
@@ -142,7 +146,7 @@
 	}
 	length := int(int32(binary.BigEndian.Uint32(r.buf[r.start+1:])))
 	if length < 4 {
-		return 0, 0, fmt.Errorf("%w: length %d", ErrMalformed, length)
+		return 0, 0, fmt.Errorf("%w %d", ErrLength, length)
 	}
 	return r.buf[r.start], length - 4, nil
 }
@@ -252,7 +256,7 @@
 	}
 	length := int(int32(binary.BigEndian.Uint32(r.buf[r.start:])))
 	if length < 8 || length > limit {
-		return nil, fmt.Errorf("%w: startup packet length %d", ErrMalformed, length)
+		return nil, fmt.Errorf("%w %d of a startup packet", ErrLength, length)
 	}
 	if err := r.fill(length); err != nil {
 		return nil, err
