Answer a COPY that the upstream ends within a message of the client

Cause: when the upstream responded to a COPY while a CopyData had arrived in part, (1) complete data before it stayed in the buffer, (2) in the extended protocol the Sync of the client was not awaited, and with a message above the buffer the upstream took the ROLLBACK of the proxy for the rest of the data, so that both waited forever, and (3) the responses of a session were not flushed before it waited for the rest of a message.

Change: a message that was not forwarded is left to the session; after a part was forwarded the connection is closed and the transaction reported as failed. CopyDone, CopyFail, Sync and Flush are checked before they are forwarded. Buffered input and responses are flushed before a wait for the rest of a message.

--- a/internal/filter/forward/copyin.go
+++ b/internal/filter/forward/copyin.go
@@ -4,7 +4,9 @@
 	"errors"
 
 	"github.com/rosemarywall/rosemarywall/internal/filter"
+	"github.com/rosemarywall/rosemarywall/internal/framing"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	"github.com/rosemarywall/rosemarywall/internal/wire"
 )
 
 // copyIn forwards CopyInResponse and streams the data of the client to the upstream. An
@@ -67,10 +69,10 @@
 // responds. In the extended protocol, the upstream has ignored the Sync that was sent
 // before, so the client's next Sync is sent as well.
 func (x *exchange) copyClientData(extended bool) error {
-	client, reader := x.s.Client, x.s.Client.Reader()
+	client, reader, w := x.s.Client, x.s.Client.Reader(), x.conn.Writer
 	done := false
 	for {
-		kind, _, err := client.Peek()
+		kind, size, err := client.Peek()
 		if errors.Is(err, filter.ErrInterrupted) {
 			x.needSync = extended
 			return nil
@@ -78,28 +80,37 @@
 		if err != nil {
 			return &filter.ClientConnError{Cause: err}
 		}
-		switch kind {
-		case 'd', 'c', 'f':
-			if err := reader.Forward(x.conn.Writer); err != nil {
-				return x.handleCopyError(err)
-			}
-			done = done || kind != 'd'
-		case 'S', 'H':
-			if done && kind == 'S' {
-				_, frame, err := reader.ReadFrame()
-				if err != nil {
-					return &filter.ClientConnError{Cause: err}
-				}
-				_, _ = x.conn.Writer.Write(frame)
-				return x.flushCopyData()
+		if reader.Buffered() < minFrame+size {
+			if err := x.flushCopyData(); err != nil {
+				return err
 			}
-			err = reader.Skip()
+		}
+		position := w.Position()
+		switch kind {
+		case 'd':
+			err = reader.Forward(w)
+		case 'c', 'f', 'S', 'H':
+			err = x.forwardCopyControl(kind, size, done)
 		default:
-			return &filter.ClientConnError{Cause: resultcode.New(resultcode.MalformedMessage, "message type %q during COPY", kind)}
+			err = framing.New(framing.Sequence, "message type %q during COPY", kind)
+		}
+		if err != nil && isTimeout(err) {
+			// The upstream responded while the message was arriving. If it has received a part,
+			// its input is out of sync, so the connection is closed after the response was read.
+			x.broken = w.Position() != position
+			x.needSync = extended
+			return nil
+		}
+		if err != nil && w.Err() != nil {
+			return nil // reading the response fails too or returns the reason
 		}
 		if err != nil {
 			return &filter.ClientConnError{Cause: err}
 		}
+		if done && kind == 'S' {
+			return x.flushCopyData()
+		}
+		done = done || kind == 'c' || kind == 'f'
 		if done && !extended {
 			return x.flushCopyData()
 		}
@@ -118,29 +129,50 @@
 	return nil
 }
 
-func (x *exchange) handleCopyError(err error) error {
-	if x.conn.Writer.Err() != nil {
-		return nil
+// forwardCopyControl forwards CopyDone, CopyFail and the Sync after them, and skips Flush and an
+// earlier Sync.
+func (x *exchange) forwardCopyControl(kind byte, size int, done bool) error {
+	if kind != 'f' && size != 0 {
+		return framing.New(framing.Field, "message type %q with a body during COPY", kind)
+	}
+	_, frame, err := x.s.Client.Reader().ReadFrame()
+	if err != nil {
+		return err
+	}
+	if kind == 'f' {
+		if _, rest, err := wire.CutCString(frame[minFrame:]); err != nil || len(rest) != 0 {
+			return framing.New(framing.Field, "text of CopyFail")
+		}
 	}
-	if isTimeout(err) {
-		// The upstream responded in the middle of a message. Its input is out of sync,
-		// so the connection is closed after the response was read.
-		x.broken = true
+	if kind == 'H' || kind == 'S' && !done {
 		return nil
 	}
-	return &filter.ClientConnError{Cause: err}
+	_, err = x.conn.Writer.Write(frame)
+	return err
 }
 
-// skipToSync discards the messages of the client up to the next Sync and sends the Sync.
+// skipToSync discards the messages of the client up to the next Sync and sends the Sync, unless
+// the connection is out of sync, so that there is no response to wait for.
 func (x *exchange) skipToSync() error {
 	for {
-		kind, _, err := x.s.Client.Peek()
+		kind, size, err := x.s.Client.Peek()
 		if err != nil {
 			return &filter.ClientConnError{Cause: err}
 		}
+		if kind == 'S' && size != 0 {
+			return &filter.ClientConnError{Cause: framing.New(framing.Field, "Sync with a body")}
+		}
 		if err := x.s.Client.Reader().Skip(); err != nil {
 			return &filter.ClientConnError{Cause: err}
 		}
+		if kind == 'S' && x.broken {
+			x.next = len(x.expected)
+			x.status = 'I'
+			if x.s.InTransaction {
+				x.status = 'E'
+			}
+			return nil
+		}
 		if kind == 'S' {
 			_, _ = x.conn.Writer.Write(syncFrame)
 			return x.flushCopyData()
--- a/internal/filter/forward/exchange.go
+++ b/internal/filter/forward/exchange.go
@@ -271,9 +271,13 @@
 		return x.acknowledge()
 	}
 	failed := x.errored
-	if failed {
+	switch {
+	case failed && x.broken: // the end of the connection rolls the transaction back
+		x.status = 'I'
+		return x.acknowledge()
+	case failed:
 		x.emitQuery(true, "ROLLBACK")
-	} else {
+	default:
 		x.emitQuery(true, "COMMIT")
 		x.commits = true
 	}
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -228,6 +228,10 @@
 		_, frame, err = s.conn.reader.ReadFrame()
 		return frame, err
 	}
+	// The caller may wait for earlier responses before it sends the rest.
+	if err := s.conn.writer.Flush(); err != nil {
+		return nil, &filter.ClientConnError{Cause: err}
+	}
 	s.partial = true
 	defer func() { s.partial = false }()
 	_, frame, err = s.conn.AwaitFrame()
--- a/internal/wire/reader.go
+++ b/internal/wire/reader.go
@@ -60,13 +60,16 @@
 // SetLimit sets the maximum accepted body size in bytes.
 func (r *Reader) SetLimit(limit int) { r.limit = limit }
 
-// Buffered returns the number of bytes that can be read without blocking.
-func (r *Reader) Buffered() int { return r.end - r.start }
+// Buffered returns the number of bytes of the next frames that can be read without blocking.
+// The rest of a frame whose Forward or Skip has failed is no part of them.
+func (r *Reader) Buffered() int { return max(0, r.available()-r.remaining) }
+
+func (r *Reader) available() int { return r.end - r.start }
 
 // Release gives up a large buffer if it is empty: it returns a pooled buffer to the
 // pool and drops one that was allocated for a large frame.
 func (r *Reader) Release() {
-	if r.Buffered() > 0 {
+	if r.available() > 0 {
 		return
 	}
 	r.start, r.end = 0, 0
@@ -80,15 +83,15 @@
 
 // fill reads until the buffer contains at least n bytes.
 func (r *Reader) fill(n int) error {
-	if r.Buffered() >= n {
+	if r.available() >= n {
 		return nil
 	}
 	r.ensureCapacity(n)
-	for r.Buffered() < n {
+	for r.available() < n {
 		m, err := r.src.Read(r.buf[r.end:])
 		r.end += m
-		if err != nil && r.Buffered() < n {
-			if errors.Is(err, io.EOF) && r.Buffered() > 0 {
+		if err != nil && r.available() < n {
+			if errors.Is(err, io.EOF) && r.available() > 0 {
 				return io.ErrUnexpectedEOF
 			}
 			return err
@@ -230,7 +233,7 @@
 func (r *Reader) stream(size int, consume func([]byte) error) error {
 	r.remaining = size
 	for r.remaining > 0 {
-		if r.Buffered() == 0 {
+		if r.available() == 0 {
 			if r.remaining > idleBufferBytes {
 				r.Grow()
 			}
