Reject Bind, Sync and Flush whose body does not match

Cause: the counts of Bind were not compared with its body, and Sync and Flush were passed on with any body; a Sync above the limit was skipped, so that its batch never ended.

Change: such a message is malformed and ends the session.

Query, Parse, Execute, Describe and Close were sound.

--- a/internal/frontend/extended.go
+++ b/internal/frontend/extended.go
@@ -142,6 +142,9 @@
 	if err != nil {
 		return err
 	}
+	if err := wire.ValidateBind(rest); err != nil {
+		return err
+	}
 	p := s.statements[string(name)]
 	if p == nil {
 		return errNoStatement
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -128,6 +128,9 @@
 		if !known(kind) {
 			return malformed("unknown message type %q", kind)
 		}
+		if (kind == 'S' || kind == 'H') && size != 0 {
+			return framing.New(framing.Field, "message type %q with a body", kind)
+		}
 		if size > s.server.cfg.MaxMessage {
 			if err := s.tooLarge(kind, size); err != nil {
 				return err
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -54,3 +54,52 @@
 	}
 	return nil
 }
+
+// ValidateBind checks the part of a Bind message behind the names: parameter formats,
+// parameters and result formats.
+func ValidateBind(rest []byte) error {
+	rest, ok := cutCounted(rest, func([]byte) int { return 2 })
+	if ok {
+		rest, ok = cutCounted(rest, parameterBytes)
+	}
+	if ok {
+		rest, ok = cutCounted(rest, func([]byte) int { return 2 })
+	}
+	if !ok || len(rest) != 0 {
+		return fmt.Errorf("%w: parameters of Bind", ErrMalformed)
+	}
+	return nil
+}
+
+// cutCounted cuts a count and as many items off rest. size returns the size of the item at the
+// start of its argument, or -1 if there is none.
+func cutCounted(rest []byte, size func([]byte) int) ([]byte, bool) {
+	if len(rest) < 2 {
+		return nil, false
+	}
+	n := int(binary.BigEndian.Uint16(rest))
+	rest = rest[2:]
+	for range n {
+		m := size(rest)
+		if m < 0 || m > len(rest) {
+			return nil, false
+		}
+		rest = rest[m:]
+	}
+	return rest, true
+}
+
+// parameterBytes returns the size of a parameter with its length, which is -1 for NULL.
+func parameterBytes(rest []byte) int {
+	if len(rest) < 4 {
+		return -1
+	}
+	length := int(int32(binary.BigEndian.Uint32(rest)))
+	switch {
+	case length == -1:
+		return 4
+	case length < 0:
+		return -1
+	}
+	return 4 + length
+}
