End the batch that a refused query interrupts

Cause: a Query above the limit or a function call behind messages that were not synchronised was refused, but the messages stayed in the batch. The next Query ran them first, and the client took their responses for those of its own statement. The rest of an ended COPY that held a CopyFail above the limit was refused as a batch, so that the next statement got no response of its own. Responses in the buffer were lost at Terminate.

Change: the refusal ends the batch; large CopyDone and CopyFail are dropped like CopyData; a session flushes at Terminate.

--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -123,7 +123,7 @@
 		}
 		s.state.Store(int32(stateActive))
 		if kind == 'X' {
-			return nil
+			return s.conn.writer.Flush()
 		}
 		if !known(kind) {
 			return malformed("unknown message type %q", kind)
@@ -176,7 +176,7 @@
 	if err := s.conn.reader.Skip(); err != nil {
 		return err
 	}
-	if kind == 'd' || s.discarding {
+	if kind == 'd' || kind == 'c' || kind == 'f' || s.discarding {
 		return nil
 	}
 	err := resultcode.New(resultcode.MessageTooLarge, "message of %d bytes; the limit is %d", size, s.server.cfg.MaxMessage)
@@ -304,9 +304,11 @@
 	s.portals = nil
 }
 
-// refuse answers a simple query or a whole batch with an error and ReadyForQuery.
+// refuse answers a simple query with an error and ReadyForQuery. The error ends a batch that
+// was not synchronised.
 func (s *session) refuse(err error) {
 	s.giveUp(s.inBlock())
+	s.endBatch()
 	s.writeError(filter.SeverityError, err)
 	s.ready()
 }
