--- a/internal/wire/reader.go
+++ b/internal/wire/reader.go
@@ -28,7 +28,15 @@
 
 // ErrLength is an ErrMalformed for a length that no message can have, so that the end of the
 // message is unknown.
-var ErrLength = fmt.Errorf("%w: length", ErrMalformed)
+var ErrLength = errors.New("length of a message")
+
+// lengthError is an ErrLength.
+type lengthError struct{ detail string }
+
+func (e *lengthError) Error() string { return ErrMalformed.Error() + ": " + e.detail }
+
+// Is implements the interface of errors.Is.
+func (e *lengthError) Is(target error) bool { return target == ErrLength || target == ErrMalformed }
 
 // Reader reads frames.
 type Reader struct {
@@ -149,7 +157,7 @@
 	}
 	length := int(int32(binary.BigEndian.Uint32(r.buf[r.start+1:])))
 	if length < 4 {
-		return 0, 0, fmt.Errorf("%w %d", ErrLength, length)
+		return 0, 0, &lengthError{fmt.Sprintf("length %d", length)}
 	}
 	return r.buf[r.start], length - 4, nil
 }
@@ -259,7 +267,7 @@
 	}
 	length := int(int32(binary.BigEndian.Uint32(r.buf[r.start:])))
 	if length < 8 || length > limit {
-		return nil, fmt.Errorf("%w %d of a startup packet", ErrLength, length)
+		return nil, &lengthError{fmt.Sprintf("startup packet length %d", length)}
 	}
 	if err := r.fill(length); err != nil {
 		return nil, err
