Write nothing behind a failed write, and no text with a NUL

Cause: when sending the buffered bytes failed, a large write was still sent directly, so that the peer saw the body of a frame without its header. WriteStringFrame wrote a text with a NUL, which its reader cuts there.

Change: the error is checked before the direct write; a text with a NUL is a framing.Error.

--- a/internal/wire/writer.go
+++ b/internal/wire/writer.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/binary"
 	"io"
+	"strings"
+
+	"github.com/rosemarywall/rosemarywall/internal/framing"
 )
 
 // directWriteBytes is the minimum size of a write that bypasses the buffer.
@@ -60,7 +63,9 @@
 				w.send((*w.pooled)[:w.n])
 				w.n = 0
 			}
-			w.send(p)
+			if w.err == nil {
+				w.send(p)
+			}
 			break
 		}
 		if w.pooled == nil {
@@ -118,8 +123,12 @@
 	return w.err
 }
 
-// WriteStringFrame buffers a frame whose body is a NUL-terminated string.
+// WriteStringFrame buffers a frame whose body is a NUL-terminated string. It rejects a text that
+// contains a NUL with a framing.Error and buffers nothing.
 func (w *Writer) WriteStringFrame(kind byte, text string) error {
+	if strings.IndexByte(text, 0) >= 0 {
+		return framing.New(framing.Field, "text of message type %q contains a NUL", kind)
+	}
 	return w.WriteFrame(kind, []byte(text), nulTerminator)
 }
 
