Keep texts of errors and settings within their quotes

Cause: a NUL in an error text began another field of ErrorResponse, and QuoteLiteral depended on standard_conforming_strings of the upstream for values with a backslash.

Change: a NUL is written as \x00; a literal with a backslash has the form E'...'.

--- a/internal/filter/errorframe.go
+++ b/internal/filter/errorframe.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"strings"
 
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 )
@@ -22,7 +23,10 @@
 	SeverityFatal = "FATAL"
 )
 
-// ErrorFrame encodes err as an ErrorResponse message.
+// nulReplacer replaces the byte that ends a field of an ErrorResponse.
+var nulReplacer = strings.NewReplacer("\x00", `\x00`)
+
+// ErrorFrame encodes err as an ErrorResponse message. A NUL in a text is written as \x00.
 func ErrorFrame(severity string, err error) []byte {
 	state, message, detail := errorFields(err)
 	frame := append(make([]byte, 0, 256), 'E', 0, 0, 0, 0)
@@ -31,7 +35,7 @@
 		text string
 	}{{'S', severity}, {'V', severity}, {'C', state}, {'M', message}, {'D', detail}} {
 		if field.text != "" {
-			frame = append(append(append(frame, field.kind), field.text...), 0)
+			frame = append(append(append(frame, field.kind), nulReplacer.Replace(field.text)...), 0)
 		}
 	}
 	frame = append(frame, 0)
--- a/internal/filter/settings.go
+++ b/internal/filter/settings.go
@@ -207,5 +207,12 @@
 	return strings.Join(parts, ".")
 }
 
-// QuoteLiteral quotes a string literal.
-func QuoteLiteral(text string) string { return "'" + strings.ReplaceAll(text, "'", "''") + "'" }
+// QuoteLiteral quotes a string literal. One with a backslash has the form E'...', which has the
+// same meaning whether or not standard_conforming_strings is on.
+func QuoteLiteral(text string) string {
+	quoted := "'" + strings.ReplaceAll(text, "'", "''") + "'"
+	if strings.Contains(text, `\`) {
+		return " E" + strings.ReplaceAll(quoted, `\`, `\\`)
+	}
+	return quoted
+}
