Start no connection to an upstream within a message

Cause: pgconn may read more than the login; Hijack leaves that in a buffer that nobody reads, so that the connection went on within a message. User, password and database went into the login unchecked, where a NUL begins another parameter.

Change: bytes behind the login close the connection; a field with a NUL is an error without a result code, because the client's message is not at fault.

--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -4,8 +4,10 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	"fmt"
 	"net"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/jackc/pgx/v5/pgconn"
@@ -18,6 +20,12 @@
 // maxStatements is the number of statements kept prepared on one connection.
 const maxStatements = 256
 
+// Errors of a login. They have no result code, because the message of the client is not at fault.
+var (
+	errLoginField       = errors.New("a field of the login contains a NUL")
+	errBytesBehindLogin = errors.New("the upstream sent more than the response to the login")
+)
+
 // StatementKey identifies a prepared statement by the hash of its text and types.
 type StatementKey [32]byte
 
@@ -111,6 +119,13 @@
 	if err != nil {
 		return nil, err
 	}
+	for _, field := range [...][2]string{
+		{"user", p.cfg.Credentials.User}, {"password", p.cfg.Credentials.Password}, {"database", string(target.Group)},
+	} {
+		if strings.IndexByte(field[1], 0) >= 0 {
+			return nil, fmt.Errorf("%w: %s", errLoginField, field[0])
+		}
+	}
 	cfg, err := pgconn.ParseConfig("host=127.0.0.1 user=rosemarywall sslmode=disable")
 	if err != nil {
 		return nil, err
@@ -133,6 +148,11 @@
 	if err != nil {
 		return nil, err
 	}
+	// The login may have read a part of a message, which the connection would go on within.
+	if n := h.Frontend.ReadBufferLen(); n > 0 {
+		_ = h.Conn.Close()
+		return nil, fmt.Errorf("%w: %d bytes", errBytesBehindLogin, n)
+	}
 	return p.newConn(h, target), nil
 }
 
--- a/internal/upstream/lease.go
+++ b/internal/upstream/lease.go
@@ -224,7 +224,9 @@
 
 // run executes a statement with the simple query protocol and discards its rows.
 func (c *Conn) run(statement string) (errorResponse []byte, status byte, err error) {
-	_ = c.Writer.WriteStringFrame('Q', statement)
+	if err := c.Writer.WriteStringFrame('Q', statement); err != nil {
+		return nil, 0, err
+	}
 	if err := c.Writer.Flush(); err != nil {
 		return nil, 0, err
 	}
