Divide queries into statements as PostgreSQL does

Cause: the lexer took a dollar sign within an identifier or behind a parameter for the start of a string, ended a comment only at a line feed and not at a carriage return, did not apply escapes to the later lines of E'...', took BEGIN ATOMIC outside of CREATE for a function body, and folded non-ASCII letters to keywords. Statements behind that were taken for a part of the one before, or the reverse. A data-modifying WITH in parentheses counted as a read.

A dollar sign directly behind a number with letters is refused, because versions of PostgreSQL divide it differently.

--- a/internal/frontend/sqltext/classify.go
+++ b/internal/frontend/sqltext/classify.go
@@ -85,7 +85,11 @@
 // classifyQuery classifies SELECT, VALUES, TABLE and WITH.
 func classifyQuery(tokens []token) Statement {
 	s := Statement{Kind: Read}
-	with := tokens[0].isWord("with")
+	first := 0
+	for first < len(tokens)-1 && tokens[first].isByte('(') {
+		first++
+	}
+	with := tokens[first].isWord("with")
 	for i, t := range tokens {
 		if t.kind != wordToken {
 			continue
--- a/internal/frontend/sqltext/lexer.go
+++ b/internal/frontend/sqltext/lexer.go
@@ -29,6 +29,8 @@
 type lexer struct {
 	in  string
 	pos int
+	// ambiguous is set by input that versions of PostgreSQL divide into different tokens.
+	ambiguous bool
 }
 
 func (l *lexer) next() token {
@@ -52,11 +54,7 @@
 	case c == '$':
 		return l.scanDollar()
 	case isDigit(c):
-		start := l.pos
-		for l.pos < len(l.in) && (isWordByte(l.in[l.pos]) || l.in[l.pos] == '.') {
-			l.pos++
-		}
-		return token{kind: numberToken, text: l.in[start:l.pos]}
+		return l.scanNumber()
 	case isWordByte(c):
 		return l.scanWord()
 	}
@@ -64,21 +62,66 @@
 	return token{kind: byteToken, text: l.in[l.pos-1 : l.pos]}
 }
 
+// scanNumber reads a number. Behind letters, as in 0x1f$a$ or 1a$b$, a dollar sign belongs to a
+// word or starts a string, depending on the version of the upstream.
+func (l *lexer) scanNumber() token {
+	start, letters := l.pos, false
+	for l.pos < len(l.in) && (isWordByte(l.in[l.pos]) || l.in[l.pos] == '.') {
+		letters = letters || !isDigit(l.in[l.pos]) && l.in[l.pos] != '.'
+		l.pos++
+	}
+	l.ambiguous = l.ambiguous || letters && l.pos < len(l.in) && l.in[l.pos] == '$'
+	return token{kind: numberToken, text: l.in[start:l.pos]}
+}
+
 func (l *lexer) scanWord() token {
 	start := l.pos
-	for l.pos < len(l.in) && isWordByte(l.in[l.pos]) {
+	for l.pos < len(l.in) && (isWordByte(l.in[l.pos]) || l.in[l.pos] == '$') {
 		l.pos++
 	}
 	text := l.in[start:l.pos]
 	if l.pos < len(l.in) && l.in[l.pos] == '\'' && len(text) == 1 {
 		switch text[0] | 0x20 {
 		case 'e':
-			return token{kind: stringToken, text: l.scanQuoted('\'', true)}
+			text := l.scanQuoted('\'', true)
+			for l.continueString() {
+				text += l.scanQuoted('\'', true)
+			}
+			return token{kind: stringToken, text: text}
 		case 'b', 'x', 'n':
 			return token{kind: stringToken, text: l.scanQuoted('\'', false)}
 		}
 	}
-	return token{kind: wordToken, text: strings.ToLower(text)}
+	return token{kind: wordToken, text: lowerASCII(text)}
+}
+
+// continueString skips to the next part of a string literal, which a line break separates from the
+// part before it, and reports whether there is one. The escapes of E'...' apply to it too.
+func (l *lexer) continueString() bool {
+	newline := false
+	for i := l.pos; i < len(l.in); i++ {
+		switch c := l.in[i]; {
+		case c == '\n' || c == '\r':
+			newline = true
+		case c == ' ' || c == '\t' || c == '\f' || c == '\v':
+		case strings.HasPrefix(l.in[i:], "--"):
+			i += lineBytes(l.in[i:]) - 1
+		case c == '\'' && newline:
+			l.pos = i
+			return true
+		default:
+			return false
+		}
+	}
+	return false
+}
+
+// lineBytes returns the number of bytes before the end of the line.
+func lineBytes(text string) int {
+	if n := strings.IndexAny(text, "\r\n"); n >= 0 {
+		return n
+	}
+	return len(text)
 }
 
 // scanQuoted reads quoted text and returns it decoded. A doubled quote stands for
@@ -114,10 +157,17 @@
 func (l *lexer) scanDollar() token {
 	start := l.pos
 	i := l.pos + 1
+	if i < len(l.in) && isDigit(l.in[i]) {
+		for i < len(l.in) && isDigit(l.in[i]) {
+			i++
+		}
+		l.pos = i
+		return token{kind: byteToken, text: "$"}
+	}
 	for i < len(l.in) && isWordByte(l.in[i]) && l.in[i] != '$' {
 		i++
 	}
-	if i < len(l.in) && l.in[i] == '$' && (i == start+1 || !isDigit(l.in[start+1])) {
+	if i < len(l.in) && l.in[i] == '$' {
 		tag := l.in[start : i+1]
 		body := l.in[i+1:]
 		if n := strings.Index(body, tag); n >= 0 {
@@ -137,11 +187,7 @@
 		case c == ' ' || c == '\t' || c == '\n' || c == '\r' || c == '\f' || c == '\v':
 			l.pos++
 		case strings.HasPrefix(l.in[l.pos:], "--"):
-			n := strings.IndexByte(l.in[l.pos:], '\n')
-			if n < 0 {
-				n = len(l.in) - l.pos
-			}
-			l.pos += n
+			l.pos += lineBytes(l.in[l.pos:])
 		case strings.HasPrefix(l.in[l.pos:], "/*"):
 			l.skipComment()
 		default:
--- a/internal/frontend/sqltext/statement.go
+++ b/internal/frontend/sqltext/statement.go
@@ -111,6 +111,9 @@
 			break
 		}
 	}
+	if l.ambiguous {
+		return []Statement{unsupported("a dollar sign directly behind a number with letters")}
+	}
 	if len(out) == 0 {
 		out = append(out, Statement{Kind: Empty})
 	}
@@ -132,7 +135,7 @@
 			depth--
 		case t.isWord("atomic"):
 			// The body of a SQL-standard function contains semicolons up to END.
-			if n := len(tokens); n > 0 && tokens[n-1].isWord("begin") {
+			if n := len(tokens); n > 0 && tokens[0].isWord("create") && tokens[n-1].isWord("begin") {
 				atomic++
 			}
 		case t.isWord("end") && atomic > 0:
