--- a/internal/frontend/startup.go
+++ b/internal/frontend/startup.go
@@ -7,6 +7,7 @@
 	"os"
 
 	"github.com/rosemarywall/rosemarywall/internal/filter"
+	"github.com/rosemarywall/rosemarywall/internal/framing"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/wire"
@@ -76,6 +77,8 @@
 			return nil, err
 		}
 		switch code := startupCode(body); {
+		case (code == codeSSL || code == codeGSS) && len(body) != 4:
+			return nil, framing.New(framing.Length, "encryption request of %d bytes", len(body))
 		case code == codeSSL:
 			if err := s.offerTLS(); err != nil {
 				return nil, err
