Let a planned stop end a session within a message above the limit

Cause: the rest of a message above the limit was read without regard to orders, so that a client that had sent a part of it was cut off without a reason at the end of a planned stop.

Change: the wait for the rest ends like that for other messages, also after an interruption. Messages and batches above the limit are framing errors with the reason too_large.

--- a/internal/frontend/clientlarge_test.go
+++ b/internal/frontend/clientlarge_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 	"gotest.tools/v3/assert"
@@ -50,3 +51,42 @@
 	x.send(&pgproto3.Query{String: "SELECT 1"}, &pgproto3.Terminate{})
 	x.want("RowDescription D:1 C:SELECT_1 Z:I")
 }
+
+// Guards against a client that a planned stop closes without a reason while a message above the
+// limit arrives.
+func TestStopWithinLargeMessage(t *testing.T) {
+	r := newRig(t, false, func(c *Config) { c.MaxMessage = 1000 })
+	x := r.raw()
+	x.write(header('Q', 1<<20), make([]byte, 5000))
+	for r.server.Dump().(Dump).Callers["active"] == 0 {
+		time.Sleep(time.Millisecond) // the header of the message has not arrived
+	}
+	expire, drained := r.drain()
+	expire()
+	x.wantEnd()
+	<-drained
+}
+
+// Guards against the next message being dropped together with one above the limit, when an order
+// interrupts the wait for its rest.
+func TestReloadWithinLargeMessage(t *testing.T) {
+	for _, kind := range []byte("QP") {
+		r := newRig(t, false, func(c *Config) { c.MaxMessage = 1000 })
+		x := r.raw()
+		x.query("BEGIN", "C:BEGIN Z:T") // a session in a transaction does not end at once
+		x.query("INSERT open", "C:INSERT_0_1 Z:T")
+		large := frame(kind, make([]byte, 5000))
+		x.write(large[:2000])
+		for r.server.Dump().(Dump).Callers["active"] == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		r.server.Shed()
+		x.write(large[2000:])
+		if kind == 'P' {
+			x.send(syncIt)
+		}
+		x.want("E:" + stateTooLarge + " Z:E")
+		x.query("ROLLBACK", "C:ROLLBACK Z:I")
+		x.wantEnd()
+	}
+}
--- a/internal/frontend/conn.go
+++ b/internal/frontend/conn.go
@@ -155,6 +155,24 @@
 	}
 }
 
+// AwaitSkip discards a message, whose header has arrived, as wire.Reader.Skip does. It fails with
+// errShed when the caller should be disconnected before the message has arrived.
+func (c *callerConn) AwaitSkip() error {
+	c.setWaiting(true)
+	defer c.setWaiting(false)
+	if c.ended() {
+		return errShed
+	}
+	for err := c.reader.Skip(); ; err = c.reader.SkipRest() {
+		if err == nil || !errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
+		if err := c.timedOut(); err != nil {
+			return err
+		}
+	}
+}
+
 // Gone implements filter.Caller. Input that was not read yet hides the end.
 func (c *callerConn) Gone() bool { return sockets.Probe(c.raw) == sockets.Closed }
 
--- a/internal/frontend/extended.go
+++ b/internal/frontend/extended.go
@@ -5,6 +5,7 @@
 	"unique"
 
 	"github.com/rosemarywall/rosemarywall/internal/filter"
+	"github.com/rosemarywall/rosemarywall/internal/framing"
 	"github.com/rosemarywall/rosemarywall/internal/frontend/sqltext"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/wire"
@@ -57,7 +58,7 @@
 // wrap wire.ErrMalformed, which end the connection.
 func (b *batch) add(s *session, kind byte, frame []byte) error {
 	if b.size+len(frame) > s.server.cfg.MaxMessage {
-		return resultcode.New(resultcode.MessageTooLarge, "extended batch above %d bytes", s.server.cfg.MaxMessage)
+		return framing.New(framing.TooLarge, "extended batch above %d bytes", s.server.cfg.MaxMessage)
 	}
 	op := filter.Message{Kind: kind, Frame: b.keep(frame)}
 	var err error
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -173,13 +173,19 @@
 
 // tooLarge refuses a message and skips it.
 func (s *session) tooLarge(kind byte, size int) error {
-	if err := s.conn.reader.Skip(); err != nil {
+	if err := s.conn.writer.Flush(); err != nil {
+		return &filter.ClientConnError{Cause: err}
+	}
+	s.partial = true
+	err := s.conn.AwaitSkip()
+	s.partial = false
+	if err != nil {
 		return err
 	}
 	if kind == 'd' || kind == 'c' || kind == 'f' || s.discarding {
 		return nil
 	}
-	err := resultcode.New(resultcode.MessageTooLarge, "message of %d bytes; the limit is %d", size, s.server.cfg.MaxMessage)
+	err = framing.New(framing.TooLarge, "message of %d bytes; the limit is %d", size, s.server.cfg.MaxMessage)
 	if kind == 'Q' || kind == 'F' {
 		s.refuse(err)
 		return nil
--- a/internal/wire/reader.go
+++ b/internal/wire/reader.go
@@ -237,6 +237,9 @@
 	return r.stream(headerBytes+size, discard)
 }
 
+// SkipRest discards the rest of a frame whose Skip has failed.
+func (r *Reader) SkipRest() error { return r.stream(r.remaining, discard) }
+
 // stream consumes size bytes and passes them to consume in chunks.
 func (r *Reader) stream(size int, consume func([]byte) error) error {
 	r.remaining = size
