Send the data of a COPY behind the messages of its batch

Cause: a batch above 32 KiB is written by a goroutine of its own. When the upstream began a COPY before that had ended, the data of the client was written at the same time through the same writer, so that the bytes of both could mix.

Change: the data waits for the end of the messages.

--- a/internal/filter/forward/copyin.go
+++ b/internal/filter/forward/copyin.go
@@ -22,6 +22,13 @@
 		return &filter.ClientConnError{Cause: err}
 	}
 	x.stopPolling()
+	if x.writeDone != nil { // the data follows the messages of the segment
+		err := <-x.writeDone
+		x.writeDone = nil
+		if err != nil {
+			return err
+		}
+	}
 	client := x.s.Client
 	responded := make(chan struct{})
 	go func() {
