--- a/internal/framing/doc.go
+++ b/internal/framing/doc.go
@@ -33,4 +33,14 @@
 //     connection is as before.
 //   - A value of a configuration that cannot be a field is an error of the configuration, with the
 //     entry that holds it.
+//
+// In the PostgreSQL protocol:
+//
+//   - A malformed message ends the connection with a FATAL error, and so does one of an unknown
+//     type. One above the maximum size is skipped, and its batch or transaction fails.
+//   - Rows and the data of COPY have no maximum size and are passed on in parts if they exceed the
+//     buffer. If the sender ends within such a message, so does the connection of the receiver,
+//     without an error, which would be taken for the rest of the message.
+//   - A message of an upstream that breaks these rules closes its connection. The client gets the
+//     error of a lost connection.
 package framing
