--- a/internal/filter/forward/exchange.go
+++ b/internal/filter/forward/exchange.go
@@ -271,9 +271,13 @@
 		return x.acknowledge()
 	}
 	failed := x.errored
-	if failed {
+	switch {
+	case failed && x.broken: // the end of the connection rolls the transaction back
+		x.status = 'I'
+		return x.acknowledge()
+	case failed:
 		x.emitQuery(true, "ROLLBACK")
-	} else {
+	default:
 		x.emitQuery(true, "COMMIT")
 		x.commits = true
 	}
@@ -367,6 +371,11 @@
 	}
 }
 
+// invalidMessage returns the error of a message whose body does not have the form of its type.
+func (x *exchange) invalidMessage(kind byte) error {
+	return fmt.Errorf("%w: type %q", wire.ErrMalformed, kind)
+}
+
 func (x *exchange) unexpectedMessage(kind byte) error {
 	return fmt.Errorf("%w: message type %q", errUnexpectedMessage, kind)
 }
--- a/internal/filter/forward/responses.go
+++ b/internal/filter/forward/responses.go
@@ -1,12 +1,15 @@
 package forward
 
 import (
+	"errors"
+	"fmt"
 	"strconv"
 	"strings"
 
 	"github.com/rosemarywall/rosemarywall/internal/filter"
 	"github.com/rosemarywall/rosemarywall/internal/frontend/sqltext"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/wire"
 )
 
@@ -134,11 +137,9 @@
 		}
 	}
 	x.responseForwarded = true
+	position := x.w.Position()
 	if err := x.conn.Reader.Forward(x.w); err != nil {
-		if x.w.Err() != nil {
-			return &filter.ClientConnError{Cause: err}
-		}
-		return err
+		return x.forwardFailed(position, err)
 	}
 	return nil
 }
@@ -146,15 +147,31 @@
 // forwardRows forwards the buffered rows to the client.
 func (x *exchange) forwardRows() error {
 	x.responseForwarded = true
+	position := x.w.Position()
 	if err := x.conn.Reader.ForwardRun(x.w, 'D'); err != nil {
-		if x.w.Err() != nil {
-			return &filter.ClientConnError{Cause: err}
-		}
-		return err
+		return x.forwardFailed(position, err)
 	}
 	return nil
 }
 
+// forwardFailed takes back the part of a message that was written from the position on. If
+// the client has received some of it, the connection of the client ends, because the client
+// would take any error for the rest of that message.
+func (x *exchange) forwardFailed(position int64, cause error) error {
+	if x.w.Err() != nil {
+		return &filter.ClientConnError{Cause: cause}
+	}
+	if x.w.Rewind(position) {
+		return cause
+	}
+	x.reportFailure(cause)
+	x.h.cfg.Counters.RecordRefusal(resultcode.AnswerIncomplete)
+	return &filter.ClientConnError{Cause: fmt.Errorf("%w: %v", errMessageCut, cause)}
+}
+
+// errMessageCut reports that the client has received a part of a message.
+var errMessageCut = errors.New("the upstream ended within a message")
+
 // writeToClient writes a message frame to the client.
 func (x *exchange) writeToClient(frame []byte) error {
 	if len(x.held) > 0 {
@@ -217,10 +234,14 @@
 	if err != nil {
 		return err
 	}
-	if e.tag != "" && string(frame[minFrame:len(frame)-1]) != e.tag {
+	tag, rest, err := wire.CutCString(frame[minFrame:])
+	if err != nil || len(rest) != 0 {
+		return x.invalidMessage('C')
+	}
+	if e.tag != "" && string(tag) != e.tag {
 		return x.unexpectedMessage('C') // the late response to an earlier request
 	}
-	x.committed = string(frame[minFrame:]) == "COMMIT\x00"
+	x.committed = string(tag) == "COMMIT"
 	if !e.drop {
 		x.trackStatement(e)
 		if x.s.OnPrimary {
@@ -269,7 +290,10 @@
 	if err != nil {
 		return err
 	}
-	if e.kind != 'S' && e.kind != 'Q' || len(body) != 1 {
+	if len(body) != 1 || !strings.Contains("ITE", string(body)) {
+		return x.invalidMessage('Z')
+	}
+	if e.kind != 'S' && e.kind != 'Q' {
 		return x.unexpectedMessage('Z')
 	}
 	x.status = body[0]
--- a/internal/frontend/session.go
+++ b/internal/frontend/session.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/filter"
+	"github.com/rosemarywall/rosemarywall/internal/framing"
 	"github.com/rosemarywall/rosemarywall/internal/frontend/sqltext"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/wire"
@@ -94,9 +95,8 @@
 
 // end tells the caller why its connection ends, where there is something to tell.
 func (s *session) end(err error) {
-	var lost *filter.ClientConnError
 	switch {
-	case err == nil, errors.Is(err, errNoSession), errors.Is(err, io.EOF), errors.As(err, &lost) && resultcode.Of(err) == 0:
+	case err == nil, errors.Is(err, errNoSession), errors.Is(err, io.EOF):
 		return
 	case errors.Is(err, errShed):
 		err = s.stopReason()
@@ -107,7 +107,11 @@
 	}
 	s.writeError(filter.SeverityFatal, err)
 	_ = s.conn.writer.Flush()
-	s.server.cfg.Logger.Debug().Str("organisation", string(s.shared.Grant.Organisation)).Str("code", resultcode.Of(err).String()).Msg("caller disconnected")
+	e := s.server.cfg.Logger.Debug().Str("organisation", string(s.shared.Grant.Organisation)).Str("code", resultcode.Of(err).String())
+	if reason := framing.ReasonOf(err); reason != "" {
+		e = e.Str("reason", string(reason))
+	}
+	e.Msg("caller disconnected")
 }
 
 // loop serves messages. An error ends the connection.
@@ -119,11 +123,14 @@
 		}
 		s.state.Store(int32(stateActive))
 		if kind == 'X' {
-			return nil
+			return s.conn.writer.Flush()
 		}
 		if !known(kind) {
 			return malformed("unknown message type %q", kind)
 		}
+		if (kind == 'S' || kind == 'H') && size != 0 {
+			return framing.New(framing.Field, "message type %q with a body", kind)
+		}
 		if size > s.server.cfg.MaxMessage {
 			if err := s.tooLarge(kind, size); err != nil {
 				return err
@@ -166,13 +173,19 @@
 
 // tooLarge refuses a message and skips it.
 func (s *session) tooLarge(kind byte, size int) error {
-	if err := s.conn.reader.Skip(); err != nil {
+	if err := s.conn.writer.Flush(); err != nil {
+		return &filter.ClientConnError{Cause: err}
+	}
+	s.partial = true
+	err := s.conn.AwaitSkip()
+	s.partial = false
+	if err != nil {
 		return err
 	}
-	if kind == 'd' || s.discarding {
+	if kind == 'd' || kind == 'c' || kind == 'f' || s.discarding {
 		return nil
 	}
-	err := resultcode.New(resultcode.MessageTooLarge, "message of %d bytes; the limit is %d", size, s.server.cfg.MaxMessage)
+	err = framing.New(framing.TooLarge, "message of %d bytes; the limit is %d", size, s.server.cfg.MaxMessage)
 	if kind == 'Q' || kind == 'F' {
 		s.refuse(err)
 		return nil
@@ -224,6 +237,10 @@
 		_, frame, err = s.conn.reader.ReadFrame()
 		return frame, err
 	}
+	// The caller may wait for earlier responses before it sends the rest.
+	if err := s.conn.writer.Flush(); err != nil {
+		return nil, &filter.ClientConnError{Cause: err}
+	}
 	s.partial = true
 	defer func() { s.partial = false }()
 	_, frame, err = s.conn.AwaitFrame()
@@ -293,9 +310,11 @@
 	s.portals = nil
 }
 
-// refuse answers a simple query or a whole batch with an error and ReadyForQuery.
+// refuse answers a simple query with an error and ReadyForQuery. The error ends a batch that
+// was not synchronised.
 func (s *session) refuse(err error) {
 	s.giveUp(s.inBlock())
+	s.endBatch()
 	s.writeError(filter.SeverityError, err)
 	s.ready()
 }
--- a/internal/wire/reader.go
+++ b/internal/wire/reader.go
@@ -26,6 +26,18 @@
 // ErrMalformed is returned for input that is not a valid PostgreSQL message.
 var ErrMalformed = errors.New("malformed message")
 
+// ErrLength is an ErrMalformed for a length that no message can have, so that the end of the
+// message is unknown.
+var ErrLength = errors.New("length of a message")
+
+// lengthError is an ErrLength.
+type lengthError struct{ detail string }
+
+func (e *lengthError) Error() string { return ErrMalformed.Error() + ": " + e.detail }
+
+// Is implements the interface of errors.Is.
+func (e *lengthError) Is(target error) bool { return target == ErrLength || target == ErrMalformed }
+
 // Reader reads frames.
 type Reader struct {
 	src    io.Reader
@@ -56,13 +68,16 @@
 // SetLimit sets the maximum accepted body size in bytes.
 func (r *Reader) SetLimit(limit int) { r.limit = limit }
 
-// Buffered returns the number of bytes that can be read without blocking.
-func (r *Reader) Buffered() int { return r.end - r.start }
+// Buffered returns the number of bytes of the next frames that can be read without blocking.
+// The rest of a frame whose Forward or Skip has failed is no part of them.
+func (r *Reader) Buffered() int { return max(0, r.available()-r.remaining) }
+
+func (r *Reader) available() int { return r.end - r.start }
 
 // Release gives up a large buffer if it is empty: it returns a pooled buffer to the
 // pool and drops one that was allocated for a large frame.
 func (r *Reader) Release() {
-	if r.Buffered() > 0 {
+	if r.available() > 0 {
 		return
 	}
 	r.start, r.end = 0, 0
@@ -76,15 +91,15 @@
 
 // fill reads until the buffer contains at least n bytes.
 func (r *Reader) fill(n int) error {
-	if r.Buffered() >= n {
+	if r.available() >= n {
 		return nil
 	}
 	r.ensureCapacity(n)
-	for r.Buffered() < n {
+	for r.available() < n {
 		m, err := r.src.Read(r.buf[r.end:])
 		r.end += m
-		if err != nil && r.Buffered() < n {
-			if errors.Is(err, io.EOF) && r.Buffered() > 0 {
+		if err != nil && r.available() < n {
+			if errors.Is(err, io.EOF) && r.available() > 0 {
 				return io.ErrUnexpectedEOF
 			}
 			return err
@@ -142,7 +157,7 @@
 	}
 	length := int(int32(binary.BigEndian.Uint32(r.buf[r.start+1:])))
 	if length < 4 {
-		return 0, 0, fmt.Errorf("%w: length %d", ErrMalformed, length)
+		return 0, 0, &lengthError{fmt.Sprintf("length %d", length)}
 	}
 	return r.buf[r.start], length - 4, nil
 }
@@ -177,13 +192,19 @@
 	return kind, frame, nil
 }
 
-// Forward consumes a frame of any size and writes it to w unchanged. It streams the
-// frame through the buffer instead of holding it in memory.
+// Forward consumes a frame of any size and writes it to w unchanged. A frame that exceeds
+// the buffer is streamed through it, so that w has a part of the frame if the source fails;
+// see Writer.Rewind. A smaller one is written once it is complete.
 func (r *Reader) Forward(w *Writer) error {
 	_, size, err := r.Peek()
 	if err != nil {
 		return err
 	}
+	if headerBytes+size <= bufferBytes {
+		if err := r.fill(headerBytes + size); err != nil {
+			return err
+		}
+	}
 	return r.stream(headerBytes+size, func(part []byte) error { _, err := w.Write(part); return err })
 }
 
@@ -216,11 +237,14 @@
 	return r.stream(headerBytes+size, discard)
 }
 
+// SkipRest discards the rest of a frame whose Skip has failed.
+func (r *Reader) SkipRest() error { return r.stream(r.remaining, discard) }
+
 // stream consumes size bytes and passes them to consume in chunks.
 func (r *Reader) stream(size int, consume func([]byte) error) error {
 	r.remaining = size
 	for r.remaining > 0 {
-		if r.Buffered() == 0 {
+		if r.available() == 0 {
 			if r.remaining > idleBufferBytes {
 				r.Grow()
 			}
@@ -246,7 +270,7 @@
 	}
 	length := int(int32(binary.BigEndian.Uint32(r.buf[r.start:])))
 	if length < 8 || length > limit {
-		return nil, fmt.Errorf("%w: startup packet length %d", ErrMalformed, length)
+		return nil, &lengthError{fmt.Sprintf("startup packet length %d", length)}
 	}
 	if err := r.fill(length); err != nil {
 		return nil, err
--- a/internal/wire/writer.go
+++ b/internal/wire/writer.go
@@ -3,6 +3,9 @@
 import (
 	"encoding/binary"
 	"io"
+	"strings"
+
+	"github.com/rosemarywall/rosemarywall/internal/framing"
 )
 
 // directWriteBytes is the minimum size of a write that bypasses the buffer.
@@ -37,6 +40,19 @@
 // Truncate discards all buffered bytes after the first n.
 func (w *Writer) Truncate(n int) { w.n = min(w.n, n) }
 
+// Position returns the number of bytes written so far, sent or buffered.
+func (w *Writer) Position() int64 { return w.sent + int64(w.n) }
+
+// Rewind discards what was written after the position. It reports false, and keeps all, if
+// some of it was sent.
+func (w *Writer) Rewind(position int64) bool {
+	if position < w.sent {
+		return false
+	}
+	w.Truncate(int(position - w.sent))
+	return true
+}
+
 // Write buffers p and writes full buffers to the destination. Large writes bypass
 // the buffer.
 func (w *Writer) Write(p []byte) (int, error) {
@@ -47,7 +63,9 @@
 				w.send((*w.pooled)[:w.n])
 				w.n = 0
 			}
-			w.send(p)
+			if w.err == nil {
+				w.send(p)
+			}
 			break
 		}
 		if w.pooled == nil {
@@ -105,8 +123,12 @@
 	return w.err
 }
 
-// WriteStringFrame buffers a frame whose body is a NUL-terminated string.
+// WriteStringFrame buffers a frame whose body is a NUL-terminated string. It rejects a text that
+// contains a NUL with a framing.Error and buffers nothing.
 func (w *Writer) WriteStringFrame(kind byte, text string) error {
+	if strings.IndexByte(text, 0) >= 0 {
+		return framing.New(framing.Field, "text of message type %q contains a NUL", kind)
+	}
 	return w.WriteFrame(kind, []byte(text), nulTerminator)
 }
 
