Run a single statement in the test of a delayed stop

Cause: its request had no mode, so the reply told an unexpected state since and the connection was closed before the stop began. Change: the mode of a single statement.

--- a/internal/service/stop_test.go
+++ b/internal/service/stop_test.go
@@ -262,7 +262,7 @@
 			c := newStopCase(func(context.Context, execution.Target, ident.OrganisationName) (execution.Conn, error) {
 				return slowConn{delay}, nil
 			})
-			c.vm.ExecuteLocally(execution.Request{ConnectionLimit: 1, Timeout: time.Second, AcquireTimeout: time.Second, ID: "q", Text: "READ x"})
+			c.vm.ExecuteLocally(execution.Request{Mode: execution.Single, ConnectionLimit: 1, Timeout: time.Second, AcquireTimeout: time.Second, ID: "q", Text: "READ x"})
 			c.play(t, "statement at the end of the stop", []step{{ms(100), "CONNECT slow k\r\n", "I"}, {ms(1900), "QUERY q WRITE silent y\r\n", "INDOUBT I"}})
 			took := c.stop()
 			assert.Assert(t, took < grace-ms(300), "delay %v: the stop took %v", delay, took)
