--- a/internal/frontend/prefix_test.go
+++ b/internal/frontend/prefix_test.go
@@ -104,7 +104,9 @@
 		input = append(append(startup, password...), input...)
 	}
 	c := r.dial()
+	written := make(chan struct{})
 	go func() {
+		defer close(written)
 		for len(input) > 0 {
 			n := min(len(input), 1+rnd.IntN(1+rnd.IntN(2000)))
 			if _, err := c.Write(input[:n]); err != nil {
@@ -118,6 +120,7 @@
 	_, err := out.ReadFrom(c)
 	assert.Assert(r.t, !errors.Is(err, os.ErrDeadlineExceeded), "the session does not end; it has sent %q", out.Bytes()[max(0, out.Len()-200):])
 	_ = c.Close()
+	<-written
 }
 
 // Guards against statements that run and were not sent, or were sent differently or in another
