--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -124,6 +124,10 @@
 	r.TargetLeft = targetLeft(a.requirement.Grant, a.beganAt, sentAt)
 	a.session.running.Store(&choice)
 	result := choice.Executor.Execute(ctx, r)
+	if r.Mode == execution.Begin && result.Outcome != execution.Done && result.TransactionOpen {
+		// The next attempt begins another transaction, also at the same upstream.
+		choice.Executor.Rollback(choice.Target, r.TransactionID)
+	}
 	a.session.services.Router.Observe(choice, r.Writes || r.EndsTransaction && a.writes, sentAt, result)
 	attempts := a.trace.Attempts + 1
 	a.trace = newTrace(a.requirement.Grant, choice, result)
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -153,6 +153,23 @@
 	})
 }
 
+// Guards against a transaction that keeps its connection for good, because its first statement is
+// refused as busy and tried again.
+func TestRefusedBeginIsRolledBack(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		f := newFakeServices()
+		s := f.session(t)
+		open := busy
+		open.TransactionOpen = true
+		f.results = []execution.Result{open, open}
+		_, _ = f.handle(s, statement.Begin)
+		code, _ := f.handle(s, statement.Write)
+		assert.Equal(t, code, resultcode.Code(0))
+		assert.Equal(t, len(f.requests), 3)
+		assert.Equal(t, f.rollbacks, 2)
+	})
+}
+
 // Guards against the rollback of a former attempt that ends the transaction of a later one.
 func TestRetriedBeginHasItsOwnIdentifier(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
