--- a/internal/frontend/scripted_test.go
+++ b/internal/frontend/scripted_test.go
@@ -102,18 +102,6 @@
 	}
 }
 
-// statements returns the texts of the queries that were received, without those of the proxy.
-func (u *scriptedUpstream) statements() (out []string) {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	for _, f := range u.received {
-		if f[0] == 'Q' {
-			out = append(out, string(f[minFrame:len(f)-1]))
-		}
-	}
-	return out
-}
-
 // encodeAll encodes messages of an upstream.
 func encodeAll(messages ...pgproto3.BackendMessage) (out []byte) {
 	for _, m := range messages {
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -55,8 +55,8 @@
 	Cores float64 `cbor:"7,keyasint,omitempty" json:"cores"`
 }
 
-// MaxFrameBytes is the maximum size of a request or a response in bytes. It holds a client message and a prepared
-// statement of at most 1 MiB each, and the session variables that are sent with them.
+// MaxFrameBytes is the maximum size of a request or a response in bytes. It holds a client message
+// and a prepared statement of at most 1 MiB each, and the session values that are sent with them.
 const MaxFrameBytes = 4 << 20
 
 // decodeMode accepts strings that are not UTF-8, because statements, rows and session values are
