Take the name of the position prefix in the soak from platformtest

Cause: internal/soak spelled a name of the platform, which belongs under platform/. Change: platformtest.PositionPrefix.

--- a/internal/soak/odd_test.go
+++ b/internal/soak/odd_test.go
@@ -56,14 +56,14 @@
 		return platformtest.Arrival{Member: "m1", Organisation: organisation, ID: id, Text: text, Connection: 1}
 	}
 	for _, a := range []platformtest.Arrival{
-		at("main", "a1", "WRITE item x \t"), at("main", "a2", "READ item"), at("main", "a2", "MINLSN 1.2 READ item"), at("main", "a3", "SET n v"),
-		at("temporary-1", "b1", "READ item"), at("main", "c1", "READ item"), at("main", "-", "SET n v"), at("main", "-", "MINLSN 2.7 BEGIN READ"),
+		at("main", "a1", "WRITE item x \t"), at("main", "a2", "READ item"), at("main", "a2", platformtest.PositionPrefix+" 1.2 READ item"), at("main", "a3", "SET n v"),
+		at("temporary-1", "b1", "READ item"), at("main", "c1", "READ item"), at("main", "-", "SET n v"), at("main", "-", platformtest.PositionPrefix+" 2.7 BEGIN READ"),
 		at("main", "-", "DISCARD"), at("main", "-", "STEPDOWN 3"), at("", "-", "STATUS"),
 	} {
 		assert.DeepEqual(t, statements.check([]platformtest.Arrival{a}), []string(nil))
 	}
 	for _, a := range []platformtest.Arrival{
-		at("main", "a1", "WRITE item x"), at("main", "a1", "WRITE item x  "), at("main", "a1", "MINLSN x WRITE item x \t"), at("main", "a2", "READ  item"),
+		at("main", "a1", "WRITE item x"), at("main", "a1", "WRITE item x  "), at("main", "a1", platformtest.PositionPrefix+" x WRITE item x \t"), at("main", "a2", "READ  item"),
 		at("temporary-1", "a2", "READ item"), at("main", "a4", "WRITE item first"), at("main", "f1", "WRITE other not-sent"), at("main", "f2", "READ item"),
 		at("temporary-1", "b2", "WRITE item half"), at("main", "f3", "READ item"), at("main", "f4", "READ item"), at("main", "f5", "READ item"),
 		at("main", "f6", "READ item"), at("main", "f7", "READ item"), at("main", "", "READ item"), at("main", "-", "READ item"),
--- a/internal/soak/oddmessages.go
+++ b/internal/soak/oddmessages.go
@@ -10,10 +10,10 @@
 // oddNames and oddData are allowed bytes of fields: all but line ends, and in names also no
 // blanks. They must reach members unchanged.
 var (
-	oddNames = []string{"\t", "\x00", "\xff\xfe", "\xc3", "\u0085\u2028", "\v\f", "-", "=", "QUERY", "MINLSN", `"'\`, "\x1b[2J", "\u00e9"}
+	oddNames = []string{"\t", "\x00", "\xff\xfe", "\xc3", "\u0085\u2028", "\v\f", "-", "=", "QUERY", platformtest.PositionPrefix, `"'\`, "\x1b[2J", "\u00e9"}
 	oddData  = []string{
 		"", " ", "  ", "x ", " x", "\t", "x\t \t", "\x00", "\x00\x00 ", "\xff\xfe\xfd", "\xc3", "\u0085\u2028", "\v\f", "\\r\\n",
-		"QUERY f1 WRITE other not-sent", "first QUERY f2 COMMIT", "MINLSN 9.9 READ other", "READY I -", "\x1b[2J", "\u00e9 \U0001f980",
+		"QUERY f1 WRITE other not-sent", "first QUERY f2 COMMIT", platformtest.PositionPrefix + " 9.9 READ other", "READY I -", "\x1b[2J", "\u00e9 \U0001f980",
 	}
 )
 
@@ -42,7 +42,7 @@
 		"QUERY " + id + " READ item" + name, "QUERY " + id + " WRITE item" + name + " " + data, "QUERY " + id + " SET n" + name + " " + data,
 		"QUERY " + id + " PARSE s" + name + " WRITE shape" + data, "QUERY " + id + " EXECUTE s" + name + " item " + data,
 		"QUERY " + id + " CLOSE s" + name, "QUERY " + id + " BEGIN", "QUERY " + id + " COMMIT", "QUERY " + id + " ROLLBACK",
-		"QUERY " + id + " MINLSN 1.1 READ item", "QUERY " + id, "HELLO " + data, "",
+		"QUERY " + id + " " + platformtest.PositionPrefix + " 1.1 READ item", "QUERY " + id, "HELLO " + data, "",
 	})
 }
 
@@ -110,7 +110,7 @@
 		"QUERY - READ item", "QUERY " + id + " READ ", "QUERY " + id + "  READ item", "QUERY " + id + " WRITE  data", "QUERY " + id + " PARSE s1",
 		"QUERY " + id + " PARSE s1 OTHER shape", "QUERY " + id + " EXECUTE s1", "QUERY " + id + " CLOSE ", "QUERY " + id + " CLOSE a b",
 		"QUERY " + id + " SET ", "QUERY " + id + " BEGIN WRITE", "QUERY " + id + " COMMIT ", "QUERY " + id + " ROLLBACK\t",
-		"QUERY " + id + " MINLSN 1.1 READ item", "QUERY " + id + " STATUS", "QUERY " + id + " PAUSE 9", "QUERY " + id + " DISCARD",
+		"QUERY " + id + " " + platformtest.PositionPrefix + " 1.1 READ item", "QUERY " + id + " STATUS", "QUERY " + id + " PAUSE 9", "QUERY " + id + " DISCARD",
 		"QUERY " + id + " " + pick(rng, oddData), "READY I -", "ROW x",
 	})
 }
--- a/internal/soak/sent.go
+++ b/internal/soak/sent.go
@@ -112,7 +112,7 @@
 	var found []string
 	newest := map[[2]int]int{} // position by connections of the client and to the member
 	for _, a := range arrivals {
-		text := withoutMinLSN(a.Text)
+		text := withoutPosition(a.Text)
 		if a.ID == noID {
 			if !s.mayRepeat(a.Organisation, text) {
 				found = append(found, fmt.Sprintf("%s received %.120q of %s without an id, which no client has sent", a.Member, a.Text, a.Organisation))
@@ -152,9 +152,9 @@
 	return slices.Contains([]string{"BEGIN", "BEGIN READ", "ROLLBACK", "DISCARD", "STATUS", "RESUME"}, text)
 }
 
-// withoutMinLSN strips the prefix MINLSN TERM.POSITION that VMs may add.
-func withoutMinLSN(text string) string {
-	rest, ok := strings.CutPrefix(text, "MINLSN ")
+// withoutPosition strips the position that VMs may add.
+func withoutPosition(text string) string {
+	rest, ok := strings.CutPrefix(text, platformtest.PositionPrefix+" ")
 	if !ok {
 		return text
 	}
