Join the parts of a string literal once

Cause: since the parts of an E'...' literal on several lines were joined one by one; a query of 1 MiB could make a VM copy some GB (read-through). Change: they are collected and joined at the end.

--- a/internal/frontend/sqltext/boundaries_test.go
+++ b/internal/frontend/sqltext/boundaries_test.go
@@ -1,6 +1,8 @@
 package sqltext
 
 import (
+	"runtime"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -54,3 +56,15 @@
 		assert.Equal(t, Parse(sql)[0].Kind, want, sql)
 	}
 }
+
+// Guards against a client that occupies a VM with one string of very many parts, whose text would
+// be copied again for each of them.
+func TestStringOfManyPartsIsCopiedOnce(t *testing.T) {
+	const parts = 100_000
+	text := "select E'a'" + strings.Repeat("\n'a'", parts)
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	assert.Equal(t, len(Parse(text)), 1)
+	runtime.ReadMemStats(&after)
+	assert.Assert(t, after.TotalAlloc-before.TotalAlloc < 64<<20, "%d bytes allocated", after.TotalAlloc-before.TotalAlloc)
+}
--- a/internal/frontend/sqltext/lexer.go
+++ b/internal/frontend/sqltext/lexer.go
@@ -83,11 +83,11 @@
 	if l.pos < len(l.in) && l.in[l.pos] == '\'' && len(text) == 1 {
 		switch text[0] | 0x20 {
 		case 'e':
-			text := l.scanQuoted('\'', true)
+			parts := []string{l.scanQuoted('\'', true)}
 			for l.continueString() {
-				text += l.scanQuoted('\'', true)
+				parts = append(parts, l.scanQuoted('\'', true))
 			}
-			return token{kind: stringToken, text: text}
+			return token{kind: stringToken, text: strings.Join(parts, "")}
 		case 'b', 'x', 'n':
 			return token{kind: stringToken, text: l.scanQuoted('\'', false)}
 		}
