--- a/internal/execution/execution.go
+++ b/internal/execution/execution.go
@@ -208,7 +208,8 @@
 	// such a statement.
 	Malformed
 	TooLarge
-	// InvalidAnswer means that the upstream answered with messages that cannot be read. With the outcome NotRun it did so before the statement was sent.
+	// InvalidAnswer means that the upstream answered with messages that cannot be read. With the
+	// outcome NotRun it did so before the statement was sent.
 	InvalidAnswer
 	// AnswerLost means that the result of the executing VM exceeds the maximum size of a message
 	// between VMs or cannot be read. It is set for the outcome Unknown.
