Show that short freezes use up the connections to a primary

A transaction whose first statement is not answered in time by the executing machine stays open there for good. The case freezes one machine at a time for 1.1 s.

--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -16,6 +16,15 @@
 	revokeBound  = 5 * time.Second // revoke_ms
 	idleLimit    = 3 * time.Second // tx_idle_ms
 	maxStaleness = 2500 * time.Millisecond
+
+	recoveryBound = 12 * time.Second // recovery_s
+)
+
+// Figures of the case shortFreezes.
+const (
+	freezes        = 40
+	freezeInterval = 1900 * time.Millisecond
+	freezeTime     = 1100 * time.Millisecond
 )
 
 // Databases of the routes.
@@ -36,7 +45,7 @@
 // writeConfig writes a config in which both routes lead to one service.
 func (c *caseRun) writeConfig(version int, routedTo string, tenants ...tenant) {
 	route := func(name, host, kind string, slo, priority int) map[string]any {
-		r := map[string]any{"name": name, "host": host, "path_prefix": "/", "type": kind, "timeout_ms": 1000, "slo_ms": slo, "prio": priority,
+		r := map[string]any{"name": name, "host": host, "path_prefix": "/", "type": kind, "timeout_ms": c.timeout.Milliseconds(), "slo_ms": slo, "prio": priority,
 			"upstream": routedTo, "max_attempts": 2, "public": false, "home_regions": []string{}}
 		if kind != "primary" {
 			r["max_staleness_ms"] = maxStaleness.Milliseconds()
@@ -343,3 +352,111 @@
 	}
 	return foreign > 0, nil
 }
+
+// shortFreezes freezes machines for a little more than a second, one at a time, and checks whether
+// requests are served once all machines are back.
+func shortFreezes(c *caseRun) (bool, error) {
+	g, err := c.addService("huvo11a", 3, zoneNames...)
+	if err != nil {
+		return false, err
+	}
+	c.timeout = 800 * time.Millisecond // timeout_ms of the site's route order-intake
+	c.writeConfig(7, g.name, wideTenant("nypu920", "u6wsjnban"))
+	if err := c.startMachines(2); err != nil {
+		return false, err
+	}
+	end := make(chan struct{})
+	var requesters sync.WaitGroup
+	var mu sync.Mutex
+	phase := "before"
+	sent, served := map[string]int{}, map[string]int{}
+	for i, m := range slices.Concat(c.machines, c.machines, c.machines) {
+		requesters.Go(func() {
+			c.transact(fmt.Sprintf("requester-%d", i+1), m, "u6wsjnban", end, func(ok bool) {
+				mu.Lock()
+				defer mu.Unlock()
+				sent[phase]++
+				if ok {
+					served[phase]++
+				}
+			})
+		})
+	}
+	enter := func(name string) {
+		mu.Lock()
+		defer mu.Unlock()
+		phase = name
+	}
+	time.Sleep(settleTime)
+	enter("freezes")
+	start := time.Now()
+	for n := range freezes {
+		after(start, time.Duration(n)*freezeInterval)
+		if c.trouble {
+			m := c.machines[n%len(c.machines)]
+			c.record.add("%s freezes", m.name)
+			m.freeze(freezeTime)
+			c.record.add("%s goes on", m.name)
+		}
+		if n%6 == 5 {
+			c.record.note("transactions open on members and idle for 5 s: %v", g.idleTransactions(5*time.Second))
+		}
+	}
+	enter("recovery")
+	time.Sleep(recoveryBound)
+	enter("after")
+	time.Sleep(8 * time.Second)
+	c.record.note("transactions open on members and idle for 20 s: %v", g.idleTransactions(20*time.Second))
+	ready := 0
+	for _, m := range c.machines {
+		if m.ready() {
+			ready++
+		}
+	}
+	c.record.note("%d of %d machines are ready", ready, len(c.machines))
+	close(end)
+	requesters.Wait()
+	for _, name := range []string{"before", "freezes", "recovery", "after"} {
+		c.record.note("%s: %d operations, %d served", name, sent[name], served[name])
+	}
+	if served["before"]*4 < sent["before"] || sent["before"] < 100 {
+		return false, fmt.Errorf("less than a quarter was served before the freezes")
+	}
+	return served["after"]*4 < sent["after"], nil
+}
+
+// transact runs transactions with one write until end is closed.
+func (c *caseRun) transact(name string, m *machine, key string, end <-chan struct{}, done func(served bool)) {
+	var session *client
+	for n := 1; ; n++ {
+		select {
+		case <-end:
+			if session != nil {
+				session.close()
+			}
+			return
+		case <-time.After(60 * time.Millisecond):
+		}
+		if session == nil {
+			var err error
+			if session, err = dialClient(c.record, name, m.front(), primaryDatabase, key); err != nil {
+				session = nil
+				done(false)
+				continue
+			}
+		}
+		served := true
+		for _, text := range []string{"BEGIN", "READ " + name, fmt.Sprintf("WRITE %s %d", name, n), "COMMIT"} {
+			a, err := session.query(text)
+			if err != nil || a.code != "" {
+				served = false
+				if err != nil || a.state != "I" { // an operation that ends outside I ends the session
+					session.close()
+					session = nil
+				}
+				break
+			}
+		}
+		done(served)
+	}
+}
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -23,6 +23,7 @@
 	"restarted-replica":     restartedReplica,
 	"route-there-and-back":  routeThereAndBack,
 	"key-of-another-tenant": keyOfAnotherTenant,
+	"short-freezes":         shortFreezes,
 }
 
 // caseRun is one run of a case.
@@ -31,6 +32,8 @@
 	// trouble is false for the run without the disruption.
 	trouble bool
 	command []string
+	// timeout is the time limit of a statement in the configs.
+	timeout time.Duration
 }
 
 func main() { os.Exit(run()) }
@@ -63,7 +66,7 @@
 		return statusNotRun
 	}
 	defer d.close(*keep)
-	c := &caseRun{deployment: d, trouble: os.Getenv("TROUBLE") != "0", command: command}
+	c := &caseRun{deployment: d, trouble: os.Getenv("TROUBLE") != "0", command: command, timeout: time.Second}
 	r.note("case %s, with the disruption: %t", *name, c.trouble)
 	broken, err := play(c)
 	switch {
--- a/review/standin2/members.go
+++ b/review/standin2/members.go
@@ -62,6 +62,7 @@
 	seq            int
 	listener       net.Listener
 	conns          map[net.Conn]struct{}
+	sessions       map[*memberSession]struct{}
 
 	primary bool
 	log     []commit
@@ -84,7 +85,7 @@
 			return nil, err
 		}
 		m := &member{service: g, id: fmt.Sprintf("i-%s-%d", name, i+1), zone: zone, addr: listener.Addr().String(), listener: listener,
-			born: time.Now().UnixMilli(), conns: map[net.Conn]struct{}{}, primary: i == 0, slots: make(chan struct{}, 5), woken: make(chan struct{})}
+			born: time.Now().UnixMilli(), conns: map[net.Conn]struct{}{}, sessions: map[*memberSession]struct{}{}, primary: i == 0, slots: make(chan struct{}, 5), woken: make(chan struct{})}
 		g.members = append(g.members, m)
 	}
 	for _, m := range g.members {
@@ -302,9 +303,14 @@
 		m.conns[conn] = struct{}{}
 		m.service.mu.Unlock()
 		go func() {
-			(&memberSession{member: m, conn: conn}).serve()
+			s := &memberSession{member: m, conn: conn}
+			m.service.mu.Lock()
+			m.sessions[s] = struct{}{}
+			m.service.mu.Unlock()
+			s.serve()
 			m.service.mu.Lock()
 			delete(m.conns, conn)
+			delete(m.sessions, s)
 			m.service.mu.Unlock()
 			_ = conn.Close()
 		}()
@@ -323,3 +329,19 @@
 		<-woken
 	}
 }
+
+// idleTransactions returns the number of transactions that are open on the members and for which
+// nothing has arrived for a time.
+func (g *service) idleTransactions(idle time.Duration) map[string]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	counts := map[string]int{}
+	for _, m := range g.members {
+		for s := range m.sessions {
+			if s.transaction.Load() && time.Since(time.Unix(0, s.lastAt.Load())) > idle {
+				counts[m.id]++
+			}
+		}
+	}
+	return counts
+}
--- a/review/standin2/membersession.go
+++ b/review/standin2/membersession.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"time"
 )
 
@@ -21,6 +22,9 @@
 	ids      []string
 	values   map[string]string
 	prepared map[string]bool // name to whether it writes
+	// transaction is set while a transaction is open; lastAt is the time of the last message.
+	transaction atomic.Bool
+	lastAt      atomic.Int64
 }
 
 func (s *memberSession) serve() {
@@ -56,7 +60,9 @@
 		if len(parts) < 3 || parts[0] != "QUERY" {
 			return
 		}
+		s.lastAt.Store(time.Now().UnixNano())
 		rows, result := s.query(parts[1], parts[2])
+		s.transaction.Store(s.state == "T")
 		lines := []string{}
 		for _, row := range rows {
 			lines = append(lines, "ROW "+row)
--- a/review/standin2/vms.go
+++ b/review/standin2/vms.go
@@ -253,6 +253,16 @@
 	}
 }
 
+// freeze stops the process for a time and lets it go on.
+func (m *machine) freeze(d time.Duration) {
+	m.mu.Lock()
+	process := m.process.Process
+	m.mu.Unlock()
+	_ = process.Signal(syscall.SIGSTOP)
+	time.Sleep(d)
+	_ = process.Signal(syscall.SIGCONT)
+}
+
 func (m *machine) front() string { return net.JoinHostPort(m.ip, strconv.Itoa(frontPort)) }
 
 // ready asks the machine whether it is ready.
