--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -1,6 +1,9 @@
 #!/bin/sh
 # Moves a route to another service and back while a replica receives nothing.
+# TROUBLE=0 does the same without the disruption. Exit status: 1 broken, 0 held, 2 could not run.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
 [ -x target/rosemarywall-platform ] && [ -x target/review-standin-2 ] || exit 2
-exec target/review-standin-2 -case route-there-and-back -record "$here/record.txt"
+trouble=true
+[ "${TROUBLE:-1}" = 0 ] && trouble=false
+exec target/review-standin-2 -case route-there-and-back -trouble=$trouble -record "$here/record.txt"
--- a/review/standin2/cases.go
+++ b/review/standin2/cases.go
@@ -188,7 +188,7 @@
 	reads, stale, moved := 0, 0, 0
 	for i, m := range slices.Concat(c.machines, c.machines) {
 		requesters.Go(func() {
-			r, s, v := c.readOwn(fmt.Sprintf("requester-%d", i+1), m, "u6wsjnban", end)
+			r, s, v := c.readOwn(fmt.Sprintf("requester-%d", i+1), m, "u6wsjnban", first, end)
 			mu.Lock()
 			defer mu.Unlock()
 			reads, stale, moved = reads+r, stale+s, moved+v
@@ -222,11 +222,12 @@
 	return stale > 0, nil
 }
 
-// readOwn writes and reads one item in one session, and returns the numbers of reads, of reads
-// that lack a confirmed commit of the session on the same service, and of moves of the route.
-func (c *caseRun) readOwn(name string, m *machine, key string, end <-chan struct{}) (reads, stale, moved int) {
+// readOwn writes and reads one item in one session, and returns the numbers of reads, of reads on
+// the service that ran on a log without a confirmed commit of the session, and of moves of the route.
+func (c *caseRun) readOwn(name string, m *machine, key string, on *service, end <-chan struct{}) (reads, stale, moved int) {
 	var session *client
 	newest, last := map[string]int{}, "" // newest confirmed value by service
+	commit := ""                         // id of the write of it on the service
 	life := 0
 	for n := 1; ; n++ {
 		select {
@@ -268,11 +269,14 @@
 		last = g
 		if writes {
 			newest[g] = n
+			if g == on.name {
+				commit = a.id
+			}
 			continue
 		}
 		reads++
 		value, _ := strconv.Atoi(a.rows[0])
-		if value < newest[g] {
+		if g == on.name && value < newest[g] && on.ranWithout(a.id, commit) {
 			stale++
 			c.record.add("%s: read %s on %s returned %q; the session's write of %d on %s had been confirmed", name, a.id, a.member(), a.rows[0], newest[g], g)
 		}
@@ -372,12 +376,17 @@
 	sent, served := map[string]int{}, map[string]int{}
 	for i, m := range slices.Concat(c.machines, c.machines, c.machines) {
 		requesters.Go(func() {
-			c.transact(fmt.Sprintf("requester-%d", i+1), m, "u6wsjnban", end, func(ok bool) {
+			c.transact(fmt.Sprintf("requester-%d", i+1), m, "u6wsjnban", end, func() func(bool) {
 				mu.Lock()
 				defer mu.Unlock()
-				sent[phase]++
-				if ok {
-					served[phase]++
+				begun := phase
+				sent[begun]++
+				return func(ok bool) {
+					mu.Lock()
+					defer mu.Unlock()
+					if ok {
+						served[begun]++
+					}
 				}
 			})
 		})
@@ -425,8 +434,9 @@
 	return served["after"]*4 < sent["after"], nil
 }
 
-// transact runs transactions with one write until end is closed.
-func (c *caseRun) transact(name string, m *machine, key string, end <-chan struct{}, done func(served bool)) {
+// transact runs transactions with one write until end is closed. It calls begin when one starts,
+// and what begin returns when it ends.
+func (c *caseRun) transact(name string, m *machine, key string, end <-chan struct{}, begin func() func(served bool)) {
 	var session *client
 	for n := 1; ; n++ {
 		select {
@@ -437,6 +447,7 @@
 			return
 		case <-time.After(60 * time.Millisecond):
 		}
+		done := begin()
 		if session == nil {
 			var err error
 			if session, err = dialClient(c.record, name, m.front(), primaryDatabase, key); err != nil {
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -42,6 +42,7 @@
 	name := flag.String("case", "", "name of the case")
 	path := flag.String("record", "record.txt", "file of the record")
 	deploy := flag.String("deploy", "deploy/system.toml", "deploy file")
+	trouble := flag.Bool("trouble", true, "play the disruption")
 	keep := flag.Bool("keep", false, "keep the logs of the machines")
 	flag.Parse()
 	play, ok := cases[*name]
@@ -66,7 +67,7 @@
 		return statusNotRun
 	}
 	defer d.close(*keep)
-	c := &caseRun{deployment: d, trouble: os.Getenv("TROUBLE") != "0", command: command, timeout: time.Second}
+	c := &caseRun{deployment: d, trouble: *trouble, command: command, timeout: time.Second}
 	r.note("case %s, with the disruption: %t", *name, c.trouble)
 	broken, err := play(c)
 	switch {
--- a/review/standin2/members.go
+++ b/review/standin2/members.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -50,7 +51,7 @@
 	at               time.Time
 	service, member  string
 	tenant, id, text string
-	// position is the number of the last commit that the statement saw, and visible the log.
+	// position is the number of commits that the statement could see.
 	position int
 }
 
@@ -345,3 +346,20 @@
 	}
 	return counts
 }
+
+// ranWithout reports whether a statement ran on a log that lacked an acknowledged commit, which the
+// primary still has.
+func (g *service) ranWithout(statement, id string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	number, p := g.acknowledged[id], g.leader()
+	if number == 0 || p == nil || number > len(p.log) || !slices.Contains(p.log[number-1].ids, id) {
+		return false
+	}
+	for i := len(g.runs) - 1; i >= 0; i-- {
+		if g.runs[i].id == statement {
+			return g.runs[i].position < number
+		}
+	}
+	return false
+}
