Keep the position of a session's last commit for each group

Cause: a session kept one position and reset it whenever its grant named another group than the last one. After a route had moved to another service and back, reads needed only the position of the maximum staleness. Statements of an open transaction renewed the grant too, so a commit could be recorded for the group that the route had moved to, and the first read of a transaction could be sent without the position of its own group.

The group of the grant that a statement runs by decides, in a transaction that of its beginning. If a position was dropped, or the upstream reported none for a commit, reads run on the primary. This works because no move of a route changes what is recorded.

--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -154,15 +154,14 @@
 
 // Session is the session of one client. It is not safe for concurrent use.
 type Session struct {
-	services   *Services
-	database   string
-	key        catalog.KeyHash
-	values     map[string]string // shared with executors, so replaced rather than modified
-	prepared   map[string]statement.Statement
-	state      statement.TransactionState
-	tx         *transaction
-	lastCommit ident.LogPoint // position of the session's newest commit
-	group      ident.GroupName
+	services *Services
+	database string
+	key      catalog.KeyHash
+	values   map[string]string // shared with executors, so replaced rather than modified
+	prepared map[string]statement.Statement
+	state    statement.TransactionState
+	tx       *transaction
+	commits  commitPositions
 	// running is the choice of the current attempt, which other goroutines may read.
 	running atomic.Pointer[Choice]
 }
@@ -238,14 +237,9 @@
 	}
 }
 
-// authorise checks the client's key. It resets the position of the last commit if the
-// route has moved to another group.
+// authorise checks the client's key.
 func (s *Session) authorise() (Grant, error) {
-	grant, err := s.services.Authoriser.Authorise(s.database, s.key)
-	if err == nil && grant.Route.Group != s.group {
-		s.group, s.lastCommit = grant.Route.Group, ident.LogPoint{}
-	}
-	return grant, err
+	return s.services.Authoriser.Authorise(s.database, s.key)
 }
 
 // Handle runs one statement.
@@ -406,21 +400,25 @@
 	}
 	r := s.newRequest(&grant, st, prepared)
 	r.Mode, r.Writes = execution.Single, writes
-	requirement := Requirement{Grant: &grant, Primary: writes || grant.Route.Consistency == catalog.Primary, SessionPosition: s.lastCommit}
+	requirement := s.requirement(&grant, writes)
 	a := attempt{session: s, requirement: requirement, request: r, beganAt: s.services.Now(), writes: writes, hasEffect: writes, allowLeaderRead: !writes}
 	result, _, err := a.run(ctx)
 	if err != nil {
 		return Response{Err: err, Trace: a.trace}
 	}
 	if writes {
-		s.recordCommit(result.Position)
+		s.commits.record(grant.Route.Group, result.Position)
 	}
 	return Response{Rows: result.Rows, Tag: result.Tag, Trace: a.trace}
 }
 
-// recordCommit records the position of an acknowledged commit.
-func (s *Session) recordCommit(p ident.LogPoint) {
-	if p.Compare(s.lastCommit) > 0 {
-		s.lastCommit = p
+// requirement returns which upstreams may run a statement. The position is that of the group
+// of the grant: the route may have moved since the session's last statement.
+func (s *Session) requirement(grant *Grant, primary bool) Requirement {
+	position, known := s.commits.position(grant.Route.Group)
+	readsOwnWrites := grant.Route.Consistency == catalog.ReadYourWrites
+	return Requirement{
+		Grant: grant, SessionPosition: position,
+		Primary: primary || grant.Route.Consistency == catalog.Primary || readsOwnWrites && !known,
 	}
 }
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/rosemarywall/rosemarywall/internal/clock"
-	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/execution"
 	"github.com/rosemarywall/rosemarywall/internal/resultcode"
 	"github.com/rosemarywall/rosemarywall/internal/statement"
@@ -44,7 +43,7 @@
 func (s *Session) runFirst(ctx context.Context, st statement.Statement, r execution.Request) Response {
 	tx := s.tx
 	r.Mode = execution.Begin
-	requirement := Requirement{Grant: &tx.grant, Primary: !tx.readOnly || tx.grant.Route.Consistency == catalog.Primary, SessionPosition: s.lastCommit}
+	requirement := s.requirement(&tx.grant, !tx.readOnly)
 	a := attempt{session: s, requirement: requirement, request: r, beganAt: tx.beganAt, writes: !tx.readOnly, hasEffect: st.Kind == statement.Commit}
 	result, choice, err := a.run(ctx)
 	if err != nil {
@@ -109,7 +108,9 @@
 // transaction.
 func (s *Session) succeed(st statement.Statement, result execution.Result) Response {
 	if st.Kind == statement.Commit {
-		s.recordCommit(result.Position)
+		if !s.tx.readOnly || !result.Position.IsZero() {
+			s.commits.record(s.tx.grant.Route.Group, result.Position)
+		}
 		s.closeTransaction()
 	}
 	return Response{Rows: result.Rows, Tag: result.Tag}
