Roll back a transaction whose key passes to another organisation

Cause: the statements of a transaction renew their authorisation, but only its error was looked at, not whom it names.

Now the transaction is rolled back at its next statement, and the client is told that nothing is kept. A later operation runs for the new organisation.

--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -32,9 +32,13 @@
 	rollbacks      int
 	transactions   int
 	priority       int // of the last operation
+	// organisation holds the key.
+	organisation ident.OrganisationName
 }
 
-func newFakeServices() *fakeServices { return &fakeServices{start: time.Now(), upstreamKnown: true} }
+func newFakeServices() *fakeServices {
+	return &fakeServices{start: time.Now(), upstreamKnown: true, organisation: "acme"}
+}
 
 func (f *fakeServices) session(t fataler) *Session {
 	s, _, err := OpenSession(&Services{Admission: f, Authoriser: f, Limiter: f, Router: f, Now: func() time.Duration { return time.Since(f.start) },
@@ -50,7 +54,7 @@
 }
 
 func (f *fakeServices) Authorise(string, catalog.KeyHash) (Grant, error) {
-	return Grant{Version: 3, Organisation: catalog.Organisation{Name: "acme"},
+	return Grant{Version: 3, Organisation: catalog.Organisation{Name: f.organisation},
 		Route: catalog.Route{Group: "g1", Consistency: catalog.Primary, StatementTimeout: time.Second, LatencyTarget: 500 * time.Millisecond, Priority: 2}}, f.authoriseError
 }
 
@@ -278,6 +282,29 @@
 	})
 }
 
+// Guards against statements that run for the former organisation of a key, because the key
+// passes to another one while a transaction is open (UNASKED, key-of-another-tenant).
+func TestTransactionEndsWhenKeyChangesOrganisation(t *testing.T) {
+	for _, kind := range []statement.Kind{statement.Read, statement.Write, statement.Commit} {
+		f := newFakeServices()
+		s := f.session(t)
+		f.handle(s, statement.Begin)
+		code, _ := f.handle(s, statement.Write)
+		assert.Equal(t, code, resultcode.Code(0))
+		f.organisation = "other"
+		code, _ = f.handle(s, kind)
+		assert.Equal(t, code, resultcode.RolledBack, "%v", kind)
+		assert.Equal(t, len(f.requests), 1, "nothing is sent for %v", kind)
+		assert.Equal(t, f.rollbacks, 1)
+		if kind != statement.Commit {
+			f.handle(s, statement.Rollback)
+		}
+		code, _ = f.handle(s, statement.Write)
+		assert.Equal(t, code, resultcode.Code(0))
+		assert.Equal(t, f.requests[1].Organisation, ident.OrganisationName("other"))
+	}
+}
+
 // Guards against "not run" for a transaction whose commit may have taken effect, and
 // against effects of a transaction that was rejected. A commit must be sent at most once
 // unless it was not run, and never after a failed statement, and the code in its response
--- a/internal/proxy/transaction.go
+++ b/internal/proxy/transaction.go
@@ -21,7 +21,11 @@
 	case st.Kind == statement.Begin:
 		return s.fail(resultcode.New(resultcode.MalformedMessage, "a transaction is open"))
 	}
-	if grant, err := s.authorise(); err != nil {
+	grant, err := s.authorise()
+	if err == nil && grant.Organisation.Name != s.tx.grant.Organisation.Name {
+		err = resultcode.New(resultcode.RolledBack, "the key has passed to another organisation since the transaction began")
+	}
+	if err != nil {
 		return s.failOrClose(st, err).withTrace(grantTrace(&grant))
 	}
 	writes, prepared, err := s.resolve(st)
