Let a reset session rely on no former token or accepted age

A user of a pooled PostgreSQL connection could read data as old as the former user of the connection had accepted, or without a read index because the former user had brought a token.

Cause: DISCARD ALL and RESET ALL restored the upstream's settings and left those of the proxy, and a token that was taken back still counted as brought.

Now a reset ends both, also inside a block and in a query of several statements. The position of the session's own writes remains.

TestResetSessionRelaxesNothing failed before (DISCARD ALL left an accepted age of 5 s and no read index) and passes; no run of processes has shown this fault.

--- a/internal/frontend/local.go
+++ b/internal/frontend/local.go
@@ -89,15 +89,26 @@
 			return nil, err
 		}
 	case statement.Dirty: // DISCARD ALL
+		s.resetOwn()
 		s.shared.Settings.Remove("")
 		s.statements = nil
 		return tagFrame("DISCARD ALL"), nil
 	default:
+		if statement.Name == "" { // RESET ALL
+			s.resetOwn()
+		}
 		s.shared.Settings.Remove(statement.Name)
 	}
 	return tagFrame("RESET"), nil
 }
 
+// resetOwn restores the defaults of the proxy's settings. A connection pool resets all
+// settings before it gives the connection to another user, who brings no token and has
+// accepted no age. The position of the session's own writes remains.
+func (s *session) resetOwn() {
+	s.carries, s.acceptedAge, s.acceptedText = false, 0, ""
+}
+
 // setOwn changes a setting of the proxy.
 func (s *session) setOwn(name, value string) error {
 	switch name {
@@ -124,8 +135,10 @@
 	return "", resultcode.New(resultcode.InvalidSetting, "unknown setting of the proxy")
 }
 
-// setToken takes a token of the caller. An empty one only asks for tokens.
+// setToken takes a token of the caller. An empty one only asks for tokens: until the next
+// write, the caller may have written elsewhere what this session knows no position of.
 func (s *session) setToken(text string) error {
+	s.carries = false
 	if text != "" {
 		t, err := routing.DecodeToken(text)
 		if err != nil {
--- a/internal/frontend/session_test.go
+++ b/internal/frontend/session_test.go
@@ -53,6 +53,37 @@
 	y.want("ParseComplete BindComplete RowDescription D:" + token + " C:SHOW Z:I")
 }
 
+// Guards against reads that rely on the token or the accepted age of the former user of a
+// pooled connection, or on a token that the caller has taken back.
+func TestResetSessionRelaxesNothing(t *testing.T) {
+	point := ident.LogPoint{Term: 1, Position: 9}
+	token := routing.EncodeToken(routing.Token{Group: "orders", Point: point})
+	strict := request.ReadRequirement{MinLogPoint: point, Strict: true}
+	relaxed := request.ReadRequirement{MinLogPoint: point, MaxAge: 5 * time.Second}
+	for _, reset := range []struct {
+		statements []string
+		want       request.ReadRequirement
+	}{
+		{[]string{"DISCARD ALL"}, strict},
+		{[]string{"RESET ALL"}, strict},
+		{[]string{"BEGIN", "RESET ALL", "COMMIT"}, strict},
+		{[]string{"RESET ALL; SELECT 1"}, strict},
+		{[]string{"RESET rosemarywall.session_token"}, relaxed},
+		{[]string{"RESET rosemarywall.session_token", "RESET rosemarywall.accepted_age"}, strict},
+		{[]string{"RESET work_mem"}, relaxed},
+	} {
+		r := newRig(t, true, nil)
+		x := r.raw(settingToken, token, settingAge, "5s")
+		for _, sql := range append(reset.statements, "SELECT 2") {
+			x.send(&pgproto3.Query{String: sql})
+			for !strings.HasPrefix(x.next(), "Z:") {
+			}
+		}
+		needs := r.control.needs
+		assert.DeepEqual(t, needs[len(needs)-1], reset.want)
+	}
+}
+
 // Guards against session settings and prepared statements being lost or leaking
 // when requests of a session run on different connections.
 func TestSessionStateFollowsTheCaller(t *testing.T) {
--- a/internal/frontend/simple.go
+++ b/internal/frontend/simple.go
@@ -134,6 +134,10 @@
 			r.ReadsBeforeCommit, r.Counted = true, executes
 		case sqltext.Write, sqltext.CopyIn:
 			r.Counted = executes
+		case sqltext.Reset:
+			if statement.Name == "" && executes {
+				s.resetOwn()
+			}
 		}
 	}
 	r.Deadline = time.Now().Add(s.server.cfg.QueueTimeout)
