Demote a primary that responds before another member is promoted

Cause: the proof of a takeover counted members by name. A member that joined between the call and its effect confirmed commits of the leaving primary that the candidate lacked. A member that had left before the takeover began was waited for without end, and its attempts kept the others paused.

Now a primary that responds steps down first, and the candidate must hold its whole log (internal/controller/takeover/handover.go). This works because a demoted primary confirms nothing, whoever receives, so nobody has to be counted or paused. It goes on serving until a candidate is known to receive. If none holds the end of its log it is promoted again. The record says whether a call may have replaced the last known primary (primary_call), so another VM goes on with a primary that has stepped down. Replicas are counted only for a primary that does not respond. A takeover that waits says for whom, and a change of primary is a warning in the log ("takeover waits", "primary replaced").

The tests of paused replicas now stop the primary, since only such takeovers pause, and TestJoiningMemberInvalidatesVerification does so in its first row: a primary that responds is covered by TestJoinBetweenCallAndEffectLosesNothing.

--- a/internal/controller/takeover/attempt.go
+++ b/internal/controller/takeover/attempt.go
@@ -34,11 +34,27 @@
 	term           ident.Term // highest term that any member has reported
 	// members are the replicas that the verification covers.
 	members []catalog.Upstream
+	// holdersKnown means that the record named commit holders before this attempt.
+	holdersKnown bool
+	// demoted is the primary that has stepped down in this attempt.
+	demoted ident.UpstreamName
+	proof   proof
 
 	mu    sync.Mutex
 	conns map[execution.Target]execution.Conn
 }
 
+// proof is the reason why a candidate holds every acknowledged commit.
+type proof string
+
+const (
+	// proofReplicas means that it holds what every paused replica holds, and that too few
+	// replicas are missing to have confirmed a commit.
+	proofReplicas proof = "replicas"
+	// proofDemoted means that it holds the log of the demoted primary.
+	proofDemoted proof = "demoted"
+)
+
 func (t *attempt) log(e *zerolog.Event) *zerolog.Event {
 	e = e.Str("group", string(t.group.name)).Str("reason", t.reason)
 	if t.primary != nil {
@@ -73,6 +89,7 @@
 		return
 	}
 	t.log(c.cfg.Log.Info()).Uint64("generation", generation).Msg("takeover claimed")
+	t.proof = proofReplicas
 	candidate, ok := t.prepare(ctx)
 	if !ok {
 		t.abort(ctx)
@@ -243,7 +260,11 @@
 		c.endAttempt(t.group, attemptInterval, false)
 		return
 	}
-	joined, found := t.joinedMember()
+	var joined ident.UpstreamName
+	found := false
+	if t.proof != proofDemoted {
+		joined, found = t.joinedMember()
+	}
 	if took := c.cfg.Now() - start; found || took > maxAnnouncementAge {
 		t.log(c.cfg.Log.Warn()).Dur("took_ms", took).Str("joined", string(joined)).Msg("promotion not called")
 		t.abort(ctx)
@@ -257,6 +278,8 @@
 	switch {
 	case err == nil:
 		t.awaitRegistration(ctx, candidate)
+		t.log(c.cfg.Log.Warn()).Str("candidate", string(candidate)).Uint64("generation", generation).Uint64("term", uint64(t.term+1)).
+			Str("proof", string(t.proof)).Msg("primary replaced")
 		t.markDone(ctx, candidate)
 		c.mu.Lock()
 		clear(t.group.paused) // a promotion resumes all members
--- a/internal/controller/takeover/commands_test.go
+++ b/internal/controller/takeover/commands_test.go
@@ -20,6 +20,7 @@
 func TestNoReplicaIsResumedWhileCallMayTakeEffect(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
 		p := newFakePlatform(t)
+		p.stopPrimary()
 		first, second := p.controller("vm-1"), p.controller("vm-2")
 		p.callResults = []error{errNoResponse}
 		p.replace(first)
@@ -48,6 +49,7 @@
 func TestResumeByAnotherVMInvalidatesPause(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
 		p := newFakePlatform(t)
+		p.stopPrimary()
 		first, second := p.controller("vm-1"), p.controller("vm-2")
 		p.updateMember("u3", func(m *member) { m.loseResume = true })
 		p.callResults = []error{resultcode.New(resultcode.PlatformUnavailable, "status 503")}
@@ -67,6 +69,7 @@
 func TestResumeBetweenPauseAndCall(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
 		p := newFakePlatform(t)
+		p.stopPrimary()
 		c, other := p.controller("vm-1"), p.controller("vm-2")
 		snapshot := p.snapshot()
 		claimed := &attempt{controller: c, group: c.group("g1"), spec: snapshot.Catalog.Groups["g1"], snapshot: snapshot, reason: reasonLeaving, primary: &snapshot.Upstreams["g1"][0]}
@@ -91,6 +94,7 @@
 func TestCandidateIsFixedWhileCallMayTakeEffect(t *testing.T) {
 	virtualtime.Test(t, func(t *testing.T) {
 		p := newFakePlatform(t)
+		p.stopPrimary()
 		first, second := p.controller("vm-1"), p.controller("vm-2")
 		p.callResults = []error{errNoResponse, errNoResponse}
 		p.replace(first)
@@ -147,6 +151,9 @@
 	virtualtime.Test(t, func(t *testing.T) {
 		for _, reason := range []string{reasonLeaving, reasonWriteStalled} {
 			p := newFakePlatform(t)
+			if reason == reasonLeaving {
+				p.stopPrimary() // one that responds is demoted, see TestJoinBetweenCallAndEffect
+			}
 			p.writeDelay = maxAnnouncementAge / 2
 			go func() {
 				time.Sleep(p.writeDelay + 10*time.Millisecond) // during the announcement
--- a/internal/controller/takeover/fake_test.go
+++ b/internal/controller/takeover/fake_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
+	"gotest.tools/v3/assert"
 
 	"github.com/rosemarywall/rosemarywall/internal/controller/storesync"
 	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
@@ -41,6 +42,10 @@
 	deregistered     map[ident.UpstreamName]time.Duration
 	// steppedDown means that u1 had stepped down when it was replaced.
 	steppedDown bool
+	// beforeEffect and beforeStepDown are called, without the lock, before a promotion takes
+	// effect and before a member steps down.
+	beforeEffect, beforeStepDown func()
+	acknowledged                 ident.LogPoint // of the last commit that commitVia acknowledged
 }
 
 // member is an upstream.
@@ -54,6 +59,8 @@
 	// loseStepDown drops step-down commands without a response.
 	loseStepDown bool
 	resumes      int // number of resume commands sent
+	incarnation  int64
+	draining     bool
 }
 
 func newFakePlatform(t *testing.T) *fakePlatform {
@@ -84,14 +91,61 @@
 func (p *fakePlatform) replace(c *Controller) { p.replaceBecause(c, reasonLeaving) }
 
 func (p *fakePlatform) replaceBecause(c *Controller, reason string) {
+	t := p.attempt(c, reason)
+	t.primary = &t.snapshot.Upstreams["g1"][0]
+	defer t.close()
+	t.run(p.t.Context())
+}
+
+// replaceMissing runs one attempt of a VM to replace the primary while none is registered.
+func (p *fakePlatform) replaceMissing(c *Controller) {
+	t := p.attempt(c, reasonMissing)
+	assert.Assert(p.t, t.primary == nil)
+	defer t.close()
+	t.run(p.t.Context())
+}
+
+// attempt returns an attempt of a VM. Its primary is the member that is registered as such.
+func (p *fakePlatform) attempt(c *Controller, reason string) *attempt {
 	snapshot := p.snapshot()
-	primary := snapshot.Upstreams["g1"][0]
 	c.mu.Lock()
 	g := c.group("g1")
 	c.mu.Unlock()
-	t := &attempt{controller: c, group: g, spec: snapshot.Catalog.Groups["g1"], snapshot: snapshot, reason: reason, primary: &primary}
-	defer t.close()
-	t.run(p.t.Context())
+	t := &attempt{controller: c, group: g, spec: snapshot.Catalog.Groups["g1"], snapshot: snapshot, reason: reason}
+	for i, u := range snapshot.Upstreams["g1"] {
+		if u.Primary {
+			t.primary = &snapshot.Upstreams["g1"][i]
+		}
+	}
+	return t
+}
+
+// commitVia makes the primary commit a write, which is acknowledged if it still leads and the
+// replica receives it.
+func (p *fakePlatform) commitVia(replica ident.UpstreamName) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.members {
+		if m.primary && !m.unresponsive {
+			m.received.Position++
+			if r := p.members[replica]; r != nil && r.paused == 0 {
+				r.received, p.acknowledged = m.received, m.received
+			}
+			return
+		}
+	}
+}
+
+// stopPrimary makes u1 silent, so that only the replicas can prove anything.
+func (p *fakePlatform) stopPrimary() { p.updateMember("u1", func(m *member) { m.unresponsive = true }) }
+
+// storedRecord returns the record in the store.
+func (p *fakePlatform) storedRecord() record {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var r record
+	assert.NilError(p.t, json.Unmarshal(p.object.Value, &r))
+	return r
 }
 
 func (p *fakePlatform) snapshot() *storesync.Snapshot {
@@ -99,7 +153,12 @@
 	defer p.mu.Unlock()
 	var members []catalog.Upstream
 	for _, name := range slices.Sorted(maps.Keys(p.members)) {
-		members = append(members, catalog.Upstream{Name: name, Group: "g1", Address: string(name), State: catalog.Ready, Primary: p.members[name].primary})
+		m := p.members[name]
+		u := catalog.Upstream{Name: name, Group: "g1", Zone: "z-" + ident.AvailabilityZone(name), Address: string(name), State: catalog.Ready, Primary: m.primary, Incarnation: m.incarnation}
+		if m.draining {
+			u.State = catalog.Draining
+		}
+		members = append(members, u)
 	}
 	return &storesync.Snapshot{
 		Catalog:   &catalog.Catalog{Groups: map[ident.GroupName]catalog.Group{"g1": {SyncReplicas: 1}}},
@@ -171,6 +230,11 @@
 		}
 	}
 	p.steppedDown = !p.members["u1"].primary
+	if p.beforeEffect != nil {
+		p.mu.Unlock()
+		p.beforeEffect()
+		p.mu.Lock()
+	}
 	for name, m := range p.members {
 		m.primary, m.paused = name == upstream, 0
 	}
@@ -201,6 +265,9 @@
 }
 
 func (c *conn) Status(_ context.Context, command statement.Command) (statement.Status, statement.Reply, error) {
+	if hook := c.platform.beforeStepDown; hook != nil && command.Kind == statement.StepDownCommand {
+		hook()
+	}
 	c.platform.mu.Lock()
 	defer c.platform.mu.Unlock()
 	m := c.platform.members[c.name]
--- /dev/null
+++ b/internal/controller/takeover/handover_test.go
@@ -0,0 +1,162 @@
+package takeover
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/rosemarywall/rosemarywall/internal/ident"
+	"github.com/rosemarywall/rosemarywall/internal/objectapi"
+	"github.com/rosemarywall/rosemarywall/internal/resultcode"
+	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
+)
+
+// holds asserts that the log of the primary has the last acknowledged commit.
+func (p *fakePlatform) assertNothingLost() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for name, m := range p.members {
+		if m.primary {
+			assert.Assert(p.t, m.received.AtLeast(p.acknowledged), "%s has %v, acknowledged is %v", name, m.received, p.acknowledged)
+		}
+	}
+}
+
+// Guards against a commit that is lost because a member joins between the call of a promotion
+// and its effect, and confirms a commit that the candidate lacks (LOST, review/1).
+func TestJoinBetweenCallAndEffectLosesNothing(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		p := newFakePlatform(t)
+		p.commitVia("u2")
+		p.beforeEffect = func() {
+			p.mu.Lock()
+			p.members["u4"] = &member{received: p.members["u1"].received}
+			p.mu.Unlock()
+			p.commitVia("u4")
+		}
+		p.replace(p.controller("vm-1"))
+		assert.DeepEqual(t, p.promoteCalls, []ident.UpstreamName{"u2"})
+		p.assertNothingLost()
+	})
+}
+
+// Guards against a candidate that lacks the commits which another replica has confirmed
+// between the check of the candidate and the demotion.
+func TestCandidateHoldsLogOfDemotedPrimary(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		p := newFakePlatform(t)
+		p.beforeStepDown = func() { p.commitVia("u3") }
+		p.replace(p.controller("vm-1"))
+		assert.DeepEqual(t, p.promoteCalls, []ident.UpstreamName{"u3"})
+		p.assertNothingLost()
+	})
+}
+
+// Guards against takeovers that wait for good for a commit holder that has left, although the
+// primary responds (RECOVER, review/2, and planned replacements in quick succession).
+func TestDepartedHolderDoesNotEndHandOvers(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		p := newFakePlatform(t)
+		p.members["u4"] = &member{unresponsive: true}
+		p.deregistered = map[ident.UpstreamName]time.Duration{"u4": time.Second}
+		p.object = &objectapi.Object{Version: 1, Value: []byte(`{"done":true,"primary":"u1","holders":{"u1":"u1","u2":"u2","u3":"u3","u4":"u4"}}`)}
+		p.replace(p.controller("vm-1"))
+		assert.DeepEqual(t, p.promoteCalls, []ident.UpstreamName{"u2"})
+		assert.Equal(t, p.members["u3"].paused, ident.Term(0), "a demoted primary needs no paused replicas")
+	})
+}
+
+// Guards against a primary that is demoted, so that nothing can be written, while no candidate
+// receives its log.
+func TestPrimaryServesUntilCandidateHasCaughtUp(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		p := newFakePlatform(t)
+		c := p.controller("vm-1")
+		p.updateMember("u1", func(m *member) { m.received.Position = 9 })
+		p.replace(c)
+		assert.Equal(t, len(p.promoteCalls), 0)
+		assert.Assert(t, p.members["u1"].primary)
+		p.updateMember("u3", func(m *member) { m.received.Position = 9 })
+		p.replace(c)
+		assert.DeepEqual(t, p.promoteCalls, []ident.UpstreamName{"u3"})
+	})
+}
+
+// Guards against a group without a primary for good, because no candidate has received the end
+// of the log of the demoted one.
+func TestDemotedPrimaryIsPromotedAgain(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		p := newFakePlatform(t)
+		p.beforeStepDown = func() { p.commitVia("none") }
+		c := p.controller("vm-1")
+		p.replace(c)
+		assert.DeepEqual(t, p.promoteCalls, []ident.UpstreamName{"u1"})
+		assert.Assert(t, p.members["u1"].primary)
+		p.beforeStepDown = nil
+		p.updateMember("u2", func(m *member) { m.received = p.members["u1"].received })
+		p.replace(c)
+		assert.DeepEqual(t, p.promoteCalls[1:], []ident.UpstreamName{"u2"})
+	})
+}
+
+// Guards against a group without a primary after the call for the candidate was refused, or
+// the VM that demoted the primary has died, while a commit holder has left for good.
+func TestDemotedPrimaryIsReplacedByAnotherVM(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		for name, result := range map[string]error{"refused": resultcode.New(resultcode.PlatformUnavailable, "status 503"), "no response": errNoResponse} {
+			p := newFakePlatform(t)
+			p.members["u4"] = &member{unresponsive: true}
+			p.deregistered = map[ident.UpstreamName]time.Duration{"u4": time.Second}
+			p.object = &objectapi.Object{Version: 1, Value: []byte(`{"done":true,"primary":"u1","holders":{"u1":"u1","u2":"u2","u3":"u3","u4":"u4"}}`)}
+			p.callResults = []error{result}
+			p.replace(p.controller("vm-1"))
+			assert.Assert(t, !p.members["u1"].primary)
+			if name == "refused" {
+				p.updateMember("u2", func(m *member) { m.unresponsive = true }) // any member may be promoted
+			}
+			p.replaceMissing(p.controller("vm-2"))
+			want := map[string]ident.UpstreamName{"refused": "u3", "no response": "u2"}[name]
+			assert.DeepEqual(t, p.promoteCalls[1:], []ident.UpstreamName{want})
+			assert.Assert(t, p.storedRecord().PrimaryCall == p.storedRecord().CallNumber)
+		}
+	})
+}
+
+// Guards against a member that counts as the last primary although a call has promoted another
+// one since, whose commits it lacks.
+func TestFormerPrimaryProvesNothingAfterAnotherCall(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		p := newFakePlatform(t)
+		c := p.controller("vm-1")
+		p.replace(c)
+		assert.DeepEqual(t, p.promoteCalls, []ident.UpstreamName{"u2"})
+		p.commitVia("none")
+		p.updateMember("u2", func(m *member) { m.unresponsive, m.primary = true, false })
+		r := p.storedRecord()
+		r.Primary, r.PrimaryCall = "u1", r.PrimaryCall-1
+		_, err := p.Put(t.Context(), KindGroup, "g1", r, p.object.Version)
+		assert.NilError(t, err)
+		p.replaceMissing(p.controller("vm-2"))
+		assert.Equal(t, len(p.promoteCalls), 1)
+	})
+}
+
+// Guards against a takeover that knows less than the VM which began the one before: a member
+// that has registered is a commit holder from the first claim on.
+func TestClaimRecordsRegisteredMembers(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		p := newFakePlatform(t)
+		p.stopPrimary()
+		p.updateMember("u3", func(m *member) { m.unresponsive = true })
+		p.replace(p.controller("vm-1"))
+		assert.Equal(t, len(p.storedRecord().Holders), 3)
+		p.mu.Lock()
+		delete(p.members, "u3")
+		p.members["u3"] = &member{unresponsive: true, incarnation: 1}
+		p.mu.Unlock()
+		p.deregistered = map[ident.UpstreamName]time.Duration{"u3": time.Second}
+		p.replace(p.controller("vm-2"))
+		assert.Equal(t, len(p.promoteCalls), 0, "u3 may hold a commit")
+	})
+}
--- a/internal/controller/takeover/holders.go
+++ b/internal/controller/takeover/holders.go
@@ -39,7 +39,8 @@
 	}
 	unmarked := !g.record.Done && g.record.Candidate == primary.Name
 	formerEra := g.record.at > 0 && g.record.version.Era() < snapshot.Era
-	if g.record.at > 0 && g.record.Primary == primary.Name && !unmarked && !formerEra && !g.record.unsaved && !g.holdersDiffer(snapshot, now) {
+	confirmed := g.record.Primary == primary.Name && (g.record.PrimaryCall == g.record.CallNumber || g.record.pendingCandidate(now) != "")
+	if g.record.at > 0 && confirmed && !unmarked && !formerEra && !g.record.unsaved && !g.holdersDiffer(snapshot, now) {
 		return
 	}
 	if c.rank(g.name) > 0 && !formerEra && !g.record.unsaved {
@@ -70,6 +71,14 @@
 	return false
 }
 
+// registered returns the registered upstreams of the group.
+func (t *attempt) registered() []catalog.Upstream {
+	return slices.DeleteFunc(slices.Clone(t.snapshot.Upstreams[t.group.name]), func(u catalog.Upstream) bool {
+		_, deregistered := t.snapshot.Deregistered[u.Name]
+		return deregistered
+	})
+}
+
 // updateHolders adds the registered upstreams to the commit holders, and removes the
 // deregistered ones whose commits are on another replica.
 func (t *attempt) updateHolders(ctx context.Context) {
@@ -77,24 +86,21 @@
 	if err != nil {
 		return
 	}
-	next := seen.record
-	next.Holders = maps.Clone(seen.Holders)
-	if next.Holders == nil {
-		next.Holders = map[ident.UpstreamName]string{}
-	}
-	present := map[ident.UpstreamName]bool{}
-	for _, u := range t.snapshot.Upstreams[t.group.name] {
-		if _, deregistered := t.snapshot.Deregistered[u.Name]; !deregistered {
-			present[u.Name], next.Holders[u.Name] = true, u.Address
-		}
-	}
-	t.removeCovered(ctx, next.Holders, present)
+	registered := t.registered()
+	next := seen.record.addHolders(registered)
+	t.removeCovered(ctx, &next, registered)
 	next.Primary = t.primary.Name
-	if !seen.Done && seen.Candidate == t.primary.Name {
+	switch {
+	case !seen.Done && seen.Candidate == t.primary.Name:
 		// The holder of the generation died or could not mark its change as done.
-		next.Done, next.Candidate = true, ""
-	}
-	if next.Primary == seen.Primary && next.Done == seen.Done && maps.Equal(next.Holders, seen.Holders) && !seen.unsaved {
+		next.Done, next.Candidate, next.Demoted, next.PrimaryCall = true, "", false, next.CallNumber
+	case seen.pendingCandidate(t.controller.cfg.Now()) == "" && next.PrimaryCall != next.CallNumber && t.leads(ctx):
+		next.PrimaryCall = next.CallNumber
+	case next.Primary != seen.Primary:
+		next.PrimaryCall = 0
+	}
+	if next.Primary == seen.Primary && next.Done == seen.Done && next.PrimaryCall == seen.PrimaryCall &&
+		maps.Equal(next.Holders, seen.Holders) && !seen.unsaved {
 		return
 	}
 	next.Writer = t.controller.cfg.UniqueID()
@@ -102,23 +108,33 @@
 	t.log(t.controller.cfg.Log.Info()).Err(err).Int("holders", len(next.Holders)).Msg("ledger written")
 }
 
-// removeCovered removes deregistered upstreams that do not respond, if another replica
+// leads reports whether the registered primary responds as the primary.
+func (t *attempt) leads(ctx context.Context) bool {
+	status, err := t.status(ctx, execution.TargetOf(*t.primary), statusCommand(*t.primary))
+	return err == nil && status.Primary
+}
+
+// removeCovered removes deregistered upstreams that do not respond, if a registered replica
 // has received everything that the primary has now.
-func (t *attempt) removeCovered(ctx context.Context, holders map[ident.UpstreamName]string, present map[ident.UpstreamName]bool) {
+func (t *attempt) removeCovered(ctx context.Context, r *record, registered []catalog.Upstream) {
 	if t.controller.withdrawn(t.primary.Zone) {
 		return // its position cannot be read
 	}
-	var unreachable []ident.UpstreamName
-	for name, address := range holders {
+	present := map[ident.UpstreamName]bool{}
+	for _, u := range registered {
+		present[u.Name] = true
+	}
+	var gone []ident.UpstreamName
+	for name, address := range r.Holders {
 		if !present[name] && !t.controller.Reachable(ctx, execution.Target{Group: t.group.name, Upstream: name, Address: address}) {
-			unreachable = append(unreachable, name)
+			gone = append(gone, name)
 		}
 	}
-	if len(unreachable) == 0 || !t.caughtUp(ctx, present) {
+	if len(gone) == 0 || !t.caughtUp(ctx, present) {
 		return
 	}
-	for _, name := range unreachable {
-		delete(holders, name)
+	for _, name := range gone {
+		delete(r.Holders, name)
 	}
 }
 
@@ -157,7 +173,7 @@
 	members = slices.DeleteFunc(members, func(u catalog.Upstream) bool {
 		_, deregistered := t.snapshot.Deregistered[u.Name]
 		_, holds := t.record.Holders[u.Name]
-		return deregistered && !holds && len(t.record.Holders) > 0
+		return deregistered && !holds && t.holdersKnown
 	})
 	known := map[ident.UpstreamName]bool{}
 	if t.primary != nil {
--- a/internal/controller/takeover/record.go
+++ b/internal/controller/takeover/record.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/rosemarywall/rosemarywall/internal/core/catalog"
 	"github.com/rosemarywall/rosemarywall/internal/core/placement"
 	"github.com/rosemarywall/rosemarywall/internal/ident"
 	"github.com/rosemarywall/rosemarywall/internal/objectapi"
@@ -31,8 +32,13 @@
 	// Resuming holds the replicas that were commanded to resume and have not responded,
 	// with the value of CommandCount at the command.
 	Resuming map[ident.UpstreamName]uint64 `json:"resuming,omitempty"`
-	// Primary is the newest known primary.
-	Primary ident.UpstreamName `json:"primary"`
+	// Demoted means that the primary has stepped down and the announced candidate holds its
+	// whole log, so that a repeated call for the candidate needs no further proof.
+	Demoted bool `json:"demoted,omitempty"`
+	// Primary is the newest known primary. PrimaryCall is the value of CallNumber up to which
+	// no call has made another member primary: if they are equal, none has since.
+	Primary     ident.UpstreamName `json:"primary"`
+	PrimaryCall uint64             `json:"primary_call,omitempty"`
 	// Holders are the commit holders with their addresses: the upstreams, including the
 	// primary, that may hold an acknowledged commit that no other one holds.
 	Holders map[ident.UpstreamName]string `json:"holders"`
@@ -41,6 +47,18 @@
 	Writer string `json:"writer"`
 }
 
+// addHolders returns the record with the registered upstreams among its commit holders.
+func (r record) addHolders(registered []catalog.Upstream) record {
+	r.Holders = maps.Clone(r.Holders)
+	if r.Holders == nil {
+		r.Holders = map[ident.UpstreamName]string{}
+	}
+	for _, u := range registered {
+		r.Holders[u.Name] = u.Address
+	}
+	return r
+}
+
 // seenRecord is the newest record that this VM has read, and when it first read it.
 type seenRecord struct {
 	record
@@ -65,12 +83,13 @@
 	merged := r
 	merged.Generation, merged.CommandCount = max(r.Generation, s.Generation), max(r.CommandCount, s.CommandCount)
 	if candidate := s.pendingCandidate(now); candidate != "" {
-		merged.Candidate, merged.CallNumber, merged.Done = candidate, s.CallNumber, false
+		merged.Candidate, merged.Demoted, merged.Done = candidate, s.Demoted, false
 	}
-	merged.Resuming, merged.Holders = maps.Clone(r.Resuming), maps.Clone(r.Holders)
-	if merged.Holders == nil {
-		merged.Holders = map[ident.UpstreamName]string{}
+	if r.CallNumber < s.CallNumber {
+		merged.CallNumber, merged.PrimaryCall = s.CallNumber, s.PrimaryCall
 	}
+	merged = merged.addHolders(nil)
+	merged.Resuming = maps.Clone(r.Resuming)
 	if merged.Resuming == nil {
 		merged.Resuming = map[ident.UpstreamName]uint64{}
 	}
@@ -80,7 +99,7 @@
 		merged.Primary = s.Primary
 	}
 	next := s.next(merged, version, now)
-	next.unsaved = merged.Candidate != r.Candidate || merged.Primary != r.Primary ||
+	next.unsaved = merged.Candidate != r.Candidate || merged.Primary != r.Primary || merged.CallNumber != r.CallNumber ||
 		!maps.Equal(merged.Resuming, r.Resuming) || !maps.Equal(merged.Holders, r.Holders)
 	return next
 }
@@ -138,9 +157,11 @@
 	// The call of an earlier generation may take effect at any time. Promoting another
 	// member, verified before that, would lose what is committed after it.
 	t.boundCandidate = seen.pendingCandidate(c.cfg.Now())
-	next := seen.record
+	t.holdersKnown = len(seen.Holders) > 0
+	next := seen.record.addHolders(t.registered())
 	next.Generation, next.Holder, next.Done, next.Writer = objectapi.NextGeneration(seen.Generation, seen.version), c.cfg.Self, false, c.cfg.UniqueID()
 	next.Candidate, next.Resuming = t.boundCandidate, seen.pendingResumes(c.cfg.Now())
+	next.Demoted = seen.Demoted && t.boundCandidate != ""
 	t.record = next
 	return next.Generation, t.write(ctx, next, seen.version)
 }
@@ -225,15 +246,33 @@
 	r := seen.record
 	r.CommandCount++
 	r.CallNumber, r.Candidate, r.Writer = r.CommandCount, candidate, t.controller.cfg.UniqueID()
+	r.Demoted = t.proof == proofDemoted
 	return t.write(ctx, r, seen.version)
 }
 
+// withdraw withdraws the announced candidate after a call that certainly takes no effect.
+func (t *attempt) withdraw(ctx context.Context, seen seenRecord) error {
+	r := seen.record
+	r.Candidate, r.Demoted, r.Writer = "", false, t.controller.cfg.UniqueID()
+	t.confirmPrimary(&r)
+	return t.write(ctx, r, seen.version)
+}
+
+// confirmPrimary records that the primary which has stepped down in this attempt is still the
+// newest one. No call of another attempt may be pending.
+func (t *attempt) confirmPrimary(r *record) {
+	if t.demoted != "" && t.boundCandidate == "" {
+		r.Primary, r.PrimaryCall = t.demoted, r.CallNumber
+	}
+}
+
 // markDone marks the change as done, so that the next one does not have to wait.
 func (t *attempt) markDone(ctx context.Context, primary ident.UpstreamName) {
 	seen, err := t.readOwn(ctx)
 	if err == nil {
 		r := seen.record
-		r.Done, r.Primary, r.Candidate, r.Writer = true, primary, "", t.controller.cfg.UniqueID()
+		r.Done, r.Primary, r.PrimaryCall, r.Writer = true, primary, r.CallNumber, t.controller.cfg.UniqueID()
+		r.Candidate, r.Demoted = "", false
 		err = t.write(ctx, r, seen.version)
 	}
 	if err != nil {
--- a/internal/controller/takeover/resume.go
+++ b/internal/controller/takeover/resume.go
@@ -21,22 +21,30 @@
 		t.log(t.controller.cfg.Log.Info()).Err(err).Msg("replicas not resumed")
 		return
 	}
+	announced := seen.Candidate
 	if t.boundCandidate == "" {
 		seen.Candidate = "" // the call of this attempt was refused or not made
+		t.confirmPrimary(&seen.record)
+	}
+	if t.resume(ctx, seen) || announced == "" || t.boundCandidate != "" {
+		return
+	}
+	if err := t.withdraw(ctx, seen); err != nil {
+		t.log(t.controller.cfg.Log.Info()).Err(err).Msg("candidate not withdrawn")
 	}
-	t.resume(ctx, seen)
 }
 
-// resume resumes the replicas that this VM has paused. The command is announced first:
+// resume resumes the replicas that this VM has paused, and reports whether there are any.
+// The command is announced first:
 // it may be executed late, and a takeover that relies on a pause has to know of it. It
 // is not sent while a call that relies on the pauses may take effect.
-func (t *attempt) resume(ctx context.Context, seen seenRecord) {
+func (t *attempt) resume(ctx context.Context, seen seenRecord) bool {
 	c := t.controller
 	c.mu.Lock()
 	targets := maps.Clone(t.group.paused)
 	c.mu.Unlock()
 	if len(targets) == 0 {
-		return
+		return false
 	}
 	start := c.cfg.Now()
 	err := t.announceResume(ctx, seen, slices.Collect(maps.Keys(targets)))
@@ -45,10 +53,11 @@
 	}
 	if err != nil {
 		t.log(c.cfg.Log.Info()).Err(err).Int("replicas", len(targets)).Msg("replicas not resumed")
-		return
+		return true
 	}
 	t.log(c.cfg.Log.Info()).Int("replicas", len(targets)).Msg("replicas resumed")
 	t.recordResumed(ctx, t.sendResume(ctx, targets))
+	return true
 }
 
 func (t *attempt) announceResume(ctx context.Context, seen seenRecord, names []ident.UpstreamName) error {
@@ -58,7 +67,7 @@
 	}
 	r := seen.record
 	r.CommandCount++
-	r.Candidate, r.Resuming, r.Writer = "", seen.pendingResumes(now), t.controller.cfg.UniqueID()
+	r.Candidate, r.Demoted, r.Resuming, r.Writer = "", false, seen.pendingResumes(now), t.controller.cfg.UniqueID()
 	for _, name := range names {
 		r.Resuming[name] = r.CommandCount
 	}
--- a/internal/controller/takeover/verify.go
+++ b/internal/controller/takeover/verify.go
@@ -12,9 +12,37 @@
 	"github.com/rosemarywall/rosemarywall/internal/statement"
 )
 
-// prepare chooses the candidate, pauses the other replicas and verifies that the
-// candidate holds every acknowledged commit.
+// prepare chooses the candidate and verifies that it holds every acknowledged commit.
 func (t *attempt) prepare(ctx context.Context) (ident.UpstreamName, bool) {
+	if t.boundCandidate != "" && t.record.Demoted {
+		// Proved before the earlier call. The demoted primary has confirmed nothing since.
+		t.proof = proofDemoted
+		return t.boundCandidate, t.boundCandidateResponds(ctx)
+	}
+	if t.reason != reasonWriteStalled {
+		if candidate, outcome := t.handOver(ctx); outcome != notPossible {
+			return candidate, outcome == handedOver
+		}
+	}
+	return t.proveByReplicas(ctx)
+}
+
+// boundCandidateResponds reports whether the candidate of an earlier call responds.
+func (t *attempt) boundCandidateResponds(ctx context.Context) bool {
+	for _, u := range t.withHolders(t.snapshot.Upstreams[t.group.name]) {
+		if u.Name == t.boundCandidate {
+			if _, err := t.status(ctx, execution.TargetOf(u), statusCommand(u)); err == nil {
+				return true
+			}
+		}
+	}
+	t.logWaiting("an earlier call may still promote a member that does not respond", []ident.UpstreamName{t.boundCandidate})
+	return false
+}
+
+// proveByReplicas chooses the candidate, pauses the other replicas and verifies that the
+// candidate holds what each of them holds.
+func (t *attempt) proveByReplicas(ctx context.Context) (ident.UpstreamName, bool) {
 	members := t.withHolders(t.nonPrimaryMembers())
 	t.members = members
 	targets := members
@@ -97,6 +125,7 @@
 		case verdict == core.Safe:
 			return candidate, true
 		case verdict == core.NoQuorum, t.controller.cfg.Now() >= deadline:
+			t.logWaiting("these members may hold a commit that the candidate lacks", t.missing(all, candidate, verdict))
 			return "", false
 		}
 		if !clock.Sleep(ctx, catchUpPollInterval) {
@@ -104,3 +133,20 @@
 		}
 	}
 }
+
+// missing returns the members because of which a verification failed.
+func (t *attempt) missing(reports []core.Report, candidate ident.UpstreamName, verdict core.Verdict) []ident.UpstreamName {
+	var received ident.LogPoint
+	for _, r := range reports {
+		if r.Name == candidate {
+			received = r.Received
+		}
+	}
+	var missing []ident.UpstreamName
+	for _, r := range reports {
+		if !r.Reached || r.Name != candidate && (!r.Paused || verdict == core.Behind && r.Received.Compare(received) > 0) {
+			missing = append(missing, r.Name)
+		}
+	}
+	return missing
+}
--- a/internal/core/takeover/takeover.go
+++ b/internal/core/takeover/takeover.go
@@ -58,6 +58,23 @@
 	return reports[best].Name, true
 }
 
+// ChooseSuccessor returns the candidate to promote after the primary was demoted: the best
+// one that has received its log up to end. The verdict is Behind if there is none.
+func ChooseSuccessor(reports []Report, end ident.LogPoint) (ident.UpstreamName, Verdict) {
+	var caughtUp []Report
+	for _, r := range reports {
+		if r.Received.AtLeast(end) {
+			r.Resuming = false // a demoted primary needs no paused replicas
+			caughtUp = append(caughtUp, r)
+		}
+	}
+	candidate, ok := ChooseCandidate(caughtUp)
+	if !ok {
+		return "", Behind
+	}
+	return candidate, Safe
+}
+
 func preferred(a, b Report) bool {
 	if a.Resuming != b.Resuming {
 		return a.Resuming
