Count the logs of commit holders instead of their names

Cause: the record of the commit holders had names and addresses only. When the primary was silent, the empty replica responded and was paused, so nobody was missing, and the other replica was promoted without the commits.

Now the record has the incarnation of each holder. A replica with another one is a new log; the recorded one is missing until another replica has received all that the primary had. A replica with an empty log may have started so recently that its registration is on its way, so the call waits for registrations. This works because the commits that only the lost log had confirmed are then on the primary alone, and the takeover waits for it.

--- a/internal/controller/takeover/attempt.go
+++ b/internal/controller/takeover/attempt.go
@@ -32,8 +32,10 @@
 	// it may still take effect; empty means any member.
 	boundCandidate ident.UpstreamName
 	term           ident.Term // highest term that any member has reported
-	// members are the replicas that the verification covers.
-	members []catalog.Upstream
+	// members are the replicas that the verification covers, and lostLogs those that have
+	// started again without the log that may hold a commit.
+	members  []catalog.Upstream
+	lostLogs []ident.UpstreamName
 	// holdersKnown means that the record named commit holders before this attempt.
 	holdersKnown bool
 	// demoted is the primary that has stepped down in this attempt.
--- a/internal/controller/takeover/handover.go
+++ b/internal/controller/takeover/handover.go
@@ -15,7 +15,7 @@
 // A primary that responds is demoted before another member is promoted. It then confirms no
 // commit any more, whoever receives its log, and its log ends with the last one that it has
 // confirmed or begun. A candidate that holds this log holds every acknowledged commit. The
-// proof counts no members, so it doesn't depend on those that join or leave.
+// proof counts no members, so it doesn't depend on those that join, leave or lose their logs.
 
 // outcome is the result of a hand-over.
 type outcome uint8
@@ -67,7 +67,7 @@
 }
 
 // demotablePrimary returns the registered primary, or the last one if none is registered. The
-// result is false if nothing may be sent to it.
+// result is false if nothing may be sent to it or its log is lost.
 func (t *attempt) demotablePrimary() (catalog.Upstream, bool) {
 	var primary catalog.Upstream
 	switch {
@@ -83,7 +83,7 @@
 		}
 		primary = members[i]
 	}
-	return primary, !t.controller.withdrawn(primary.Zone)
+	return primary, !t.record.logLost(primary) && !t.controller.withdrawn(primary.Zone)
 }
 
 // isNewestPrimary reports whether no other member can have become primary since the record
--- a/internal/controller/takeover/handover_test.go
+++ b/internal/controller/takeover/handover_test.go
@@ -142,6 +142,53 @@
 	})
 }
 
+// Guards against a replica that counts as one that has what its former log had, after it has
+// started again under its name without that log (LOST, review/8).
+func TestRestartedReplicaHoldsNothing(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		p := newFakePlatform(t)
+		for name, m := range p.members {
+			m.incarnation = int64(name[1])
+		}
+		c := p.controller("vm-1")
+		p.updateMember("u3", func(m *member) { m.paused = 1 }) // receives nothing
+		maintenance := p.attempt(c, "ledger")
+		maintenance.updateHolders(t.Context())
+		p.commitVia("u2")
+		p.stopPrimary()
+		p.updateMember("u2", func(m *member) { *m = member{incarnation: 99} })
+		for range 3 {
+			p.replace(c)
+			time.Sleep(attemptInterval)
+		}
+		assert.Equal(t, len(p.promoteCalls), 0, "only the silent primary has the commit")
+		p.updateMember("u1", func(m *member) { m.unresponsive = false })
+		p.updateMember("u3", func(m *member) { m.paused = 0 })
+		p.commitVia("u3")
+		p.attempt(c, "ledger").updateHolders(t.Context())
+		p.stopPrimary()
+		p.replace(c)
+		assert.DeepEqual(t, p.promoteCalls, []ident.UpstreamName{"u3"})
+		p.assertNothingLost()
+	})
+}
+
+// Guards against the same while the registration of the new start is still on its way.
+func TestEmptyReplicaMayHaveRestarted(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		p := newFakePlatform(t)
+		p.commitVia("u2")
+		p.stopPrimary()
+		p.updateMember("u2", func(m *member) { m.received = ident.LogPoint{} })
+		go func() {
+			time.Sleep(joinDelay / 2)
+			p.updateMember("u2", func(m *member) { m.incarnation = 7 })
+		}()
+		p.replace(p.controller("vm-1"))
+		assert.Equal(t, len(p.promoteCalls), 0)
+	})
+}
+
 // Guards against a takeover that knows less than the VM which began the one before: a member
 // that has registered is a commit holder from the first claim on.
 func TestClaimRecordsRegisteredMembers(t *testing.T) {
--- a/internal/controller/takeover/holders.go
+++ b/internal/controller/takeover/holders.go
@@ -52,14 +52,14 @@
 	t.start("update commit holders", func() { t.updateHolders(ctx) })
 }
 
-// holdersDiffer reports whether the commit holders lack a registered upstream or include
-// a deregistered one.
+// holdersDiffer reports whether the commit holders lack a registered upstream or its log, or
+// include a deregistered one.
 func (g *group) holdersDiffer(snapshot *storesync.Snapshot, now time.Duration) bool {
 	present := map[ident.UpstreamName]bool{}
 	for _, u := range snapshot.Upstreams[g.name] {
 		at, deregistered := snapshot.Deregistered[u.Name]
 		present[u.Name] = !deregistered || now < at+deregisteredDelay
-		if _, known := g.record.Holders[u.Name]; !known && !deregistered {
+		if _, known := g.record.Logs[u.Name]; !deregistered && (!known || g.record.logLost(u)) {
 			return true
 		}
 	}
@@ -80,7 +80,7 @@
 }
 
 // updateHolders adds the registered upstreams to the commit holders, and removes the
-// deregistered ones whose commits are on another replica.
+// deregistered ones, and the logs that are lost, whose commits are on another replica.
 func (t *attempt) updateHolders(ctx context.Context) {
 	seen, err := t.read(ctx)
 	if err != nil {
@@ -100,7 +100,7 @@
 		next.PrimaryCall = 0
 	}
 	if next.Primary == seen.Primary && next.Done == seen.Done && next.PrimaryCall == seen.PrimaryCall &&
-		maps.Equal(next.Holders, seen.Holders) && !seen.unsaved {
+		maps.Equal(next.Holders, seen.Holders) && maps.Equal(next.Logs, seen.Logs) && !seen.unsaved {
 		return
 	}
 	next.Writer = t.controller.cfg.UniqueID()
@@ -114,15 +114,19 @@
 	return err == nil && status.Primary
 }
 
-// removeCovered removes deregistered upstreams that do not respond, if a registered replica
-// has received everything that the primary has now.
+// removeCovered removes deregistered upstreams that have gone and logs that are lost, if a
+// registered replica has received everything that the primary has now.
 func (t *attempt) removeCovered(ctx context.Context, r *record, registered []catalog.Upstream) {
 	if t.controller.withdrawn(t.primary.Zone) {
 		return // its position cannot be read
 	}
 	present := map[ident.UpstreamName]bool{}
+	var restarted []catalog.Upstream
 	for _, u := range registered {
 		present[u.Name] = true
+		if r.logLost(u) {
+			restarted = append(restarted, u)
+		}
 	}
 	var gone []ident.UpstreamName
 	for name, address := range r.Holders {
@@ -130,11 +134,15 @@
 			gone = append(gone, name)
 		}
 	}
-	if len(gone) == 0 || !t.caughtUp(ctx, present) {
+	if len(gone)+len(restarted) == 0 || !t.caughtUp(ctx, present) {
 		return
 	}
 	for _, name := range gone {
 		delete(r.Holders, name)
+		delete(r.Logs, name)
+	}
+	for _, u := range restarted {
+		r.Logs[u.Name] = holderLog{Incarnation: u.Incarnation}
 	}
 }
 
@@ -168,13 +176,20 @@
 
 // withHolders adds the commit holders that are not registered: they cannot become
 // primary, but may hold a commit. It drops deregistered members that are no longer
-// commit holders, because another replica has what they held.
+// commit holders, because another replica has what they held. lostLogs are the members
+// that have started again without the log that may hold a commit.
 func (t *attempt) withHolders(members []catalog.Upstream) []catalog.Upstream {
 	members = slices.DeleteFunc(members, func(u catalog.Upstream) bool {
 		_, deregistered := t.snapshot.Deregistered[u.Name]
 		_, holds := t.record.Holders[u.Name]
 		return deregistered && !holds && t.holdersKnown
 	})
+	t.lostLogs = nil
+	for _, u := range members {
+		if t.record.logLost(u) {
+			t.lostLogs = append(t.lostLogs, u.Name)
+		}
+	}
 	known := map[ident.UpstreamName]bool{}
 	if t.primary != nil {
 		known[t.primary.Name] = true
@@ -186,7 +201,7 @@
 	}
 	for name, address := range t.record.Holders {
 		if !known[name] {
-			members = append(members, catalog.Upstream{Name: name, Group: t.group.name, Address: address, State: catalog.Draining})
+			members = append(members, catalog.Upstream{Name: name, Group: t.group.name, Address: address, State: catalog.Draining, Incarnation: t.record.Logs[name].Incarnation})
 		}
 	}
 	return members
--- a/internal/controller/takeover/record.go
+++ b/internal/controller/takeover/record.go
@@ -42,23 +42,45 @@
 	// Holders are the commit holders with their addresses: the upstreams, including the
 	// primary, that may hold an acknowledged commit that no other one holds.
 	Holders map[ident.UpstreamName]string `json:"holders"`
+	// Logs describes the logs of the commit holders.
+	Logs map[ident.UpstreamName]holderLog `json:"logs,omitempty"`
 	// Writer is unique to each write, so that a write whose response was lost can be
 	// recognised.
 	Writer string `json:"writer"`
 }
 
-// addHolders returns the record with the registered upstreams among its commit holders.
+// holderLog identifies the log of a commit holder. A member that starts again under its name
+// has an empty log, and is not the one that holds the commits.
+type holderLog struct {
+	// Incarnation is zero if it is not known.
+	Incarnation int64 `json:"born"`
+}
+
+// addHolders returns the record with the registered upstreams among its commit holders. The
+// logs of those that it has already are kept.
 func (r record) addHolders(registered []catalog.Upstream) record {
-	r.Holders = maps.Clone(r.Holders)
+	r.Holders, r.Logs = maps.Clone(r.Holders), maps.Clone(r.Logs)
 	if r.Holders == nil {
 		r.Holders = map[ident.UpstreamName]string{}
 	}
+	if r.Logs == nil {
+		r.Logs = map[ident.UpstreamName]holderLog{}
+	}
 	for _, u := range registered {
 		r.Holders[u.Name] = u.Address
+		if _, known := r.Logs[u.Name]; !known {
+			r.Logs[u.Name] = holderLog{Incarnation: u.Incarnation}
+		}
 	}
 	return r
 }
 
+// logLost reports whether an upstream has started again since its log was recorded.
+func (r record) logLost(u catalog.Upstream) bool {
+	log, known := r.Logs[u.Name]
+	return known && log.Incarnation != 0 && u.Incarnation != 0 && log.Incarnation != u.Incarnation
+}
+
 // seenRecord is the newest record that this VM has read, and when it first read it.
 type seenRecord struct {
 	record
@@ -95,12 +117,13 @@
 	}
 	maps.Copy(merged.Resuming, s.pendingResumes(now))
 	maps.Copy(merged.Holders, s.Holders)
+	maps.Copy(merged.Logs, s.Logs)
 	if s.Primary != "" {
 		merged.Primary = s.Primary
 	}
 	next := s.next(merged, version, now)
 	next.unsaved = merged.Candidate != r.Candidate || merged.Primary != r.Primary || merged.CallNumber != r.CallNumber ||
-		!maps.Equal(merged.Resuming, r.Resuming) || !maps.Equal(merged.Holders, r.Holders)
+		!maps.Equal(merged.Resuming, r.Resuming) || !maps.Equal(merged.Holders, r.Holders) || !maps.Equal(merged.Logs, r.Logs)
 	return next
 }
 
--- a/internal/controller/takeover/verify.go
+++ b/internal/controller/takeover/verify.go
@@ -114,7 +114,7 @@
 		return statement.Command{Kind: statement.PauseCommand, Term: term}
 	})
 	t.markPaused(rest, reports)
-	replicas := len(members)
+	replicas := len(members) + len(t.lostLogs)
 	deadline := t.controller.cfg.Now() + catchUpTimeout
 	for {
 		all := append(t.sendCommand(ctx, chosen, statusCommand), reports...)
@@ -123,7 +123,7 @@
 			Int("replicas", replicas).Uint64("term", uint64(term)).Interface("reports", all).Msg("takeover verified")
 		switch {
 		case verdict == core.Safe:
-			return candidate, true
+			return candidate, t.awaitRegistrations(ctx, all)
 		case verdict == core.NoQuorum, t.controller.cfg.Now() >= deadline:
 			t.logWaiting("these members may hold a commit that the candidate lacks", t.missing(all, candidate, verdict))
 			return "", false
@@ -142,7 +142,7 @@
 			received = r.Received
 		}
 	}
-	var missing []ident.UpstreamName
+	missing := slices.Clone(t.lostLogs)
 	for _, r := range reports {
 		if !r.Reached || r.Name != candidate && (!r.Paused || verdict == core.Behind && r.Received.Compare(received) > 0) {
 			missing = append(missing, r.Name)
@@ -150,3 +150,10 @@
 	}
 	return missing
 }
+
+// awaitRegistrations waits for the registration of a replica that may have just started
+// again without its log. It registers within joinDelay, and joinedMember then finds it.
+func (t *attempt) awaitRegistrations(ctx context.Context, reports []core.Report) bool {
+	empty := func(r core.Report) bool { return r.Reached && r.Received.IsZero() }
+	return !slices.ContainsFunc(reports, empty) || clock.Sleep(ctx, joinDelay)
+}
