Keep a commit holder that is cut off together with its zone

Cause: a deregistered member that did not respond was taken for gone, although the VM that dropped it could see nothing of its region. Once dropped, nothing kept it from confirming commits before it was a holder again.

Now a member is dropped only if a VM in its own zone responds and does not reach it either. This works because a member that is cut off with its zone stays a holder, and a takeover that does not reach it waits.

--- a/internal/controller/takeover/controller.go
+++ b/internal/controller/takeover/controller.go
@@ -97,8 +97,11 @@
 	// Confirm requests confirmation from other VMs and reports whether none of them
 	// reaches the primary. If there is no other VM it returns true.
 	Confirm func(ctx context.Context, target execution.Target) bool
-	Now     func() time.Duration
-	Log     zerolog.Logger
+	// UnreachableInZone requests confirmation from a VM in a zone that it does not reach an
+	// upstream either. It returns false if no VM of the zone responds.
+	UnreachableInZone func(ctx context.Context, zone ident.AvailabilityZone, target execution.Target) bool
+	Now               func() time.Duration
+	Log               zerolog.Logger
 	// UniqueID returns an identifier that no other write of any VM has.
 	UniqueID func() string
 }
--- a/internal/controller/takeover/fake_test.go
+++ b/internal/controller/takeover/fake_test.go
@@ -45,7 +45,9 @@
 	// beforeEffect and beforeStepDown are called, without the lock, before a promotion takes
 	// effect and before a member steps down.
 	beforeEffect, beforeStepDown func()
-	acknowledged                 ident.LogPoint // of the last commit that commitVia acknowledged
+	// unreachableInZone is the answer of the VMs in the zones of unreachable members.
+	unreachableInZone bool
+	acknowledged      ident.LogPoint // of the last commit that commitVia acknowledged
 }
 
 // member is an upstream.
@@ -76,8 +78,9 @@
 	return New(Config{
 		Self: name, Store: p, Promoter: p, Dial: p.dial, Snapshot: p.snapshot, RegistrationsComplete: func() bool { return true },
 		Hubs: func() []placement.VM { return p.hubs }, Confirm: func(context.Context, execution.Target) bool { return true },
-		Notify: func(vm ident.VMName, _ execution.Target) { p.notified = append(p.notified, vm) },
-		Now:    func() time.Duration { return time.Since(p.start) + time.Minute }, Log: zerolog.Nop(),
+		UnreachableInZone: func(context.Context, ident.AvailabilityZone, execution.Target) bool { return p.unreachableInZone },
+		Notify:            func(vm ident.VMName, _ execution.Target) { p.notified = append(p.notified, vm) },
+		Now:               func() time.Duration { return time.Since(p.start) + time.Minute }, Log: zerolog.Nop(),
 		UniqueID: func() string {
 			p.mu.Lock()
 			defer p.mu.Unlock()
--- a/internal/controller/takeover/handover_test.go
+++ b/internal/controller/takeover/handover_test.go
@@ -189,6 +189,26 @@
 	})
 }
 
+// Guards against a member that is dropped from the commit holders because it is cut off
+// together with its zone, and confirms commits after the cut without being counted (LOST,
+// review/6), and against one that has left and stays a commit holder.
+func TestHolderIsDroppedOnlyIfItHasGone(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		p := newFakePlatform(t)
+		c := p.controller("vm-1")
+		p.attempt(c, "ledger").updateHolders(t.Context())
+		p.updateMember("u3", func(m *member) { m.unresponsive = true })
+		p.deregistered = map[ident.UpstreamName]time.Duration{"u3": time.Second}
+		p.attempt(c, "ledger").updateHolders(t.Context())
+		assert.Equal(t, len(p.storedRecord().Holders), 3, "no VM of its zone responds")
+		p.unreachableInZone = true
+		p.attempt(c, "ledger").updateHolders(t.Context())
+		r := p.storedRecord()
+		assert.DeepEqual(t, r.Holders, map[ident.UpstreamName]string{"u1": "u1", "u2": "u2"})
+		assert.Equal(t, len(r.Logs), 2)
+	})
+}
+
 // Guards against a takeover that knows less than the VM which began the one before: a member
 // that has registered is a commit holder from the first claim on.
 func TestClaimRecordsRegisteredMembers(t *testing.T) {
--- a/internal/controller/takeover/holders.go
+++ b/internal/controller/takeover/holders.go
@@ -19,8 +19,10 @@
 // with it: otherwise a VM that has just started would promote a replica that never
 // received what the departed one had acknowledged.
 //
-// An upstream is added when it is registered. It is removed when it is deregistered and
-// another replica has since received everything that the primary had.
+// An upstream is added when it is registered. It is removed when it is deregistered, does not
+// respond although its availability zone does, and another replica has since received
+// everything that the primary had. An upstream that does not respond together with its zone
+// may be cut off, and confirm commits again after the cut.
 
 const (
 	// holdersInterval is the time between updates by one VM of commit holders that differ
@@ -130,7 +132,7 @@
 	}
 	var gone []ident.UpstreamName
 	for name, address := range r.Holders {
-		if !present[name] && !t.controller.Reachable(ctx, execution.Target{Group: t.group.name, Upstream: name, Address: address}) {
+		if !present[name] && t.gone(ctx, execution.Target{Group: t.group.name, Upstream: name, Address: address}, r.Logs[name].Zone) {
 			gone = append(gone, name)
 		}
 	}
@@ -142,10 +144,20 @@
 		delete(r.Logs, name)
 	}
 	for _, u := range restarted {
-		r.Logs[u.Name] = holderLog{Incarnation: u.Incarnation}
+		r.Logs[u.Name] = holderLog{Incarnation: u.Incarnation, Zone: u.Zone}
 	}
 }
 
+// gone reports whether a deregistered member has gone rather than been cut off: it responds
+// neither to this VM nor to one in its zone.
+func (t *attempt) gone(ctx context.Context, target execution.Target, zone ident.AvailabilityZone) bool {
+	c := t.controller
+	if c.withdrawn(zone) || c.Reachable(ctx, target) {
+		return false // nothing is sent to a zone that is evacuated
+	}
+	return zone == "" || zone == c.cfg.Zone || c.cfg.UnreachableInZone(ctx, zone, target)
+}
+
 // caughtUp reads the primary's position and reports whether a replica reaches it within
 // catchUpTimeout.
 func (t *attempt) caughtUp(ctx context.Context, present map[ident.UpstreamName]bool) bool {
--- a/internal/controller/takeover/record.go
+++ b/internal/controller/takeover/record.go
@@ -53,7 +53,8 @@
 // has an empty log, and is not the one that holds the commits.
 type holderLog struct {
 	// Incarnation is zero if it is not known.
-	Incarnation int64 `json:"born"`
+	Incarnation int64                  `json:"born"`
+	Zone        ident.AvailabilityZone `json:"zone"`
 }
 
 // addHolders returns the record with the registered upstreams among its commit holders. The
@@ -69,7 +70,7 @@
 	for _, u := range registered {
 		r.Holders[u.Name] = u.Address
 		if _, known := r.Logs[u.Name]; !known {
-			r.Logs[u.Name] = holderLog{Incarnation: u.Incarnation}
+			r.Logs[u.Name] = holderLog{Incarnation: u.Incarnation, Zone: u.Zone}
 		}
 	}
 	return r
--- a/internal/service/handler.go
+++ b/internal/service/handler.go
@@ -167,6 +167,19 @@
 	return unresponsive
 }
 
+// unreachableInZone reports whether a VM in a zone responds and doesn't reach the upstream.
+func (v *VM) unreachableInZone(ctx context.Context, zone ident.AvailabilityZone, target execution.Target) bool {
+	ctx, cancel := context.WithTimeout(ctx, confirmationTimeout)
+	defer cancel()
+	for _, vm := range placement.Rank(v.peers.Hubs(), string(target.Upstream)) {
+		var reached bool
+		if vm.Zone == zone && v.peers.Call(ctx, vm.Name, peers.KindReachability, target, &reached) == nil {
+			return !reached
+		}
+	}
+	return false
+}
+
 // notifyTimeout limits a notification that a primary does not respond. A lost one is
 // followed by others.
 const notifyTimeout = 500 * time.Millisecond
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -200,7 +200,7 @@
 	v.takeover = takeover.New(takeover.Config{
 		Self: s.VM, Zone: s.Zone, Store: v.adapter.Store, Promoter: v.adapter.Promoter, Dial: v.dialForTakeover,
 		Snapshot: v.follower.Snapshot, RegistrationsComplete: v.follower.RegistrationsComplete, Hubs: v.peers.Hubs,
-		MinHolderInterval: s.Bounds.MinHolderInterval, MissingPrimaryDelay: missedRegistrationLimit * s.RegistrationInterval, Confirm: v.confirmUnresponsive, Notify: v.notifySuspicion, Now: now, Log: v.log, UniqueID: v.newUniqueID,
+		MinHolderInterval: s.Bounds.MinHolderInterval, MissingPrimaryDelay: missedRegistrationLimit * s.RegistrationInterval, Confirm: v.confirmUnresponsive, UnreachableInZone: v.unreachableInZone, Notify: v.notifySuspicion, Now: now, Log: v.log, UniqueID: v.newUniqueID,
 	})
 	v.limits = limits.New(limits.Config{
 		Self: v.self, Peers: v.peers, Store: v.adapter.Store, Snapshot: v.follower.Snapshot,
