Wait for the zone of a primary that does not respond

Cause: a primary behind a cut can be joined by a member that registers nowhere outside. The member confirms commits, and a takeover outside counts the replicas that it knows.

All acknowledgements pass through a VM. Now a primary that does not respond is replaced only if a VM in its zone responds and does not reach it either, if its address refuses connections, or if the fleet has no VM in its zone. This works because nothing is acknowledged by a primary that no VM reaches, and a member that joins where VMs respond is registered.

The price: while a zone is cut off, its primaries are not replaced, and their databases can't be written outside. It ends with the cut, or when the registrations of the VMs of that zone expire. "takeover waits" names the cause.

TestTakeoverWaitsForZoneOfSilentPrimary failed without the check; TestRefusingPrimaryIsReplacedWithoutItsZone guards its limit.

--- a/internal/controller/peers/peers.go
+++ b/internal/controller/peers/peers.go
@@ -336,6 +336,21 @@
 	return ok || name == p.cfg.Self.VM
 }
 
+// HasVMs reports whether the fleet has VMs in a zone, whether they respond or not.
+func (p *Peers) HasVMs(zone ident.AvailabilityZone) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cfg.Self.Zone == zone {
+		return true
+	}
+	for _, q := range p.peers {
+		if q.identity.Zone == zone {
+			return true
+		}
+	}
+	return false
+}
+
 // Address returns the address of a VM that responds to probes, even if it is leaving.
 func (p *Peers) Address(name ident.VMName) (string, bool) {
 	p.mu.Lock()
--- a/internal/controller/takeover/attempt.go
+++ b/internal/controller/takeover/attempt.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"sync"
+	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/rosemarywall/rosemarywall/internal/clock"
@@ -28,6 +30,8 @@
 	primary      *catalog.Upstream
 	record       record // as claimed
 	unresponsive bool   // the primary does not respond
+	// isolated means that a VM in the primary's zone does not reach the primary either.
+	isolated bool
 	// boundCandidate is the only member that may be promoted, because an earlier call for
 	// it may still take effect; empty means any member.
 	boundCandidate ident.UpstreamName
@@ -110,13 +114,15 @@
 func (t *attempt) confirmed(ctx context.Context) bool {
 	c := t.controller
 	target := execution.TargetOf(*t.primary)
+	isolated := t.checkIsolated(ctx)
 	others := make(chan bool, 1)
 	go func() {
 		unresponsive := false
 		recovery.Run(c.cfg.Log, "confirm unresponsive primary", func() { unresponsive = c.cfg.Confirm(ctx, target) })
 		others <- unresponsive
 	}()
-	if _, err := t.status(ctx, target, statement.Command{Kind: statement.StatusCommand}); err == nil {
+	_, err := t.status(ctx, target, statement.Command{Kind: statement.StatusCommand})
+	if err == nil {
 		t.log(c.cfg.Log.Info()).Msg("primary responds; suspicion dropped")
 		c.mu.Lock()
 		t.group.trustedUntil = c.cfg.Now() + suspicionHoldoff
@@ -127,10 +133,42 @@
 		t.log(c.cfg.Log.Info()).Msg("primary responds to another VM; suspicion dropped")
 		return false
 	}
-	t.unresponsive = true
+	t.unresponsive, t.isolated = true, connectionRefused(err) || <-isolated
+	if !t.isolated && t.spec.SyncReplicas > 0 {
+		t.logWaiting(causeZoneSilent, []ident.UpstreamName{t.primary.Name})
+		return false
+	}
 	return true
 }
 
+// checkIsolated returns whether a VM in the zone of a primary that does not respond to this VM
+// doesn't reach it either. If no VM of the zone responds, the zone may be cut off: clients
+// there may still get commits acknowledged, which members have confirmed that have joined
+// behind the cut and that no other zone knows.
+func (t *attempt) checkIsolated(ctx context.Context) <-chan bool {
+	target, zone := execution.Target{Group: t.group.name, Upstream: t.record.Primary, Address: t.record.Holders[t.record.Primary]}, t.record.Logs[t.record.Primary].Zone
+	if t.primary != nil {
+		target, zone = execution.TargetOf(*t.primary), t.primary.Zone
+	}
+	result := make(chan bool, 1)
+	go func() {
+		isolated := false
+		recovery.Run(t.controller.cfg.Log, "confirm isolated primary", func() { isolated = t.controller.isolatedInZone(ctx, zone, target) })
+		result <- isolated
+	}()
+	return result
+}
+
+// connectionRefused reports whether err proves that no process listens at the address, so
+// that the member is not merely cut off.
+func connectionRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
+// isolatedInZone reports whether an upstream that does not respond to this VM responds to no
+// VM in its zone either.
+func (c *Controller) isolatedInZone(ctx context.Context, zone ident.AvailabilityZone, target execution.Target) bool {
+	return zone == "" || zone == c.cfg.Zone || c.cfg.UnreachableInZone(ctx, zone, target)
+}
+
 // Reachable reports whether an upstream responds to this VM. One in an evacuated zone is
 // not asked and counts as unreachable.
 func (c *Controller) Reachable(ctx context.Context, target execution.Target) bool {
--- a/internal/controller/takeover/controller.go
+++ b/internal/controller/takeover/controller.go
@@ -98,7 +98,7 @@
 	// reaches the primary. If there is no other VM it returns true.
 	Confirm func(ctx context.Context, target execution.Target) bool
 	// UnreachableInZone requests confirmation from a VM in a zone that it does not reach an
-	// upstream either. It returns false if no VM of the zone responds.
+	// upstream either. It returns false if none responds, and true if the zone has no VM.
 	UnreachableInZone func(ctx context.Context, zone ident.AvailabilityZone, target execution.Target) bool
 	Now               func() time.Duration
 	Log               zerolog.Logger
--- a/internal/controller/takeover/fake_test.go
+++ b/internal/controller/takeover/fake_test.go
@@ -6,6 +6,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -45,9 +46,9 @@
 	// beforeEffect and beforeStepDown are called, without the lock, before a promotion takes
 	// effect and before a member steps down.
 	beforeEffect, beforeStepDown func()
-	// unreachableInZone is the answer of the VMs in the zones of unreachable members.
-	unreachableInZone bool
-	acknowledged      ident.LogPoint // of the last commit that commitVia acknowledged
+	// zoneSilent means that no VM in the zones of the members responds.
+	zoneSilent   bool
+	acknowledged ident.LogPoint // of the last commit that commitVia acknowledged
 }
 
 // member is an upstream.
@@ -60,9 +61,9 @@
 	loseResume bool
 	// loseStepDown drops step-down commands without a response.
 	loseStepDown bool
-	resumes      int // number of resume commands sent
+	resumes      int  // number of resume commands sent
+	refuses      bool // no process listens at its address
 	incarnation  int64
-	draining     bool
 }
 
 func newFakePlatform(t *testing.T) *fakePlatform {
@@ -78,7 +79,7 @@
 	return New(Config{
 		Self: name, Store: p, Promoter: p, Dial: p.dial, Snapshot: p.snapshot, RegistrationsComplete: func() bool { return true },
 		Hubs: func() []placement.VM { return p.hubs }, Confirm: func(context.Context, execution.Target) bool { return true },
-		UnreachableInZone: func(context.Context, ident.AvailabilityZone, execution.Target) bool { return p.unreachableInZone },
+		UnreachableInZone: func(context.Context, ident.AvailabilityZone, execution.Target) bool { return !p.zoneSilent },
 		Notify:            func(vm ident.VMName, _ execution.Target) { p.notified = append(p.notified, vm) },
 		Now:               func() time.Duration { return time.Since(p.start) + time.Minute }, Log: zerolog.Nop(),
 		UniqueID: func() string {
@@ -157,11 +158,7 @@
 	var members []catalog.Upstream
 	for _, name := range slices.Sorted(maps.Keys(p.members)) {
 		m := p.members[name]
-		u := catalog.Upstream{Name: name, Group: "g1", Zone: "z-" + ident.AvailabilityZone(name), Address: string(name), State: catalog.Ready, Primary: m.primary, Incarnation: m.incarnation}
-		if m.draining {
-			u.State = catalog.Draining
-		}
-		members = append(members, u)
+		members = append(members, catalog.Upstream{Name: name, Group: "g1", Zone: "z-" + ident.AvailabilityZone(name), Address: string(name), State: catalog.Ready, Primary: m.primary, Incarnation: m.incarnation})
 	}
 	return &storesync.Snapshot{
 		Catalog:   &catalog.Catalog{Groups: map[ident.GroupName]catalog.Group{"g1": {SyncReplicas: 1}}},
@@ -232,7 +229,7 @@
 			return err
 		}
 	}
-	p.steppedDown = !p.members["u1"].primary
+	p.steppedDown = p.members["u1"] != nil && !p.members["u1"].primary
 	if p.beforeEffect != nil {
 		p.mu.Unlock()
 		p.beforeEffect()
@@ -251,7 +248,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.dials++
-	if p.members[target.Upstream].unresponsive {
+	m := p.members[target.Upstream]
+	if m != nil && m.refuses {
+		return nil, errors.WithStack(syscall.ECONNREFUSED)
+	}
+	if m == nil || m.unresponsive {
 		return nil, errors.New("connection timed out")
 	}
 	return &conn{platform: p, name: target.Upstream}, nil
--- a/internal/controller/takeover/handover.go
+++ b/internal/controller/takeover/handover.go
@@ -38,6 +38,7 @@
 	}
 	status, err := t.status(ctx, execution.TargetOf(primary), statusCommand(primary))
 	if err != nil || !status.Primary && !t.isNewestPrimary(primary) {
+		t.unresponsive, t.isolated = err != nil, connectionRefused(err)
 		return "", notPossible
 	}
 	t.term = max(t.term, status.Term, status.ReceivedPosition.Term)
@@ -136,6 +137,10 @@
 	return status.ReceivedPosition, true
 }
 
+// causeZoneSilent is the cause of a takeover that waits because the primary may be cut off
+// together with its zone.
+const causeZoneSilent = "the primary's zone does not respond, so members that join there may confirm commits"
+
 // logWaiting logs why a takeover is not carried out and the members that it waits for.
 func (t *attempt) logWaiting(cause string, members []ident.UpstreamName) {
 	names := make([]string, len(members))
--- a/internal/controller/takeover/handover_test.go
+++ b/internal/controller/takeover/handover_test.go
@@ -12,7 +12,7 @@
 	"github.com/rosemarywall/rosemarywall/internal/virtualtime"
 )
 
-// holds asserts that the log of the primary has the last acknowledged commit.
+// assertNothingLost asserts that the log of the primary has the last acknowledged commit.
 func (p *fakePlatform) assertNothingLost() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -196,12 +196,13 @@
 	virtualtime.Test(t, func(t *testing.T) {
 		p := newFakePlatform(t)
 		c := p.controller("vm-1")
+		p.zoneSilent = true
 		p.attempt(c, "ledger").updateHolders(t.Context())
 		p.updateMember("u3", func(m *member) { m.unresponsive = true })
 		p.deregistered = map[ident.UpstreamName]time.Duration{"u3": time.Second}
 		p.attempt(c, "ledger").updateHolders(t.Context())
 		assert.Equal(t, len(p.storedRecord().Holders), 3, "no VM of its zone responds")
-		p.unreachableInZone = true
+		p.zoneSilent = false
 		p.attempt(c, "ledger").updateHolders(t.Context())
 		r := p.storedRecord()
 		assert.DeepEqual(t, r.Holders, map[ident.UpstreamName]string{"u1": "u1", "u2": "u2"})
@@ -227,3 +228,47 @@
 		assert.Equal(t, len(p.promoteCalls), 0, "u3 may hold a commit")
 	})
 }
+
+// Guards against a promotion that lacks commits which were acknowledged behind the cut of the
+// primary's zone, where a member has joined that only clients there can see (LOST, review/7).
+func TestTakeoverWaitsForZoneOfSilentPrimary(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		for _, reason := range []string{reasonUnresponsive, reasonLeaving, reasonMissing} {
+			p := newFakePlatform(t)
+			c := p.controller("vm-1")
+			p.attempt(c, "ledger").updateHolders(t.Context())
+			p.stopPrimary()
+			p.zoneSilent = true
+			take := func() { p.replaceBecause(c, reason) }
+			if reason == reasonMissing {
+				p.updateMember("u1", func(m *member) { m.primary = false })
+				take = func() { p.replaceMissing(c) }
+			}
+			take()
+			assert.Equal(t, len(p.promoteCalls), 0, reason)
+			p.zoneSilent = false
+			if reason == reasonMissing {
+				p.mu.Lock()
+				delete(p.members, "u1") // no longer registered as a replica either
+				p.members["u1-successor"] = &member{received: ident.LogPoint{Term: 1, Position: 5}}
+				p.mu.Unlock()
+			}
+			take()
+			assert.DeepEqual(t, p.promoteCalls, []ident.UpstreamName{map[bool]ident.UpstreamName{false: "u2", true: "u1-successor"}[reason == reasonMissing]})
+		}
+	})
+}
+
+// Guards against a database that waits for a zone whose VMs are all down, although the primary's
+// machine shows that its process has ended.
+func TestRefusingPrimaryIsReplacedWithoutItsZone(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		for _, reason := range []string{reasonUnresponsive, reasonLeaving} {
+			p := newFakePlatform(t)
+			p.updateMember("u1", func(m *member) { m.refuses = true })
+			p.zoneSilent = true
+			p.replaceBecause(p.controller("vm-1"), reason)
+			assert.DeepEqual(t, p.promoteCalls, []ident.UpstreamName{"u2"})
+		}
+	})
+}
--- a/internal/controller/takeover/holders.go
+++ b/internal/controller/takeover/holders.go
@@ -155,7 +155,7 @@
 	if c.withdrawn(zone) || c.Reachable(ctx, target) {
 		return false // nothing is sent to a zone that is evacuated
 	}
-	return zone == "" || zone == c.cfg.Zone || c.cfg.UnreachableInZone(ctx, zone, target)
+	return c.isolatedInZone(ctx, zone, target)
 }
 
 // caughtUp reads the primary's position and reports whether a replica reaches it within
--- a/internal/controller/takeover/verify.go
+++ b/internal/controller/takeover/verify.go
@@ -45,11 +45,19 @@
 func (t *attempt) proveByReplicas(ctx context.Context) (ident.UpstreamName, bool) {
 	members := t.withHolders(t.nonPrimaryMembers())
 	t.members = members
+	var isolated <-chan bool
+	if !t.isolated && t.spec.SyncReplicas > 0 && t.primarySilent(ctx) {
+		isolated = t.checkIsolated(ctx)
+	}
 	targets := members
 	if t.primary != nil && !t.unresponsive && !t.controller.withdrawn(t.primary.Zone) {
 		targets = append(slices.Clone(members), *t.primary) // for its term
 	}
 	reports := t.sendCommand(ctx, targets, statusCommand)[:len(members)]
+	if isolated != nil && !<-isolated {
+		t.logWaiting(causeZoneSilent, nil)
+		return "", false
+	}
 	if t.boundCandidate != "" {
 		reports = slices.DeleteFunc(reports, func(r core.Report) bool { return r.Name != t.boundCandidate })
 	}
@@ -125,7 +133,7 @@
 		case verdict == core.Safe:
 			return candidate, t.awaitRegistrations(ctx, all)
 		case verdict == core.NoQuorum, t.controller.cfg.Now() >= deadline:
-			t.logWaiting("these members may hold a commit that the candidate lacks", t.missing(all, candidate, verdict))
+			t.logWaiting(causeMissing, t.missing(all, candidate, verdict))
 			return "", false
 		}
 		if !clock.Sleep(ctx, catchUpPollInterval) {
@@ -134,6 +142,31 @@
 	}
 }
 
+// causeMissing is the cause of a takeover that waits for members.
+const causeMissing = "these members may hold a commit that the candidate lacks"
+
+// primarySilent reports whether the primary does not respond to this VM. One in a zone whose
+// evacuation is in force gets no statements, so nothing is acknowledged there.
+func (t *attempt) primarySilent(ctx context.Context) bool {
+	var target execution.Target
+	switch {
+	case t.primary != nil && t.controller.withdrawn(t.primary.Zone):
+		return false
+	case t.primary != nil:
+		target = execution.TargetOf(*t.primary)
+	case t.record.Holders[t.record.Primary] == "":
+		return false
+	default:
+		target = execution.Target{Group: t.group.name, Upstream: t.record.Primary, Address: t.record.Holders[t.record.Primary]}
+	}
+	if t.unresponsive {
+		return true
+	}
+	_, err := t.status(ctx, target, statement.Command{Kind: statement.StatusCommand})
+	t.isolated = connectionRefused(err)
+	return err != nil && !t.isolated
+}
+
 // missing returns the members because of which a verification failed.
 func (t *attempt) missing(reports []core.Report, candidate ident.UpstreamName, verdict core.Verdict) []ident.UpstreamName {
 	var received ident.LogPoint
--- a/internal/service/handler.go
+++ b/internal/service/handler.go
@@ -167,7 +167,8 @@
 	return unresponsive
 }
 
-// unreachableInZone reports whether a VM in a zone responds and doesn't reach the upstream.
+// unreachableInZone reports whether a VM in a zone responds and doesn't reach the upstream, or
+// the zone has no VM.
 func (v *VM) unreachableInZone(ctx context.Context, zone ident.AvailabilityZone, target execution.Target) bool {
 	ctx, cancel := context.WithTimeout(ctx, confirmationTimeout)
 	defer cancel()
@@ -177,7 +178,7 @@
 			return !reached
 		}
 	}
-	return false
+	return !v.peers.HasVMs(zone)
 }
 
 // notifyTimeout limits a notification that a primary does not respond. A lost one is
