Pause no replica while too few of them respond

An attempt that could not succeed paused the replicas that responded and resumed them afterwards, again and again. A primary that only this VM did not reach could not commit meanwhile.

Now the number of replicas that respond is checked before any is paused, and the log names those that are missing. TestNoPauseWithoutEnoughReplicas failed before.

--- a/internal/controller/takeover/handover_test.go
+++ b/internal/controller/takeover/handover_test.go
@@ -272,3 +272,19 @@
 		}
 	})
 }
+
+// Guards against replicas that are paused although the takeover can't succeed, so that a
+// primary which only this VM doesn't reach can't commit.
+func TestNoPauseWithoutEnoughReplicas(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		p := newFakePlatform(t)
+		p.members["u4"] = &member{received: ident.LogPoint{Term: 1, Position: 5}}
+		p.stopPrimary()
+		p.updateMember("u4", func(m *member) { m.unresponsive = true })
+		p.replace(p.controller("vm-1"))
+		assert.Equal(t, len(p.promoteCalls), 0)
+		for _, name := range []ident.UpstreamName{"u2", "u3"} {
+			assert.Equal(t, p.members[name].resumes, 0, "%s was not paused", name)
+		}
+	})
+}
--- a/internal/controller/takeover/verify.go
+++ b/internal/controller/takeover/verify.go
@@ -58,6 +58,12 @@
 		t.logWaiting(causeZoneSilent, nil)
 		return "", false
 	}
+	if missing := t.unreached(reports); t.spec.SyncReplicas > 0 && len(missing) >= t.spec.SyncReplicas {
+		// Paused replicas would only keep a primary that is cut off from this VM from
+		// committing.
+		t.logWaiting(causeMissing, missing)
+		return "", false
+	}
 	if t.boundCandidate != "" {
 		reports = slices.DeleteFunc(reports, func(r core.Report) bool { return r.Name != t.boundCandidate })
 	}
@@ -167,6 +173,17 @@
 	return err != nil && !t.isolated
 }
 
+// unreached returns the members that do not respond, and those whose logs are lost.
+func (t *attempt) unreached(reports []core.Report) []ident.UpstreamName {
+	out := slices.Clone(t.lostLogs)
+	for _, r := range reports {
+		if !r.Reached {
+			out = append(out, r.Name)
+		}
+	}
+	return out
+}
+
 // missing returns the members because of which a verification failed.
 func (t *attempt) missing(reports []core.Report, candidate ident.UpstreamName, verdict core.Verdict) []ident.UpstreamName {
 	var received ident.LogPoint
