Repeat a verification when a member leaves before the call

Found by the model of the members (specs/takeover_members.pml): a paused replica starts again, so that it receives once more, confirms a commit of a primary that has returned, and leaves before the call. The call looked only for members that had joined.

Now a member that was registered at the verification must still be registered with the same incarnation. TestDepartureAfterVerificationPreventsCall failed before. No run of processes has shown this fault.

--- a/internal/controller/takeover/attempt.go
+++ b/internal/controller/takeover/attempt.go
@@ -300,13 +300,13 @@
 		c.endAttempt(t.group, attemptInterval, false)
 		return
 	}
-	var joined ident.UpstreamName
+	var changed ident.UpstreamName
 	found := false
 	if t.proof != proofDemoted {
-		joined, found = t.joinedMember()
+		changed, found = t.changedMember()
 	}
 	if took := c.cfg.Now() - start; found || took > maxAnnouncementAge {
-		t.log(c.cfg.Log.Warn()).Dur("took_ms", took).Str("joined", string(joined)).Msg("promotion not called")
+		t.log(c.cfg.Log.Warn()).Dur("took_ms", took).Str("changed", string(changed)).Msg("promotion not called")
 		t.abort(ctx)
 		c.endAttempt(t.group, attemptInterval, false)
 		return
--- a/internal/controller/takeover/handover_test.go
+++ b/internal/controller/takeover/handover_test.go
@@ -288,3 +288,21 @@
 		}
 	})
 }
+
+// Guards against a call after a counted replica has left and, having started again without its
+// pause, may have confirmed a commit in between.
+func TestDepartureAfterVerificationPreventsCall(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		p := newFakePlatform(t)
+		p.stopPrimary()
+		p.writeDelay = maxAnnouncementAge / 2
+		go func() {
+			time.Sleep(p.writeDelay + 10*time.Millisecond) // during the announcement
+			p.mu.Lock()
+			defer p.mu.Unlock()
+			p.deregistered = map[ident.UpstreamName]time.Duration{"u3": time.Second}
+		}()
+		p.replace(p.controller("vm-1"))
+		assert.Equal(t, len(p.promoteCalls), 0)
+	})
+}
--- a/internal/controller/takeover/holders.go
+++ b/internal/controller/takeover/holders.go
@@ -74,9 +74,11 @@
 }
 
 // registered returns the registered upstreams of the group.
-func (t *attempt) registered() []catalog.Upstream {
-	return slices.DeleteFunc(slices.Clone(t.snapshot.Upstreams[t.group.name]), func(u catalog.Upstream) bool {
-		_, deregistered := t.snapshot.Deregistered[u.Name]
+func (t *attempt) registered() []catalog.Upstream { return registeredIn(t.snapshot, t.group.name) }
+
+func registeredIn(snapshot *storesync.Snapshot, group ident.GroupName) []catalog.Upstream {
+	return slices.DeleteFunc(slices.Clone(snapshot.Upstreams[group]), func(u catalog.Upstream) bool {
+		_, deregistered := snapshot.Deregistered[u.Name]
 		return deregistered
 	})
 }
--- a/internal/controller/takeover/verify.go
+++ b/internal/controller/takeover/verify.go
@@ -96,17 +96,16 @@
 	return clock.Sleep(ctx, joinDelay)
 }
 
-// joinedMember returns a member that has joined since the verification; it may be the
-// only one that holds a commit.
-func (t *attempt) joinedMember() (ident.UpstreamName, bool) {
-	snapshot := t.controller.cfg.Snapshot()
-	for _, u := range snapshot.Upstreams[t.group.name] {
-		if _, deregistered := snapshot.Deregistered[u.Name]; deregistered {
-			continue // the commit holders account for what it holds
-		}
-		same := func(known catalog.Upstream) bool { return known.Name == u.Name && known.Incarnation == u.Incarnation }
-		if !slices.ContainsFunc(t.members, same) && (t.primary == nil || u.Name != t.primary.Name) {
-			return u.Name, true
+// changedMember returns a member that has joined, started again or left since the
+// verification; it may be the only one that holds a commit.
+func (t *attempt) changedMember() (ident.UpstreamName, bool) {
+	now := registeredIn(t.controller.cfg.Snapshot(), t.group.name)
+	for _, pair := range [][2][]catalog.Upstream{{now, t.members}, {t.registered(), now}} {
+		for _, u := range pair[0] {
+			same := func(known catalog.Upstream) bool { return known.Name == u.Name && known.Incarnation == u.Incarnation }
+			if !slices.ContainsFunc(pair[1], same) && (t.primary == nil || u.Name != t.primary.Name) {
+				return u.Name, true
+			}
 		}
 	}
 	return "", false
@@ -202,7 +201,7 @@
 }
 
 // awaitRegistrations waits for the registration of a replica that may have just started
-// again without its log. It registers within joinDelay, and joinedMember then finds it.
+// again without its log. It registers within joinDelay, and changedMember then finds it.
 func (t *attempt) awaitRegistrations(ctx context.Context, reports []core.Report) bool {
 	empty := func(r core.Report) bool { return r.Reached && r.Received.IsZero() }
 	return !slices.ContainsFunc(reports, empty) || clock.Sleep(ctx, joinDelay)
