Model the members of a group while its primary is replaced

specs/takeover_members.pml adds joins, also behind a cut, leaves, restarts without a log, members and leaders that are cut off or silent and return, drops from the commit holders, and a call that takes effect after its answer. It is a file of its own: one search over this and over the orders of attempts that run side by side would be too large.

--- a/specs/takeover.pml
+++ b/specs/takeover.pml
@@ -17,7 +17,8 @@
  *
  * Property: a member that is promoted has every acknowledged commit.
  *
- * Not modelled: members that leave or lose their log, for which the ledger stands.
+ * Not modelled: members that join, leave or lose their log, and a call that takes effect some
+ * time after its answer, for which takeover_members.pml stands.
  */
 #ifndef ATTEMPTS
 #define ATTEMPTS 3 /* the macros below list three */
