Let a primary that has stepped down lead again after a lost call

By reading: while the call of an earlier attempt might still promote its candidate, a hand-over could demote the primary and then find that the candidate lacks the end of the log. Nothing promoted the primary again if it was leaving, and the group could stay without one.

Now the replicas decide in this case, since what the candidate lacks may be unconfirmed, and the last primary may lead again if no other is registered, even if it leaves. A command to step down that gets no response counts as possibly executed, so that a missing primary is looked after at once. stepDown uses demote, which it repeated.

TestLeavingPrimaryLeadsAgainAfterLostCall fails without the second change.

--- a/internal/controller/takeover/fake_test.go
+++ b/internal/controller/takeover/fake_test.go
@@ -63,6 +63,7 @@
 	loseStepDown bool
 	resumes      int  // number of resume commands sent
 	refuses      bool // no process listens at its address
+	draining     bool
 	incarnation  int64
 }
 
@@ -158,7 +159,11 @@
 	var members []catalog.Upstream
 	for _, name := range slices.Sorted(maps.Keys(p.members)) {
 		m := p.members[name]
-		members = append(members, catalog.Upstream{Name: name, Group: "g1", Zone: "z-" + ident.AvailabilityZone(name), Address: string(name), State: catalog.Ready, Primary: m.primary, Incarnation: m.incarnation})
+		state := catalog.Ready
+		if m.draining {
+			state = catalog.Draining
+		}
+		members = append(members, catalog.Upstream{Name: name, Group: "g1", Zone: "z-" + ident.AvailabilityZone(name), Address: string(name), State: state, Primary: m.primary, Incarnation: m.incarnation})
 	}
 	return &storesync.Snapshot{
 		Catalog:   &catalog.Catalog{Groups: map[ident.GroupName]catalog.Group{"g1": {SyncReplicas: 1}}},
--- a/internal/controller/takeover/handover.go
+++ b/internal/controller/takeover/handover.go
@@ -55,15 +55,16 @@
 		return "", waiting
 	}
 	if candidate, ok := t.awaitReplica(ctx, replicas, end); ok {
+		t.proof = proofDemoted
 		return candidate, handedOver
 	}
 	if t.boundCandidate != "" {
-		t.logWaiting("an earlier call may still promote a member that lacks the end of the primary's log", []ident.UpstreamName{t.boundCandidate})
-		return "", waiting
+		return "", notPossible // it may lack only commits that nobody has confirmed
 	}
 	// Replicas receive from a primary only. The demoted one holds everything that it has
 	// acknowledged, so it is promoted again until a candidate has caught up.
 	t.log(t.controller.cfg.Log.Warn()).Stringer("end", end).Msg("no candidate has the end of the log; the demoted primary is promoted again")
+	t.proof = proofDemoted
 	return primary.Name, handedOver
 }
 
@@ -121,19 +122,20 @@
 	}
 }
 
-// demote commands the primary to step down and returns the end of its log.
+// demote commands the primary to step down and returns the end of its log. A command without
+// a response may have been executed.
 func (t *attempt) demote(ctx context.Context, primary catalog.Upstream) (ident.LogPoint, bool) {
 	c, term := t.controller, t.term+1
+	c.mu.Lock()
+	t.group.steppedDown = true
+	c.mu.Unlock()
 	status, err := t.status(ctx, execution.TargetOf(primary), statement.Command{Kind: statement.StepDownCommand, Term: term})
 	t.log(c.cfg.Log.Info()).Err(err).Uint64("term", uint64(term)).Stringer("position", status.ReceivedPosition).Msg("primary commanded to step down")
 	if err != nil || status.Primary {
 		t.logWaiting("the primary has not confirmed that it steps down", []ident.UpstreamName{primary.Name})
 		return ident.LogPoint{}, false
 	}
-	c.mu.Lock()
-	t.group.steppedDown = true
-	c.mu.Unlock()
-	t.demoted, t.proof = primary.Name, proofDemoted
+	t.demoted = primary.Name
 	return status.ReceivedPosition, true
 }
 
--- a/internal/controller/takeover/handover_test.go
+++ b/internal/controller/takeover/handover_test.go
@@ -123,6 +123,33 @@
 	})
 }
 
+// Guards against a group without a primary for good: the primary that leaves has stepped down,
+// its log has an end that nobody has received, and the call of an earlier attempt was lost.
+func TestLeavingPrimaryLeadsAgainAfterLostCall(t *testing.T) {
+	virtualtime.Test(t, func(t *testing.T) {
+		p := newFakePlatform(t)
+		c := p.controller("vm-1")
+		p.attempt(c, "ledger").updateHolders(t.Context())
+		p.callResults = []error{errNoResponse}
+		p.updateMember("u1", func(m *member) { m.draining = true })
+		p.stopPrimary()
+		p.replace(c) // proved by replicas; the call for u2 may take effect
+		p.updateMember("u1", func(m *member) { m.unresponsive = false })
+		p.beforeStepDown = func() { p.commitVia("none") }
+		p.updateMember("u2", func(m *member) { m.unresponsive = true })
+		p.replace(c)
+		assert.Equal(t, len(p.promoteCalls), 1, "only u2 may be promoted")
+		p.updateMember("u1", func(m *member) { m.primary = false })
+		p.updateMember("u2", func(m *member) { m.unresponsive = false })
+		p.beforeStepDown = nil
+		p.updateMember("u1", func(m *member) { m.received.Position++ })
+		time.Sleep(maxCommandDelay)
+		p.replaceMissing(p.controller("vm-2"))
+		p.replaceMissing(c)
+		assert.DeepEqual(t, p.promoteCalls[1:], []ident.UpstreamName{"u1"})
+	})
+}
+
 // Guards against a member that counts as the last primary although a call has promoted another
 // one since, whose commits it lacks.
 func TestFormerPrimaryProvesNothingAfterAnotherCall(t *testing.T) {
--- a/internal/controller/takeover/verify.go
+++ b/internal/controller/takeover/verify.go
@@ -64,6 +64,10 @@
 		t.logWaiting(causeMissing, missing)
 		return "", false
 	}
+	for i, r := range reports {
+		// One that has stepped down may lead again until another has caught up, even if it leaves.
+		reports[i].Eligible = r.Eligible || t.primary == nil && r.Name == t.record.Primary
+	}
 	if t.boundCandidate != "" {
 		reports = slices.DeleteFunc(reports, func(r core.Report) bool { return r.Name != t.boundCandidate })
 	}
@@ -81,19 +85,11 @@
 
 // stepDown prevents a primary that completes no write from acknowledging further
 // commits. It may reach its replicas again at any time, and also a member that joins and
-// that the verification does not cover. A primary that leaves is not commanded to step
-// down: it continues to write until the promotion.
+// that the verification does not cover. The end of its log proves nothing: no replica has
+// received it.
 func (t *attempt) stepDown(ctx context.Context) bool {
-	term := t.term + 1
-	status, err := t.status(ctx, execution.TargetOf(*t.primary), statement.Command{Kind: statement.StepDownCommand, Term: term})
-	t.log(t.controller.cfg.Log.Info()).Err(err).Uint64("term", uint64(term)).Stringer("position", status.ReceivedPosition).Msg("primary commanded to step down")
-	if err != nil {
-		return false
-	}
-	t.controller.mu.Lock()
-	t.group.steppedDown = true
-	t.controller.mu.Unlock()
-	return clock.Sleep(ctx, joinDelay)
+	_, ok := t.demote(ctx, *t.primary)
+	return ok && clock.Sleep(ctx, joinDelay)
 }
 
 // changedMember returns a member that has joined, started again or left since the
