Show that a smaller settings file is not reloaded

A reload rejects a whole file that has one element less than the former one and waits for another SIGHUP, which the platform does not send. The process keeps the former grace time and SIGKILL cuts requests that members have received.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -73,6 +73,10 @@
 	switch name {
 	case "silent-settings":
 		return graceCase(f, trouble, func(*settings) {}, false)
+	case "smaller-settings":
+		return graceCase(f, trouble, func(s *settings) { s.seeds = s.seeds[:2] }, true)
+	case "changed-settings": // a check of smaller-settings: the same without the smaller list
+		return graceCase(f, trouble, func(*settings) {}, true)
 	}
 	return false, fmt.Errorf("unknown case %q", name)
 }
