Show that a frozen machine can end the service of a database

If the answer to the first statement of a transaction does not arrive in time, the machine that asked sends no rollback. The executing machine keeps the transaction open, and its connection, until the process ends. A freeze of 2 s leaves all connections of the two machines near a primary in this state.

--- a/review/standin3/fleet.go
+++ b/review/standin3/fleet.go
@@ -18,8 +18,9 @@
 
 // Values of the small deployment.
 const (
-	usualGraceS = 6
-	usualRAMMB  = 284
+	usualGraceS  = 6
+	usualApplyMS = 3000
+	usualRAMMB   = 284
 	// statementTime is the work of a member for one statement.
 	statementTime = 9 * time.Millisecond
 	// routeTimeout limits one statement, and timeLimit the wait of a requester.
@@ -41,6 +42,7 @@
 	duties    *platformtest.DutyServer
 	vms       []*vm
 	record    *record
+	version   int // of the configuration
 	probes    http.Client
 
 	mu sync.Mutex // protects the misses of the VMs
@@ -87,7 +89,7 @@
 		f.groups = append(f.groups, g)
 	}
 	f.duties = platformtest.NewDutyServer(f.groups...)
-	f.configure()
+	f.configure(nil)
 	command, err := deployCommand()
 	if err != nil {
 		return f, err
@@ -104,7 +106,7 @@
 		zone := zones[n%len(zones)].name
 		v, err := newVM(directory, command, settings{
 			node: fmt.Sprintf("front-%s-%d", zone, n/len(zones)+1), ip: fmt.Sprintf("%s.%d", prefix, n+1), zone: zone,
-			storeAddress: f.store.Address(), dutyAddress: f.duties.Address(), graceS: usualGraceS, ramMB: usualRAMMB, seeds: seeds,
+			storeAddress: f.store.Address(), dutyAddress: f.duties.Address(), graceS: usualGraceS, applyMS: usualApplyMS, ramMB: usualRAMMB, seeds: seeds,
 		})
 		if err != nil {
 			return f, err
@@ -141,8 +143,10 @@
 
 func databaseName(group, kind int) string { return fmt.Sprintf("db%d%d", group, kind) }
 
-// configure writes the configuration.
-func (f *fleet) configure() {
+// configure writes the next version of the configuration, without the keys of the tenants in
+// dropped.
+func (f *fleet) configure(dropped map[int]bool) {
+	f.version += 7
 	var routes, services, organisations []any
 	for n, g := range f.groups {
 		for k, kind := range routeTypes {
@@ -154,10 +158,14 @@
 			"warmup_s": 0.0, "cold_per_s": 0.0, "sync_replicas": 1})
 	}
 	for n := range tenants {
-		organisations = append(organisations, map[string]any{"name": tenantName(n), "api_keys": []string{tenantKey(n)}, "prio": 1,
+		keys := []string{tenantKey(n)}
+		if dropped[n] {
+			keys = []string{}
+		}
+		organisations = append(organisations, map[string]any{"name": tenantName(n), "api_keys": keys, "prio": 1,
 			"rate_per_s": 1000, "burst": 1000, "home_regions": []string{}})
 	}
-	f.store.Set("config", "main", map[string]any{"version": 7, "routes": routes, "upstreams": services, "tenants": organisations,
+	f.store.Set("config", "main", map[string]any{"version": f.version, "routes": routes, "upstreams": services, "tenants": organisations,
 		"limits": map[string]any{"max_header_bytes": 16384, "max_body_bytes": 262144, "header_ms": 3000, "idle_ms": 15000, "tx_idle_ms": 3000}})
 }
 
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -62,7 +62,11 @@
 }
 
 func play(name string, r *record, trouble bool) (broken bool, err error) {
-	f, err := newFleet(r, 2, 3)
+	services := 3
+	if name == "frozen-machines" {
+		services = 1
+	}
+	f, err := newFleet(r, 2, services)
 	if f != nil {
 		defer f.close()
 	}
@@ -77,6 +81,8 @@
 		return graceCase(f, trouble, func(s *settings) { s.seeds = s.seeds[:2] }, true)
 	case "changed-settings": // a check of smaller-settings: the same without the smaller list
 		return graceCase(f, trouble, func(*settings) {}, true)
+	case "frozen-machines":
+		return freezeCase(f, trouble)
 	}
 	return false, fmt.Errorf("unknown case %q", name)
 }
--- a/review/standin3/settings.go
+++ b/review/standin3/settings.go
@@ -22,6 +22,7 @@
 	storeAddress   string
 	dutyAddress    string
 	graceS         int
+	applyMS        int
 	ramMB          int
 	// seeds are addresses for control, at most three.
 	seeds []string
@@ -101,7 +102,7 @@
   drain_ms: 7000
   grace_s: %d
   loss_slack_ms: 200
-  apply_ms: 3000
+  apply_ms: %d
   downgrade_ms: 250
   skew_max_ms: 15000
   strict_revoke: true
@@ -130,7 +131,7 @@
     - "failover"
   duty_per_s: 50.0
 `, s.node, s.ip, s.zone, regionOf(s.zone), zoneLines.String(), s.ip, frontPort, s.ip, readyPort, s.ip, controlPort,
-		firstPeerPort, lastPeerPort, seedLines.String(), s.ramMB, s.graceS, s.storeAddress, s.dutyAddress)
+		firstPeerPort, lastPeerPort, seedLines.String(), s.ramMB, s.graceS, s.applyMS, s.storeAddress, s.dutyAddress)
 }
 
 // place replaces a settings file by a whole new one at once.
