Show that a shorter bound for configurations is not applied

A reload applies the grace time of the new settings only. The intervals at which versions are read and passed on stay those of the start, so that a key which was taken away still works after the new bound.

--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -81,6 +81,8 @@
 		return graceCase(f, trouble, func(s *settings) { s.seeds = s.seeds[:2] }, true)
 	case "changed-settings": // a check of smaller-settings: the same without the smaller list
 		return graceCase(f, trouble, func(*settings) {}, true)
+	case "shorter-bound":
+		return applyCase(f, trouble)
 	case "frozen-machines":
 		return freezeCase(f, trouble)
 	}
