--- a/review/standin3/journal.go
+++ b/review/standin3/journal.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"slices"
 	"time"
 
@@ -27,24 +26,3 @@
 		}
 	}
 }
-
-// state writes what the metrics port of each VM tells about open transactions.
-func (r *record) state(f *fleet, when string) {
-	for _, v := range f.vms {
-		response, err := f.probes.Get("http://" + v.address(metricsPort) + "/debug/state")
-		if err != nil {
-			r.add("%s, %s: %v", when, v.settings.node, err)
-			continue
-		}
-		var state struct {
-			Open int `json:"open_transactions"`
-		}
-		err = json.NewDecoder(response.Body).Decode(&state)
-		_ = response.Body.Close()
-		if err != nil {
-			r.add("%s, %s: %v", when, v.settings.node, err)
-			continue
-		}
-		r.add("%s, %s has %d open transactions", when, v.settings.node, state.Open)
-	}
-}
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -62,11 +62,7 @@
 }
 
 func play(name string, r *record, trouble bool) (broken bool, err error) {
-	services := 3
-	if name == "frozen-machines" {
-		services = 1
-	}
-	f, err := newFleet(r, 2, services)
+	f, err := newFleet(r, 2, 3)
 	if f != nil {
 		defer f.close()
 	}
@@ -83,8 +79,6 @@
 		return graceCase(f, trouble, func(*settings) {}, true)
 	case "shorter-bound":
 		return applyCase(f, trouble)
-	case "frozen-machines":
-		return freezeCase(f, trouble)
 	}
 	return false, fmt.Errorf("unknown case %q", name)
 }
--- a/review/standin3/settings.go
+++ b/review/standin3/settings.go
@@ -11,8 +11,6 @@
 const (
 	frontPort, readyPort, controlPort = 8465, 8460, 8462
 	firstPeerPort, lastPeerPort       = 7560, 7575
-	// metricsPort is that of the deploy file.
-	metricsPort = 9464
 )
 
 // settings are the values of a settings file that differ between VMs or change in a run. The
